Add the thin whole path as separate processes

Cause: nothing existed. A request goes caller -> entry host -> backend server and back; a job is claimed in the log, placed on workers under leases and answered whole; an intent becomes a plan, the plan is confirmed through the log and every entry host acts under it.

Ruled out: decisions inside the HTTP handlers; packages under internal/decide are pure so that they can be driven without a network.

Before: none. Conclusion: the path stands; jobs, requests and configuration are thin.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,195 @@
+// Package daemon is the root supervisor of an entry host: it builds the parts,
+// starts them in order, and stops them in reverse order.
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"hash/maphash"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
+	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/follower"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/jobs"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/journal"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/pool"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/workers"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+	"github.com/parsleyhill/parsleyhill/internal/settings"
+)
+
+// Daemon is one entry host.
+type Daemon struct {
+	settings    settings.Settings
+	incarnation ids.Incarnation
+	logger      *log.Logger
+	started     time.Time
+	leaving     atomic.Bool
+
+	config   *follower.Config
+	hosts    *follower.Hosts
+	members  *peers.Members
+	explain  *peers.Explain
+	requests *requests.Service
+	jobs     *jobs.Service
+	operator *operator.Service
+	pool     *pool.Pool
+}
+
+// New builds a daemon that does nothing until Run.
+func New(s settings.Settings, logger *log.Logger) *Daemon {
+	d := &Daemon{
+		settings:    s,
+		incarnation: ids.NewIncarnation(s.Host),
+		logger:      logger,
+		started:     time.Now(),
+		pool:        pool.New(),
+	}
+	platformClient := &http.Client{}
+	platformLog := platform.NewHTTPLog(s.Platform.Log, platformClient)
+	hostList := platform.NewHTTPHostList(s.Platform.HostList, platformClient)
+	d.config = follower.NewConfig(platformLog, prefixed(logger, "config"))
+	d.hosts = follower.NewHosts(hostList, prefixed(logger, "hosts"), milliseconds(s.Platform.PollMs))
+
+	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
+	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, d.summary)
+	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
+	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
+	d.operator = operator.New(d.config, platformLog, record, d.explain, d.status)
+
+	seed := maphash.String(maphash.MakeSeed(), s.Host)
+	d.requests = requests.New(requests.Deps{
+		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
+	})
+	d.jobs = jobs.New(jobs.Deps{
+		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
+		Workers: workers.NewClient(&http.Transport{MaxIdleConnsPerHost: workerConns}), Recorder: record,
+		Logger: prefixed(logger, "job"), Owners: peers.NewJobOwners(d.members, peerClient), Seed: seed,
+	})
+	return d
+}
+
+const (
+	// peerConns is the number of idle connections kept to one peer.
+	peerConns = 8
+	// workerConns is the number of idle connections kept to one worker.
+	workerConns = 4
+)
+
+func prefixed(l *log.Logger, prefix string) *log.Logger { return l.WithPrefix(prefix) }
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Run serves until ctx ends, then stops gracefully: it reports not ready,
+// waits for the balancer, finishes work in flight and closes.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.logger.Info("entry host starts", "host", d.settings.Host, "zone", d.settings.Zone, "incarnation", d.incarnation)
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	go func() {
+		<-ctx.Done()
+		d.drain()
+		stopServing()
+	}()
+	return supervise.Run(serving, d.logger, d.parts()...)
+}
+
+func (d *Daemon) parts() []supervise.Part {
+	listen := d.settings.Listen
+	return []supervise.Part{
+		{Name: "host list", Run: d.hosts.Run},
+		{Name: "configuration", Run: d.config.Run},
+		{Name: "members", Run: d.members.Run},
+		{Name: "requests", Run: d.requests.Run},
+		{Name: "jobs", Run: d.jobs.Run},
+		{Name: "peers port", Run: serveHTTP(listen.Peers, d.peerRoutes()), Restart: supervise.Never},
+		{Name: "operators port", Run: serveHTTP(listen.Operators, d.operatorRoutes()), Restart: supervise.Never},
+		{Name: "callers port", Run: serveHTTP(listen.Callers, d.callerRoutes()), Restart: supervise.Never},
+	}
+}
+
+// drain reports not ready and waits for work in flight.
+func (d *Daemon) drain() {
+	d.logger.Info("planned stop begins", "drain_ms", d.settings.Stop.DrainMs)
+	d.leaving.Store(true)
+	time.Sleep(milliseconds(d.settings.Stop.DrainMs))
+	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(d.settings.Stop.GraceMs))
+	defer cancel()
+	if err := d.requests.Stop(ctx); err != nil {
+		d.logger.Error("planned stop cut off requests", "error", err)
+	}
+	d.logger.Info("planned stop ends")
+}
+
+func (d *Daemon) ready() bool { return !d.leaving.Load() && d.config.State() != nil }
+
+func (d *Daemon) summary() *peerv1.HostSummary {
+	s := &peerv1.HostSummary{
+		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: string(d.incarnation),
+		Leaving: d.leaving.Load(), UptimeMs: time.Since(d.started).Milliseconds(), LastPeerLossMs: -1,
+	}
+	if state := d.config.State(); state != nil {
+		s.ConfigVersion = state.Version
+	}
+	return s
+}
+
+func (d *Daemon) status() operator.Status {
+	s := operator.Status{
+		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: string(d.incarnation),
+		LogAgeMs: d.config.Age(time.Now()).Milliseconds(), State: d.config.State(),
+	}
+	if s.State != nil {
+		s.Version = s.State.Version
+	}
+	for _, p := range d.members.Peers() {
+		s.Peers = append(s.Peers, operator.PeerStatus{
+			Host: p.Host, Zone: p.Zone, Reachable: p.Reachable, Version: d.members.Version(p.Host),
+		})
+	}
+	return s
+}
+
+func (d *Daemon) callerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	d.requests.Routes(mux)
+	d.jobs.Routes(mux)
+	mux.HandleFunc("GET /v1/ready", d.serveReady)
+	refuseOperators(mux)
+	return mux
+}
+
+func (d *Daemon) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	d.operator.Routes(mux)
+	mux.Handle("GET "+operator.PathMetrics, expvar.Handler())
+	return mux
+}
+
+func (d *Daemon) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
+	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
+	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs}))
+	return mux
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	// A failed write means that the caller has gone; there is nobody to tell.
+	_, _ = fmt.Fprintln(w, "ready")
+}
--- /dev/null
+++ b/internal/daemon/follower/hosts.go
@@ -0,0 +1,56 @@
+package follower
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+)
+
+// Hosts follows the host list. It keeps the last usable reading and is safe
+// for concurrent use.
+type Hosts struct {
+	list   platform.HostList
+	logger *log.Logger
+	poll   time.Duration
+	last   atomic.Pointer[platform.Hosts]
+}
+
+// NewHosts returns a follower that reads the list every poll.
+func NewHosts(list platform.HostList, logger *log.Logger, poll time.Duration) *Hosts {
+	return &Hosts{list: list, logger: logger, poll: poll}
+}
+
+// Hosts returns the hosts of the last usable reading.
+func (h *Hosts) Hosts() []platform.Host {
+	if last := h.last.Load(); last != nil {
+		return last.Hosts
+	}
+	return nil
+}
+
+// Run reads the list until ctx ends.
+func (h *Hosts) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		h.readOnce(ctx)
+		sleep(ctx, h.poll)
+	}
+	return ctx.Err()
+}
+
+func (h *Hosts) readOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	hosts, err := h.list.Hosts(ctx)
+	switch {
+	case err != nil:
+		h.logger.Warn("host list gives no reading", "error", err)
+	case len(hosts.Hosts) == 0:
+		h.logger.Warn("host list is empty, keeping the last reading")
+	default:
+		h.last.Store(&hosts)
+	}
+}
--- /dev/null
+++ b/internal/daemon/jobs/http.go
@@ -0,0 +1,97 @@
+package jobs
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/decide/jobs"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/httpjson"
+)
+
+// Routes adds the callers' paths to mux.
+func (s *Service) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+callerapi.PathJobs, s.serveSubmit)
+	mux.HandleFunc("GET "+callerapi.PathJobs+"/{customer}/{submission}", s.serveGet)
+}
+
+func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	job, err := s.parse(w, r)
+	if err != nil {
+		errkind.Write(w, job.Submission, err, 0)
+		return
+	}
+	answer, err := s.Submit(r.Context(), job)
+	if err != nil {
+		errkind.Write(w, job.Submission, err, 0)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (s *Service) serveGet(w http.ResponseWriter, r *http.Request) {
+	k := jobs.Key{Customer: r.PathValue("customer"), Submission: r.PathValue("submission")}
+	waitMs, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	answer, err := s.Wait(r.Context(), k, time.Duration(waitMs)*time.Millisecond)
+	if err != nil {
+		errkind.Write(w, k.Submission, err, 0)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+// parse checks a job whole before anything is done with it.
+func (s *Service) parse(w http.ResponseWriter, r *http.Request) (callerapi.Job, *errkind.Error) {
+	var job callerapi.Job
+	limits := s.deps.Settings.Limits
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limits.JobBytes))
+	dec.DisallowUnknownFields()
+	var tooLarge *http.MaxBytesError
+	switch err := dec.Decode(&job); {
+	case errors.As(err, &tooLarge):
+		return job, errkind.New(errkind.TooLarge, "the job is larger than %d bytes", limits.JobBytes)
+	case err != nil:
+		return job, errkind.Wrap(errkind.BadRequest, err, "decode job")
+	}
+	state := s.deps.View.State()
+	if state == nil {
+		return job, errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	rules, ok := state.Customers[job.Customer]
+	switch {
+	case !ok:
+		return job, errkind.New(errkind.UnknownCustomer, "no customer %q", job.Customer)
+	case job.Submission == "":
+		return job, errkind.New(errkind.BadRequest, "the job has no submission id")
+	case len(job.Tasks) == 0 || len(job.Tasks) > limits.TasksPerJob:
+		return job, errkind.New(errkind.BadRequest, "a job has 1 to %d tasks, this one %d", limits.TasksPerJob, len(job.Tasks))
+	case job.DeadlineMs < 0:
+		return job, errkind.New(errkind.DeadlinePassed, "the deadline is %d ms away", job.DeadlineMs)
+	}
+	rules = rules.WithDefaults()
+	if job.DeadlineMs == 0 {
+		job.DeadlineMs = rules.DeadlineMs
+	}
+	job.DeadlineMs = min(job.DeadlineMs, rules.MaxDeadlineMs)
+	return job, checkTasks(job)
+}
+
+func checkTasks(job callerapi.Job) *errkind.Error {
+	names := make(map[string]bool, len(job.Tasks))
+	for _, t := range job.Tasks {
+		switch {
+		case t.Name == "":
+			return errkind.New(errkind.BadRequest, "a task has no name")
+		case names[t.Name]:
+			return errkind.New(errkind.BadRequest, "two tasks are named %q", t.Name)
+		case t.Cores < 0 || t.MemoryMB < 0 || t.Accelerators < 0:
+			return errkind.New(errkind.BadRequest, "task %q needs less than nothing", t.Name)
+		}
+		names[t.Name] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/operator/operator.go
@@ -0,0 +1,198 @@
+// Package operator serves operators: intents become plans, confirmed plans
+// become records in the platform's log, and decisions are explained.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/httpjson"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+)
+
+// The paths of the interface.
+const (
+	PathPlans    = "/v1/plans"
+	PathConfirms = "/v1/confirms"
+	PathExplain  = "/v1/explain"
+	PathStatus   = "/v1/status"
+	PathMetrics  = "/debug/vars"
+)
+
+// confirmWait bounds the wait for a record's outcome.
+const confirmWait = 5 * time.Second
+
+// Follower is the part of the configuration follower that is used here.
+type Follower interface {
+	standing.View
+	Outcome(ctx context.Context, id string) (config.Outcome, error)
+}
+
+// Confirmed is the answer to a confirmed plan.
+type Confirmed struct {
+	Plan string `json:"plan"`
+	// Result is "accepted", "rejected" or "unknown".
+	Result string `json:"result"`
+	// Reason says why a plan was rejected.
+	Reason string `json:"reason,omitempty"`
+	// Version is the version in force on this host after the answer.
+	Version int64 `json:"version"`
+}
+
+// Explainer gathers what entry hosts know of a subject.
+type Explainer interface {
+	Explain(ctx context.Context, subject string) Explanation
+}
+
+// Explanation is what is known of a subject.
+type Explanation struct {
+	Subject string            `json:"subject"`
+	Records []decision.Record `json:"records"`
+	// Hosts are the entry hosts that answered.
+	Hosts []string `json:"hosts"`
+	// Unreached are the entry hosts that did not.
+	Unreached []string `json:"unreached,omitempty"`
+}
+
+// Status is what a woken engineer needs first about one entry host.
+type Status struct {
+	Host        string            `json:"host"`
+	Zone        string            `json:"zone"`
+	Incarnation string            `json:"incarnation"`
+	Version     int64             `json:"version"`
+	LogAgeMs    int64             `json:"log_age_ms"`
+	State       *standing.State   `json:"state,omitempty"`
+	Peers       []PeerStatus      `json:"peers"`
+	Conditions  []decision.Record `json:"conditions,omitempty"`
+}
+
+// PeerStatus is one other entry host as seen from here.
+type PeerStatus struct {
+	Host      string `json:"host"`
+	Zone      string `json:"zone"`
+	Reachable bool   `json:"reachable"`
+	Version   int64  `json:"version"`
+}
+
+// Service serves operators.
+type Service struct {
+	follower  Follower
+	log       platform.Log
+	recorder  decision.Recorder
+	explainer Explainer
+	status    func() Status
+}
+
+// New returns a service. Status describes this host.
+func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, status func() Status) *Service {
+	return &Service{follower: f, log: l, recorder: r, explainer: e, status: status}
+}
+
+// Routes adds the operators' paths to mux.
+func (s *Service) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+PathPlans, s.servePlan)
+	mux.HandleFunc("POST "+PathConfirms, s.serveConfirm)
+	mux.HandleFunc("GET "+PathExplain+"/{subject}", s.serveExplain)
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, s.status())
+	})
+}
+
+func (s *Service) servePlan(w http.ResponseWriter, r *http.Request) {
+	var intent config.Intent
+	if err := decodeStrict(r, &intent); err != nil {
+		errkind.Write(w, "", err, 0)
+		return
+	}
+	state := s.follower.State()
+	if state == nil {
+		errkind.Write(w, "", errkind.New(errkind.NotReady, "no configuration yet"), 0)
+		return
+	}
+	intent.ID = ids.New("intent")
+	plan, err := config.MakePlan(ids.New("plan"), state, intent)
+	if err != nil {
+		errkind.Write(w, "", err, 0)
+		return
+	}
+	s.note("plan", "intent", intent.Operator+" asked for "+string(intent.Verb)+": "+intent.Reason, plan)
+	httpjson.Write(w, http.StatusOK, plan)
+}
+
+func (s *Service) serveConfirm(w http.ResponseWriter, r *http.Request) {
+	var plan config.Plan
+	if err := decodeStrict(r, &plan); err != nil {
+		errkind.Write(w, "", err, 0)
+		return
+	}
+	if err := plan.Verify(); err != nil {
+		errkind.Write(w, plan.ID, err, 0)
+		return
+	}
+	confirmed, err := s.confirm(r.Context(), plan)
+	if err != nil {
+		errkind.Write(w, plan.ID, err, 0)
+		return
+	}
+	s.note("confirm", confirmed.Result, plan.Intent.Operator+" confirmed: "+confirmed.Reason, plan)
+	httpjson.Write(w, http.StatusOK, confirmed)
+}
+
+// confirm appends the plan and reads back what became of it.
+func (s *Service) confirm(ctx context.Context, plan config.Plan) (Confirmed, *errkind.Error) {
+	record := config.Record{Kind: config.KindChange, ID: plan.ID, Plan: &plan}
+	data, err := record.Encode()
+	if err != nil {
+		return Confirmed{}, errkind.Wrap(errkind.Internal, err, "encode plan").WithRun(errkind.NotRun)
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	_, err = s.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+	if errors.Is(err, platform.ErrUnavailable) {
+		return Confirmed{}, errkind.Wrap(errkind.LogUnavailable, err, "the plan was not recorded")
+	}
+	outcome, err := s.follower.Outcome(ctx, plan.ID)
+	if err != nil {
+		return Confirmed{}, errkind.Wrap(errkind.LogUnknown, err, "ask again for plan %s", plan.ID)
+	}
+	if !outcome.Accepted {
+		return Confirmed{}, errkind.New(errkind.PlanStale, "%s", outcome.Reason)
+	}
+	return Confirmed{Plan: plan.ID, Result: "accepted", Version: s.follower.State().Version}, nil
+}
+
+func (s *Service) serveExplain(w http.ResponseWriter, r *http.Request) {
+	httpjson.Write(w, http.StatusOK, s.explainer.Explain(r.Context(), r.PathValue("subject")))
+}
+
+func (s *Service) note(action, rule, why string, p config.Plan) {
+	subjects := []string{p.ID, p.Intent.ID}
+	for _, name := range []string{p.Intent.Host, p.Intent.Customer} {
+		if name != "" {
+			subjects = append(subjects, name)
+		}
+	}
+	s.recorder.Record(decision.Record{
+		Part: decision.PartPlan, Action: action, Rule: rule, Why: why, Subjects: subjects, Customer: p.Intent.Customer,
+	})
+}
+
+// maxDocument bounds an operator's document.
+const maxDocument = 1 << 20
+
+func decodeStrict(r *http.Request, v any) *errkind.Error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxDocument))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return errkind.Wrap(errkind.BadRequest, err, "decode document")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,68 @@
+package errkind
+
+import (
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// declaredKinds reads the constants of type Kind from the source, so that a
+// kind added without a row in the table is found.
+func declaredKinds(t *testing.T) []Kind {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "errkind.go", nil, 0)
+	require.NoError(t, err)
+	var kinds []Kind
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if id, ok := spec.Type.(*ast.Ident); !ok || id.Name != "Kind" {
+			return true
+		}
+		text, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+		require.NoError(t, err)
+		kinds = append(kinds, Kind(text))
+		return true
+	})
+	return kinds
+}
+
+func TestEveryKindHasOneRow(t *testing.T) {
+	kinds := declaredKinds(t)
+	require.Len(t, All(), len(kinds))
+	exits := map[int]Kind{}
+	for _, k := range kinds {
+		row, ok := table[k]
+		require.True(t, ok, "kind %s has no row", k)
+		require.GreaterOrEqual(t, row.HTTPStatus, 400, "kind %s", k)
+		require.NotZero(t, row.Code, "kind %s", k)
+		require.NotEmpty(t, row.Retry, "kind %s", k)
+		require.Contains(t, []RunState{NotRun, Unknown, Ran}, row.Run, "kind %s", k)
+		require.NotContains(t, exits, row.Exit, "exit status of %s is taken", k)
+		exits[row.Exit] = k
+	}
+}
+
+func TestRetrySafeOnlyAfterNotRun(t *testing.T) {
+	for _, k := range All() {
+		row := Lookup(k)
+		if row.Retry == RetrySafe {
+			require.Equal(t, NotRun, row.Run, "kind %s", k)
+		}
+	}
+}
+
+func TestFromKeepsKindAndMarksOthersUnknown(t *testing.T) {
+	wrapped := errors.Join(New(Overloaded, "queue full"))
+	require.Equal(t, Overloaded, From(wrapped).Kind)
+	other := From(errors.New("boom"))
+	require.Equal(t, Internal, other.Kind)
+	require.Equal(t, Unknown, other.Run)
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,111 @@
+// Package standin runs a whole set of stand-ins in one process, as a site file
+// lists them: one platform, and each backend server and worker on an address
+// of its own.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/tailscale/hujson"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
+	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
+	"github.com/parsleyhill/parsleyhill/internal/standin/worker"
+)
+
+// Site lists the hosts of one deployment.
+type Site struct {
+	// Platform is the address of the platform's services.
+	Platform string `json:"platform"`
+	// Hosts is the platform's host list. Backend servers and workers in it
+	// are run by the stand-in.
+	Hosts []platform.Host `json:"hosts"`
+}
+
+// backendQueue is how many requests a backend server holds beyond its slots:
+// 60 connections less 8 slots.
+const backendQueue = 52
+
+// Main parses args and runs the stand-ins until ctx ends.
+func Main(ctx context.Context, args []string) error {
+	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
+	sitePath := flags.String("site", "site.json", "site `file`, JSON with comments")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("STANDIN")); err != nil {
+		return fmt.Errorf("parse flags: %w", err)
+	}
+	site, err := loadSite(*sitePath)
+	if err != nil {
+		return err
+	}
+	return run(ctx, site)
+}
+
+func loadSite(path string) (Site, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Site{}, fmt.Errorf("read site: %w", err)
+	}
+	plain, err := hujson.Standardize(raw)
+	if err != nil {
+		return Site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	var site Site
+	if err := json.Unmarshal(plain, &site); err != nil {
+		return Site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return site, nil
+}
+
+func run(ctx context.Context, site Site) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return serve(ctx, site.Platform, standinplatform.NewServer(site.Hosts).Handler())
+	})
+	for _, h := range site.Hosts {
+		handler := handlerOf(h)
+		if handler == nil {
+			continue
+		}
+		group.Go(func() error { return serve(ctx, h.Address, handler) })
+	}
+	return group.Wait()
+}
+
+func handlerOf(h platform.Host) http.Handler {
+	switch h.Role {
+	case platform.RoleBackend:
+		return backend.New(h.Name, h.Slots, backendQueue).Handler()
+	case platform.RoleWorker:
+		capacity := worker.Capacity{Cores: h.Cores, MemoryMB: h.MemoryMB, Accelerators: h.Accelerators}
+		return worker.New(h.Name, capacity).Handler()
+	default:
+		return nil
+	}
+}
+
+// serve answers on address until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", address, err)
+	}
+	return nil
+}
