Fold the log with bounded memory, and plans that say what breaks

Cause: a doubled append was judged twice, drains of two backend servers of one customer did not conflict, a host that found the log trimmed folded on over the gap, and a plan said nothing of quotas or customers left without a backend server.

A plan with warnings needs "force" in its intent. Replica takes records from the log and from peers and never goes back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,14 +59,15 @@
 	platformClient := &http.Client{}
 	platformLog := platform.NewHTTPLog(s.Platform.Log, platformClient)
 	hostList := platform.NewHTTPHostList(s.Platform.HostList, platformClient)
-	d.config = follower.NewConfig(platformLog, prefixed(logger, "config"))
+	d.config = follower.NewConfig(s.Host, platformLog, prefixed(logger, "config"))
 	d.hosts = follower.NewHosts(hostList, prefixed(logger, "hosts"), milliseconds(s.Platform.PollMs))
 
 	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
 	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, d.summary)
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
-	d.operator = operator.New(d.config, platformLog, record, d.explain, d.status)
+	d.operator = operator.New(d.config, platformLog, record, d.explain, d.hosts.Site, d.status)
+	d.config.Attach(nil, d.hosts, record)
 
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
--- a/internal/daemon/follower/hosts.go
+++ b/internal/daemon/follower/hosts.go
@@ -54,3 +54,15 @@
 		h.last.Store(&hosts)
 	}
 }
+
+// loneEntry reports whether the list is known and names no entry host but
+// self.
+func (h *Hosts) loneEntry(self string) bool {
+	hosts := h.Hosts()
+	for _, host := range hosts {
+		if host.Role == platform.RoleEntry && host.Name != self {
+			return false
+		}
+	}
+	return len(hosts) > 0
+}
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -88,12 +88,14 @@
 	log       platform.Log
 	recorder  decision.Recorder
 	explainer Explainer
+	site      func() config.Site
 	status    func() Status
 }
 
-// New returns a service. Status describes this host.
-func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, status func() Status) *Service {
-	return &Service{follower: f, log: l, recorder: r, explainer: e, status: status}
+// New returns a service. Site gives the hosts as last listed, status describes
+// this host.
+func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, site func() config.Site, status func() Status) *Service {
+	return &Service{follower: f, log: l, recorder: r, explainer: e, site: site, status: status}
 }
 
 // Routes adds the operators' paths to mux.
@@ -118,7 +120,7 @@
 		return
 	}
 	intent.ID = ids.New("intent")
-	plan, err := config.MakePlan(ids.New("plan"), state, intent)
+	plan, err := config.MakePlan(ids.New("plan"), state, s.site(), intent)
 	if err != nil {
 		errkind.Write(w, "", err, 0)
 		return
@@ -174,14 +176,8 @@
 }
 
 func (s *Service) note(action, rule, why string, p config.Plan) {
-	subjects := []string{p.ID, p.Intent.ID}
-	for _, name := range []string{p.Intent.Host, p.Intent.Customer} {
-		if name != "" {
-			subjects = append(subjects, name)
-		}
-	}
 	s.recorder.Record(decision.Record{
-		Part: decision.PartPlan, Action: action, Rule: rule, Why: why, Subjects: subjects, Customer: p.Intent.Customer,
+		Part: decision.PartPlan, Action: action, Rule: rule, Why: why, Subjects: p.Subjects(), Customer: p.Intent.Customer,
 	})
 }
 
--- /dev/null
+++ b/internal/decide/config/fuzz_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+// FuzzRecord checks that no bytes in the log stop a host, change the state
+// without a plan that verifies, or fold differently a second time.
+func FuzzRecord(f *testing.F) {
+	plan, _ := MakePlan("p", &standing.State{}, testSite, set("tamarind", standing.Customer{}))
+	for _, r := range []Record{
+		change(plan),
+		{Kind: KindSnapshot, ID: "s", Snapshot: &standing.State{Version: 2, Offset: 3}},
+		{Kind: "later"},
+	} {
+		data, _ := r.Encode()
+		f.Add(data)
+	}
+	f.Add([]byte(`{"kind":"change","id":"p","plan":{"id":"p","intent":{"verb":"set_team"}}}`))
+	f.Add([]byte("null"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fold := func() *Replica {
+			var r Replica
+			r.Take(Page{Entries: []Entry{{Offset: 1, Data: data}}, First: 1, Last: 1})
+			return &r
+		}
+		a, b := fold(), fold()
+		require.EqualValues(t, 1, a.Offset())
+		one, err := json.Marshal(a.State())
+		require.NoError(t, err)
+		two, _ := json.Marshal(b.State())
+		require.Equal(t, string(one), string(two))
+		if a.State().Version == 1 {
+			r, err := Decode(data)
+			require.NoError(t, err)
+			require.Nil(t, r.Plan.Verify())
+		}
+		var gapped Replica
+		gapped.Trimmed(5, 9)
+		gapped.Take(Page{Entries: []Entry{{Offset: 5, Data: data}}, First: 5, Last: 9})
+		if s := gapped.State(); s != nil {
+			require.GreaterOrEqual(t, s.Offset, int64(4))
+			require.LessOrEqual(t, s.Version, s.Offset)
+		}
+	})
+}
+
+// FuzzPlan checks that no bytes make an operator's document crash a host.
+func FuzzPlan(f *testing.F) {
+	f.Add([]byte(`{"operator":"o","verb":"set_weight","customer":"c","host":"h","weight":1}`))
+	f.Add([]byte(`{"operator":"o","verb":"set_customer","customer":"c","rules":{"eject":{"max_share":2}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var i Intent
+		if json.Unmarshal(data, &i) != nil {
+			return
+		}
+		i.ID = "i"
+		p, err := MakePlan("p", &standing.State{}, testSite, i)
+		if err != nil {
+			return
+		}
+		_, outcome := Fold(&standing.State{}, 1, change(p))
+		require.Equal(t, p.Verify() == nil, outcome.Accepted, outcome.Reason)
+	})
+}
--- a/internal/decide/config/intent.go
+++ b/internal/decide/config/intent.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
@@ -26,6 +29,15 @@
 	Undrain Verb = "undrain"
 )
 
+var verbs = []Verb{SetCustomer, RemoveCustomer, SetTeam, RemoveTeam, SetWeight, Drain, Undrain}
+
+const (
+	// maxNameBytes bounds each name in an intent.
+	maxNameBytes = 128
+	// maxReasonBytes bounds an operator's reason.
+	maxReasonBytes = 1024
+)
+
 // Intent is what an operator wants.
 type Intent struct {
 	// ID is given by the entry host that plans it.
@@ -40,48 +52,81 @@
 	Rules    *standing.Customer `json:"rules,omitempty"`
 	TeamRule *standing.Team     `json:"team_rules,omitempty"`
 	Weight   *float64           `json:"weight,omitempty"`
+	// Force acknowledges the warnings of the plan. A plan with warnings is
+	// refused without it.
+	Force bool `json:"force,omitempty"`
 }
 
-// Key returns the key of what the intent touches. Two intents with the same
+// Keys returns the keys of what the intent touches, sorted. Plans that share a
 // key conflict.
-func (i Intent) Key() string {
+func (i Intent) Keys() []string {
+	customer, pool := standing.CustomerKey(i.Customer), standing.PoolKey(i.Customer)
 	switch i.Verb {
 	case Drain, Undrain:
-		return "drain/" + i.Host
+		return []string{standing.HostKey(i.Host)}
+	case SetWeight:
+		return []string{customer, standing.HostKey(i.Host), pool}
+	case SetTeam, RemoveTeam:
+		return []string{customer}
 	default:
-		return "customer/" + i.Customer
+		return []string{customer, pool}
 	}
 }
 
-// Check returns an error if the intent is incomplete.
+// Check returns an error if the intent is incomplete or asks for rules with
+// impossible values. It depends on the intent alone, so that every host finds
+// the same.
 func (i Intent) Check() *errkind.Error {
-	missing := func(field string) *errkind.Error {
+	if field := i.missing(); field != "" {
 		return errkind.New(errkind.PlanInvalid, "%s needs %q", i.Verb, field)
 	}
-	if i.Operator == "" {
-		return missing("operator")
-	}
-	switch i.Verb {
-	case Drain, Undrain:
-		if i.Host == "" {
-			return missing("host")
+	for _, name := range []string{i.ID, i.Operator, i.Customer, i.Team, i.Host} {
+		if len(name) > maxNameBytes {
+			return errkind.New(errkind.PlanInvalid, "a name has %d bytes, it must have up to %d", len(name), maxNameBytes)
 		}
-		return nil
-	case SetCustomer, RemoveCustomer, SetTeam, RemoveTeam, SetWeight:
-	default:
-		return errkind.New(errkind.PlanInvalid, "unknown verb %q", i.Verb)
 	}
+	if len(i.Reason) > maxReasonBytes {
+		return errkind.New(errkind.PlanInvalid, "the reason has %d bytes, it must have up to %d", len(i.Reason), maxReasonBytes)
+	}
+	return i.checkRules()
+}
+
+// missing returns the first field that the verb needs and the intent lacks.
+func (i Intent) missing() string {
+	ofHost := i.Verb == Drain || i.Verb == Undrain
 	switch {
-	case i.Customer == "":
-		return missing("customer")
+	case !slices.Contains(verbs, i.Verb):
+		return "a known verb"
+	case i.Operator == "":
+		return "operator"
+	case !ofHost && i.Customer == "":
+		return "customer"
+	case (ofHost || i.Verb == SetWeight) && i.Host == "":
+		return "host"
 	case i.Verb == SetCustomer && i.Rules == nil:
-		return missing("rules")
+		return "rules"
 	case (i.Verb == SetTeam || i.Verb == RemoveTeam) && i.Team == "":
-		return missing("team")
+		return "team"
 	case i.Verb == SetTeam && i.TeamRule == nil:
-		return missing("team_rules")
-	case i.Verb == SetWeight && (i.Host == "" || i.Weight == nil):
-		return missing("host and weight")
+		return "team_rules"
+	case i.Verb == SetWeight && i.Weight == nil:
+		return "weight"
+	}
+	return ""
+}
+
+func (i Intent) checkRules() *errkind.Error {
+	var err error
+	switch i.Verb {
+	case SetCustomer:
+		err = i.Rules.Check()
+	case SetTeam:
+		err = i.TeamRule.Check()
+	case SetWeight:
+		err = standing.Customer{Weights: map[string]float64{i.Host: *i.Weight}}.Check()
+	}
+	if err != nil {
+		return errkind.Wrap(errkind.PlanInvalid, err, "%s", strings.ReplaceAll(err.Error(), "\n", "; "))
 	}
 	return nil
 }
--- a/internal/decide/config/reduce.go
+++ b/internal/decide/config/reduce.go
@@ -1,75 +1,178 @@
 package config
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 )
 
 // Outcome says what became of a record.
-type Outcome struct {
-	// ID is the record's id.
-	ID string
-	// Accepted is set if the record changed the state.
-	Accepted bool
-	// Reason says why a record was rejected.
-	Reason string
-}
+type Outcome = standing.Outcome
+
+const (
+	// maxOutcomes bounds the records whose outcome is remembered.
+	maxOutcomes = 256
+	// maxTouched bounds the keys whose last change is remembered.
+	maxTouched = 1024
+)
 
-// Fold applies the record at offset to state and returns the next state.
-// State is not modified. A record that rests on a version older than the last
-// change of what it touches is rejected, on every host alike.
+// Fold applies the record at offset to state, which must be folded up to the
+// record before, and returns the next state. State is not modified. What Fold
+// does depends on its arguments alone: a record that rests on a version older
+// than the last change of what it touches is rejected, on every host alike,
+// and a record that is in the log twice counts once.
 func Fold(state *standing.State, offset int64, r Record) (*standing.State, Outcome) {
 	switch r.Kind {
-	case KindSnapshot:
-		return foldSnapshot(state, r)
 	case KindChange:
 		return foldChange(state, offset, r)
+	case KindSnapshot:
+		return skip(state, offset), Outcome{ID: r.ID, Offset: offset, Accepted: agrees(state, r.Snapshot)}
 	default:
-		return state, Outcome{ID: r.ID, Reason: fmt.Sprintf("unknown kind %q", r.Kind)}
+		return skip(state, offset), reject(r.ID, offset, "unknown kind %q", r.Kind)
 	}
 }
 
-func foldSnapshot(state *standing.State, r Record) (*standing.State, Outcome) {
-	if r.Snapshot == nil || (state != nil && state.Version >= r.Snapshot.Version) {
-		return state, Outcome{ID: r.ID, Reason: "older than the state"}
+// skip returns the state after a record that changes nothing.
+func skip(state *standing.State, offset int64) *standing.State {
+	next := *state
+	next.Offset = offset
+	return &next
+}
+
+// agrees reports whether a snapshot does not contradict the state. Only a
+// snapshot of the same offset can be compared.
+func agrees(state, snapshot *standing.State) bool {
+	if snapshot == nil {
+		return false
+	}
+	if snapshot.Offset != state.Offset {
+		return snapshot.Offset < state.Offset
 	}
-	return r.Snapshot, Outcome{ID: r.ID, Accepted: true}
+	// States hold only types that JSON can encode.
+	a, _ := json.Marshal(state)
+	b, _ := json.Marshal(snapshot)
+	return bytes.Equal(a, b)
+}
+
+func reject(id string, offset int64, format string, args ...any) Outcome {
+	return Outcome{ID: id, Offset: offset, Reason: fmt.Sprintf(format, args...)}
 }
 
 func foldChange(state *standing.State, offset int64, r Record) (*standing.State, Outcome) {
-	if r.Plan == nil {
-		return state, Outcome{ID: r.ID, Reason: "change without a plan"}
+	if r.Plan == nil || r.Plan.ID != r.ID {
+		return skip(state, offset), reject(r.ID, offset, "the change has no plan of its own")
 	}
 	if err := r.Plan.Verify(); err != nil {
-		return state, Outcome{ID: r.ID, Reason: err.Detail}
+		return skip(state, offset), reject(r.ID, offset, "%s", err.Detail)
 	}
-	intent := r.Plan.Intent
-	if last := state.Touched[intent.Key()]; last > r.Plan.Base {
-		reason := fmt.Sprintf("%s changed at version %d, the plan rests on %d", intent.Key(), last, r.Plan.Base)
-		return state, Outcome{ID: r.ID, Reason: reason}
+	if first, ok := state.Outcome(r.ID); ok {
+		return skip(state, offset), first
 	}
-	if err := applicable(state, intent); err != nil {
-		return state, Outcome{ID: r.ID, Reason: err.Detail}
+	outcome := judge(state, offset, *r.Plan)
+	if !outcome.Accepted {
+		next := skip(state, offset)
+		next.Outcomes = remember(state.Outcomes, outcome)
+		return next, outcome
 	}
 	next := clone(state)
-	next.Version = offset
-	next.Intent = intent.ID
-	next.Touched[intent.Key()] = offset
-	apply(next, offset, intent)
-	return next, Outcome{ID: r.ID, Accepted: true}
+	next.Offset, next.Version, next.Intent = offset, offset, r.Plan.Intent.ID
+	next.Outcomes = remember(state.Outcomes, outcome)
+	apply(next, offset, r.Plan.Intent)
+	touch(next, offset, *r.Plan)
+	return next, outcome
+}
+
+// judge decides on a verified plan.
+func judge(state *standing.State, offset int64, p Plan) Outcome {
+	if moved := Stale(state, p); moved != nil {
+		out := reject(p.ID, offset, "%s moved at version %d by %s with %s, the plan rests on version %d",
+			moved.Key, moved.Version, moved.Operator, moved.Intent, p.Base)
+		out.Moved = moved
+		return out
+	}
+	if p.Base < state.Floor {
+		return reject(p.ID, offset, "the plan rests on version %d, changes before %d are forgotten", p.Base, state.Floor)
+	}
+	if p.Base > state.Version {
+		return reject(p.ID, offset, "the plan rests on version %d, the newest was %d", p.Base, state.Version)
+	}
+	if err := applicable(state, p.Intent); err != nil {
+		return reject(p.ID, offset, "%s", err.Detail)
+	}
+	return Outcome{ID: p.ID, Offset: offset, Accepted: true}
+}
+
+// Stale returns the newest change of what the plan touches since its base, or
+// nil if there is none.
+func Stale(state *standing.State, p Plan) *standing.Moved {
+	var newest *standing.Moved
+	for _, key := range p.Touches {
+		last := state.Touched[key]
+		if last.Version <= p.Base {
+			continue
+		}
+		if newest == nil || last.Version > newest.Version {
+			newest = &standing.Moved{Key: key, Touch: last}
+		}
+	}
+	return newest
+}
+
+// remember appends to a bounded list without modifying it.
+func remember(list []Outcome, o Outcome) []Outcome {
+	oldest := max(0, len(list)+1-maxOutcomes)
+	return append(slices.Clone(list[oldest:]), o)
+}
+
+// touch notes the change of the plan's keys and forgets the oldest ones.
+func touch(s *standing.State, version int64, p Plan) {
+	for _, key := range p.Touches {
+		s.Touched[key] = standing.Touch{Version: version, Intent: p.Intent.ID, Operator: p.Intent.Operator}
+	}
+	if len(s.Touched) <= maxTouched {
+		return
+	}
+	for _, key := range forgettable(s)[:len(s.Touched)-maxTouched] {
+		s.Floor = max(s.Floor, s.Touched[key].Version)
+		delete(s.Touched, key)
+	}
+}
+
+// forgettable returns the touched keys, those that no rule in force rests on
+// first, and the oldest first among these.
+func forgettable(s *standing.State) []string {
+	live := map[string]bool{}
+	for name := range s.Customers {
+		live[standing.CustomerKey(name)] = true
+		live[standing.PoolKey(name)] = true
+	}
+	for name := range s.Drains {
+		live[standing.HostKey(name)] = true
+	}
+	keys := slices.Sorted(maps.Keys(s.Touched))
+	slices.SortStableFunc(keys, func(a, b string) int {
+		if live[a] != live[b] {
+			if live[a] {
+				return 1
+			}
+			return -1
+		}
+		return int(s.Touched[a].Version - s.Touched[b].Version)
+	})
+	return keys
 }
 
 // clone copies the state deep enough for apply.
 func clone(s *standing.State) *standing.State {
-	return &standing.State{
-		Version:   s.Version,
-		Intent:    s.Intent,
-		Customers: cloneMap(s.Customers),
-		Drains:    cloneMap(s.Drains),
-		Touched:   cloneMap(s.Touched),
-	}
+	next := *s
+	next.Customers = cloneMap(s.Customers)
+	next.Drains = cloneMap(s.Drains)
+	next.Touched = cloneMap(s.Touched)
+	return &next
 }
 
 // cloneMap never returns nil.
@@ -80,6 +183,7 @@
 	return maps.Clone(m)
 }
 
+// apply changes the state as the intent asks.
 func apply(s *standing.State, offset int64, i Intent) {
 	customer := s.Customers[i.Customer]
 	switch i.Verb {
--- a/internal/decide/standing/standing.go
+++ b/internal/decide/standing/standing.go
@@ -28,22 +28,6 @@
 	UnmarkedFirst Unmarked = "first"
 )
 
-// State is the standing configuration at one version. A State is never
-// modified after it is published.
-type State struct {
-	// Version is the log offset of the last record folded in; 0 means none.
-	Version int64 `json:"version"`
-	// Intent is the id of the intent that led to Version.
-	Intent string `json:"intent,omitempty"`
-	// Customers are the rules by customer name.
-	Customers map[string]Customer `json:"customers,omitempty"`
-	// Drains are the hosts and backend servers that get no new work, by name.
-	Drains map[string]Drain `json:"drains,omitempty"`
-	// Touched is the version of the last change by touched key, such as
-	// "customer/tamarind" or "drain/backend-7".
-	Touched map[string]int64 `json:"touched,omitempty"`
-}
-
 // Customer holds the standing rules of one customer.
 type Customer struct {
 	// Policy chooses backend servers. Default "least".
@@ -101,18 +85,6 @@
 	MaxMs int64 `json:"max_ms,omitempty"`
 }
 
-// Drain takes a host or backend server out of service on an operator's word.
-type Drain struct {
-	// Since is the version that set the drain.
-	Since int64 `json:"since"`
-	// Intent is the id of the intent that set it.
-	Intent string `json:"intent"`
-	// Operator is who set it.
-	Operator string `json:"operator"`
-	// Reason is the operator's reason.
-	Reason string `json:"reason,omitempty"`
-}
-
 // The defaults of a customer's rules.
 const (
 	DefaultQueueLimit    = 400
@@ -148,9 +120,3 @@
 		*field = value
 	}
 }
-
-// View gives the configuration in force.
-type View interface {
-	// State returns the current snapshot, or nil before the first one.
-	State() *State
-}
