Add a stand-in for the network between zones

Cause: cuts between zones and to the platform could not be brought about with separate processes on one address. Ruled out: closing the listeners of a zone; that looks like a death, not a cut, and breaks calls inside the zone too. A link holds bytes while it is cut, as dropped packets do; each zone sees the host list with the addresses of its own links.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -95,18 +95,25 @@
 	}
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+// Hosts returns the host list under the faults in force, or false while it is
+// down.
+func (s *Server) Hosts() (platform.Hosts, bool) {
 	faults := s.Log.Faults()
-	if faults.HostsDown {
-		http.Error(w, "host list down", http.StatusServiceUnavailable)
-		return
-	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	hosts := s.hosts
-	s.mu.Unlock()
 	if faults.HostsEmpty {
 		hosts.Hosts = nil
 	}
+	return hosts, !faults.HostsDown
+}
+
+func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+	hosts, ok := s.Hosts()
+	if !ok {
+		http.Error(w, "host list down", http.StatusServiceUnavailable)
+		return
+	}
 	httpjson.Write(w, http.StatusOK, hosts)
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -20,6 +20,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/platform"
 	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
+	"github.com/parsleyhill/parsleyhill/internal/standin/network"
 	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
 	"github.com/parsleyhill/parsleyhill/internal/standin/worker"
 )
@@ -31,6 +32,9 @@
 	// Hosts is the platform's host list. Backend servers and workers in it
 	// are run by the stand-in.
 	Hosts []platform.Host `json:"hosts"`
+	// Links puts a forwarder that can be cut on every path between zones and
+	// to the platform.
+	Links bool `json:"links,omitempty"`
 }
 
 // backendQueue is how many requests a backend server holds beyond its slots:
@@ -69,9 +73,17 @@
 
 func run(ctx context.Context, site Site) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return serve(ctx, site.Platform, standinplatform.NewServer(site.Hosts).Handler())
-	})
+	server := standinplatform.NewServer(site.Hosts)
+	services := server.Handler()
+	if site.Links {
+		links, err := network.New(ctx, site.Platform, site.Hosts)
+		if err != nil {
+			return err
+		}
+		services = links.Handler(server)
+		group.Go(func() error { return links.Run(ctx) })
+	}
+	group.Go(func() error { return serve(ctx, site.Platform, services) })
 	for _, h := range site.Hosts {
 		handler := handlerOf(h)
 		if handler == nil {
