Admit requests through a bounded, deadline-aware, fair queue

The core kept a plain slice: one team could fill it, a request whose deadline could not be met still waited and ran, and refusals always said retry after one second.

Package admit serves teams by start-time fair queueing over expected run time, bounds a team's running requests, refuses at arrival when expected wait and run exceed the deadline, and pushes out the newest request of the team that holds most for its weight when the queue is full. Deficit round robin was ruled out: it needs a quantum, and run times span two orders.

A cancelled request that was sent now stays known until its outcome, so that team counts stay right; it is never sent again.

Selector.Acquire takes the servers to skip as a map and Selector has Rule.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/admit"
 	"github.com/parsleyhill/parsleyhill/internal/decide/route"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -60,8 +61,18 @@
 // waiting is a request that has not been answered.
 type waiting struct {
 	req     Request
+	arrived time.Time
 	backend string
+	sent    time.Time
 	tried   map[string]bool
+	// cancelled keeps a request that was sent from being sent again.
+	cancelled bool
+}
+
+func (w *waiting) item() admit.Item {
+	return admit.Item{
+		ID: w.req.ID, Team: w.req.Team, Deadline: w.req.Deadline, Declared: w.req.Declared, Arrived: w.arrived,
+	}
 }
 
 // Core holds the requests of one customer on one entry host. It is not safe
@@ -70,22 +81,27 @@
 	customer string
 	rules    standing.Customer
 	selector route.Selector
-	queue    []string
+	queue    *admit.Queue
 	requests map[string]*waiting
 }
 
 // New returns an empty core.
 func New(customer string, rules standing.Customer, selector route.Selector) *Core {
+	rules = rules.WithDefaults()
 	return &Core{
 		customer: customer,
-		rules:    rules.WithDefaults(),
+		rules:    rules,
 		selector: selector,
+		queue:    admit.NewQueue(rules),
 		requests: map[string]*waiting{},
 	}
 }
 
 // SetRules replaces the customer's rules.
-func (c *Core) SetRules(rules standing.Customer) { c.rules = rules.WithDefaults() }
+func (c *Core) SetRules(rules standing.Customer) {
+	c.rules = rules.WithDefaults()
+	c.queue.SetRules(c.rules)
+}
 
 // SetBackends replaces the servers that may get new work.
 func (c *Core) SetBackends(now time.Time, backends []route.Backend) []Action {
@@ -95,12 +111,10 @@
 
 // Arrive takes a new request.
 func (c *Core) Arrive(now time.Time, r Request) []Action {
-	if len(c.queue) >= c.rules.QueueLimit {
-		return c.refuse(r.ID, errkind.New(errkind.Overloaded, "%d requests wait, the limit", len(c.queue)))
-	}
-	c.requests[r.ID] = &waiting{req: r, tried: map[string]bool{}}
-	c.queue = append(c.queue, r.ID)
-	return c.pump(now, nil)
+	w := &waiting{req: r, arrived: now}
+	c.requests[r.ID] = w
+	refused := c.queue.Push(now, w.item())
+	return c.pump(now, c.refuse(refused))
 }
 
 // Done takes the outcome of a send. A success ends the request without an
@@ -111,14 +125,14 @@
 	if !ok {
 		return c.pump(now, nil)
 	}
-	w.backend = ""
+	c.finished(now, w, o.Err)
 	switch {
-	case o.Err == nil:
+	case o.Err == nil, w.cancelled:
 		delete(c.requests, o.ID)
 		return c.pump(now, nil)
 	case c.mayRetry(now, w, o.Err):
-		w.tried[o.Backend] = true
-		c.queue = append([]string{o.ID}, c.queue...)
+		w.skip(o.Backend)
+		c.queue.PushFront(w.item())
 		note := c.note(decision.PartRetry, "retry", "not-run", fmt.Sprintf("%s: %s", o.Backend, o.Err.Kind), o.ID, o.Backend)
 		return c.pump(now, []Action{note})
 	}
@@ -126,72 +140,83 @@
 	return c.pump(now, []Action{Finish{ID: o.ID, Err: o.Err}})
 }
 
+// finished takes a request off the running ones and learns its run time.
+func (c *Core) finished(now time.Time, w *waiting, err *errkind.Error) {
+	var ran time.Duration
+	if err == nil {
+		ran = now.Sub(w.sent)
+	}
+	w.backend = ""
+	c.queue.Finished(w.req.Team, w.req.Declared, ran)
+}
+
+func (w *waiting) skip(backend string) {
+	if w.tried == nil {
+		w.tried = map[string]bool{}
+	}
+	w.tried[backend] = true
+}
+
 // mayRetry allows another send only with proof that the last one did not run.
 func (c *Core) mayRetry(now time.Time, w *waiting, err *errkind.Error) bool {
 	return err.Run == errkind.NotRun && now.Before(w.req.Deadline)
 }
 
 // Cancel gives up a request. It returns whether the request was still
-// waiting, which proves that it did not run.
+// waiting, which proves that it did not run. A request that was sent keeps its
+// slot until Done.
 func (c *Core) Cancel(id string) bool {
 	w, ok := c.requests[id]
 	if !ok {
 		return false
 	}
-	delete(c.requests, id)
 	if w.backend != "" {
+		w.cancelled = true
 		return false
 	}
-	c.drop(id)
-	return true
+	delete(c.requests, id)
+	return c.queue.Remove(id, w.req.Team)
 }
 
-func (c *Core) drop(id string) {
-	for i, other := range c.queue {
-		if other == id {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			return
-		}
-	}
-}
+// Waiting returns the number of requests that wait for a slot.
+func (c *Core) Waiting() int { return c.queue.Len() }
 
-// Tick refuses requests whose deadline passed while they waited.
+// Tick refuses requests that can no longer meet their deadlines.
 func (c *Core) Tick(now time.Time) []Action {
-	return c.pump(now, nil)
+	return c.pump(now, c.refuse(c.queue.Expire(now)))
 }
 
 // pump sends what can be sent and adds to actions.
 func (c *Core) pump(now time.Time, actions []Action) []Action {
-	var rest []string
-	for i, id := range c.queue {
-		w := c.requests[id]
-		if !now.Before(w.req.Deadline) {
-			delete(c.requests, id)
-			actions = append(actions, c.refuse(id, errkind.New(errkind.DeadlinePassed, "waited until the deadline"))...)
-			continue
-		}
-		backend, ok := c.selector.Acquire(now, func(name string) bool { return w.tried[name] })
-		if !ok && len(w.tried) == 0 {
-			rest = append(rest, c.queue[i:]...)
-			break
+	refused := c.queue.Serve(now, func(it admit.Item) admit.Verdict {
+		w := c.requests[it.ID]
+		backend, ok := c.selector.Acquire(now, w.tried)
+		switch {
+		case !ok && len(w.tried) == 0:
+			return admit.Stopped
+		case !ok:
+			return admit.Skipped
 		}
-		if !ok {
-			rest = append(rest, id)
-			continue
-		}
-		w.backend = backend
-		why := fmt.Sprintf("least loaded by local counts, %d wait", len(c.queue)-i-1)
-		actions = append(actions, c.note(decision.PartRoute, "send", "least", why, id, backend), Send{ID: id, Backend: backend})
+		w.backend, w.sent = backend, now
+		why := fmt.Sprintf("%s, %d wait", c.selector.Rule(), c.queue.Len()-1)
+		note := c.note(decision.PartRoute, "send", string(c.rules.Policy), why, it.ID, backend)
+		actions = append(actions, note, Send{ID: it.ID, Backend: backend})
+		return admit.Taken
+	})
+	return append(actions, c.refuse(refused)...)
+}
+
+// refuse ends requests that did not run.
+func (c *Core) refuse(refused []admit.Refusal) []Action {
+	var actions []Action
+	for _, r := range refused {
+		delete(c.requests, r.ID)
+		note := c.note(decision.PartAdmit, "refuse", string(r.Err.Kind), r.Err.Detail, r.ID)
+		actions = append(actions, note, Finish{ID: r.ID, Err: r.Err, RetryAfter: r.RetryAfter})
 	}
-	c.queue = rest
 	return actions
 }
 
-func (c *Core) refuse(id string, err *errkind.Error) []Action {
-	note := c.note(decision.PartAdmit, "refuse", string(err.Kind), err.Detail, id)
-	return []Action{note, Finish{ID: id, Err: err, RetryAfter: time.Second}}
-}
-
 func (c *Core) note(part decision.Part, action, rule, why string, subjects ...string) Note {
 	return Note{Record: decision.Record{
 		Part: part, Action: action, Rule: rule, Why: why, Subjects: subjects, Customer: c.customer,
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -26,11 +26,13 @@
 	// SetBackends replaces the servers that may get new work. Slots in use on
 	// a server that is no longer listed stay counted until released.
 	SetBackends(now time.Time, backends []Backend)
-	// Acquire takes a slot on a server for which skip is false. It returns
-	// false if no slot is free.
-	Acquire(now time.Time, skip func(backend string) bool) (backend string, ok bool)
+	// Acquire takes a slot on a server that is not in skip, which may be nil.
+	// It returns false if no slot is free.
+	Acquire(now time.Time, skip map[string]bool) (backend string, ok bool)
 	// Release gives a slot back.
 	Release(now time.Time, backend string)
+	// Rule describes the choice for decision records.
+	Rule() string
 }
 
 // Least takes the server with the fewest requests of this entry host in
@@ -53,10 +55,10 @@
 }
 
 // Acquire implements Selector.
-func (l *Least) Acquire(_ time.Time, skip func(string) bool) (string, bool) {
+func (l *Least) Acquire(_ time.Time, skip map[string]bool) (string, bool) {
 	best, ties := -1, 0
 	for i, b := range l.backends {
-		if b.Weight <= 0 || l.used[b.Name] >= b.Slots || skip(b.Name) {
+		if b.Weight <= 0 || l.used[b.Name] >= b.Slots || skip[b.Name] {
 			continue
 		}
 		switch {
@@ -93,3 +95,6 @@
 		delete(l.used, backend)
 	}
 }
+
+// Rule implements Selector.
+func (l *Least) Rule() string { return "least loaded by local counts" }
