Measure routing on a seeded virtual-time benchmark

Outcome.Load carries the server's load on an answer; selectors that learn from it implement route.Observer.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 	Backend string
 	// Err is nil after a whole answer.
 	Err *errkind.Error
+	// Load is how many requests the server held when it answered, the answered
+	// one included, or 0 if it did not say.
+	Load int
 }
 
 // waiting is a request that has not been answered.
@@ -121,6 +124,9 @@
 // action for it: the caller has the answer.
 func (c *Core) Done(now time.Time, o Outcome) []Action {
 	c.selector.Release(now, o.Backend)
+	if observer, ok := c.selector.(route.Observer); ok && o.Load > 0 {
+		observer.Observe(now, o.Backend, o.Load)
+	}
 	w, ok := c.requests[o.ID]
 	if !ok {
 		return c.pump(now, nil)
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -3,10 +3,7 @@
 // source.
 package route
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Backend is a backend server as the selectors see it.
 type Backend struct {
@@ -16,10 +13,24 @@
 	Zone string
 	// Slots is how many requests the server runs at once.
 	Slots int
+	// Limit bounds the requests of this entry host at once on the server, such
+	// as by its connections; 0 means Slots.
+	Limit int
 	// Weight scales the server's share of new work; 0 gives it none.
 	Weight float64
 }
 
+// limit returns how many requests one entry host may have on the server.
+func (b Backend) limit() int {
+	if b.Weight <= 0 {
+		return 0
+	}
+	if b.Limit > 0 {
+		return min(b.Limit, b.Slots)
+	}
+	return b.Slots
+}
+
 // Selector chooses backend servers and counts the slots in use. A selector is
 // not safe for concurrent use.
 type Selector interface {
@@ -35,66 +46,10 @@
 	Rule() string
 }
 
-// Least takes the server with the fewest requests of this entry host in
-// relation to its slots, its own zone first among equals, ties at random.
-type Least struct {
-	zone     string
-	rng      *rand.Rand
-	backends []Backend
-	used     map[string]int
-}
-
-// NewLeast returns a Least selector for an entry host in zone.
-func NewLeast(zone string, rng *rand.Rand) *Least {
-	return &Least{zone: zone, rng: rng, used: map[string]int{}}
-}
-
-// SetBackends implements Selector.
-func (l *Least) SetBackends(_ time.Time, backends []Backend) {
-	l.backends = backends
+// Observer is a Selector that learns from answers.
+type Observer interface {
+	Selector
+	// Observe takes the number of requests that a server held when it
+	// answered, the answered one included.
+	Observe(now time.Time, backend string, load int)
 }
-
-// Acquire implements Selector.
-func (l *Least) Acquire(_ time.Time, skip map[string]bool) (string, bool) {
-	best, ties := -1, 0
-	for i, b := range l.backends {
-		if b.Weight <= 0 || l.used[b.Name] >= b.Slots || skip[b.Name] {
-			continue
-		}
-		switch {
-		case best < 0 || l.less(b, l.backends[best]):
-			best, ties = i, 1
-		case !l.less(l.backends[best], b):
-			ties++
-			if l.rng.IntN(ties) == 0 {
-				best = i
-			}
-		}
-	}
-	if best < 0 {
-		return "", false
-	}
-	name := l.backends[best].Name
-	l.used[name]++
-	return name, true
-}
-
-func (l *Least) less(a, b Backend) bool {
-	loadA := float64(l.used[a.Name]) / (float64(a.Slots) * a.Weight)
-	loadB := float64(l.used[b.Name]) / (float64(b.Slots) * b.Weight)
-	if loadA != loadB {
-		return loadA < loadB
-	}
-	return a.Zone == l.zone && b.Zone != l.zone
-}
-
-// Release implements Selector.
-func (l *Least) Release(_ time.Time, backend string) {
-	l.used[backend]--
-	if l.used[backend] <= 0 {
-		delete(l.used, backend)
-	}
-}
-
-// Rule implements Selector.
-func (l *Least) Rule() string { return "least loaded by local counts" }
--- /dev/null
+++ b/internal/decide/routebench/ways.go
@@ -0,0 +1,21 @@
+package routebench
+
+import (
+	"math/rand/v2"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/route"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+// Ways returns the ways that are compared.
+func Ways() []Way {
+	return []Way{Least()}
+}
+
+// Least is the least loaded server by local counts.
+func Least() Way {
+	return Way{
+		Name: "least outstanding, local counts", Policy: standing.PolicyLeast,
+		New: func(_, zone string, rng *rand.Rand) route.Selector { return route.NewLeast(zone, rng) },
+	}
+}
