pool: prove that one send is one request and that answers reach only their own

Cause: net/http sends a request again on a used connection when it carries an Idempotency-Key header and a body that can be rewound. That the pool set neither was a habit and not a proof, and whether a request was written was taken from GotConn, which says only that a connection was there.

Each connection now asks the send in progress before it writes. A send that wrote on one connection is sealed for another, and a send that failed is sealed before its run state is read: NotRun means that no byte was or will be written.

Answers: an answer with no digest counts by its own framing; one with neither is invalid. An invalid answer closes its connection. A refusal needs an error status.

--- a/internal/daemon/pool/pool.go
+++ b/internal/daemon/pool/pool.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/backendapi"
@@ -25,8 +24,6 @@
 	ConnsPerBackend = 7
 	dialTimeout     = 500 * time.Millisecond
 	idleTimeout     = 90 * time.Second
-	// MaxAnswerBytes bounds an answer's body.
-	MaxAnswerBytes = 16 << 20
 )
 
 // Call is one request to one backend server.
@@ -37,16 +34,8 @@
 	Body        []byte
 }
 
-// Answer is a whole answer.
-type Answer struct {
-	Status      int
-	ContentType string
-	Body        []byte
-	// Load is how many requests the server holds, or -1 if it did not say.
-	Load int
-	// Leaving is set if the server says that it is stopping.
-	Leaving bool
-}
+// Dial opens a connection to a backend server.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Pool holds the connections to backend servers. It is safe for concurrent
 // use.
@@ -54,11 +43,22 @@
 	client *http.Client
 }
 
-// New returns a pool with no open connections.
+// New returns a pool over TCP with no open connections.
 func New() *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewWithDial(dialer.DialContext)
+}
+
+// NewWithDial returns a pool that opens its connections with dial.
+func NewWithDial(dial Dial) *Pool {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
 		MaxConnsPerHost:     ConnsPerBackend,
 		MaxIdleConnsPerHost: ConnsPerBackend,
 		IdleConnTimeout:     idleTimeout,
@@ -74,23 +74,35 @@
 
 // Send sends the call once and returns a whole answer. The run state of an
 // error is NotRun only if nothing was written to a connection, or the server
-// refused before it started.
+// refused before it started. A connection that gave an invalid answer is
+// closed.
 func (p *Pool) Send(ctx context.Context, c Call) (Answer, *errkind.Error) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	req, err := p.request(httptrace.WithClientTrace(ctx, trace), c)
+	req, err := newRequest(ctx, c)
 	if err != nil {
-		return Answer{}, errkind.Wrap(errkind.Internal, err, "build request").WithRun(errkind.NotRun)
+		return Answer{Load: loadUnknown}, errkind.Wrap(errkind.Internal, err, "build request").WithRun(errkind.NotRun)
 	}
-	resp, err := p.client.Do(req)
+	return p.do(ctx, c, req)
+}
+
+func (p *Pool) do(ctx context.Context, c Call, req *http.Request) (Answer, *errkind.Error) {
+	s := &send{}
+	resp, err := p.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, s.trace())))
 	if err != nil {
-		return Answer{}, sendError(ctx, err, wrote.Load())
+		return Answer{Load: loadUnknown}, sendError(ctx, err, s.seal())
 	}
 	defer resp.Body.Close()
-	return readAnswer(c, resp)
+	answer, invalid := readAnswer(c, resp)
+	if invalid == nil {
+		return answer, nil
+	}
+	if invalid.Kind == errkind.AnswerInvalid {
+		s.discard()
+		return answer, invalidError(ctx, invalid)
+	}
+	return answer, invalid
 }
 
-func (p *Pool) request(ctx context.Context, c Call) (*http.Request, error) {
+func newRequest(ctx context.Context, c Call) (*http.Request, error) {
 	url := "http://" + c.Address + backendapi.PathRun
 	// The reader hides the body's type, so that the transport cannot rewind it
 	// and send the request a second time.
@@ -112,52 +124,25 @@
 }
 
 func sendError(ctx context.Context, err error, wrote bool) *errkind.Error {
-	kind := errkind.BackendLost
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		kind = errkind.Timeout
-	}
 	run := errkind.Unknown
 	if !wrote {
 		run = errkind.NotRun
 	}
-	return errkind.Wrap(kind, err, "no answer from the backend server").WithRun(run)
+	return errkind.Wrap(lostKind(ctx), err, "no answer from the backend server").WithRun(run)
 }
 
-// readAnswer reads an answer and checks that it is whole and belongs to the
-// call.
-func readAnswer(c Call, resp *http.Response) (Answer, *errkind.Error) {
-	h := resp.Header
-	a := Answer{
-		Status:      resp.StatusCode,
-		ContentType: h.Get("Content-Type"),
-		Leaving:     h.Get(backendapi.HeaderLeaving) == "true",
-		Load:        parseLoad(h.Get(backendapi.HeaderLoad)),
-	}
-	if got := h.Get(backendapi.HeaderRequestID); got != c.ID {
-		return a, errkind.New(errkind.AnswerInvalid, "the answer belongs to request %q", got)
+// invalidError tells an answer that the deadline cut off from one that the
+// server cut off.
+func invalidError(ctx context.Context, err *errkind.Error) *errkind.Error {
+	if err.Err != nil && lostKind(ctx) == errkind.Timeout {
+		return errkind.Wrap(errkind.Timeout, err, "the answer was not whole at the deadline")
 	}
-	if reason := h.Get(backendapi.HeaderRefused); reason != "" {
-		return a, errkind.New(errkind.BackendRefused, "refused: %s", reason)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return a, errkind.Wrap(errkind.AnswerInvalid, err, "the answer was cut off")
-	case len(body) > MaxAnswerBytes:
-		return a, errkind.New(errkind.AnswerInvalid, "the answer is larger than %d bytes", MaxAnswerBytes)
-	case h.Get(backendapi.HeaderDigest) != backendapi.Digest(body):
-		return a, errkind.New(errkind.AnswerInvalid, "the answer's digest does not match")
-	case resp.StatusCode >= http.StatusInternalServerError:
-		return a, errkind.New(errkind.BackendFailed, "the backend server answered status %d", resp.StatusCode)
-	}
-	a.Body = body
-	return a, nil
+	return err
 }
 
-func parseLoad(text string) int {
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		return -1
+func lostKind(ctx context.Context) errkind.Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errkind.Timeout
 	}
-	return n
+	return errkind.BackendLost
 }
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -4,10 +4,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +39,12 @@
 	Truncate bool `json:"truncate"`
 	// WrongID answers with another request's id.
 	WrongID bool `json:"wrong_id"`
+	// Drop closes the connection after the run instead of answering.
+	Drop bool `json:"drop"`
+	// AnswerTwice writes each answer twice on its connection.
+	AnswerTwice bool `json:"answer_twice"`
+	// NoDigest leaves the digest out.
+	NoDigest bool `json:"no_digest"`
 }
 
 // Ledger counts what the server did.
@@ -138,36 +142,6 @@
 	return time.Duration(float64(work.RunMs) * factor * float64(time.Millisecond))
 }
 
-func (s *Server) answer(w http.ResponseWriter, id string, faults Faults, work Work) {
-	s.mu.Lock()
-	s.ledger.Answers[id]++
-	load := s.held
-	s.mu.Unlock()
-	reply := fmt.Appendf(nil, "{\"request\":%q,\"backend\":%q,\"run_ms\":%d}\n", id, s.name, work.RunMs)
-	h := w.Header()
-	h.Set(backendapi.HeaderRequestID, id)
-	if faults.WrongID {
-		h.Set(backendapi.HeaderRequestID, id+"-other")
-	}
-	h.Set(backendapi.HeaderDigest, backendapi.Digest(reply))
-	h.Set(backendapi.HeaderLoad, strconv.Itoa(load))
-	h.Set("Content-Type", "application/json")
-	h.Set("Content-Length", strconv.Itoa(len(reply)))
-	if s.isLeaving() {
-		h.Set(backendapi.HeaderLeaving, "true")
-	}
-	status := http.StatusOK
-	if faults.FailAll || work.Fail {
-		status = http.StatusInternalServerError
-	}
-	w.WriteHeader(status)
-	if faults.Truncate {
-		reply = reply[:len(reply)/2]
-	}
-	// A failed write means that the caller has gone; there is nobody to tell.
-	_, _ = w.Write(reply)
-}
-
 func (s *Server) refuse(w http.ResponseWriter, id string, refusal backendapi.Refusal) {
 	w.Header().Set(backendapi.HeaderRequestID, id)
 	w.Header().Set(backendapi.HeaderRefused, string(refusal))
@@ -231,6 +205,13 @@
 	s.faults = f
 }
 
+// Starts returns how often the request was started.
+func (s *Server) Starts(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Starts[id]
+}
+
 func (s *Server) getLedger(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
