Decide jobs in a pure core

The shell of the jobs part decided ownership, placement and closing in between its calls, so none of it could be driven by histories of faults. The decisions now sit in internal/decide/jobs.Core (events in, actions out); the shell carries actions out and checks a lease again right before a send.

New with it: - claims carry a digest, the owner's age and address; a claim that turns up after its host gave up is closed as not run - a host that starts on a trimmed stream takes jobs only when it knows the stream for the horizon (ages of one writer bound the span from below) - a close is recorded before the answer, or answered as unrecorded when the log is away for more than 250 ms - a start whose reply was lost is asked about, then barred by a stop, and only then placed elsewhere - claims and closes share appends, one each 25 ms a host at most - a worker's instance is part of every call, so a restarted worker is not taken for the one that held the tasks - results are read and leases renewed only while tasks are outstanding; starts renew the lease they are made under - a job without a submission id gets a minted one and needs no claim

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -61,10 +61,14 @@
 
 // Job is a submission of many tasks.
 type Job struct {
-	// Submission is the caller's id. A second arrival joins the first.
-	Submission string `json:"submission"`
-	Customer   string `json:"customer"`
-	Team       string `json:"team,omitempty"`
+	// Submission is the caller's id. A second arrival joins the first. Without
+	// it the entry host mints one, and the job needs no claim in the log.
+	Submission string `json:"submission,omitempty"`
+	// Attempt is 1 when the caller sends the submission for the first time and
+	// counts up; 0 means that the caller does not say.
+	Attempt  int    `json:"attempt,omitempty"`
+	Customer string `json:"customer"`
+	Team     string `json:"team,omitempty"`
 	// DeadlineMs is the time the job may take, in milliseconds.
 	DeadlineMs int64  `json:"deadline_ms,omitempty"`
 	Tasks      []Task `json:"tasks"`
@@ -80,12 +84,15 @@
 // JobAnswer is the state of a job. Results are present, one a task, only when
 // the state is complete.
 type JobAnswer struct {
-	Submission string       `json:"submission"`
-	Customer   string       `json:"customer"`
-	State      JobState     `json:"state"`
-	Owner      string       `json:"owner,omitempty"`
-	ErrorKind  string       `json:"error_kind,omitempty"`
-	Run        string       `json:"run,omitempty"`
-	Reason     string       `json:"reason,omitempty"`
+	Submission string   `json:"submission"`
+	Customer   string   `json:"customer"`
+	State      JobState `json:"state"`
+	Owner      string   `json:"owner,omitempty"`
+	ErrorKind  string   `json:"error_kind,omitempty"`
+	Run        string   `json:"run,omitempty"`
+	Reason     string   `json:"reason,omitempty"`
+	// Unrecorded is set when the log had not taken the job's close when the
+	// answer was given.
+	Unrecorded bool         `json:"unrecorded,omitempty"`
 	Results    []TaskResult `json:"results,omitempty"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -181,7 +181,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
-	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs}))
+	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
 	return mux
 }
 
--- a/internal/daemon/jobs/http.go
+++ b/internal/daemon/jobs/http.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -11,12 +13,17 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/jobs"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/httpjson"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
 )
 
+// digestBytes is the length of a job's digest in the log, in bytes.
+const digestBytes = 16
+
 // Routes adds the callers' paths to mux.
 func (s *Service) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+callerapi.PathJobs, s.serveSubmit)
 	mux.HandleFunc("GET "+callerapi.PathJobs+"/{customer}/{submission}", s.serveGet)
+	mux.HandleFunc("POST "+callerapi.PathJobs+"/{customer}/{submission}/cancel", s.serveCancel)
 }
 
 func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
@@ -25,7 +32,7 @@
 		errkind.Write(w, job.Submission, err, 0)
 		return
 	}
-	answer, err := s.Submit(r.Context(), job)
+	answer, err := s.Submit(r.Context(), job, digestOf(job))
 	if err != nil {
 		errkind.Write(w, job.Submission, err, 0)
 		return
@@ -44,6 +51,26 @@
 	httpjson.Write(w, http.StatusOK, answer)
 }
 
+func (s *Service) serveCancel(w http.ResponseWriter, r *http.Request) {
+	k := jobs.Key{Customer: r.PathValue("customer"), Submission: r.PathValue("submission")}
+	answer, err := s.Cancel(r.Context(), k)
+	if err != nil {
+		errkind.Write(w, k.Submission, err, 0)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+// digestOf returns the digest of what a job asks for. The attempt and the
+// deadline may differ between arrivals of one submission.
+func digestOf(job callerapi.Job) string {
+	job.Attempt, job.DeadlineMs = 0, 0
+	// A job that was decoded from JSON can be encoded.
+	data, _ := json.Marshal(job)
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:digestBytes])
+}
+
 // parse checks a job whole before anything is done with it.
 func (s *Service) parse(w http.ResponseWriter, r *http.Request) (callerapi.Job, *errkind.Error) {
 	var job callerapi.Job
@@ -65,13 +92,14 @@
 	switch {
 	case !ok:
 		return job, errkind.New(errkind.UnknownCustomer, "no customer %q", job.Customer)
-	case job.Submission == "":
-		return job, errkind.New(errkind.BadRequest, "the job has no submission id")
 	case len(job.Tasks) == 0 || len(job.Tasks) > limits.TasksPerJob:
 		return job, errkind.New(errkind.BadRequest, "a job has 1 to %d tasks, this one %d", limits.TasksPerJob, len(job.Tasks))
 	case job.DeadlineMs < 0:
 		return job, errkind.New(errkind.DeadlinePassed, "the deadline is %d ms away", job.DeadlineMs)
 	}
+	if job.Submission == "" {
+		job.Submission = ids.NewRequest(s.deps.Incarnation)
+	}
 	rules = rules.WithDefaults()
 	if job.DeadlineMs == 0 {
 		job.DeadlineMs = rules.DeadlineMs
--- a/internal/daemon/jobs/service.go
+++ b/internal/daemon/jobs/service.go
@@ -1,20 +1,20 @@
-// Package jobs runs jobs on an entry host: it claims submissions in the
-// platform's log, places their tasks on workers and answers.
+// Package jobs runs jobs on an entry host: it carries out what the core
+// decides, against the platform's log, the workers and the other entry hosts.
 package jobs
 
 import (
 	"context"
-	"errors"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/workers"
 	"github.com/parsleyhill/parsleyhill/internal/decide/jobs"
-	"github.com/parsleyhill/parsleyhill/internal/decide/place"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -24,25 +24,33 @@
 )
 
 const (
-	// leaseTTL is how long a worker's lease holds.
-	leaseTTL = 4 * time.Second
-	// leaseMargin is kept clear before a lease's end; no task is started in it.
-	leaseMargin = time.Second
-	// renewInterval is the time between renewals of a lease.
-	renewInterval = time.Second
-	// readWait bounds one waiting read.
-	readWait = 4 * time.Second
-	// retryDelay is the time between tries while a service is away.
-	retryDelay = 200 * time.Millisecond
-	// claimWait bounds the wait for a claim to appear in the log.
-	claimWait = 5 * time.Second
+	// tickInterval is the time between ticks of the core.
+	tickInterval = 25 * time.Millisecond
+	// hostsInterval is the time between readings of the host list.
+	hostsInterval = 500 * time.Millisecond
+	// idlePoll is the time between looks at whether a planned stop is done.
+	idlePoll = 25 * time.Millisecond
 )
 
+// metrics are the counters of this part.
+var metrics = expvar.NewMap("parsleyhill.jobs")
+
 // Hosts gives the newest usable host list.
 type Hosts interface {
 	Hosts() []platform.Host
 }
 
+// Owners asks the owner of a job about it.
+type Owners interface {
+	// GetJob returns the owner's document of the job, waiting up to wait for
+	// it to close. Address is where the owner listened; if it is empty the
+	// directory is asked. An error that wraps ErrOwnerGone proves that the
+	// owner's process has ended.
+	GetJob(ctx context.Context, owner ids.Incarnation, address string, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, error)
+	// CancelJob has the owner cancel the job, and returns its document.
+	CancelJob(ctx context.Context, owner ids.Incarnation, address string, k jobs.Key) (callerapi.JobAnswer, error)
+}
+
 // Deps are what the service needs.
 type Deps struct {
 	Settings    settings.Settings
@@ -56,267 +64,183 @@
 	// Owners asks other entry hosts about their jobs.
 	Owners Owners
 	Seed   uint64
-}
-
-// Owners asks the owner of a job about it.
-type Owners interface {
-	// GetJob returns the owner's document of the job, waiting up to wait for
-	// it to close.
-	GetJob(ctx context.Context, owner ids.Incarnation, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, error)
+	// Core holds the times of the decisions; zero fields take defaults.
+	Core jobs.Config
 }
 
 // Service runs jobs. It is safe for concurrent use.
 type Service struct {
-	deps Deps
+	deps   Deps
+	ctx    context.Context
+	cancel context.CancelFunc
+	calls  sync.WaitGroup
+	batch  *batch
 
 	mu      sync.Mutex
-	rng     *rand.Rand
-	table   *jobs.Table
-	changed chan struct{}
-	running map[jobs.Key]*run
-	workers map[string]*workerSession
+	core    *jobs.Core
+	waiters map[jobs.Key]map[chan outcome]struct{}
 }
 
 // New returns a service that owns no job.
 func New(deps Deps) *Service {
-	return &Service{
-		deps:    deps,
-		rng:     rand.New(rand.NewPCG(deps.Seed, 1)),
-		table:   jobs.NewTable(),
-		changed: make(chan struct{}),
-		running: map[jobs.Key]*run{},
-		workers: map[string]*workerSession{},
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg := deps.Core
+	cfg.Self = deps.Incarnation
+	cfg.Address = deps.Settings.Listen.Peers
+	s := &Service{
+		deps: deps, ctx: ctx, cancel: cancel,
+		core:    jobs.NewCore(time.Now(), cfg, rand.New(rand.NewPCG(deps.Seed, 1))),
+		waiters: map[jobs.Key]map[chan outcome]struct{}{},
 	}
+	s.batch = newBatch(deps.Log, s.appended)
+	return s
 }
 
-// Run follows the job stream and keeps worker sessions until ctx ends.
+// Run follows the job stream and the workers until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	go s.keepWorkers(ctx)
-	offset := int64(0)
-	for ctx.Err() == nil {
-		next, err := s.readOnce(ctx, offset)
-		if err != nil && ctx.Err() == nil {
-			s.deps.Logger.Warn("job stream gives no records", "error", err)
-			sleep(ctx, retryDelay)
-		}
-		offset = next
-	}
-	return ctx.Err()
-}
-
-func (s *Service) readOnce(ctx context.Context, offset int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
-	defer cancel()
-	page, err := s.deps.Log.Read(ctx, platform.StreamJobs, offset)
-	if errors.Is(err, platform.ErrTrimmed) {
-		return page.First - 1, nil
-	}
-	if err != nil {
-		return offset, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range page.Entries {
-		offset = e.Offset
-		r, err := jobs.DecodeRecord(e.Data)
-		if err != nil {
-			s.deps.Logger.Error("skipped a job record", "offset", e.Offset, "error", err)
-			continue
-		}
-		s.table.Fold(time.Now(), r)
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return offset, nil
-}
-
-// waitEntry waits until cond holds for the submission's entry.
-func (s *Service) waitEntry(ctx context.Context, k jobs.Key, cond func(jobs.Entry) bool) (jobs.Entry, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.follow(ctx) })
+	group.Go(func() error { return s.batch.run(ctx) })
+	group.Go(func() error { return s.tick(ctx) })
+	group.Go(func() error { return s.readHosts(ctx) })
+	return group.Wait()
+}
+
+// Stop takes no new job and waits until the owned ones are closed and nothing
+// is held at a worker, or ctx ends.
+func (s *Service) Stop(ctx context.Context) error {
+	s.do(func(time.Time) { s.core.Stop() })
 	for {
 		s.mu.Lock()
-		e, ok := s.table.Lookup(k)
-		changed := s.changed
+		idle := s.core.Idle()
 		s.mu.Unlock()
-		if ok && cond(e) {
-			return e, nil
+		if idle {
+			return nil
 		}
 		select {
-		case <-changed:
 		case <-ctx.Done():
-			return e, ctx.Err()
+			return ctx.Err()
+		case <-time.After(idlePoll):
 		}
 	}
 }
 
-// Submit claims and runs a job, or joins the one with the same submission, and
-// returns when it is closed or ctx ends.
-func (s *Service) Submit(ctx context.Context, job callerapi.Job) (callerapi.JobAnswer, *errkind.Error) {
-	k := jobs.Key{Customer: job.Customer, Submission: job.Submission}
-	owner, err := s.claim(ctx, job, k)
-	if err != nil {
-		return callerapi.JobAnswer{}, err
-	}
-	if owner == s.deps.Incarnation {
-		s.start(job, k)
-	}
-	return s.Wait(ctx, k, time.Duration(job.DeadlineMs)*time.Millisecond)
-}
-
-// claim returns the owner of the submission, this host if its claim is first.
-func (s *Service) claim(ctx context.Context, job callerapi.Job, k jobs.Key) (ids.Incarnation, *errkind.Error) {
-	s.mu.Lock()
-	e, ok := s.table.Lookup(k)
-	s.mu.Unlock()
-	if ok {
-		return e.Owner, nil
-	}
-	record := jobs.Record{Kind: jobs.KindClaim, Key: k, Owner: s.deps.Incarnation, LeaseMs: job.DeadlineMs}
-	data, err := record.Encode()
-	if err != nil {
-		return "", errkind.Wrap(errkind.Internal, err, "encode claim").WithRun(errkind.NotRun)
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
-	defer cancel()
-	_, err = s.deps.Log.Append(ctx, platform.StreamJobs, [][]byte{data})
-	if errors.Is(err, platform.ErrUnavailable) {
-		return "", errkind.Wrap(errkind.LogUnavailable, err, "the job was not claimed")
-	}
-	e, err = s.waitEntry(ctx, k, func(jobs.Entry) bool { return true })
-	if err != nil {
-		return "", errkind.Wrap(errkind.LogUnknown, err, "the claim of job %s was not read back", k)
+func (s *Service) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s.do(s.core.Tick)
+		select {
+		case <-ctx.Done():
+			s.cancel()
+			s.calls.Wait()
+			return ctx.Err()
+		case <-ticker.C:
+		}
 	}
-	return e.Owner, nil
 }
 
-// Wait returns the job's answer when it is closed, or its state after wait.
-func (s *Service) Wait(ctx context.Context, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, *errkind.Error) {
+// do gives one event to the core and carries out what follows.
+func (s *Service) do(event func(now time.Time)) {
 	s.mu.Lock()
-	e, ok := s.table.Lookup(k)
-	r := s.running[k]
-	s.mu.Unlock()
-	switch {
-	case !ok:
-		return callerapi.JobAnswer{}, errkind.New(errkind.UnknownSubject, "no job %s", k)
-	case r != nil:
-		return r.wait(ctx, wait), nil
-	case e.Owner == s.deps.Incarnation:
-		return callerapi.JobAnswer{}, errkind.New(errkind.OwnerLost, "job %s is no longer held", k)
+	now := time.Now()
+	event(now)
+	actions := s.core.Take(now)
+	for _, a := range actions {
+		s.deliver(a)
 	}
-	answer, err := s.deps.Owners.GetJob(ctx, e.Owner, k, wait)
-	if err != nil {
-		return callerapi.JobAnswer{}, errkind.Wrap(errkind.OwnerUnreachable, err, "entry host %s owns the job", e.Owner.Host())
-	}
-	return answer, nil
-}
-
-// Local returns the job's answer if this host owns it, waiting up to wait for
-// it to close.
-func (s *Service) Local(ctx context.Context, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, bool) {
-	s.mu.Lock()
-	r := s.running[k]
 	s.mu.Unlock()
-	if r == nil {
-		return callerapi.JobAnswer{}, false
+	for _, a := range actions {
+		s.carry(a)
 	}
-	return r.wait(ctx, wait), true
 }
 
-// start runs the job unless it already runs here.
-func (s *Service) start(job callerapi.Job, k jobs.Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.running[k] != nil {
-		return
-	}
-	r := newRun(job, k, s.deps.Settings.Host)
-	s.running[k] = r
-	s.note(decision.PartJob, "own", "first-claim", "this host's claim is first in the log", k)
-	s.placeAll()
-	time.AfterFunc(time.Duration(job.DeadlineMs)*time.Millisecond, func() {
-		s.fail(k, errkind.New(errkind.Timeout, "the job's deadline passed"))
-	})
+// outcome is what becomes of a wait for a submission.
+type outcome struct {
+	answer   callerapi.JobAnswer
+	notAfter time.Time
+	owner    ids.Incarnation
+	address  string
+	err      *errkind.Error
 }
 
-func (s *Service) note(part decision.Part, action, rule, why string, k jobs.Key, subjects ...string) {
-	subjects = append([]string{k.Submission}, subjects...)
-	s.deps.Recorder.Record(decision.Record{
-		Part: part, Action: action, Rule: rule, Why: why, Subjects: subjects, Customer: k.Customer,
-	})
-}
-
-// placeAll places what fits of all waiting tasks. The lock is held.
-func (s *Service) placeAll() {
-	for _, r := range s.running {
-		s.place(r)
+// deliver wakes those who wait for a submission. The lock is held.
+func (s *Service) deliver(a jobs.Action) {
+	switch a := a.(type) {
+	case jobs.Answer:
+		s.wake(a.Key, outcome{answer: a.Answer, notAfter: a.NotAfter})
+	case jobs.Settled:
+		s.wake(a.Key, outcome{owner: a.Owner, address: a.Address})
+	case jobs.Refused:
+		s.wake(a.Key, outcome{err: a.Err})
 	}
 }
 
-func (s *Service) place(r *run) {
-	batches := map[string][]int{}
-	candidates := s.usable(time.Now())
-	for _, i := range r.waiting() {
-		t := r.job.Tasks[i]
-		if len(candidates) > 0 && !anyCouldFit(candidates, t) {
-			s.closeLocked(r, errkind.New(errkind.TaskUnplaceable, "task %s fits no worker", t.Name))
-			return
-		}
-		w := place.Pick(candidates, t, s.rng)
-		if w == nil {
-			continue
+func (s *Service) wake(k jobs.Key, o outcome) {
+	for ch := range s.waiters[k] {
+		select {
+		case ch <- o:
+		default:
 		}
-		w.Take(t)
-		r.states[i] = taskSent
-		batches[w.Name] = append(batches[w.Name], i)
-		s.note(decision.PartPlace, "start", "most-free", "most free cores", r.key, t.Name, w.Name)
-	}
-	for name, tasks := range batches {
-		go s.send(r, s.workers[name], tasks)
 	}
 }
 
-func anyCouldFit(workers []*place.Worker, t callerapi.Task) bool {
-	for _, w := range workers {
-		if w.CouldFit(t) {
-			return true
-		}
+// join adds a waiter. The lock is held.
+func (s *Service) join(k jobs.Key) chan outcome {
+	ch := make(chan outcome, 1)
+	if s.waiters[k] == nil {
+		s.waiters[k] = map[chan outcome]struct{}{}
 	}
-	return false
+	s.waiters[k][ch] = struct{}{}
+	return ch
 }
 
-// fail closes the job as failed.
-func (s *Service) fail(k jobs.Key, err *errkind.Error) {
+func (s *Service) leave(k jobs.Key, ch chan outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.running[k]; r != nil {
-		s.closeLocked(r, err)
+	delete(s.waiters[k], ch)
+	if len(s.waiters[k]) == 0 {
+		delete(s.waiters, k)
 	}
 }
 
-// closeLocked closes the job once: complete if err is nil.
-func (s *Service) closeLocked(r *run, err *errkind.Error) {
-	if r.closed {
-		return
+// await gives an event to the core and waits for what becomes of the
+// submission. It returns false if ctx ended first.
+func (s *Service) await(ctx context.Context, k jobs.Key, event func(now time.Time) *errkind.Error) (outcome, bool) {
+	var ch chan outcome
+	var refused *errkind.Error
+	s.do(func(now time.Time) {
+		ch = s.join(k)
+		refused = event(now)
+	})
+	defer s.leave(k, ch)
+	if refused != nil {
+		return outcome{err: refused}, true
 	}
-	r.close(err)
-	s.note(decision.PartJob, "close", string(r.answer.State), r.answer.Reason, r.key)
-	record := jobs.Record{
-		Kind: jobs.KindClose, Key: r.key, Owner: s.deps.Incarnation, State: r.answer.State,
-		ErrorKind: r.answer.ErrorKind, Run: r.answer.Run, Reason: r.answer.Reason,
+	for {
+		select {
+		case o := <-ch:
+			if o.notAfter.IsZero() || time.Now().Before(o.notAfter) {
+				return o, true
+			}
+			s.do(func(time.Time) { s.core.Withdraw(k) })
+		case <-ctx.Done():
+			return outcome{}, false
+		}
 	}
-	go s.publish(record)
 }
 
-func (s *Service) publish(r jobs.Record) {
-	data, err := r.Encode()
-	if err != nil {
-		s.deps.Logger.Error("could not encode a close", "job", r.Key, "error", err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
-	defer cancel()
-	if _, err := s.deps.Log.Append(ctx, platform.StreamJobs, [][]byte{data}); err != nil {
-		s.deps.Logger.Warn("close not recorded", "job", r.Key, "error", err)
+func (s *Service) readHosts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		infos, entries := s.workerInfos()
+		quotas := quotasOf(s.deps.View.State(), len(entries))
+		s.do(func(now time.Time) {
+			s.core.Workers(now, infos, entries)
+			s.core.SetQuotas(quotas)
+		})
+		sleep(ctx, hostsInterval)
 	}
+	return ctx.Err()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/daemon/workers/client.go
+++ b/internal/daemon/workers/client.go
@@ -33,7 +33,8 @@
 // Lease asks for or renews a lease.
 func (c *Client) Lease(ctx context.Context, address string, call workerapi.LeaseCall) (workerapi.Lease, *errkind.Error) {
 	var lease workerapi.Lease
-	return lease, c.post(ctx, address, workerapi.PathLeases, call, &lease)
+	err := c.post(ctx, address, workerapi.PathLeases, call, &lease)
+	return lease, err
 }
 
 // Start starts tasks. An error with run state NotRun proves that none started.
@@ -48,10 +49,25 @@
 	return reply, nil
 }
 
-// Stop stops tasks.
+// Stop stops tasks. A task that the worker never saw is barred there.
 func (c *Client) Stop(ctx context.Context, address string, call workerapi.StopCall) (workerapi.StopReply, *errkind.Error) {
+	return c.states(ctx, address, workerapi.PathStops, call)
+}
+
+// Ask returns where tasks stand.
+func (c *Client) Ask(ctx context.Context, address string, call workerapi.StopCall) (workerapi.StopReply, *errkind.Error) {
+	return c.states(ctx, address, workerapi.PathTasks, call)
+}
+
+func (c *Client) states(ctx context.Context, address, path string, call workerapi.StopCall) (workerapi.StopReply, *errkind.Error) {
 	var reply workerapi.StopReply
-	return reply, c.post(ctx, address, workerapi.PathStops, call, &reply)
+	if err := c.post(ctx, address, path, call, &reply); err != nil {
+		return reply, err
+	}
+	if len(reply.States) != len(call.Tasks) {
+		return reply, errkind.New(errkind.TaskUnknown, "%d states for %d tasks", len(reply.States), len(call.Tasks))
+	}
+	return reply, nil
 }
 
 // Results waits up to waitMs milliseconds for ended tasks after seq.
@@ -67,7 +83,8 @@
 		return workerapi.Results{}, errkind.Wrap(errkind.Internal, err, "build request")
 	}
 	var results workerapi.Results
-	return results, c.do(req, &results)
+	failed := c.do(req, &results)
+	return results, failed
 }
 
 func (c *Client) post(ctx context.Context, address, path string, call, reply any) *errkind.Error {
--- /dev/null
+++ b/internal/decide/jobs/tick.go
@@ -0,0 +1,110 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decision"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+)
+
+// beatsPerHorizon is how many records a quiet host writes in one horizon.
+const beatsPerHorizon = 4
+
+// Tick does what is due. It is called every few tens of milliseconds.
+func (c *Core) Tick(now time.Time) {
+	c.tickClaims(now)
+	c.tickJobs(now)
+	c.tickWorkers(now)
+	c.fleet.Refresh(now)
+	c.forget(now)
+	if now.Sub(c.lastRecord) > c.cfg.Horizon/beatsPerHorizon {
+		c.append(now, Record{Kind: KindBeat})
+	}
+}
+
+// tickClaims gives up claims that did not appear in time.
+func (c *Core) tickClaims(now time.Time) {
+	for k, p := range c.pending {
+		if now.Sub(p.asked) < c.cfg.ClaimWait {
+			continue
+		}
+		c.giveUp(now, k, errkind.New(errkind.LogUnknown, "the claim did not appear in the log within %v", c.cfg.ClaimWait))
+	}
+}
+
+// tickJobs closes jobs whose time is over and repeats what was not confirmed.
+func (c *Core) tickJobs(now time.Time) {
+	for _, j := range c.owned {
+		switch {
+		case !j.closed && j.ending != nil:
+			c.finishEnding(now, j)
+		case !j.closed && !now.Before(j.deadline):
+			done, started := j.counts()
+			c.fail(now, j, errkind.New(errkind.Timeout, "the deadline passed with %d of %d tasks started and %d complete",
+				started, len(j.tasks), done))
+		case j.closed && !j.confirmed && !j.minted:
+			if !now.Before(j.answerBy) {
+				c.replyUnrecorded(now, j)
+			}
+			if !now.Before(j.retryAt) {
+				c.publishClose(now, j)
+			}
+		}
+	}
+}
+
+// tickWorkers repeats questions and stops that were not answered, and lets
+// workers back in.
+func (c *Core) tickWorkers(now time.Time) {
+	for _, w := range c.workers {
+		if !w.downUntil.IsZero() && w.usable(now) {
+			w.downUntil = time.Time{}
+			c.fleet.SetUsable(w.name, true)
+			c.note(decision.PartWorker, "use", "avoid-over", Key{}, []string{w.name}, "the worker may get tasks again")
+		}
+		if now.Before(w.retryAt) {
+			continue
+		}
+		c.askDoubts(now, w)
+		stops := w.stops
+		w.stops = nil
+		c.stopAt(now, w, stops)
+		if len(w.tasks) > 0 && !w.watched {
+			c.watch(now, w)
+		}
+	}
+}
+
+// forget drops what is older than the memory. A job is kept as long as its
+// submission is remembered.
+func (c *Core) forget(now time.Time) {
+	c.table.Forget(now, func(k Key) bool {
+		j, ok := c.owned[k]
+		return ok && !j.confirmed
+	})
+	kept := 0
+	for _, j := range c.closed {
+		_, known := c.table.Lookup(j.key)
+		if known || !j.answered || now.Sub(j.closedAt) <= c.cfg.Horizon {
+			break
+		}
+		kept++
+		c.drop(j)
+	}
+	clear(c.closed[:kept])
+	c.closed = c.closed[kept:]
+}
+
+// drop forgets a closed job. Tasks that no worker has accounted for are let
+// go with it.
+func (c *Core) drop(j *job) {
+	for i := range j.tasks {
+		if j.tasks[i].atWorker() {
+			c.release(ref{j, i})
+			j.tasks[i].state = taskEnded
+		}
+	}
+	c.resultBytes -= j.resultBytes()
+	delete(c.owned, j.key)
+	delete(c.byText, j.text)
+}
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -20,7 +20,7 @@
 	mux.HandleFunc("POST "+workerapi.PathStarts, serve(w.Start))
 	mux.HandleFunc("POST "+workerapi.PathStops, serve(w.Stop))
 	mux.HandleFunc("GET "+workerapi.PathResults, w.serveResults)
-	mux.HandleFunc("GET "+workerapi.PathTasks+"/{submission}/{task}", w.serveTask)
+	mux.HandleFunc("POST "+workerapi.PathTasks, serve(w.Ask))
 	mux.HandleFunc("GET /v1/ledger", func(rw http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(rw, http.StatusOK, w.Starts())
 	})
@@ -71,10 +71,3 @@
 		}
 	}
 }
-
-func (w *Worker) serveTask(rw http.ResponseWriter, r *http.Request) {
-	state := w.Task(r.PathValue("submission"), r.PathValue("task"))
-	httpjson.Write(rw, http.StatusOK, struct {
-		State workerapi.TaskState `json:"state"`
-	}{state})
-}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -6,9 +6,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/parsleyhill/parsleyhill/internal/workerapi"
 )
 
@@ -26,6 +29,9 @@
 	RunMs int64 `json:"run_ms"`
 	// Fail ends the task as failed.
 	Fail bool `json:"fail,omitempty"`
+	// Cores and MemoryMB are what the task really uses; 0 means as declared.
+	Cores    int `json:"cores,omitempty"`
+	MemoryMB int `json:"memory_mb,omitempty"`
 }
 
 // Faults are the failures that the stand-in brings about.
@@ -64,6 +70,7 @@
 // Worker is one worker. It is safe for concurrent use.
 type Worker struct {
 	name     string
+	instance string
 	capacity Capacity
 
 	mu      sync.Mutex
@@ -73,6 +80,7 @@
 	tasks   map[taskKey]*task
 	starts  map[string]int
 	used    Capacity
+	seqs    map[string]int64
 	results map[string][]workerapi.Result
 	ended   chan struct{}
 }
@@ -81,10 +89,12 @@
 func New(name string, capacity Capacity) *Worker {
 	return &Worker{
 		name:     name,
+		instance: uuid.NewString(),
 		capacity: capacity,
 		leases:   map[string]lease{},
 		tasks:    map[taskKey]*task{},
 		starts:   map[string]int{},
+		seqs:     map[string]int64{},
 		results:  map[string][]workerapi.Result{},
 		ended:    make(chan struct{}),
 	}
@@ -105,17 +115,21 @@
 	w.leases[call.Holder] = l
 	return workerapi.Lease{
 		Worker:       w.name,
+		Instance:     w.instance,
 		Holder:       call.Holder,
 		Epoch:        l.epoch,
 		TTLMs:        call.TTLMs,
 		Cores:        w.capacity.Cores,
 		MemoryMB:     w.capacity.MemoryMB,
 		Accelerators: w.capacity.Accelerators,
-		UsedCores:    w.used.Cores,
-		UsedMemoryMB: w.used.MemoryMB,
+		Used:         w.usage(),
 	}
 }
 
+func (w *Worker) usage() workerapi.Usage {
+	return workerapi.Usage{Cores: w.used.Cores, MemoryMB: w.used.MemoryMB, Accelerators: w.used.Accelerators}
+}
+
 // Start starts what fits of the call's tasks.
 func (w *Worker) Start(call workerapi.StartCall) workerapi.StartReply {
 	w.mu.Lock()
@@ -124,7 +138,19 @@
 	for i, t := range call.Tasks {
 		verdicts[i] = w.startOne(call, t)
 	}
-	return workerapi.StartReply{Verdicts: verdicts}
+	w.renew(call)
+	return workerapi.StartReply{Verdicts: verdicts, Used: w.usage()}
+}
+
+// renew extends the lease that the call was made under, unless it has lapsed.
+func (w *Worker) renew(call workerapi.StartCall) {
+	l, ok := w.leases[call.Holder]
+	now := time.Now()
+	if call.TTLMs <= 0 || call.Instance != w.instance || !ok || l.epoch != call.Epoch || now.After(l.expires) {
+		return
+	}
+	l.expires = now.Add(time.Duration(call.TTLMs) * time.Millisecond)
+	w.leases[call.Holder] = l
 }
 
 func (w *Worker) startOne(call workerapi.StartCall, t workerapi.Start) workerapi.Verdict {
@@ -133,7 +159,7 @@
 	switch {
 	case w.faults.Leaving:
 		return workerapi.RefusedLeave
-	case !ok || l.epoch != call.Epoch || time.Now().After(l.expires):
+	case call.Instance != w.instance || !ok || l.epoch != call.Epoch || time.Now().After(l.expires):
 		return workerapi.RefusedLease
 	case w.tasks[key] != nil:
 		return workerapi.RefusedTwice
@@ -198,30 +224,41 @@
 func (w *Worker) end(key taskKey, t *task, state workerapi.TaskState, reason string) {
 	t.state = state
 	w.take(t.start, -1)
-	results := w.results[t.holder]
-	w.results[t.holder] = append(results, workerapi.Result{
-		Seq:        int64(len(results)) + 1,
+	w.seqs[t.holder]++
+	work := parseWork(t.start.Payload)
+	peak := workerapi.Usage{Cores: t.start.Cores, MemoryMB: t.start.MemoryMB, Accelerators: t.start.Accelerators}
+	if work.Cores > 0 {
+		peak.Cores = work.Cores
+	}
+	if work.MemoryMB > 0 {
+		peak.MemoryMB = work.MemoryMB
+	}
+	w.results[t.holder] = append(w.results[t.holder], workerapi.Result{
+		Seq:        w.seqs[t.holder],
 		Submission: key.submission,
 		Task:       key.task,
 		State:      state,
 		Output:     fmt.Appendf(nil, "%s/%s on %s", key.submission, key.task, w.name),
 		Error:      reason,
-		RunMs:      parseWork(t.start.Payload).RunMs,
+		RunMs:      work.RunMs,
+		Peak:       peak,
 	})
 	close(w.ended)
 	w.ended = make(chan struct{})
 }
 
 // Results returns the holder's ended tasks after seq, and a channel that is
-// closed when another task ends.
+// closed when another task ends. Those up to seq are dropped.
 func (w *Worker) Results(holder string, after int64) (workerapi.Results, <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	results := w.results[holder]
-	if after < int64(len(results)) {
-		return workerapi.Results{Results: results[after:]}, w.ended
+	kept := w.results[holder]
+	for len(kept) > 0 && kept[0].Seq <= after {
+		kept = kept[1:]
 	}
-	return workerapi.Results{}, w.ended
+	w.results[holder] = kept
+	page := workerapi.Results{Instance: w.instance, Results: slices.Clone(kept), Used: w.usage()}
+	return page, w.ended
 }
 
 // Stop stops running tasks and returns the state of each. A task that was
@@ -230,8 +267,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	states := make([]workerapi.TaskState, len(call.Tasks))
-	for i, name := range call.Tasks {
-		key := taskKey{call.Submission, name}
+	for i, ref := range call.Tasks {
+		if call.Instance != w.instance {
+			states[i] = workerapi.TaskUnknown
+			continue
+		}
+		key := taskKey{ref.Submission, ref.Task}
 		t, ok := w.tasks[key]
 		if !ok {
 			w.tasks[key] = &task{state: workerapi.TaskNeverSeen}
@@ -247,16 +288,24 @@
 	return workerapi.StopReply{States: states}
 }
 
-// Task returns the state of one task. A task that was never seen may still
-// start later; Stop bars it.
-func (w *Worker) Task(submission, name string) workerapi.TaskState {
+// Ask returns the state of tasks. A task that was never seen may still start
+// later; Stop bars it.
+func (w *Worker) Ask(call workerapi.StopCall) workerapi.StopReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t, ok := w.tasks[taskKey{submission, name}]
-	if !ok {
-		return workerapi.TaskNeverSeen
+	states := make([]workerapi.TaskState, len(call.Tasks))
+	for i, ref := range call.Tasks {
+		t, ok := w.tasks[taskKey{ref.Submission, ref.Task}]
+		switch {
+		case call.Instance != w.instance:
+			states[i] = workerapi.TaskUnknown
+		case !ok:
+			states[i] = workerapi.TaskNeverSeen
+		default:
+			states[i] = t.state
+		}
 	}
-	return t.state
+	return workerapi.StopReply{States: states}
 }
 
 // Starts counts starts by "submission/task".
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -19,21 +19,29 @@
 	TTLMs int64 `json:"ttl_ms"`
 }
 
+// Usage is a worker's use as last measured, over all holders.
+type Usage struct {
+	Cores        int `json:"cores"`
+	MemoryMB     int `json:"memory_mb"`
+	Accelerators int `json:"accelerators,omitempty"`
+}
+
 // Lease is granted by a worker to one holder. Starts under a lapsed lease are
 // refused.
 type Lease struct {
 	Worker string `json:"worker"`
-	Holder string `json:"holder"`
+	// Instance names one start of the worker's process. What another instance
+	// ran is not known to this one.
+	Instance string `json:"instance"`
+	Holder   string `json:"holder"`
 	// Epoch grows with each lease after a lapse.
 	Epoch int64 `json:"epoch"`
 	TTLMs int64 `json:"ttl_ms"`
 	// Cores, MemoryMB and Accelerators are the worker's capacity.
-	Cores        int `json:"cores"`
-	MemoryMB     int `json:"memory_mb"`
-	Accelerators int `json:"accelerators"`
-	// UsedCores and UsedMemoryMB are the worker's usage as last measured.
-	UsedCores    int `json:"used_cores"`
-	UsedMemoryMB int `json:"used_memory_mb"`
+	Cores        int   `json:"cores"`
+	MemoryMB     int   `json:"memory_mb"`
+	Accelerators int   `json:"accelerators"`
+	Used         Usage `json:"used"`
 }
 
 // Start is one task to start.
@@ -48,15 +56,19 @@
 
 // StartCall starts tasks under a lease.
 type StartCall struct {
-	Holder string  `json:"holder"`
-	Epoch  int64   `json:"epoch"`
-	Tasks  []Start `json:"tasks"`
+	Holder   string `json:"holder"`
+	Instance string `json:"instance"`
+	Epoch    int64  `json:"epoch"`
+	// TTLMs renews the lease, unless it has lapsed, in milliseconds.
+	TTLMs int64   `json:"ttl_ms,omitempty"`
+	Tasks []Start `json:"tasks"`
 }
 
 // Verdict is the worker's answer to one start.
 type Verdict string
 
-// The verdicts. Every verdict but Started proves that the task did not start.
+// The verdicts. Every verdict but Started proves that this call did not start
+// the task.
 const (
 	Started      Verdict = "started"
 	RefusedRoom  Verdict = "no_room"
@@ -68,6 +80,7 @@
 // StartReply holds one verdict a task, in the order of the call.
 type StartReply struct {
 	Verdicts []Verdict `json:"verdicts"`
+	Used     Usage     `json:"used"`
 }
 
 // TaskState is where a task stands on a worker.
@@ -80,6 +93,8 @@
 	TaskDone      TaskState = "done"
 	TaskFailed    TaskState = "failed"
 	TaskStopped   TaskState = "stopped"
+	// TaskUnknown is the answer of another instance than the one asked for.
+	TaskUnknown TaskState = "unknown"
 )
 
 // Result is the end of one task.
@@ -91,18 +106,28 @@
 	Output     []byte    `json:"output,omitempty"`
 	Error      string    `json:"error,omitempty"`
 	RunMs      int64     `json:"run_ms"`
+	// Peak is the largest use seen while the task ran; zero if not measured.
+	Peak Usage `json:"peak,omitzero"`
 }
 
 // Results is a page of ended tasks of one holder.
 type Results struct {
-	Results []Result `json:"results"`
+	Instance string   `json:"instance"`
+	Results  []Result `json:"results"`
+	Used     Usage    `json:"used"`
+}
+
+// TaskRef names one task of one submission.
+type TaskRef struct {
+	Submission string `json:"submission"`
+	Task       string `json:"task"`
 }
 
-// StopCall stops tasks.
+// StopCall stops tasks, or asks about them.
 type StopCall struct {
-	Holder     string   `json:"holder"`
-	Submission string   `json:"submission"`
-	Tasks      []string `json:"tasks"`
+	Holder   string    `json:"holder"`
+	Instance string    `json:"instance"`
+	Tasks    []TaskRef `json:"tasks"`
 }
 
 // StopReply holds each task's state after the call, in the order of the call.
