Check settings whole and report all faults at once

The settings loader stopped at the first fault and checked no value: a file with only a dotted host name and a bad address passed -check (status 0, seen with the previous build), and {"host": 1, "colour": "red"} gave one line.

A walk over the hujson tree against the settings types now collects unknown fields, doubled fields and wrong types with file, line, field path and reason; a second pass checks names, addresses, overlaps between ports, URLs and bounds. The same file gives nine lines and status 2, before any socket is opened. encoding/json alone was ruled out: it reports one error, and no line.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -6,58 +6,108 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon"
+	"github.com/parsleyhill/parsleyhill/internal/logging"
 	"github.com/parsleyhill/parsleyhill/internal/settings"
 )
 
 // The exit statuses.
 const (
+	exitDone     = 0
 	exitFailed   = 1
 	exitSettings = 2
 )
 
+const usage = `parsleyhilld runs one entry host until SIGTERM or SIGINT, which begin a planned
+stop; a second signal ends the process at once.
+
+  parsleyhilld -settings entry-1.json
+  parsleyhilld -settings entry-1.json -check
+
+Exit status: 0 after a planned stop or a good check, 1 if the entry host
+failed, 2 if a flag or the settings are wrong. Nothing listens before the
+settings are found good.
+
+Each flag can be set in the environment, as in PARSLEYHILLD_LOG_LEVEL=debug.
+A flag wins over the environment, both win over the settings file.
+
+Flags:
+`
+
+// options are what the command line and the environment say.
+type options struct {
+	path      string
+	check     bool
+	overrides settings.Overrides
+}
+
 func main() {
-	os.Exit(run(os.Args[1:]))
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(args []string) int {
-	flags := flag.NewFlagSet("parsleyhilld", flag.ContinueOnError)
-	path := flags.String("settings", "parsleyhilld.json", "settings `file`, JSON with comments")
-	check := flags.Bool("check", false, "check the settings and exit")
-	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PARSLEYHILLD")); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, "parsleyhilld:", err)
+func run(args []string, out, errOut io.Writer) int {
+	o, err := parse(args, errOut)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case err != nil:
+		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
 		return exitSettings
 	}
-	s, err := settings.Load(*path)
+	s, err := settings.Load(o.path, o.overrides)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "parsleyhilld:", err)
+		printFaults(errOut, err)
 		return exitSettings
 	}
-	if *check {
-		fmt.Println("settings are good")
-		return 0
+	if o.check {
+		_, _ = fmt.Fprintf(out, "%s: settings of entry host %s in zone %s are good\n", o.path, s.Host, s.Zone)
+		return exitDone
 	}
-	return serve(s)
+	return serve(s, errOut)
 }
 
-func serve(s settings.Settings) int {
-	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true})
-	if s.Log.Format == "json" {
-		logger.SetFormatter(log.JSONFormatter)
+func parse(args []string, errOut io.Writer) (options, error) {
+	var o options
+	flags := flag.NewFlagSet("parsleyhilld", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	flags.StringVar(&o.path, "settings", "parsleyhilld.json", "settings `file`, JSON with comments")
+	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
+	flags.StringVar(&o.overrides.LogLevel, "log-level", "", "replace log.level: debug, info, warn or error")
+	flags.StringVar(&o.overrides.LogFormat, "log-format", "", "replace log.format: text or json")
+	flags.Usage = func() {
+		_, _ = io.WriteString(errOut, usage)
+		flags.PrintDefaults()
+	}
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PARSLEYHILLD")); err != nil {
+		return options{}, err
 	}
-	if level, err := log.ParseLevel(s.Log.Level); err == nil {
-		logger.SetLevel(level)
+	if flags.NArg() > 0 {
+		return options{}, fmt.Errorf("unexpected argument %q", flags.Arg(0))
 	}
+	return o, nil
+}
+
+// printFaults writes one line a fault.
+func printFaults(w io.Writer, err error) {
+	var faults settings.Faults
+	if !errors.As(err, &faults) {
+		_, _ = fmt.Fprintln(w, "parsleyhilld:", err)
+		return
+	}
+	for _, f := range faults {
+		_, _ = fmt.Fprintln(w, "parsleyhilld:", f)
+	}
+}
+
+func serve(s settings.Settings, errOut io.Writer) int {
+	logger := logging.New(errOut, s.Log)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// A second signal ends the process at once.
@@ -66,5 +116,5 @@
 		logger.Error("entry host failed", "error", err)
 		return exitFailed
 	}
-	return 0
+	return exitDone
 }
--- /dev/null
+++ b/cmd/parsleyhilld/main_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const example = "../../deploy/tamarind/entry-westlands-1.json"
+
+func TestExitStatuses(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	require.NoError(t, os.WriteFile(bad, []byte(`{"host": 1, "colour": "red"}`), 0o600))
+	cases := []struct {
+		name    string
+		args    []string
+		env     string
+		status  int
+		out     string
+		errOut  []string
+		errLine int
+	}{
+		{name: "good check", args: []string{"-settings", example, "-check"}, out: "entry-westlands-1"},
+		{name: "help", args: []string{"-help"}, errOut: []string{"Exit status", "-log-level"}},
+		{name: "unknown flag", args: []string{"-verbose"}, status: exitSettings, errOut: []string{"-verbose"}},
+		{name: "stray argument", args: []string{"start"}, status: exitSettings, errOut: []string{`"start"`}},
+		{name: "no file", args: []string{"-settings", "nowhere.json"}, status: exitSettings, errOut: []string{"nowhere.json"}},
+		{
+			name: "bad settings without -check", args: []string{"-settings", bad}, status: exitSettings,
+			errOut: []string{"bad.json:1: host: must be", "colour: unknown field", "zone: is missing", "listen.peers: is missing"}, errLine: 9,
+		},
+		{
+			name: "bad level in the environment", args: []string{"-settings", example, "-check"}, env: "loud", status: exitSettings,
+			errOut: []string{`command line or environment: log.level: "loud"`},
+		},
+		{name: "flag wins over the environment", args: []string{"-settings", example, "-check", "-log-level", "debug"}, env: "loud", out: "good"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Setenv("PARSLEYHILLD_LOG_LEVEL", c.env)
+			var out, errOut bytes.Buffer
+			require.Equal(t, c.status, run(c.args, &out, &errOut), errOut.String())
+			require.Contains(t, out.String(), c.out)
+			for _, want := range c.errOut {
+				require.Contains(t, errOut.String(), want)
+			}
+			if c.errLine > 0 {
+				require.Equal(t, c.errLine, strings.Count(errOut.String(), "\n"), errOut.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,48 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/daemon/journal"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
+	"github.com/parsleyhill/parsleyhill/internal/settings"
+)
+
+type fixedView struct{ state *standing.State }
+
+func (v fixedView) State() *standing.State { return v.state }
+
+// TestDecisionLinesCarryTheID checks that one decision is one line with the
+// part, the ids, the inputs and the version, in both formats.
+func TestDecisionLinesCarryTheID(t *testing.T) {
+	for _, format := range []string{"text", "json"} {
+		var out bytes.Buffer
+		view := fixedView{&standing.State{Version: 41}}
+		j := journal.New("entry-1", New(&out, settings.Log{Level: "info", Format: format}), view, 10)
+		for _, part := range []decision.Part{decision.PartRoute, decision.PartPlace, decision.PartRetry, decision.PartEject} {
+			out.Reset()
+			j.Record(decision.Record{Part: part, Action: "send", Why: "2 of 8 slots taken", Subjects: []string{"valve-7", "backend-3"}})
+			line := out.String()
+			require.Equal(t, 1, strings.Count(line, "\n"), line)
+			for _, want := range []string{string(part), "send", "valve-7", "backend-3", "2 of 8 slots taken", "41"} {
+				require.Contains(t, line, want)
+			}
+			require.Equal(t, format == "json", json.Valid([]byte(line)), line)
+		}
+	}
+}
+
+func TestLevelHidesLowerLines(t *testing.T) {
+	var out bytes.Buffer
+	logger := New(&out, settings.Log{Level: "warn", Format: "text"})
+	logger.Info("routine")
+	logger.WithPrefix("config").Warn("log service gives no records")
+	require.NotContains(t, out.String(), "routine")
+	require.Contains(t, out.String(), "config: log service gives no records")
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,159 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// The bounds of the settings.
+const (
+	minPollMs      = 100
+	maxPollMs      = 60_000
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 64 << 20
+	maxJobBytes    = 256 << 20
+	maxTasksPerJob = 100_000
+	maxDrainMs     = 10 * 60_000
+	maxGraceMs     = 60 * 60_000
+)
+
+// namePattern is what a host, region or zone may be called. Names are part of
+// ids, which use dots and tildes as separators.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?$`)
+
+// checker collects the faults of decoded settings.
+type checker struct {
+	d *decoder
+	// sources names what replaced a field of the file, by path.
+	sources map[string]string
+}
+
+// check adds a fault for each field whose value cannot be used. A field that
+// could not be decoded gets no second fault.
+func (c checker) check(s Settings) {
+	c.name("host", s.Host)
+	c.name("region", s.Region)
+	c.name("zone", s.Zone)
+	c.listen(s.Listen)
+	c.baseURL("platform.log", s.Platform.Log)
+	c.baseURL("platform.host_list", s.Platform.HostList)
+	c.bounds("platform.poll_ms", s.Platform.PollMs, minPollMs, maxPollMs)
+	c.bounds("limits.body_bytes", s.Limits.BodyBytes, minBodyBytes, maxBodyBytes)
+	c.bounds("limits.job_bytes", s.Limits.JobBytes, minBodyBytes, maxJobBytes)
+	c.bounds("limits.tasks_per_job", int64(s.Limits.TasksPerJob), 1, maxTasksPerJob)
+	c.bounds("stop.drain_ms", s.Stop.DrainMs, 0, maxDrainMs)
+	c.bounds("stop.grace_ms", s.Stop.GraceMs, 0, maxGraceMs)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "text", "json")
+}
+
+func (c checker) fault(field, format string, args ...any) {
+	if c.decodeFailed(field) {
+		return
+	}
+	fault := Fault{Source: c.d.source, Line: c.d.lines[field], Field: field, Reason: fmt.Sprintf(format, args...)}
+	if source, ok := c.sources[field]; ok {
+		fault.Source, fault.Line = source, 0
+	}
+	c.d.faults = append(c.d.faults, fault)
+}
+
+// decodeFailed reports whether the field, or the object it stands in, already
+// has a fault.
+func (c checker) decodeFailed(field string) bool {
+	return slices.ContainsFunc(c.d.faults, func(f Fault) bool {
+		return f.Field == field || strings.HasPrefix(field, f.Field+".")
+	})
+}
+
+func (c checker) name(field, value string) {
+	switch {
+	case value == "":
+		c.fault(field, "is missing")
+	case !namePattern.MatchString(value):
+		c.fault(field, "%q is not a name: letters, digits and inner hyphens, at most 63", value)
+	}
+}
+
+// listen checks the addresses to serve on, each alone and against the others.
+func (c checker) listen(l Listen) {
+	var taken []listener
+	for _, next := range []listener{
+		{field: "listen.callers", text: l.Callers},
+		{field: "listen.operators", text: l.Operators},
+		{field: "listen.peers", text: l.Peers},
+	} {
+		if !c.address(&next) {
+			continue
+		}
+		for _, other := range taken {
+			if other.overlaps(next) {
+				c.fault(next.field, "%s is taken by %s", next.text, other.field)
+			}
+		}
+		taken = append(taken, next)
+	}
+}
+
+// listener is one address to serve on.
+type listener struct {
+	field   string
+	text    string
+	address netip.AddrPort
+}
+
+// overlaps reports whether both cannot be listened on at once.
+func (l listener) overlaps(other listener) bool {
+	a, b := l.address, other.address
+	if a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+func (c checker) address(l *listener) bool {
+	if l.text == "" {
+		c.fault(l.field, "is missing")
+		return false
+	}
+	address, err := netip.ParseAddrPort(l.text)
+	switch {
+	case err != nil:
+		c.fault(l.field, "%q is not an IP address and a port", l.text)
+	case address.Port() == 0:
+		c.fault(l.field, "%q has no port", l.text)
+	}
+	l.address = address
+	return err == nil && address.Port() != 0
+}
+
+func (c checker) baseURL(field, value string) {
+	if value == "" {
+		c.fault(field, "is missing")
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.fault(field, "%q is not an http or https URL", value)
+		return
+	}
+	if u.RawQuery != "" || u.Fragment != "" || strings.HasSuffix(u.Path, "/") {
+		c.fault(field, "%q is not a base URL: no query, fragment or last slash", value)
+	}
+}
+
+func (c checker) bounds(field string, value, low, high int64) {
+	if value < low || value > high {
+		c.fault(field, "%d is not between %d and %d", value, low, high)
+	}
+}
+
+func (c checker) oneOf(field, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.fault(field, "%q is not one of %s", value, strings.Join(allowed, ", "))
+	}
+}
--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,145 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// decoder sets the fields of a struct from a document and collects every
+// fault on the way.
+type decoder struct {
+	source string
+	raw    []byte
+	faults Faults
+	// lines holds the line of each field that the document sets, by path.
+	lines map[string]int
+}
+
+// decode sets the fields of the struct that into points to.
+func decode(source string, raw []byte, into any) *decoder {
+	d := &decoder{source: source, raw: raw, lines: map[string]int{}}
+	doc, err := hujson.Parse(raw)
+	if err != nil {
+		d.faults = append(d.faults, Fault{Source: source, Reason: err.Error()})
+		return d
+	}
+	d.value("", doc, reflect.ValueOf(into).Elem())
+	return d
+}
+
+// value sets one field from a value of the document.
+func (d *decoder) value(path string, v hujson.Value, into reflect.Value) {
+	d.lines[path] = d.line(v.StartOffset)
+	object, isObject := v.Value.(*hujson.Object)
+	switch {
+	case into.Kind() == reflect.Struct && isObject:
+		d.object(path, object, into)
+	case into.Kind() == reflect.Struct:
+		d.fault(path, "must be an object, not %s", kindOf(v))
+	default:
+		d.scalar(path, v, into)
+	}
+}
+
+func (d *decoder) object(path string, object *hujson.Object, into reflect.Value) {
+	fields := fieldsOf(into)
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		field := join(path, name)
+		target, known := fields[name]
+		switch {
+		case seen[name]:
+			d.faultAt(member.Name.StartOffset, field, "is set twice")
+		case !known:
+			d.faultAt(member.Name.StartOffset, field, "unknown field")
+		default:
+			d.value(field, member.Value, target)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *decoder) scalar(path string, v hujson.Value, into reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || kindOf(v) == "null" || json.Unmarshal(literal, into.Addr().Interface()) != nil {
+		d.fault(path, "must be %s, not %s", wanted(into.Kind()), describe(v))
+	}
+}
+
+func (d *decoder) fault(path, format string, args ...any) {
+	d.faults = append(d.faults, Fault{
+		Source: d.source, Line: d.lines[path], Field: path, Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+func (d *decoder) faultAt(offset int, path, reason string) {
+	d.faults = append(d.faults, Fault{Source: d.source, Line: d.line(offset), Field: path, Reason: reason})
+}
+
+// line returns the line of a byte offset, from 1.
+func (d *decoder) line(offset int) int {
+	return 1 + bytes.Count(d.raw[:offset], []byte("\n"))
+}
+
+// fieldsOf returns the fields of a struct by their JSON names.
+func fieldsOf(v reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, v.NumField())
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		fields[name] = v.Field(i)
+	}
+	return fields
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func wanted(kind reflect.Kind) string {
+	if kind == reflect.String {
+		return "a string"
+	}
+	return "a whole number"
+}
+
+// kindOf names the kind of a value for people.
+func kindOf(v hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	case 'n':
+		return "null"
+	default:
+		return "a boolean"
+	}
+}
+
+// maxQuoted bounds how much of a wrong value is repeated in a fault.
+const maxQuoted = 40
+
+func describe(v hujson.Value) string {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() == 'n' || len(literal) > maxQuoted {
+		return kindOf(v)
+	}
+	if literal.Kind() == '"' {
+		return "the string " + strconv.Quote(literal.String())
+	}
+	return string(literal)
+}
