Rebuild the tool: safe failover, JSON for programs, plans by flags

The tool knew one URL a command, printed no JSON, had no job cancel, and its errors did not say what to do next. A lost reply and a refused dial both read as peer_unreachable with run state unknown, although the second proves that nothing was run.

A call now goes to the next entry host only when nothing was sent, the host proves that nothing was run, or the call is repeatable; a refusal for load is final, so that it is not multiplied. An earlier unknown outcome is never hidden by a later refusal. Resending a confirmation after a lost reply was ruled out: it is looked up by id. Each command has help, -json and documented exit statuses; wrong arguments end with 2, and -help with 0 (it was 2).

--- a/cmd/parsleyhill/main.go
+++ b/cmd/parsleyhill/main.go
@@ -13,5 +13,6 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(cli.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	tool := cli.Tool{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Transport: cli.NewTransport()}
+	os.Exit(tool.Run(ctx, os.Args[1:]))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,52 +8,134 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 
+	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+)
 
-	"github.com/parsleyhill/parsleyhill/internal/errkind"
+// The exit statuses that belong to no error kind.
+const (
+	exitDone = 0
+	// exitUsage follows wrong arguments.
+	exitUsage = 2
 )
 
-// exitUsage is the exit status after wrong arguments.
-const exitUsage = 2
+// rootHelp is the help of the whole tool.
+const rootHelp = `Each command prints for people; -json prints one JSON document for programs.
+Errors go to the error stream with their kind and whether the work was run.
+
+Exit status: 0 done; 2 wrong arguments;
+10 and above the kind of the error, see "parsleyhill kinds".
+
+A flag can be set in the environment: PARSLEYHILL_CALLERS_URL for request,
+job, ready and load, PARSLEYHILL_OPERATORS_URL for the others.`
 
-// streams are the tool's input and outputs.
-type streams struct {
-	in  io.Reader
-	out io.Writer
-	err io.Writer
+// Tool is the command-line tool with its surroundings.
+type Tool struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+	// Transport carries the calls to entry hosts.
+	Transport http.RoundTripper
+}
+
+// Run runs one command and returns the exit status.
+func (t *Tool) Run(ctx context.Context, args []string) int {
+	root := t.root()
+	if len(args) == 0 {
+		_, _ = fmt.Fprintln(t.Err, ffcli.DefaultUsageFunc(root))
+		return exitUsage
+	}
+	return t.report(root.ParseAndRun(ctx, args))
 }
 
-// Run runs the tool and returns its exit status: 0, 2 after wrong arguments,
-// or the status of the error kind.
-func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
-	s := streams{in: in, out: out, err: errOut}
-	root := &ffcli.Command{
+func (t *Tool) root() *ffcli.Command {
+	flags := flag.NewFlagSet("parsleyhill", flag.ContinueOnError)
+	flags.SetOutput(t.Err)
+	return &ffcli.Command{
 		Name:       "parsleyhill",
-		ShortUsage: "parsleyhill <command> [flags]",
-		FlagSet:    flag.NewFlagSet("parsleyhill", flag.ContinueOnError),
+		ShortUsage: "parsleyhill <command> [flags] [arguments]",
+		ShortHelp:  "Drive the entry hosts of a site as an operator or a caller.",
+		LongHelp:   rootHelp,
+		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
-			requestCommand(s), jobCommand(s), planCommand(s), confirmCommand(s), explainCommand(s), statusCommand(s),
+			t.requestCommand(), t.jobCommand(), t.readyCommand(),
+			t.planCommand(), t.confirmCommand(), t.explainCommand(), t.statusCommand(), t.kindsCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: unknownCommand,
+	}
+}
+
+// unknownCommand is run in place of a subcommand that does not exist.
+func unknownCommand(_ context.Context, args []string) error {
+	if len(args) == 0 {
+		return usageErrorf("a command is missing; -help lists them")
 	}
-	root.FlagSet.SetOutput(errOut)
-	err := root.ParseAndRun(ctx, args)
+	return usageErrorf("unknown command %q; -help lists them", args[0])
+}
+
+// usageError is a mistake in the arguments.
+type usageError struct{ text string }
+
+func (e usageError) Error() string { return e.text }
+
+func usageErrorf(format string, args ...any) error {
+	return usageError{fmt.Sprintf(format, args...)}
+}
+
+// report writes an error and returns the exit status.
+func (t *Tool) report(err error) int {
+	var usage usageError
+	var failed *failure
 	switch {
 	case err == nil:
-		return 0
+		return exitDone
 	case errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case errors.As(err, &failed):
+		return failed.report(t.Err)
+	case errors.As(err, &usage), !isKnown(err):
+		_, _ = fmt.Fprintln(t.Err, "parsleyhill:", err)
 		return exitUsage
 	}
-	return report(errOut, err)
+	return (&failure{err: err}).report(t.Err)
+}
+
+// newFlags returns the flags of one command.
+func (t *Tool) newFlags(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(t.Err)
+	return flags
 }
 
-// report writes an error with its kind and whether the work was run.
-func report(w io.Writer, err error) int {
-	e := errkind.From(err)
-	_, _ = fmt.Fprintf(w, "parsleyhill: %s (%s): %s\n", e.Kind, e.Run, e.Detail)
-	if e.Err != nil {
-		_, _ = fmt.Fprintf(w, "  cause: %v\n", e.Err)
+// env lets the environment set flags, under a prefix.
+func env(prefix string) []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(prefix)}
+}
+
+// The prefixes of the environment for both ports of an entry host.
+const (
+	envCallers   = "PARSLEYHILL_CALLERS"
+	envOperators = "PARSLEYHILL_OPERATORS"
+)
+
+// arguments returns the arguments of a command that takes exactly the named
+// ones. Flags may stand before, between and after them.
+func arguments(flags *flag.FlagSet, args []string, names ...string) ([]string, error) {
+	var found []string
+	for len(args) > 0 {
+		found = append(found, args[0])
+		if err := flags.Parse(args[1:]); err != nil {
+			return nil, err
+		}
+		args = flags.Args()
+	}
+	if len(found) < len(names) {
+		return nil, usageErrorf("%s: <%s> is missing; -help explains", flags.Name(), names[len(found)])
+	}
+	if len(found) > len(names) {
+		return nil, usageErrorf("%s: unexpected argument %q; -help explains", flags.Name(), found[len(names)])
 	}
-	return errkind.Lookup(e.Kind).Exit
+	return found, nil
 }
--- /dev/null
+++ b/internal/cli/confirm.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+)
+
+func (t *Tool) confirmCommand() *ffcli.Command {
+	flags := t.newFlags("confirm")
+	client := t.client(flags, "operators'", defaultOperators)
+	return &ffcli.Command{
+		Name:       "confirm",
+		ShortUsage: "parsleyhill confirm [flags] <file>",
+		ShortHelp:  "Confirm the plan in a file; \"-\" reads the standard input.",
+		LongHelp:   "If the outcome is unknown, look it up: parsleyhill explain <plan id>.",
+		FlagSet:    flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(flags, args, "file")
+			if err != nil {
+				return err
+			}
+			plan, err := t.readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			var c operator.Confirmed
+			raw, err := client.document(ctx, call{method: http.MethodPost, path: operator.PathConfirms, body: plan}, &c)
+			if err != nil {
+				return withID(err, planID(plan))
+			}
+			return t.printConfirmed(client.asJSON, raw, c)
+		},
+	}
+}
+
+// planID returns the id in a plan's document, or nothing.
+func planID(document []byte) string {
+	var plan struct {
+		ID string `json:"id"`
+	}
+	// The entry host refuses a document that is no plan.
+	_ = json.Unmarshal(document, &plan)
+	return plan.ID
+}
+
+func (t *Tool) printConfirmed(asJSON bool, raw []byte, c operator.Confirmed) error {
+	if asJSON {
+		return t.printRaw(raw)
+	}
+	_, err := fmt.Fprintf(t.Out, "%s is %s, version %d\n", c.Plan, c.Result, c.Version)
+	if c.Reason != "" {
+		_, _ = fmt.Fprintf(t.Out, "  %s\n", c.Reason)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
+)
+
+const explainHelp = `The id names a request, job, task, backend server, worker, entry host or plan.
+Any entry host can be asked; it gathers the decisions of all and says which
+hosts it could not reach. Each decision names its rule, the inputs seen, the
+configuration version and the operator's intent behind that version.`
+
+func (t *Tool) explainCommand() *ffcli.Command {
+	flags := t.newFlags("explain")
+	client := t.client(flags, "operators'", defaultOperators)
+	last := flags.Int("last", 0, "print only the last `number` of decisions; 0 prints all")
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "parsleyhill explain [flags] <id>",
+		ShortHelp:  "Tell what was decided about an id, why, and on whose intent.",
+		LongHelp:   explainHelp,
+		FlagSet:    flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(flags, args, "id")
+			if err != nil {
+				return err
+			}
+			var e operator.Explanation
+			raw, err := client.get(ctx, operator.PathExplain+"/"+url.PathEscape(args[0]), &e)
+			if err != nil {
+				return withID(err, args[0])
+			}
+			if client.asJSON {
+				return t.printRaw(raw)
+			}
+			return t.printExplanation(e, *last)
+		},
+	}
+}
+
+func (t *Tool) printExplanation(e operator.Explanation, last int) error {
+	_, err := fmt.Fprintf(t.Out, "%s: %d decisions found on %d entry hosts\n", e.Subject, len(e.Records), len(e.Hosts))
+	records := e.Records
+	if skipped := len(records) - last; last > 0 && skipped > 0 {
+		records = records[skipped:]
+		_, _ = fmt.Fprintf(t.Out, "  (%d earlier ones left out)\n", skipped)
+	}
+	for _, r := range records {
+		t.printRecord(r)
+	}
+	if len(e.Unreached) > 0 {
+		_, _ = fmt.Fprintf(t.Out, "  not reached, so the story may be incomplete: %s\n", strings.Join(e.Unreached, ", "))
+	}
+	return err
+}
+
+func (t *Tool) printRecord(r decision.Record) {
+	rule := ""
+	if r.Rule != "" {
+		rule = " by rule " + r.Rule
+	}
+	_, _ = fmt.Fprintf(t.Out, "  %s %s %s: %s%s: %s\n", r.Time.Format(time.StampMilli), r.Host, r.Part, r.Action, rule, r.Why)
+	_, _ = fmt.Fprintf(t.Out, "      about %s; version %d, intent %s\n", strings.Join(r.Subjects, ", "), r.Version, orNone(r.Intent))
+}
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+)
+
+// fleet is a transport to entry hosts in memory, by address.
+type fleet map[string]*entryHost
+
+// entryHost is one fake entry host.
+type entryHost struct {
+	// refuseDial fails before a connection stands, loseReply after the call
+	// was served.
+	refuseDial bool
+	loseReply  bool
+	handler    http.HandlerFunc
+	calls      []recorded
+}
+
+// recorded is a call as the entry host saw it.
+type recorded struct {
+	method string
+	path   string
+	header http.Header
+	body   string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	host, ok := f[r.URL.Host]
+	if !ok || host.refuseDial {
+		return nil, errors.New("dial: connection refused")
+	}
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	var body []byte
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+	}
+	host.calls = append(host.calls, recorded{r.Method, r.URL.RequestURI(), r.Header, string(body)})
+	if host.loseReply {
+		return nil, errors.New("connection reset")
+	}
+	w := httptest.NewRecorder()
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	host.handler(w, r)
+	return w.Result(), nil
+}
+
+// answers returns a handler that answers with a document.
+func answers(v any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(v)
+	}
+}
+
+// fails returns a handler that answers with an error document.
+func fails(err *errkind.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { errkind.Write(w, "id-1", err, 0) }
+}
+
+// result is what one run of the tool left behind.
+type result struct {
+	status int
+	out    string
+	err    string
+}
+
+// run runs the tool on a fleet.
+func run(_ *testing.T, f fleet, stdin string, args ...string) result {
+	var out, errOut bytes.Buffer
+	tool := Tool{In: strings.NewReader(stdin), Out: &out, Err: &errOut, Transport: f}
+	status := tool.Run(context.Background(), args)
+	return result{status, out.String(), errOut.String()}
+}
--- /dev/null
+++ b/internal/cli/job.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+)
+
+const submitHelp = `The job is a JSON document, comments allowed, in the file named or on the
+standard input ("-"):
+
+  {"submission": "batch-1", "customer": "tamarind", "deadline_ms": 60000,
+   "tasks": [{"name": "pair-1", "cores": 2, "memory_mb": 1024}]}
+
+The command waits for the job's answer. A job that was sent again joins the
+first one: the submission names it. A failed job exits with the status of its
+error kind.`
+
+func (t *Tool) jobCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "job",
+		ShortUsage:  "parsleyhill job <submit|status|cancel> [flags] [arguments]",
+		ShortHelp:   "Submit a job, ask where it stands or cancel it.",
+		FlagSet:     t.newFlags("job"),
+		Subcommands: []*ffcli.Command{t.jobSubmitCommand(), t.jobStatusCommand(), t.jobCancelCommand()},
+		Exec:        unknownCommand,
+	}
+}
+
+func (t *Tool) jobSubmitCommand() *ffcli.Command {
+	flags := t.newFlags("job submit")
+	client := t.client(flags, "callers'", defaultCallers)
+	return &ffcli.Command{
+		Name:       "submit",
+		ShortUsage: "parsleyhill job submit [flags] <file>",
+		ShortHelp:  "Submit a job and wait for its answer.",
+		LongHelp:   submitHelp,
+		FlagSet:    flags,
+		Options:    env(envCallers),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(flags, args, "file")
+			if err != nil {
+				return err
+			}
+			body, err := t.readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return t.job(ctx, client, call{
+				method: http.MethodPost, path: callerapi.PathJobs, body: body, repeatable: true,
+			})
+		},
+	}
+}
+
+func (t *Tool) jobStatusCommand() *ffcli.Command {
+	flags := t.newFlags("job status")
+	client := t.client(flags, "callers'", defaultCallers)
+	customer := flags.String("customer", "", "customer `name`")
+	wait := flags.Duration("wait", 0, "`time` to wait for the job's end")
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "parsleyhill job status -customer <name> [flags] <submission>",
+		ShortHelp:  "Print where a job stands.",
+		FlagSet:    flags,
+		Options:    env(envCallers),
+		Exec: func(ctx context.Context, args []string) error {
+			path, err := jobPath(flags, args, customer)
+			if err != nil {
+				return err
+			}
+			if *wait > 0 {
+				path += "?wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+			}
+			return t.job(ctx, client, call{method: http.MethodGet, path: path, repeatable: true})
+		},
+	}
+}
+
+func (t *Tool) jobCancelCommand() *ffcli.Command {
+	flags := t.newFlags("job cancel")
+	client := t.client(flags, "callers'", defaultCallers)
+	customer := flags.String("customer", "", "customer `name`")
+	return &ffcli.Command{
+		Name:       "cancel",
+		ShortUsage: "parsleyhill job cancel -customer <name> [flags] <submission>",
+		ShortHelp:  "Cancel a job. Tasks that run are stopped, its answer is failed.",
+		FlagSet:    flags,
+		Options:    env(envCallers),
+		Exec: func(ctx context.Context, args []string) error {
+			path, err := jobPath(flags, args, customer)
+			if err != nil {
+				return err
+			}
+			var answer callerapi.JobAnswer
+			raw, err := client.document(ctx, call{method: http.MethodDelete, path: path, repeatable: true}, &answer)
+			if err != nil {
+				return err
+			}
+			return t.printJob(client.asJSON, raw, answer)
+		},
+	}
+}
+
+func jobPath(flags *flag.FlagSet, args []string, customer *string) (string, error) {
+	args, err := arguments(flags, args, "submission")
+	if err != nil {
+		return "", err
+	}
+	if *customer == "" {
+		return "", usageErrorf("%s: -customer is missing", flags.Name())
+	}
+	return callerapi.PathJobs + "/" + url.PathEscape(*customer) + "/" + url.PathEscape(args[0]), nil
+}
+
+// job sends a call whose answer is a job, prints it, and fails if the job did.
+func (t *Tool) job(ctx context.Context, c *client, k call) error {
+	var answer callerapi.JobAnswer
+	raw, err := c.document(ctx, k, &answer)
+	if err != nil {
+		return err
+	}
+	if err := t.printJob(c.asJSON, raw, answer); err != nil {
+		return err
+	}
+	if answer.State != callerapi.JobFailed {
+		return nil
+	}
+	failed := errkind.New(errkind.Kind(answer.ErrorKind), "%s", answer.Reason).WithRun(errkind.RunState(answer.Run))
+	return &failure{err: failed, id: answer.Submission, asJSON: c.asJSON}
+}
+
+func (t *Tool) printJob(asJSON bool, raw []byte, a callerapi.JobAnswer) error {
+	if asJSON {
+		return t.printRaw(raw)
+	}
+	_, err := fmt.Fprintf(t.Out, "job %s is %s", a.Submission, a.State)
+	if err == nil && a.Owner != "" {
+		_, err = fmt.Fprintf(t.Out, ", owned by %s", a.Owner)
+	}
+	if err == nil && a.State == callerapi.JobComplete {
+		_, err = fmt.Fprintf(t.Out, ", %d results from %d workers", len(a.Results), countWorkers(a))
+	}
+	if err == nil {
+		_, err = fmt.Fprintln(t.Out)
+	}
+	return err
+}
+
+func countWorkers(a callerapi.JobAnswer) int {
+	workers := map[string]bool{}
+	for _, r := range a.Results {
+		workers[r.Worker] = true
+	}
+	return len(workers)
+}
--- /dev/null
+++ b/internal/cli/plan.go
@@ -0,0 +1,212 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+const planHelp = `A plan lists what an intent will do. Nothing happens until it is confirmed:
+
+  parsleyhill plan drain backend-3 -operator wanjiru -reason "bad rig"
+  parsleyhill confirm plan-....json
+
+The plan is written to a file named after its id, or to the file that -out
+names. With -json it goes to the standard output and to -out alone.
+
+"plan intent <file>" takes any intent as a JSON document with comments.`
+
+// planner makes one plan command.
+type planner struct {
+	tool     *Tool
+	flags    *flag.FlagSet
+	client   *client
+	out      string
+	operator string
+	reason   string
+}
+
+func (t *Tool) planner(name string) *planner {
+	flags := t.newFlags("plan " + name)
+	p := &planner{tool: t, flags: flags, client: t.client(flags, "operators'", defaultOperators)}
+	flags.StringVar(&p.out, "out", "", "`file` for the plan")
+	return p
+}
+
+// command returns a command whose intent is made from its arguments.
+func (p *planner) command(name, help string, names []string, intent func(args []string) (config.Intent, error)) *ffcli.Command {
+	p.flags.StringVar(&p.operator, "operator", "", "your `name`")
+	p.flags.StringVar(&p.reason, "reason", "", "why, in a short `sentence`")
+	usage := "parsleyhill plan " + name
+	for _, n := range names {
+		usage += " <" + n + ">"
+	}
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: usage + " -operator <name> -reason <sentence> [flags]",
+		ShortHelp:  help,
+		FlagSet:    p.flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(p.flags, args, names...)
+			if err != nil {
+				return err
+			}
+			if p.operator == "" {
+				return usageErrorf("%s: -operator is missing", p.flags.Name())
+			}
+			i, err := intent(args)
+			if err != nil {
+				return err
+			}
+			i.Operator, i.Reason = p.operator, p.reason
+			document, err := json.Marshal(i)
+			if err != nil {
+				return fmt.Errorf("encode intent: %w", err)
+			}
+			return p.plan(ctx, document)
+		},
+	}
+}
+
+func (t *Tool) planCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "plan",
+		ShortUsage: "parsleyhill plan <intent> [flags] [arguments]",
+		ShortHelp:  "Turn an intent into a plan. Nothing happens until it is confirmed.",
+		LongHelp:   planHelp,
+		FlagSet:    t.newFlags("plan"),
+		Subcommands: []*ffcli.Command{
+			t.planIntentCommand(), t.planHostCommand(config.Drain, "Take a host out of service: it gets no new work."),
+			t.planHostCommand(config.Undrain, "Return a drained host to service."), t.planWeightCommand(),
+			t.planSetCustomerCommand(), t.planRemoveCustomerCommand(), t.planSetTeamCommand(), t.planRemoveTeamCommand(),
+		},
+		Exec: unknownCommand,
+	}
+}
+
+func (t *Tool) planIntentCommand() *ffcli.Command {
+	p := t.planner("intent")
+	return &ffcli.Command{
+		Name:       "intent",
+		ShortUsage: "parsleyhill plan intent [flags] <file>",
+		ShortHelp:  "Plan the intent in a JSON document; \"-\" reads the standard input.",
+		FlagSet:    p.flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(p.flags, args, "file")
+			if err != nil {
+				return err
+			}
+			document, err := t.readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return p.plan(ctx, document)
+		},
+	}
+}
+
+func (t *Tool) planHostCommand(verb config.Verb, help string) *ffcli.Command {
+	return t.planner(string(verb)).command(string(verb), help, []string{"host"}, func(args []string) (config.Intent, error) {
+		return config.Intent{Verb: verb, Host: args[0]}, nil
+	})
+}
+
+func (t *Tool) planWeightCommand() *ffcli.Command {
+	names := []string{"customer", "backend", "weight"}
+	help := "Set a backend server's weight for a customer; 0 gives it no work."
+	return t.planner("set-weight").command("set-weight", help, names, func(args []string) (config.Intent, error) {
+		weight, err := strconv.ParseFloat(args[2], 64)
+		if err != nil {
+			return config.Intent{}, usageErrorf("plan set-weight: %q is not a number", args[2])
+		}
+		return config.Intent{Verb: config.SetWeight, Customer: args[0], Host: args[1], Weight: &weight}, nil
+	})
+}
+
+func (t *Tool) planSetCustomerCommand() *ffcli.Command {
+	help := "Replace a customer's rules by those of a JSON document."
+	return t.planner("set-customer").command("set-customer", help, []string{"customer", "file"}, func(args []string) (config.Intent, error) {
+		document, err := t.readDocument(args[1])
+		if err != nil {
+			return config.Intent{}, err
+		}
+		var rules standing.Customer
+		if err := json.Unmarshal(document, &rules); err != nil {
+			return config.Intent{}, usageErrorf("%s: %v", args[1], err)
+		}
+		return config.Intent{Verb: config.SetCustomer, Customer: args[0], Rules: &rules}, nil
+	})
+}
+
+func (t *Tool) planRemoveCustomerCommand() *ffcli.Command {
+	help := "Remove a customer: all its new work is refused."
+	return t.planner("remove-customer").command("remove-customer", help, []string{"customer"}, func(args []string) (config.Intent, error) {
+		return config.Intent{Verb: config.RemoveCustomer, Customer: args[0]}, nil
+	})
+}
+
+func (t *Tool) planSetTeamCommand() *ffcli.Command {
+	p := t.planner("set-team")
+	var rules standing.Team
+	p.flags.IntVar(&rules.Weight, "weight", 1, "the team's `share` when teams compete")
+	p.flags.IntVar(&rules.Slots, "slots", 0, "most `requests` at once on one entry host; 0 means no bound")
+	p.flags.IntVar(&rules.Cores, "cores", 0, "most worker `cores` at once; 0 means no bound")
+	return p.command("set-team", "Replace one team's rules.", []string{"customer", "team"}, func(args []string) (config.Intent, error) {
+		return config.Intent{Verb: config.SetTeam, Customer: args[0], Team: args[1], TeamRule: &rules}, nil
+	})
+}
+
+func (t *Tool) planRemoveTeamCommand() *ffcli.Command {
+	help := "Remove a team of a customer."
+	return t.planner("remove-team").command("remove-team", help, []string{"customer", "team"}, func(args []string) (config.Intent, error) {
+		return config.Intent{Verb: config.RemoveTeam, Customer: args[0], Team: args[1]}, nil
+	})
+}
+
+// plan asks for the plan of an intent, prints it and keeps it in a file.
+func (p *planner) plan(ctx context.Context, intent []byte) error {
+	var plan config.Plan
+	raw, err := p.client.document(ctx, call{
+		method: http.MethodPost, path: operator.PathPlans, body: intent, repeatable: true,
+	}, &plan)
+	if err != nil {
+		return err
+	}
+	out := p.out
+	if out == "" && !p.client.asJSON {
+		out = plan.ID + ".json"
+	}
+	if out != "" {
+		if err := os.WriteFile(out, raw, planMode); err != nil {
+			return fmt.Errorf("keep plan: %w", err)
+		}
+	}
+	if p.client.asJSON {
+		return p.tool.printRaw(raw)
+	}
+	return p.tool.printPlan(plan, out)
+}
+
+// planMode is the mode of a plan's file.
+const planMode = 0o600
+
+func (t *Tool) printPlan(plan config.Plan, out string) error {
+	_, err := fmt.Fprintf(t.Out, "%s by %s rests on version %d. It\n", plan.ID, plan.Intent.Operator, plan.Base)
+	for _, effect := range plan.Effects {
+		_, _ = fmt.Fprintf(t.Out, "  - %s\n", effect)
+	}
+	_, _ = fmt.Fprintf(t.Out, "Nothing has happened yet. To go on: parsleyhill confirm %s\n", out)
+	return err
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,160 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+)
+
+const (
+	// pollInterval is the time between looks while a command waits.
+	pollInterval = 100 * time.Millisecond
+	// defaultWait bounds how long a command waits.
+	defaultWait = 20 * time.Second
+)
+
+const statusHelp = `Prints the state of one entry host: its zone, the configuration version in
+force, how old its view of the log is, the drains, the other entry hosts as
+seen from it, and the conditions that need a look.
+
+With -wait-version the command waits until this entry host and every peer that
+it lists have at least that version in force.`
+
+func (t *Tool) statusCommand() *ffcli.Command {
+	flags := t.newFlags("status")
+	client := t.client(flags, "operators'", defaultOperators)
+	version := flags.Int64("wait-version", 0, "wait until the `version` is in force on all entry hosts")
+	hosts := flags.Int("wait-hosts", 1, "with -wait-version, the least `number` of entry hosts to see")
+	timeout := flags.Duration("timeout", defaultWait, "longest `time` to wait")
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "parsleyhill status [flags]",
+		ShortHelp:  "Print the state of an entry host and what it knows of the others.",
+		LongHelp:   statusHelp,
+		FlagSet:    flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			if _, err := arguments(flags, args); err != nil {
+				return err
+			}
+			wait := *timeout
+			if *version == 0 {
+				wait = 0
+			}
+			var st operator.Status
+			var raw []byte
+			err := poll(ctx, wait, func(ctx context.Context) (err error) {
+				st = operator.Status{}
+				if raw, err = client.get(ctx, operator.PathStatus, &st); err != nil {
+					return err
+				}
+				return inForce(st, *version, *hosts)
+			})
+			if raw != nil {
+				if printErr := t.printStatus(client.asJSON, raw, st); printErr != nil {
+					return printErr
+				}
+			}
+			return client.mark(err)
+		},
+	}
+}
+
+// inForce returns an error unless all entry hosts have the version.
+func inForce(st operator.Status, version int64, hosts int) error {
+	current := 0
+	if st.Version >= version {
+		current++
+	}
+	for _, p := range st.Peers {
+		if p.Reachable && p.Version >= version {
+			current++
+		}
+	}
+	if wanted := max(hosts, 1+len(st.Peers)); current < wanted {
+		return errkind.New(errkind.NotReady, "version %d is in force on %d of %d entry hosts", version, current, wanted)
+	}
+	return nil
+}
+
+func (t *Tool) printStatus(asJSON bool, raw []byte, st operator.Status) error {
+	if asJSON {
+		return t.printRaw(raw)
+	}
+	w := t.Out
+	_, err := fmt.Fprintf(w, "%s in zone %s: version %d, log heard %d ms ago\n", st.Host, st.Zone, st.Version, st.LogAgeMs)
+	for _, p := range st.Peers {
+		printPeer(w, p)
+	}
+	if st.State != nil {
+		for name, d := range st.State.Drains {
+			_, _ = fmt.Fprintf(w, "  drained: %s since version %d by %s (%s), intent %s\n", name, d.Since, d.Operator, orNone(d.Reason), d.Intent)
+		}
+	}
+	for _, c := range st.Conditions {
+		_, _ = fmt.Fprintf(w, "  condition: %s %s: %s\n", c.Part, c.Action, c.Why)
+	}
+	return err
+}
+
+func printPeer(w io.Writer, p operator.PeerStatus) {
+	if !p.Reachable {
+		_, _ = fmt.Fprintf(w, "  peer %s in zone %s: not reachable, last seen at version %d\n", p.Host, p.Zone, p.Version)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "  peer %s in zone %s: version %d\n", p.Host, p.Zone, p.Version)
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+func (t *Tool) readyCommand() *ffcli.Command {
+	flags := t.newFlags("ready")
+	client := t.client(flags, "callers'", defaultCallers)
+	timeout := flags.Duration("wait", 0, "`time` to wait until all are ready")
+	return &ffcli.Command{
+		Name:       "ready",
+		ShortUsage: "parsleyhill ready [flags]",
+		ShortHelp:  "Check that every entry host named by -url takes work.",
+		FlagSet:    flags,
+		Options:    env(envCallers),
+		Exec: func(ctx context.Context, args []string) error {
+			if _, err := arguments(flags, args); err != nil {
+				return err
+			}
+			for _, url := range client.urls.urls {
+				err := poll(ctx, *timeout, func(ctx context.Context) error {
+					_, err := client.send(ctx, url, call{method: http.MethodGet, path: callerapi.PathReady})
+					return err
+				})
+				if err != nil {
+					return client.mark(err)
+				}
+			}
+			return t.printReady(client)
+		},
+	}
+}
+
+func (t *Tool) printReady(c *client) error {
+	if c.asJSON {
+		return json.NewEncoder(t.Out).Encode(struct {
+			Ready []string `json:"ready"`
+		}{c.urls.urls})
+	}
+	_, err := fmt.Fprintf(t.Out, "%d entry hosts are ready\n", len(c.urls.urls))
+	return err
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/workers"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
 	"github.com/parsleyhill/parsleyhill/internal/platform"
 	"github.com/parsleyhill/parsleyhill/internal/settings"
@@ -187,7 +188,7 @@
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !d.ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		errkind.Write(w, "", errkind.New(errkind.NotReady, "stopping, or no configuration yet"), 0)
 		return
 	}
 	// A failed write means that the caller has gone; there is nobody to tell.
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,6 +24,8 @@
 
 // decode sets the fields of the struct that into points to.
 func decode(source string, raw []byte, into any) *decoder {
+	// A comment on the last line needs the line's end.
+	raw = append(slices.Clip(raw), '\n')
 	d := &decoder{source: source, raw: raw, lines: map[string]int{}}
 	doc, err := hujson.Parse(raw)
 	if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,7 +23,7 @@
 }`
 
 func TestGoodFileGetsDefaults(t *testing.T) {
-	s, err := Parse("a.json", []byte(good), Overrides{})
+	s, err := Parse("a.json", []byte(good+" // the end"), Overrides{})
 	require.NoError(t, err)
 	require.Equal(t, "entry-1", s.Host)
 	require.Equal(t, "10.0.0.1:7301", s.Listen.Peers)
