Add the load command: seeded, open loop, with ledger check

Callers had no way to measure response time against the ideal or the messages spent. load offers a seeded Poisson process with the run times of the workloads, marks attempts, counts response times from when a request was due (a late generator is shown as lag, not hidden), and prints quantiles from an HDR histogram, failures by kind and run state, and extra messages a request. Against stand-ins it reads the ledgers of starts and exits with 1 if a request started twice, or started although every attempt was answered not run.

Closed-loop clients were ruled out: they slow down with the servers and hide the wait. One package, entryclient, now sends for the tool and for load.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,6 +17,8 @@
 // The exit statuses that belong to no error kind.
 const (
 	exitDone = 0
+	// exitBroken follows a load run that saw a promise broken.
+	exitBroken = 1
 	// exitUsage follows wrong arguments.
 	exitUsage = 2
 )
@@ -25,7 +27,7 @@
 const rootHelp = `Each command prints for people; -json prints one JSON document for programs.
 Errors go to the error stream with their kind and whether the work was run.
 
-Exit status: 0 done; 2 wrong arguments;
+Exit status: 0 done; 1 a load run saw a promise broken; 2 wrong arguments;
 10 and above the kind of the error, see "parsleyhill kinds".
 
 A flag can be set in the environment: PARSLEYHILL_CALLERS_URL for request,
@@ -60,7 +62,7 @@
 		LongHelp:   rootHelp,
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
-			t.requestCommand(), t.jobCommand(), t.readyCommand(),
+			t.requestCommand(), t.jobCommand(), t.loadCommand(), t.readyCommand(),
 			t.planCommand(), t.confirmCommand(), t.explainCommand(), t.statusCommand(), t.kindsCommand(),
 		},
 		Exec: unknownCommand,
@@ -95,6 +97,9 @@
 		return exitDone
 	case errors.As(err, &failed):
 		return failed.report(t.Err)
+	case errors.Is(err, errBroken{}):
+		_, _ = fmt.Fprintln(t.Err, "parsleyhill:", err)
+		return exitBroken
 	case errors.As(err, &usage), !isKnown(err):
 		_, _ = fmt.Fprintln(t.Err, "parsleyhill:", err)
 		return exitUsage
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -44,7 +44,7 @@
 func TestEveryCommandHasHelpAndJSON(t *testing.T) {
 	tool := Tool{Out: os.Stdout, Err: os.Stderr}
 	all := leaves(tool.root(), nil)
-	for _, name := range []string{"request", "job submit", "job status", "job cancel", "plan drain", "confirm", "explain", "status"} {
+	for _, name := range []string{"request", "job submit", "job status", "job cancel", "plan drain", "confirm", "explain", "status", "load"} {
 		require.Contains(t, all, name)
 	}
 	for name, c := range all {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -1,39 +1,23 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
-	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
 const (
 	defaultCallers   = "http://127.0.0.1:7101"
 	defaultOperators = "http://127.0.0.1:7201"
-	// dialTimeout bounds the setting up of one connection.
-	dialTimeout = 2 * time.Second
-	// maxReplyBytes bounds what is read of one answer.
-	maxReplyBytes = 256 << 20
 )
 
-// NewTransport returns the transport of the tool. It reads no proxy from the
-// environment: entry hosts are called by their IP addresses.
-func NewTransport() http.RoundTripper {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}
-}
-
 // urlList is a flag that takes several URLs, separated by commas or repeated.
 type urlList struct {
 	urls []string
@@ -74,26 +58,21 @@
 
 // call is one call to an entry host.
 type call struct {
-	method string
-	path   string
-	header http.Header
-	body   []byte
+	entryclient.Call
 	// repeatable is set if the call may be sent again although it may have
 	// taken effect.
 	repeatable bool
 }
 
-// reply is an answer that is not an error.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
+// get returns a call that reads a path.
+func get(path string) call {
+	return call{Call: entryclient.Call{Method: http.MethodGet, Path: path}, repeatable: true}
 }
 
 // do sends a call to the first entry host and turns to the next one if that
 // is safe: nothing was sent, the host proves that nothing was run, or the call
 // is repeatable.
-func (c *client) do(ctx context.Context, k call) (reply, error) {
+func (c *client) do(ctx context.Context, k call) (entryclient.Reply, error) {
 	var last error
 	for _, base := range c.urls.urls {
 		r, err := c.send(ctx, base, k)
@@ -109,7 +88,7 @@
 	if errors.As(last, &failed) {
 		failed.asJSON = c.asJSON
 	}
-	return reply{}, last
+	return entryclient.Reply{}, last
 }
 
 // worse returns the error that says more about whether the work was run.
@@ -134,56 +113,17 @@
 }
 
 // send sends a call once.
-func (c *client) send(ctx context.Context, base string, k call) (reply, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), k.method, base+k.path, once(k.body))
-	if err != nil {
-		return reply{}, usageErrorf("%v", err)
-	}
-	for name, values := range k.header {
-		req.Header[name] = values
-	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		e := errkind.Wrap(errkind.PeerUnreachable, err, "no answer from %s", base)
-		if !connected.Load() {
-			e = e.WithRun(errkind.NotRun)
-		}
-		return reply{}, &failure{err: e}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return reply{}, &failure{err: errkind.Wrap(errkind.AnswerInvalid, err, "the answer of %s was cut off", base)}
-	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return reply{}, answerError(base, resp.StatusCode, body)
-	}
-	return reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
-}
-
-// once returns a body that the transport cannot rewind, so that it sends the
-// call at most once.
-func once(body []byte) io.Reader {
-	if len(body) == 0 {
-		return http.NoBody
-	}
-	return io.MultiReader(bytes.NewReader(body))
-}
-
-// answerError returns the error that an answer carries.
-func answerError(base string, status int, body []byte) error {
-	var doc errkind.Document
-	if err := json.Unmarshal(body, &doc); err != nil || doc.Kind == "" {
-		return &failure{err: errkind.New(errkind.Internal, "%s answered status %d without an error document", base, status)}
+func (c *client) send(ctx context.Context, base string, k call) (entryclient.Reply, error) {
+	r, failed := entryclient.Send(ctx, c.transport, base, k.Call)
+	if failed != nil {
+		return r, &failure{err: failed.Err, id: failed.ID}
 	}
-	return &failure{err: errkind.New(doc.Kind, "%s", doc.Detail).WithRun(doc.Run), id: doc.ID}
+	return r, nil
 }
 
 // get reads a document of an entry host.
 func (c *client) get(ctx context.Context, path string, into any) ([]byte, error) {
-	return c.document(ctx, call{method: http.MethodGet, path: path, repeatable: true}, into)
+	return c.document(ctx, get(path), into)
 }
 
 // document sends a call and decodes the document in the answer. It returns
@@ -193,8 +133,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := json.Unmarshal(r.body, into); err != nil {
+	if err := json.Unmarshal(r.Body, into); err != nil {
 		return nil, &failure{err: errkind.Wrap(errkind.AnswerInvalid, err, "decode the answer"), asJSON: c.asJSON}
 	}
-	return r.body, nil
+	return r.Body, nil
 }
--- a/internal/cli/confirm.go
+++ b/internal/cli/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 )
 
 func (t *Tool) confirmCommand() *ffcli.Command {
@@ -31,7 +32,8 @@
 				return err
 			}
 			var c operator.Confirmed
-			raw, err := client.document(ctx, call{method: http.MethodPost, path: operator.PathConfirms, body: plan}, &c)
+			send := entryclient.Call{Method: http.MethodPost, Path: operator.PathConfirms, Body: plan}
+			raw, err := client.document(ctx, call{Call: send}, &c)
 			if err != nil {
 				return withID(err, planID(plan))
 			}
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
@@ -55,7 +56,8 @@
 				return err
 			}
 			return t.job(ctx, client, call{
-				method: http.MethodPost, path: callerapi.PathJobs, body: body, repeatable: true,
+				Call:       entryclient.Call{Method: http.MethodPost, Path: callerapi.PathJobs, Body: body},
+				repeatable: true,
 			})
 		},
 	}
@@ -80,7 +82,7 @@
 			if *wait > 0 {
 				path += "?wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 			}
-			return t.job(ctx, client, call{method: http.MethodGet, path: path, repeatable: true})
+			return t.job(ctx, client, get(path))
 		},
 	}
 }
@@ -101,7 +103,8 @@
 				return err
 			}
 			var answer callerapi.JobAnswer
-			raw, err := client.document(ctx, call{method: http.MethodDelete, path: path, repeatable: true}, &answer)
+			cancel := call{Call: entryclient.Call{Method: http.MethodDelete, Path: path}, repeatable: true}
+			raw, err := client.document(ctx, cancel, &answer)
 			if err != nil {
 				return err
 			}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 )
 
 const planHelp = `A plan lists what an intent will do. Nothing happens until it is confirmed:
@@ -179,7 +180,8 @@
 func (p *planner) plan(ctx context.Context, intent []byte) error {
 	var plan config.Plan
 	raw, err := p.client.document(ctx, call{
-		method: http.MethodPost, path: operator.PathPlans, body: intent, repeatable: true,
+		Call:       entryclient.Call{Method: http.MethodPost, Path: operator.PathPlans, Body: intent},
+		repeatable: true,
 	}, &plan)
 	if err != nil {
 		return err
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 )
 
 const requestHelp = `The body is the argument, or the standard input if the argument is "-".
@@ -109,7 +110,8 @@
 			}
 			started := time.Now()
 			r, err := client.do(ctx, call{
-				method: http.MethodPost, path: callerapi.PathRequests, header: f.header(), body: body, repeatable: f.idempotent,
+				Call:       entryclient.Call{Method: http.MethodPost, Path: callerapi.PathRequests, Header: f.header(), Body: body},
+				repeatable: f.idempotent,
 			})
 			if err != nil {
 				return withID(err, f.id)
@@ -140,18 +142,18 @@
 	return body, nil
 }
 
-func answerOf(r reply, took time.Duration) requestAnswer {
+func answerOf(r entryclient.Reply, took time.Duration) requestAnswer {
 	// An entry host that counts no messages sends no number.
-	extra, _ := strconv.ParseInt(r.header.Get(callerapi.HeaderMessages), 10, 64)
+	extra, _ := strconv.ParseInt(r.Header.Get(callerapi.HeaderMessages), 10, 64)
 	return requestAnswer{
-		Request:       r.header.Get(callerapi.HeaderRequestID),
-		Host:          r.header.Get(callerapi.HeaderHost),
-		Backend:       r.header.Get(callerapi.HeaderBackend),
-		Status:        r.status,
-		ContentType:   r.header.Get("Content-Type"),
+		Request:       r.Header.Get(callerapi.HeaderRequestID),
+		Host:          r.Header.Get(callerapi.HeaderHost),
+		Backend:       r.Header.Get(callerapi.HeaderBackend),
+		Status:        r.Status,
+		ContentType:   r.Header.Get("Content-Type"),
 		ExtraMessages: extra,
 		ResponseMs:    took.Milliseconds(),
-		Body:          r.body,
+		Body:          r.Body,
 	}
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -137,7 +136,7 @@
 			}
 			for _, url := range client.urls.urls {
 				err := poll(ctx, *timeout, func(ctx context.Context) error {
-					_, err := client.send(ctx, url, call{method: http.MethodGet, path: callerapi.PathReady})
+					_, err := client.send(ctx, url, get(callerapi.PathReady))
 					return err
 				})
 				if err != nil {
