Try recovery, retention and pairs of faults on separate processes

Cause: the process tests tried one fault at a time, and neither retention nor a replacement while the platform is away.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -103,6 +103,7 @@
 }
 
 func TestEntryHostsAreKilledAndReplaced(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 1, func(ctx context.Context, f *fleet) {
 		for _, i := range []int{0, 3} {
 			f.replace(f.entries[i])
@@ -112,6 +113,7 @@
 }
 
 func TestEntryHostIsFrozenAndContinued(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 2, func(ctx context.Context, f *fleet) {
 		f.signal(f.entries[1], syscall.SIGSTOP)
 		pause(ctx, 6*time.Second)
@@ -121,6 +123,7 @@
 }
 
 func TestZoneIsCutOffAndHealed(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 3, func(ctx context.Context, f *fleet) {
 		f.cutZone("karen", true)
 		pause(ctx, 2*faultLasts)
@@ -142,6 +145,7 @@
 }
 
 func TestPlatformIsDownThenSlowThenLosesReplies(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 4, func(ctx context.Context, f *fleet) {
 		for _, faults := range []standinplatform.Faults{
 			{Down: true, HostsDown: true},
@@ -150,13 +154,14 @@
 			{LoseReplies: 6},
 			{},
 		} {
-			f.post(f.platformURL()+"/v1/faults", faults)
+			f.setPlatform(faults)
 			pause(ctx, faultLasts)
 		}
 	})
 }
 
 func TestBackendServersFailFreezeAndLeave(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 5, func(ctx context.Context, f *fleet) {
 		for name, faults := range map[string]backend.Faults{
 			"backend-westlands-1": {FailAll: true},
@@ -176,6 +181,7 @@
 }
 
 func TestPlannedStopCutsOffNothing(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 6, func(ctx context.Context, f *fleet) {
 		e := f.entries[2]
 		inFlight := newLoad(f)
@@ -196,6 +202,7 @@
 }
 
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 7, func(_ context.Context, f *fleet) {
 		intent := func(operator string, queue int) config.Intent {
 			rules := standing.Customer{Policy: standing.PolicyLeast, QueueLimit: queue, HorizonMs: 20_000}
--- /dev/null
+++ b/internal/e2e/recovery_test.go
@@ -0,0 +1,173 @@
+//go:build e2e
+
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
+	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
+	"github.com/parsleyhill/parsleyhill/internal/standin/worker"
+)
+
+func TestHostIsReplacedWhileThePlatformIsAway(t *testing.T) {
+	t.Parallel()
+	underLoad(t, 8, func(ctx context.Context, f *fleet) {
+		f.setPlatform(standinplatform.Faults{Down: true})
+		e := f.entries[1]
+		f.kill(e)
+		f.start(e)
+		f.waitReady(e)
+		pause(ctx, faultLasts)
+		f.setPlatform(standinplatform.Faults{})
+	})
+}
+
+func (f *fleet) setPlatform(faults standinplatform.Faults) {
+	f.post(f.platformURL()+"/v1/faults", faults)
+}
+
+// changes puts n drains in force and lifts them again, on top of other state.
+func (f *fleet) changes(n int) int64 {
+	var version int64
+	for i := range n {
+		verb := config.Drain
+		if i%2 == 1 {
+			verb = config.Undrain
+		}
+		p := f.plan(f.entries[0], config.Intent{Operator: "achieng", Reason: "rota", Verb: verb, Host: "worker-karen-1"})
+		c, kind := f.confirm(f.entries[0], p)
+		require.Empty(f.t, kind)
+		version = c.Version
+	}
+	return version
+}
+
+func TestConfigurationOutlivesTheLogsRetention(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 1, 1)
+	f.openService()
+	f.setPlatform(standinplatform.Faults{Retain: 40})
+	version := f.changes(120)
+	f.inForce(version)
+	for _, e := range f.entries {
+		f.replace(e)
+	}
+	f.inForce(version)
+	o := outcome{id: "after-trim"}
+	newLoad(f).attempt(&o, f.entries[3], `{"run_ms": 50}`, 1)
+	assert.True(t, o.answered, "customer configured before the trim is served: %s", o.kind)
+}
+
+func TestConfirmWhoseReplyIsLostIsToldTruthfully(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1, 1)
+	f.openService()
+	p := f.plan(f.entries[0], config.Intent{Operator: "achieng", Verb: config.Drain, Host: "worker-karen-1"})
+	f.setPlatform(standinplatform.Faults{LoseReplies: 1})
+	c, kind := f.confirm(f.entries[0], p)
+	require.Empty(t, kind)
+	assert.Equal(t, "accepted", c.Result)
+	f.setPlatform(standinplatform.Faults{Down: true})
+	q := f.plan(f.entries[1], config.Intent{Operator: "achieng", Verb: config.Undrain, Host: "worker-karen-1"})
+	_, kind = f.confirm(f.entries[1], q)
+	assert.Equal(t, errkind.LogUnavailable, kind)
+	f.setPlatform(standinplatform.Faults{})
+	f.inForce(c.Version)
+}
+
+func TestWorkersFailAndLeave(t *testing.T) {
+	t.Parallel()
+	underLoad(t, 9, func(ctx context.Context, f *fleet) {
+		f.post("http://"+f.host("worker-westlands-1").Address+"/v1/faults", worker.Faults{FailAll: true})
+		f.post("http://"+f.host("worker-embakasi-1").Address+"/v1/faults", worker.Faults{Leaving: true})
+		f.post("http://"+f.host("worker-karen-1").Address+"/v1/faults", worker.Faults{SlowBy: 4})
+		pause(ctx, 2*faultLasts)
+	})
+}
+
+// fault is one failure and its end.
+type fault struct {
+	name  string
+	begin func(f *fleet, rng *rand.Rand)
+	end   func(f *fleet)
+}
+
+func faults() []fault {
+	var frozen *entryHost
+	var failing string
+	return []fault{
+		{
+			"kill and replace an entry host",
+			func(f *fleet, rng *rand.Rand) {
+				e := f.entries[rng.IntN(len(f.entries))]
+				f.kill(e)
+				f.start(e)
+			},
+			func(*fleet) {},
+		},
+		{
+			"freeze an entry host",
+			func(f *fleet, rng *rand.Rand) {
+				frozen = f.entries[rng.IntN(len(f.entries))]
+				f.signal(frozen, syscall.SIGSTOP)
+			},
+			func(f *fleet) { f.signal(frozen, syscall.SIGCONT) },
+		},
+		{
+			"cut off a zone",
+			func(f *fleet, _ *rand.Rand) { f.cutZone("embakasi", true) },
+			func(f *fleet) { f.cutZone("embakasi", false) },
+		},
+		{
+			"platform down",
+			func(f *fleet, _ *rand.Rand) { f.setPlatform(standinplatform.Faults{Down: true, HostsEmpty: true}) },
+			func(f *fleet) { f.setPlatform(standinplatform.Faults{LoseReplies: 3}) },
+		},
+		{
+			"backend server fails",
+			func(f *fleet, rng *rand.Rand) {
+				failing = fmt.Sprintf("backend-%s-1", zoneNames[rng.IntN(len(zoneNames))])
+				f.post("http://"+f.host(failing).Address+"/v1/faults", backend.Faults{FailAll: rng.IntN(2) == 0, Frozen: rng.IntN(2) == 0})
+			},
+			func(f *fleet) { f.post("http://"+f.host(failing).Address+"/v1/faults", backend.Faults{}) },
+		},
+	}
+}
+
+// TestFaultsComeTogether brings about two faults at a time, drawn by the seed.
+func TestFaultsComeTogether(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{10, 11} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			underLoad(t, seed, func(ctx context.Context, f *fleet) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				all := faults()
+				for range 4 {
+					order := rng.Perm(len(all))
+					first, second := all[order[0]], all[order[1]]
+					t.Logf("together: %s, %s", first.name, second.name)
+					first.begin(f, rng)
+					second.begin(f, rng)
+					pause(ctx, faultLasts)
+					first.end(f)
+					second.end(f)
+					pause(ctx, faultLasts/2)
+				}
+				for _, e := range f.entries {
+					f.waitReady(e)
+				}
+			})
+		})
+	}
+}
