Prove the job decisions over random histories

Three entry hosts' cores are driven against a modelled log, workers and network through death, freeze, cuts from log and peers, lost, late and duplicate messages, log outages, trimmed streams, worker restarts, duplicate submissions and cancels. Checked: starts of a task <= 1; answers complete or failed, never partial; every recorded answer agrees with the first close in the log; not run is true; nothing is left open or running at the end.

Broken on a scratch copy, each makes the tests fail: a lost start sent again; placing elsewhere without the bar; claiming without the reach of the stream; closing as lost before the lease ends; the lease counted from the last submission; taking any own claim as first; forgetting early; ignoring a worker's instance, gaps, or uncertain claims; stops or closes not repeated; answering with one result missing; taking an append after the lease as first.

--- a/internal/daemon/jobs/submit.go
+++ b/internal/daemon/jobs/submit.go
@@ -32,7 +32,7 @@
 // Wait returns the job's answer when it is closed, or its state after wait.
 func (s *Service) Wait(ctx context.Context, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, *errkind.Error) {
 	s.mu.Lock()
-	view := s.core.Lookup(k)
+	view := s.core.Lookup(time.Now(), k)
 	s.mu.Unlock()
 	switch view.Status {
 	case jobs.StatusClosed:
@@ -51,7 +51,7 @@
 	}
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	o, ok := s.await(waiting, k, func(time.Time) *errkind.Error { s.core.Repeat(k); return nil })
+	o, ok := s.await(waiting, k, func(now time.Time) *errkind.Error { s.core.Repeat(now, k); return nil })
 	if !ok {
 		return running, nil
 	}
@@ -115,7 +115,7 @@
 // for it to close.
 func (s *Service) Local(ctx context.Context, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, bool) {
 	s.mu.Lock()
-	view := s.core.Lookup(k)
+	view := s.core.Lookup(time.Now(), k)
 	s.mu.Unlock()
 	switch view.Status {
 	case jobs.StatusClosed:
@@ -130,7 +130,7 @@
 // CancelLocal cancels the job if this host owns it.
 func (s *Service) CancelLocal(ctx context.Context, k jobs.Key) (callerapi.JobAnswer, bool) {
 	s.mu.Lock()
-	view := s.core.Lookup(k)
+	view := s.core.Lookup(time.Now(), k)
 	s.mu.Unlock()
 	if view.Status != jobs.StatusHere && view.Status != jobs.StatusClosed {
 		return callerapi.JobAnswer{}, false
--- a/internal/decide/jobs/claim.go
+++ b/internal/decide/jobs/claim.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
@@ -13,7 +14,7 @@
 // Answer, Settled or Refused follows for the submission.
 func (c *Core) Submit(now time.Time, spec callerapi.Job, digest string) *errkind.Error {
 	k := Key{Customer: spec.Customer, Submission: spec.Submission}
-	if known, err := c.join(k, digest); known || err != nil {
+	if known, err := c.join(now, k, digest); known || err != nil {
 		return err
 	}
 	minter, minted := ids.Minter(spec.Submission)
@@ -34,20 +35,19 @@
 		return nil
 	}
 	c.pending[k] = p
+	c.claims = append(c.claims, claimed{k, p})
 	c.claim(now, k, p)
 	return nil
 }
 
 // join takes a second arrival to the first, if this host knows of one.
-func (c *Core) join(k Key, digest string) (known bool, err *errkind.Error) {
+func (c *Core) join(now time.Time, k Key, digest string) (known bool, err *errkind.Error) {
 	mismatch := errkind.New(errkind.RequestMismatch, "submission %s was sent before with other content", k)
 	if j, ok := c.owned[k]; ok {
-		switch {
-		case j.digest != digest:
+		if j.digest != digest {
 			return true, mismatch
-		case j.answered:
-			c.emit(Answer{Key: k, Answer: j.answer})
 		}
+		c.give(now, j)
 		return true, nil
 	}
 	if p, ok := c.pending[k]; ok {
@@ -62,11 +62,18 @@
 		return false, nil
 	case e.Digest != digest:
 		return true, mismatch
+	case e.Owner == c.cfg.Self && e.Uncertain:
+		return true, unresolved(k)
 	}
 	c.tell(k, e)
 	return true, nil
 }
 
+// unresolved is the answer for a claim of this host that may not be the first.
+func unresolved(k Key) *errkind.Error {
+	return errkind.New(errkind.DuplicateUnresolved, "an older claim of submission %s may have been trimmed from the log unread", k)
+}
+
 // tell gives what the log says about a submission that this host does not run.
 func (c *Core) tell(k Key, e Entry) {
 	switch {
@@ -116,11 +123,11 @@
 		return
 	}
 	err := c.doubt(errkind.New(errkind.LogUnavailable, "the log service is away, the job was not claimed"), p.job)
-	c.giveUp(now, r.Key, err)
+	c.giveUp(r.Key, err)
 }
 
 // giveUp stops waiting for a claim. If it turns up later, it is closed.
-func (c *Core) giveUp(_ time.Time, k Key, err *errkind.Error) {
+func (c *Core) giveUp(k Key, err *errkind.Error) {
 	delete(c.pending, k)
 	c.note(decision.PartJob, "refuse", string(err.Kind), k, nil, "%s", err.Detail)
 	c.emit(Refused{Key: k, Err: err})
@@ -144,6 +151,9 @@
 		if changed {
 			c.closeSeen(now, r.Key, e)
 		}
+		if e.Gapped && r.Owner == c.cfg.Self {
+			c.closeUnsettled(r.Key)
+		}
 	}
 }
 
@@ -166,7 +176,7 @@
 		// The host's own older claim, given up and closed.
 		delete(c.pending, k)
 		c.tell(k, e)
-	case first && e.Owner == c.cfg.Self && c.owned[k] == nil:
+	case first && e.Owner == c.cfg.Self && c.owned[k] == nil && !e.Uncertain:
 		c.abandon(now, k, "the entry host gave the job up before its claim appeared in the log")
 	}
 }
@@ -177,10 +187,9 @@
 	// one of this host than the last it made.
 	claimed := c.born.Add(time.Duration(e.AgeMs) * time.Millisecond)
 	leaseEnd := claimed.Add(e.Lease - c.cfg.CloseMargin)
-	switch err := c.mayClaim(now); {
-	case err != nil:
-		c.abandon(now, k, err.Detail)
-		c.emit(Refused{Key: k, Err: err.WithRun(errkind.Unknown)})
+	switch {
+	case e.Uncertain:
+		c.emit(Refused{Key: k, Err: unresolved(k)})
 	case p.digest != e.Digest:
 		c.abandon(now, k, "the claim was made for other content")
 		c.emit(Refused{Key: k, Err: errkind.New(errkind.RequestMismatch, "submission %s was sent before with other content", k)})
@@ -192,15 +201,58 @@
 	}
 }
 
-// abandon closes a claim of this host of which no task was started or will be.
+// abandoned is a claim of this host that is to be closed and not run.
+type abandoned struct {
+	key     Key
+	reason  string
+	retryAt time.Time
+}
+
+// abandon closes a claim of this host under which no task was started or will
+// be.
 func (c *Core) abandon(now time.Time, k Key, reason string) {
 	c.note(decision.PartJob, "abandon", "claim-given-up", k, nil, "%s", reason)
-	c.append(now, Record{
-		Kind: KindClose, Key: k, Of: c.cfg.Self, State: callerapi.JobFailed,
-		ErrorKind: string(errkind.LogUnknown), Run: string(errkind.NotRun), Reason: reason,
+	c.abandoned = append(c.abandoned, &abandoned{key: k, reason: reason})
+	c.tickAbandoned(now)
+}
+
+// tickAbandoned writes the closes of abandoned claims until the log has them.
+func (c *Core) tickAbandoned(now time.Time) {
+	c.abandoned = slices.DeleteFunc(c.abandoned, func(a *abandoned) bool {
+		e, ok := c.table.Lookup(a.key)
+		if !ok || e.Close != nil || e.Gapped {
+			return true
+		}
+		if now.Before(a.retryAt) {
+			return false
+		}
+		a.retryAt = now.Add(c.cfg.RetryInterval)
+		c.append(now, Record{
+			Kind: KindClose, Key: a.key, Of: c.cfg.Self, State: callerapi.JobFailed,
+			ErrorKind: string(errkind.LogUnknown), Run: string(errkind.NotRun), Reason: a.reason,
+		})
+		return false
 	})
 }
 
+// closeUnsettled takes the close of an owned job while it is not known whether
+// it is the first. If it was not answered under the lease, nobody can tell.
+func (c *Core) closeUnsettled(k Key) {
+	j, ok := c.owned[k]
+	if !ok || !j.closed {
+		return
+	}
+	j.confirmed = true
+	if j.answered {
+		return
+	}
+	c.emit(Refused{Key: k, Err: errkind.New(errkind.LogUnknown, "the job's lease ended and its close was trimmed unread")})
+	c.closed = slices.DeleteFunc(c.closed, func(o *job) bool { return o == j })
+	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
+	c.drop(j)
+	c.table.drop(k)
+}
+
 // closeSeen takes the first close of a submission.
 func (c *Core) closeSeen(now time.Time, k Key, e Entry) {
 	j, ok := c.owned[k]
@@ -209,12 +261,11 @@
 		return
 	}
 	j.confirmed = true
-	if j.answered {
-		return
-	}
-	if e.Close.Owner != c.cfg.Self {
+	if e.Close.Owner != c.cfg.Self && !j.answered {
 		c.note(decision.PartJob, "close", "closed-by-other", k, []string{e.Close.Owner.Host()}, "%s", e.Close.Reason)
 		c.shut(now, j, e.Close.answer())
 	}
-	c.reply(j, time.Time{})
+	if e.Close.Owner == c.cfg.Self || !j.answered {
+		c.settle(now, j)
+	}
 }
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
@@ -96,7 +97,15 @@
 	closed      []*job
 	resultBytes int
 
-	workers  map[string]*worker
+	// open are the jobs that are not yet settled, the oldest first.
+	open []*job
+	// claims are the claims on their way, the oldest first.
+	claims    []claimed
+	abandoned []*abandoned
+
+	workers map[string]*worker
+	// list holds the workers in the order they were first listed.
+	list     []*worker
 	starts   map[int64]*start
 	startSeq int64
 	quotas   map[team]int
@@ -111,6 +120,12 @@
 	actions    []Action
 }
 
+// claimed is one claim that was handed over for appending.
+type claimed struct {
+	key Key
+	p   *pending
+}
+
 // team names one team of one customer.
 type team struct {
 	customer string
@@ -123,7 +138,7 @@
 	return &Core{
 		cfg: cfg, rng: rng, born: now, lastRecord: now,
 		// A claim is appended at most ClaimWait after the submission arrived.
-		table:   NewTable(cfg.Horizon + cfg.ClaimWait),
+		table:   NewTable(cfg.Horizon, cfg.Horizon+cfg.ClaimWait),
 		fleet:   place.NewFleet(cfg.Policy, rng),
 		learner: place.NewLearner(),
 		pending: map[Key]*pending{},
@@ -191,10 +206,10 @@
 }
 
 // Lookup returns what is known of a submission.
-func (c *Core) Lookup(k Key) View {
+func (c *Core) Lookup(now time.Time, k Key) View {
 	if j, ok := c.owned[k]; ok {
-		if j.answered {
-			return View{Status: StatusClosed, Answer: j.answer}
+		if j.answered && (j.recorded || now.Before(j.leaseEnd)) {
+			return View{Status: StatusClosed, Answer: j.document()}
 		}
 		running := callerapi.JobAnswer{
 			Submission: k.Submission, Customer: k.Customer, State: callerapi.JobRunning, Owner: c.cfg.Self.Host(),
@@ -212,7 +227,7 @@
 		return View{Status: StatusClosed, Answer: e.Close.answer()}
 	case ok && e.Owner != c.cfg.Self:
 		return View{Status: StatusElsewhere, Owner: e.Owner, Address: e.Address}
-	case ok:
+	case ok && !e.Uncertain:
 		return View{Status: StatusHere}
 	}
 	if minter, minted := ids.Minter(k.Submission); minted && minter != c.cfg.Self {
@@ -222,12 +237,12 @@
 }
 
 // Repeat gives a submission's answer again if it was given before.
-func (c *Core) Repeat(k Key) {
-	if j, ok := c.owned[k]; ok && j.answered {
-		c.emit(Answer{Key: k, Answer: j.answer})
+func (c *Core) Repeat(now time.Time, k Key) {
+	if j, ok := c.owned[k]; ok {
+		c.give(now, j)
 		return
 	}
-	if e, ok := c.table.Lookup(k); ok && c.owned[k] == nil {
+	if e, ok := c.table.Lookup(k); ok {
 		c.tell(k, e)
 	}
 }
@@ -252,6 +267,9 @@
 	case e.Close != nil:
 		c.emit(Answer{Key: k, Answer: e.Close.answer()})
 		return nil
+	case e.Uncertain || e.Gapped:
+		return errkind.New(errkind.OwnerUnreachable, "entry host %s owns the job and could not be reached; this host has not read all of the job stream",
+			owner.Host())
 	case gone || now.After(e.LeaseEnd):
 		c.closeLost(now, k, e, gone)
 		return nil
@@ -279,15 +297,10 @@
 // Idle reports whether no owned job is open, no claim is on its way, no close
 // waits for the log, and no task is held at a worker.
 func (c *Core) Idle() bool {
-	for _, j := range c.owned {
-		if !j.closed || (!j.confirmed && !j.minted) {
-			return false
-		}
-	}
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		if len(w.tasks) > 0 {
 			return false
 		}
 	}
-	return len(c.pending) == 0
+	return len(c.pending) == 0 && len(c.abandoned) == 0 && !slices.ContainsFunc(c.open, func(j *job) bool { return !j.settled() })
 }
--- a/internal/decide/jobs/end.go
+++ b/internal/decide/jobs/end.go
@@ -17,6 +17,7 @@
 	j := c.newJob(p, k, leaseEnd)
 	c.owned[k] = j
 	c.byText[j.text] = j
+	c.open = append(c.open, j)
 	c.note(decision.PartJob, "own", rule, k, nil, "%s; %d tasks", why, len(j.tasks))
 	if err := c.unplaceable(j); err != nil {
 		c.end(now, j, err)
@@ -50,7 +51,7 @@
 	if j, ok := c.owned[k]; ok {
 		switch {
 		case j.answered:
-			c.emit(Answer{Key: k, Answer: j.answer})
+			c.give(now, j)
 		case !j.closed && j.ending == nil:
 			c.note(decision.PartJob, "cancel", "caller", k, nil, "the caller cancelled the job")
 			c.end(now, j, cancelled)
@@ -127,7 +128,7 @@
 	c.note(decision.PartJob, "close", string(answer.State), j.key, nil, "%s", closeReason(j, answer))
 	c.shut(now, j, answer)
 	if j.minted {
-		c.reply(j, time.Time{})
+		c.settle(now, j)
 		return
 	}
 	j.answerBy = now.Add(c.cfg.AnswerWait)
@@ -138,27 +139,55 @@
 // the lease holds is the first.
 func (c *Core) AppendDone(now time.Time, r Record) {
 	j, ok := c.owned[r.Key]
-	if ok && r.Kind == KindClose && j.closed && !j.answered && now.Before(j.leaseEnd) {
-		c.reply(j, time.Time{})
+	if ok && r.Kind == KindClose && j.closed && now.Before(j.leaseEnd) {
+		c.settle(now, j)
 	}
 }
 
 // replyUnrecorded answers although the log has not taken the close, as long as
 // the lease holds. After that, the log decides.
 func (c *Core) replyUnrecorded(now time.Time, j *job) {
-	if j.answered || !now.Before(j.leaseEnd) {
-		return
+	if !j.answered {
+		j.answered = true
+		c.give(now, j)
+	}
+}
+
+// settle takes that the log has the job's answer, and gives it unless it was
+// given.
+func (c *Core) settle(now time.Time, j *job) {
+	j.recorded = true
+	if !j.answered {
+		j.answered = true
+		c.give(now, j)
+	}
+}
+
+// give gives the answer of a job that was answered. An answer that the log
+// does not have is not given after the lease; the log decides then.
+func (c *Core) give(now time.Time, j *job) {
+	switch {
+	case !j.answered:
+	case j.recorded:
+		c.emit(Answer{Key: j.key, Answer: j.answer})
+	case now.Before(j.leaseEnd):
+		c.emit(Answer{Key: j.key, Answer: j.document(), NotAfter: j.leaseEnd})
+	default:
+		j.answered = false
 	}
-	j.answered = true
+}
+
+// document is the answer as it stands.
+func (j *job) document() callerapi.JobAnswer {
 	answer := j.answer
-	answer.Unrecorded = true
-	c.emit(Answer{Key: j.key, Answer: answer, NotAfter: j.leaseEnd})
+	answer.Unrecorded = !j.recorded
+	return answer
 }
 
 // Withdraw is told when an unrecorded answer was not given before the lease
 // ended. The log decides then.
 func (c *Core) Withdraw(k Key) {
-	if j, ok := c.owned[k]; ok && !j.confirmed {
+	if j, ok := c.owned[k]; ok && !j.recorded {
 		j.answered = false
 	}
 }
@@ -172,12 +201,16 @@
 
 // shut ends all work on a job and keeps its answer.
 func (c *Core) shut(now time.Time, j *job, answer callerapi.JobAnswer) {
-	j.closed, j.closedAt, j.answer = true, now, answer
+	c.resultBytes += answerBytes(answer) - answerBytes(j.answer)
+	j.answer = answer
+	if j.closed {
+		return
+	}
+	j.closed, j.closedAt = true, now
 	c.unreserve(j)
 	c.dropUnsent(j)
 	c.stopAll(now, j)
 	c.closed = append(c.closed, j)
-	c.resultBytes += j.resultBytes()
 	c.trimResults()
 }
 
@@ -191,7 +224,7 @@
 		if j.answer.Results == nil || !j.answered {
 			continue
 		}
-		c.resultBytes -= j.resultBytes()
+		c.resultBytes -= answerBytes(j.answer)
 		j.answer = callerapi.JobAnswer{
 			Submission: j.key.Submission, Customer: j.key.Customer, State: callerapi.JobFailed, Owner: j.answer.Owner,
 			ErrorKind: string(errkind.OwnerLost), Run: string(errkind.Ran),
@@ -201,11 +234,6 @@
 	}
 }
 
-func (c *Core) reply(j *job, notAfter time.Time) {
-	j.answered = true
-	c.emit(Answer{Key: j.key, Answer: j.answer, NotAfter: notAfter})
-}
-
 func (c *Core) publishClose(now time.Time, j *job) {
 	j.retryAt = now.Add(c.cfg.RetryInterval)
 	c.append(now, Record{
@@ -231,16 +259,12 @@
 
 // stopAll stops what workers run, or may run, of a job.
 func (c *Core) stopAll(now time.Time, j *job) {
-	byWorker := map[string][]workerapi.TaskRef{}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state == taskUnsure || t.state == taskRunning {
-			byWorker[t.worker] = append(byWorker[t.worker], workerapi.TaskRef{Submission: j.text, Task: t.spec.Name})
+			c.stopAt(now, c.workers[t.worker], workerapi.TaskRef{Submission: j.text, Task: t.spec.Name})
 		}
 	}
-	for name, refs := range byWorker {
-		c.stopAt(now, c.workers[name], refs)
-	}
 }
 
 // complete counts a result in and closes the job when it was the last.
--- a/internal/decide/jobs/job.go
+++ b/internal/decide/jobs/job.go
@@ -80,9 +80,11 @@
 	ending *errkind.Error
 	stopBy time.Time
 
-	closed    bool
-	closedAt  time.Time
-	answered  bool
+	closed   bool
+	closedAt time.Time
+	answered bool
+	// recorded is set when the log is known to have the close first.
+	recorded  bool
 	confirmed bool
 	// answerBy is when the answer is given although the log has not taken it.
 	answerBy time.Time
@@ -133,6 +135,11 @@
 	return j
 }
 
+// settled reports whether nothing is left to decide about the job.
+func (j *job) settled() bool {
+	return j.closed && j.answered && (j.confirmed || j.minted)
+}
+
 // runState says what is known of the job's tasks together.
 func (j *job) runState() errkind.RunState {
 	state := errkind.NotRun
@@ -168,11 +175,11 @@
 	return false
 }
 
-// resultBytes is the size of the outputs held.
-func (j *job) resultBytes() int {
+// answerBytes is the size of the outputs in an answer.
+func answerBytes(a callerapi.JobAnswer) int {
 	total := 0
-	for i := range j.answer.Results {
-		total += len(j.answer.Results[i].Output)
+	for i := range a.Results {
+		total += len(a.Results[i].Output)
 	}
 	return total
 }
--- /dev/null
+++ b/internal/decide/jobs/model_test.go
@@ -0,0 +1,162 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/workerapi"
+)
+
+// model is a worker that counts starts over all its processes.
+type model struct {
+	world    *world
+	name     string
+	process  int
+	down     bool
+	failing  bool
+	epoch    int64
+	leases   map[string]modelLease
+	ledger   map[workerapi.TaskRef]*modelTask
+	ended    map[string][]workerapi.Result
+	usedCore int
+}
+
+type modelLease struct {
+	epoch   int64
+	expires time.Duration
+}
+
+type modelTask struct {
+	state  workerapi.TaskState
+	holder string
+	cores  int
+}
+
+func (w *world) worker(name string) *model {
+	for _, m := range w.workers {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// restart begins a new process that knows nothing of the old one's tasks and
+// counts epochs from the start again.
+func (m *model) restart() {
+	m.process++
+	m.epoch, m.usedCore, m.down = 0, 0, false
+	m.leases = map[string]modelLease{}
+	m.ledger = map[workerapi.TaskRef]*modelTask{}
+	m.ended = map[string][]workerapi.Result{}
+}
+
+func (m *model) instance() string { return fmt.Sprintf("%s#%d", m.name, m.process) }
+
+func (m *model) lease(holder string, ttl time.Duration) workerapi.Lease {
+	l, ok := m.leases[holder]
+	if !ok || m.world.at > l.expires {
+		m.epoch++
+		l.epoch = m.epoch
+	}
+	l.expires = m.world.at + ttl
+	m.leases[holder] = l
+	return workerapi.Lease{Instance: m.instance(), Epoch: l.epoch, TTLMs: ttl.Milliseconds(), Used: m.usage()}
+}
+
+func (m *model) usage() workerapi.Usage { return workerapi.Usage{Cores: m.usedCore} }
+
+func (m *model) start(call workerapi.StartCall) workerapi.StartReply {
+	reply := workerapi.StartReply{}
+	for _, t := range call.Tasks {
+		reply.Verdicts = append(reply.Verdicts, m.startOne(call, t))
+	}
+	reply.Used = m.usage()
+	return reply
+}
+
+func (m *model) startOne(call workerapi.StartCall, t workerapi.Start) workerapi.Verdict {
+	l, ok := m.leases[call.Holder]
+	r := workerapi.TaskRef{Submission: t.Submission, Task: t.Task}
+	switch {
+	case call.Instance != m.instance() || !ok || l.epoch != call.Epoch || m.world.at > l.expires:
+		return workerapi.RefusedLease
+	case m.ledger[r] != nil:
+		return workerapi.RefusedTwice
+	case m.usedCore+t.Cores > 8:
+		return workerapi.RefusedRoom
+	}
+	l.expires = m.world.at + time.Duration(call.TTLMs)*time.Millisecond
+	m.leases[call.Holder] = l
+	m.world.starts[t.Submission+"/"+t.Task]++
+	task := &modelTask{state: workerapi.TaskRunning, holder: call.Holder, cores: t.Cores}
+	m.ledger[r] = task
+	m.usedCore += t.Cores
+	process := m.process
+	length := m.world.between(20*time.Millisecond, 2*time.Second)
+	if m.world.chance(0.03) {
+		length = worldEnd
+	}
+	m.world.after(length, func() {
+		if m.process == process && !m.down && task.state == workerapi.TaskRunning {
+			state := workerapi.TaskDone
+			if m.failing {
+				state = workerapi.TaskFailed
+			}
+			m.end(r, task, state)
+		}
+	})
+	return workerapi.Started
+}
+
+func (m *model) end(r workerapi.TaskRef, t *modelTask, state workerapi.TaskState) {
+	t.state = state
+	m.usedCore -= t.cores
+	m.ended[t.holder] = append(m.ended[t.holder], workerapi.Result{
+		Seq: int64(len(m.ended[t.holder]) + 1), Submission: r.Submission, Task: r.Task, State: state,
+		Output: []byte(r.Submission + "/" + r.Task),
+	})
+}
+
+func (m *model) states(call workerapi.StopCall, stop bool) []workerapi.TaskState {
+	var states []workerapi.TaskState
+	for _, r := range call.Tasks {
+		t := m.ledger[r]
+		switch {
+		case call.Instance != m.instance():
+			states = append(states, workerapi.TaskUnknown)
+			continue
+		case t == nil:
+			if stop {
+				m.ledger[r] = &modelTask{state: workerapi.TaskNeverSeen}
+			}
+			states = append(states, workerapi.TaskNeverSeen)
+			continue
+		case stop && t.state == workerapi.TaskRunning:
+			m.end(r, t, workerapi.TaskStopped)
+		}
+		states = append(states, t.state)
+	}
+	return states
+}
+
+func (m *model) results(holder string, after int64) workerapi.Results {
+	page := workerapi.Results{Instance: m.instance(), Used: m.usage()}
+	for _, r := range m.ended[holder] {
+		if r.Seq > after {
+			page.Results = append(page.Results, r)
+		}
+	}
+	return page
+}
+
+// running counts the holder's tasks that run.
+func (m *model) running(holder string) int {
+	n := 0
+	for _, t := range m.ledger {
+		if t.state == workerapi.TaskRunning && t.holder == holder {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/decide/jobs/outcome.go
+++ b/internal/decide/jobs/outcome.go
@@ -51,7 +51,7 @@
 	case workerapi.Started:
 		t.state, t.started = taskRunning, true
 		if r.job.closed || r.job.ending != nil {
-			c.stopAt(now, w, []workerapi.TaskRef{{Submission: r.job.text, Task: t.spec.Name}})
+			c.stopAt(now, w, workerapi.TaskRef{Submission: r.job.text, Task: t.spec.Name})
 		}
 		return
 	case workerapi.RefusedTwice:
@@ -130,7 +130,7 @@
 	return workerapi.StopCall{Holder: string(c.cfg.Self), Instance: w.instance, Tasks: refs}
 }
 
-func (c *Core) stopAt(now time.Time, w *worker, refs []workerapi.TaskRef) {
+func (c *Core) stopAt(now time.Time, w *worker, refs ...workerapi.TaskRef) {
 	if w == nil || len(refs) == 0 {
 		return
 	}
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	c.stopAt(now, w, bar)
+	c.stopAt(now, w, bar...)
 }
 
 func (c *Core) lost(now time.Time, w *worker, r ref) {
@@ -261,7 +261,9 @@
 	if !ok {
 		return
 	}
-	c.seeInstance(now, w, page.Instance)
+	if !c.seeInstance(now, w, page.Instance) {
+		return
+	}
 	for _, res := range page.Results {
 		if r, ok := c.find(w, res.Submission, res.Task); ok && r.t().atWorker() {
 			c.ended(now, w, r, res)
--- a/internal/decide/jobs/schedule.go
+++ b/internal/decide/jobs/schedule.go
@@ -202,12 +202,12 @@
 			c.emit(AskLease{Worker: w.name, Address: w.address, TTL: c.cfg.LeaseTTL})
 			continue
 		}
-		c.send(now, w)
+		c.send(w)
 	}
 	c.dirty = c.dirty[:0]
 }
 
-func (c *Core) send(now time.Time, w *worker) {
+func (c *Core) send(w *worker) {
 	c.startSeq++
 	s := &start{worker: w}
 	call := workerapi.StartCall{
@@ -233,11 +233,11 @@
 	c.emit(Start{
 		ID: c.startSeq, Worker: w.name, Address: w.address, Call: call, NotAfter: w.expires.Add(-c.cfg.LeaseMargin),
 	})
-	c.watch(now, w)
+	c.watch(w)
 }
 
 // watch has the worker's results read while tasks are outstanding there.
-func (c *Core) watch(_ time.Time, w *worker) {
+func (c *Core) watch(w *worker) {
 	if !w.watched {
 		w.watched = true
 		c.emit(Watch{Worker: w.name, Address: w.address})
--- a/internal/decide/jobs/table.go
+++ b/internal/decide/jobs/table.go
@@ -20,14 +20,22 @@
 	AgeMs int64
 	// Close is the first closing record, or nil.
 	Close *Record
+	// Uncertain is set if an older claim may have been trimmed unread.
+	Uncertain bool
+	// Gapped is set if records about the submission may have been trimmed
+	// unread after the claim. Which close is first is not known then.
+	Gapped bool
 	// touched is when a record about the submission was last seen.
 	touched time.Time
 }
 
 // Table folds the job stream. It is not safe for concurrent use.
 type Table struct {
+	horizon time.Duration
 	memory  time.Duration
 	entries map[Key]*Entry
+	// order are the submissions in order of when they may be forgotten.
+	order []touch
 
 	opened   bool
 	complete bool
@@ -37,15 +45,24 @@
 	ages     map[ids.Incarnation]int64
 }
 
-// NewTable returns an empty table that remembers a submission for memory after
-// the last record about it.
-func NewTable(memory time.Duration) *Table {
-	return &Table{memory: memory, entries: map[Key]*Entry{}, ages: map[ids.Incarnation]int64{}}
+// touch is when something was seen about a submission.
+type touch struct {
+	key Key
+	at  time.Time
+}
+
+// NewTable returns an empty table that knows a submission for certain within
+// the horizon, and remembers it for memory after the last record about it.
+func NewTable(horizon, memory time.Duration) *Table {
+	return &Table{horizon: horizon, memory: memory, entries: map[Key]*Entry{}, ages: map[ids.Incarnation]int64{}}
 }
 
 // Open starts the reading of a stream that holds the offsets from first to
 // last. It is called again after a gap: what was trimmed unread is not known.
 func (t *Table) Open(now time.Time, first, last int64) {
+	for _, e := range t.entries {
+		e.Gapped = e.Close == nil
+	}
 	t.opened = true
 	t.complete = first <= 1
 	t.readAt = now
@@ -68,9 +85,7 @@
 // table. The first claim of a submission wins, as does the first close of its
 // owner's claim.
 func (t *Table) Fold(now time.Time, offset int64, r Record) bool {
-	if offset <= t.last {
-		t.measure(r)
-	}
+	reach := t.reachBefore(now, offset, r)
 	e, ok := t.entries[r.Key]
 	if ok {
 		e.touched = now
@@ -79,10 +94,11 @@
 	case r.Kind == KindClaim && !ok:
 		t.entries[r.Key] = &Entry{
 			Owner: r.Owner, Address: r.Address, Digest: r.Digest, LeaseEnd: now.Add(r.lease()),
-			Lease: r.lease(), AgeMs: r.AgeMs, touched: now,
+			Lease: r.lease(), AgeMs: r.AgeMs, Uncertain: !t.complete && reach < t.horizon, touched: now,
 		}
+		t.order = append(t.order, touch{r.Key, now})
 		return true
-	case r.Kind == KindClose && ok && e.Close == nil && r.Of == e.Owner:
+	case r.Kind == KindClose && ok && e.Close == nil && r.Of == e.Owner && !e.Gapped:
 		e.Close = &r
 		return true
 	default:
@@ -90,13 +106,18 @@
 	}
 }
 
-func (t *Table) measure(r Record) {
+// reachBefore returns how far the stream is known before a record.
+func (t *Table) reachBefore(now time.Time, offset int64, r Record) time.Duration {
+	if offset > t.last {
+		return t.span + now.Sub(t.readAt)
+	}
 	oldest, ok := t.ages[r.Owner]
 	if !ok {
 		t.ages[r.Owner] = r.AgeMs
-		return
+		return t.span
 	}
 	t.span = max(t.span, time.Duration(r.AgeMs-oldest)*time.Millisecond)
+	return t.span
 }
 
 // Lookup returns what is known of a submission.
@@ -111,12 +132,27 @@
 // Forget drops submissions about which nothing was seen for the table's
 // memory and whose lease has ended, unless keep says otherwise.
 func (t *Table) Forget(now time.Time, keep func(Key) bool) {
-	for k, e := range t.entries {
-		if now.Sub(e.touched) > t.memory && now.After(e.LeaseEnd) && !keep(k) {
-			delete(t.entries, k)
+	for range len(t.order) {
+		oldest := t.order[0]
+		if now.Sub(oldest.at) <= t.memory {
+			return
+		}
+		t.order = t.order[1:]
+		e, ok := t.entries[oldest.key]
+		switch {
+		case !ok:
+		case now.Sub(e.touched) <= t.memory:
+			t.order = append(t.order, touch{oldest.key, e.touched})
+		case !now.After(e.LeaseEnd) || keep(oldest.key):
+			t.order = append(t.order, touch{oldest.key, now})
+		default:
+			delete(t.entries, oldest.key)
 		}
 	}
 }
 
+// drop forgets one submission.
+func (t *Table) drop(k Key) { delete(t.entries, k) }
+
 // Len returns the number of submissions remembered.
 func (t *Table) Len() int { return len(t.entries) }
--- a/internal/decide/jobs/tick.go
+++ b/internal/decide/jobs/tick.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -13,6 +14,7 @@
 // Tick does what is due. It is called every few tens of milliseconds.
 func (c *Core) Tick(now time.Time) {
 	c.tickClaims(now)
+	c.tickAbandoned(now)
 	c.tickJobs(now)
 	c.tickWorkers(now)
 	c.fleet.Refresh(now)
@@ -24,17 +26,19 @@
 
 // tickClaims gives up claims that did not appear in time.
 func (c *Core) tickClaims(now time.Time) {
-	for k, p := range c.pending {
-		if now.Sub(p.asked) < c.cfg.ClaimWait {
-			continue
+	for len(c.claims) > 0 && now.Sub(c.claims[0].p.asked) >= c.cfg.ClaimWait {
+		oldest := c.claims[0]
+		c.claims = c.claims[1:]
+		if c.pending[oldest.key] == oldest.p {
+			c.giveUp(oldest.key, errkind.New(errkind.LogUnknown, "the claim did not appear in the log within %v", c.cfg.ClaimWait))
 		}
-		c.giveUp(now, k, errkind.New(errkind.LogUnknown, "the claim did not appear in the log within %v", c.cfg.ClaimWait))
 	}
 }
 
 // tickJobs closes jobs whose time is over and repeats what was not confirmed.
 func (c *Core) tickJobs(now time.Time) {
-	for _, j := range c.owned {
+	c.open = slices.DeleteFunc(c.open, (*job).settled)
+	for _, j := range c.open {
 		switch {
 		case !j.closed && j.ending != nil:
 			c.finishEnding(now, j)
@@ -56,7 +60,7 @@
 // tickWorkers repeats questions and stops that were not answered, and lets
 // workers back in.
 func (c *Core) tickWorkers(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		if !w.downUntil.IsZero() && w.usable(now) {
 			w.downUntil = time.Time{}
 			c.fleet.SetUsable(w.name, true)
@@ -68,9 +72,9 @@
 		c.askDoubts(now, w)
 		stops := w.stops
 		w.stops = nil
-		c.stopAt(now, w, stops)
-		if len(w.tasks) > 0 && !w.watched {
-			c.watch(now, w)
+		c.stopAt(now, w, stops...)
+		if len(w.tasks) > 0 {
+			c.watch(w)
 		}
 	}
 }
@@ -104,7 +108,7 @@
 			j.tasks[i].state = taskEnded
 		}
 	}
-	c.resultBytes -= j.resultBytes()
+	c.resultBytes -= answerBytes(j.answer)
 	delete(c.owned, j.key)
 	delete(c.byText, j.text)
 }
--- a/internal/decide/jobs/worker.go
+++ b/internal/decide/jobs/worker.go
@@ -12,6 +12,9 @@
 	"github.com/parsleyhill/parsleyhill/internal/workerapi"
 )
 
+// replacedKept is how many replaced processes of a worker are remembered.
+const replacedKept = 8
+
 // WorkerInfo is one worker as the host list gives it.
 type WorkerInfo struct {
 	Name     string
@@ -30,6 +33,9 @@
 	listed  bool
 
 	instance string
+	// replaced are the instances before this one, whose late replies do not
+	// count.
+	replaced []string
 	epoch    int64
 	expires  time.Time
 	leasing  bool
@@ -62,7 +68,7 @@
 	if len(infos) == 0 {
 		return
 	}
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		w.listed = false
 	}
 	for _, info := range infos {
@@ -70,22 +76,25 @@
 		if !ok {
 			w = &worker{name: info.Name, tasks: map[ref]place.Size{}}
 			c.workers[info.Name] = w
+			c.list = append(c.list, w)
 		}
 		w.address, w.live, w.listed = info.Address, info.Live, true
 		c.fleet.Put(place.Worker{
 			Name: info.Name, Rack: info.Rack, Capacity: info.Capacity, Home: c.isHome(info.Name, entries),
 		}, w.usable(now))
 	}
-	for name, w := range c.workers {
+	c.list = slices.DeleteFunc(c.list, func(w *worker) bool {
 		if w.listed {
-			continue
+			return false
 		}
-		c.fleet.SetUsable(name, false)
-		if len(w.tasks) == 0 {
-			c.fleet.Remove(name)
-			delete(c.workers, name)
+		c.fleet.SetUsable(w.name, false)
+		if len(w.tasks) > 0 {
+			return false
 		}
-	}
+		c.fleet.Remove(w.name)
+		delete(c.workers, w.name)
+		return true
+	})
 }
 
 // isHome reports whether this entry host ranks first for the worker by
@@ -119,8 +128,10 @@
 		return
 	}
 	w.leasing = false
-	c.seeInstance(now, w, l.Instance)
 	c.touch(w)
+	if !c.seeInstance(now, w, l.Instance) {
+		return
+	}
 	w.epoch = l.Epoch
 	w.expires = asked.Add(time.Duration(l.TTLMs) * time.Millisecond)
 	c.report(now, w, l.Used)
@@ -154,18 +165,24 @@
 }
 
 // seeInstance takes the name of a worker's process. If it is another than
-// before, what the old one held is lost.
-func (c *Core) seeInstance(now time.Time, w *worker, instance string) {
-	if instance == w.instance || instance == "" {
-		return
+// before, what the old one held is lost. It returns false for the late word of
+// a process that was replaced.
+func (c *Core) seeInstance(now time.Time, w *worker, instance string) bool {
+	if slices.Contains(w.replaced, instance) {
+		return false
+	}
+	if instance == w.instance {
+		return true
 	}
 	old := w.instance
 	w.instance = instance
 	w.expires = time.Time{}
 	w.doubts, w.stops, w.stopNow = nil, nil, nil
 	if old == "" {
-		return
+		return true
 	}
+	w.replaced = append(w.replaced, old)
+	w.replaced = w.replaced[max(0, len(w.replaced)-replacedKept):]
 	c.note(decision.PartWorker, "lost", "new-instance", Key{}, []string{w.name}, "the worker's process was replaced")
 	for _, r := range sortedRefs(w.tasks) {
 		t := r.t()
@@ -176,6 +193,7 @@
 		t.state, t.lost = taskEnded, true
 		c.fail(now, r.job, errkind.New(errkind.TaskUnknown, "worker %s was replaced while it had task %s", w.name, t.spec.Name))
 	}
+	return true
 }
 
 func sortedRefs(tasks map[ref]place.Size) []ref {
--- /dev/null
+++ b/internal/decide/jobs/world_test.go
@@ -0,0 +1,391 @@
+package jobs
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/decide/place"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+	"github.com/parsleyhill/parsleyhill/internal/workerapi"
+)
+
+const (
+	horizon    = 60 * time.Second
+	callWait   = time.Second
+	troubleEnd = 60 * time.Second
+	worldEnd   = 150 * time.Second
+)
+
+// event is one thing that happens in the world at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// given is one answer or refusal that a caller received.
+type given struct {
+	at      time.Duration
+	key     Key
+	answer  callerapi.JobAnswer
+	refused *errkind.Error
+}
+
+// world is a modelled log, workers, a network and entry hosts.
+type world struct {
+	rng     *rand.Rand
+	epoch   time.Time
+	at      time.Duration
+	queue   events
+	seq     int
+	log     []Record
+	all     []Record
+	first   int64
+	logDown bool
+	loss    float64
+	hosts   []*host
+	workers []*model
+	starts  map[string]int
+	given   []given
+	arrived map[Key]int
+	sizes   map[Key]int
+	// closedAt is when the log took the first close.
+	closedAt map[Key]time.Duration
+}
+
+func newWorld(seed uint64, hosts, workers int) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), epoch: time.Unix(1_000_000, 0), first: 1,
+		starts: map[string]int{}, arrived: map[Key]int{}, sizes: map[Key]int{}, closedAt: map[Key]time.Duration{},
+	}
+	for i := range workers {
+		w.workers = append(w.workers, &model{world: w, name: fmt.Sprintf("worker-%d", i)})
+		w.workers[i].restart()
+	}
+	for i := range hosts {
+		h := &host{world: w, name: fmt.Sprintf("entry-%d", i)}
+		w.hosts = append(w.hosts, h)
+		h.start()
+	}
+	return w
+}
+
+func (w *world) now() time.Time { return w.epoch.Add(w.at) }
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.at + d, seq: w.seq, run: run})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.at = e.at
+		e.run()
+	}
+	w.at = until
+}
+
+// between draws a duration.
+func (w *world) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)+1))
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+// message carries a request over the network. It may be lost, or come very
+// late.
+func (w *world) message(run func()) {
+	delay := w.between(0, 3*time.Millisecond)
+	if w.chance(w.loss / 2) {
+		delay = w.between(0, 12*time.Second)
+	}
+	if !w.chance(w.loss) {
+		w.after(delay, run)
+	}
+}
+
+// host is one entry host's process with its core.
+type host struct {
+	world *world
+	name  string
+	inc   ids.Incarnation
+	core  *Core
+	read  int64
+	life  int
+	alive bool
+	cut   bool
+	// alone cuts the host off from its peers only.
+	alone  bool
+	frozen time.Duration
+	opened bool
+}
+
+func (h *host) start() {
+	w := h.world
+	h.life++
+	h.inc = ids.Incarnation(fmt.Sprintf("%s~%d", h.name, h.life))
+	h.alive, h.opened, h.read = true, false, 0
+	cfg := Config{Self: h.inc, Address: h.name, Horizon: horizon, ReserveAfter: 50 * time.Millisecond}
+	h.core = NewCore(w.now(), cfg, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
+	var infos []WorkerInfo
+	for _, m := range w.workers {
+		infos = append(infos, WorkerInfo{Name: m.name, Rack: m.name, Capacity: place.Size{Cores: 8, MemoryMB: 8}, Live: true})
+	}
+	h.do(func(now time.Time) { h.core.Workers(now, infos, []string{"entry-0", "entry-1", "entry-2"}) })
+	h.repeat(h.life, func() time.Duration { return 50 * time.Millisecond }, func(now time.Time) { h.core.Tick(now) })
+	h.repeat(h.life, func() time.Duration { return w.between(2*time.Millisecond, 100*time.Millisecond) }, h.follow)
+}
+
+// do gives the core an event, once the host is not frozen.
+func (h *host) do(run func(now time.Time)) { h.doLife(h.life, run) }
+
+func (h *host) doLife(life int, run func(now time.Time)) {
+	w := h.world
+	switch {
+	case !h.alive || h.life != life:
+	case w.at < h.frozen:
+		w.after(h.frozen-w.at, func() { h.doLife(life, run) })
+	default:
+		run(w.now())
+		for _, a := range h.core.Take(w.now()) {
+			w.after(w.between(0, time.Millisecond), func() { h.carry(life, a) })
+		}
+	}
+}
+
+func (h *host) repeat(life int, delay func() time.Duration, run func(now time.Time)) {
+	if h.life != life {
+		return
+	}
+	h.doLife(life, run)
+	h.world.after(delay(), func() { h.repeat(life, delay, run) })
+}
+
+// follow reads the job stream as the shell does.
+func (h *host) follow(now time.Time) {
+	w := h.world
+	last := w.first + int64(len(w.log)) - 1
+	if w.logDown || h.cut {
+		return
+	}
+	if !h.opened || h.read+1 < w.first {
+		h.opened = true
+		h.read = max(h.read, w.first-1)
+		h.core.Opened(now, w.first, last)
+	}
+	for h.read < last {
+		h.read++
+		h.core.Fold(now, h.read, w.log[h.read-w.first])
+	}
+}
+
+func (h *host) carry(life int, a Action) {
+	w := h.world
+	if !h.alive || h.life != life {
+		return
+	}
+	if w.at < h.frozen {
+		w.after(h.frozen-w.at, func() { h.carry(life, a) })
+		return
+	}
+	switch a := a.(type) {
+	case Append:
+		h.append(life, a.Record)
+	case Answer:
+		if !a.NotAfter.IsZero() && !w.now().Before(a.NotAfter) {
+			h.do(func(time.Time) { h.core.Withdraw(a.Key) })
+			return
+		}
+		w.given = append(w.given, given{at: w.at, key: a.Key, answer: a.Answer})
+	case Refused:
+		w.given = append(w.given, given{at: w.at, key: a.Key, refused: a.Err})
+	case AskLease:
+		h.askLease(life, a)
+	case Start:
+		h.send(life, a)
+	case AskTasks:
+		h.askTasks(life, a.Worker, a.Call, false)
+	case StopTasks:
+		h.askTasks(life, a.Worker, a.Call, true)
+	case Watch:
+		h.watch(life, w.worker(a.Worker), 0)
+	}
+}
+
+func (h *host) append(life int, r Record) {
+	w := h.world
+	refuse := func() { h.doLife(life, func(now time.Time) { h.core.AppendRefused(now, r) }) }
+	if w.logDown || h.cut {
+		refuse()
+		return
+	}
+	w.message(func() {
+		if w.logDown {
+			refuse()
+			return
+		}
+		w.log = append(w.log, r)
+		w.all = append(w.all, r)
+		if _, ok := w.closedAt[r.Key]; !ok && r.Kind == KindClose {
+			w.closedAt[r.Key] = w.at
+		}
+		w.message(func() { h.doLife(life, func(now time.Time) { h.core.AppendDone(now, r) }) })
+	})
+}
+
+// call does one call to a worker; reply is told false when none came in time.
+func (h *host) call(life int, m *model, at func(), reply func(now time.Time, ok bool)) {
+	w := h.world
+	replied := false
+	w.message(func() {
+		if m.down {
+			return
+		}
+		at()
+		w.message(func() {
+			if !replied {
+				replied = true
+				h.doLife(life, func(now time.Time) { reply(now, true) })
+			}
+		})
+	})
+	w.after(callWait, func() {
+		if !replied {
+			replied = true
+			h.doLife(life, func(now time.Time) { reply(now, false) })
+		}
+	})
+}
+
+func (h *host) askLease(life int, a AskLease) {
+	asked := h.world.now()
+	m := h.world.worker(a.Worker)
+	holder := string(h.inc)
+	var lease workerapi.Lease
+	h.call(life, m, func() { lease = m.lease(holder, a.TTL) }, func(now time.Time, ok bool) {
+		if !ok {
+			h.core.LeaseFailed(now, a.Worker)
+			return
+		}
+		h.core.LeaseGranted(now, asked, a.Worker, lease)
+	})
+}
+
+func (h *host) send(life int, a Start) {
+	w := h.world
+	m := w.worker(a.Worker)
+	sent := w.now()
+	switch {
+	case !sent.Before(a.NotAfter):
+		h.do(func(now time.Time) { h.core.StartUnsent(now, a.ID, false) })
+		return
+	case m.down:
+		h.do(func(now time.Time) { h.core.StartUnsent(now, a.ID, true) })
+		return
+	}
+	var reply workerapi.StartReply
+	h.call(life, m, func() { reply = m.start(a.Call) }, func(now time.Time, ok bool) {
+		if !ok {
+			h.core.StartLost(now, a.ID)
+			return
+		}
+		h.core.StartReplied(now, sent, a.ID, reply)
+	})
+}
+
+func (h *host) askTasks(life int, name string, call workerapi.StopCall, stop bool) {
+	m := h.world.worker(name)
+	var states []workerapi.TaskState
+	h.call(life, m, func() { states = m.states(call, stop) }, func(now time.Time, ok bool) {
+		switch {
+		case ok && stop:
+			h.core.Stopped(now, name, call, states)
+		case ok:
+			h.core.Asked(now, name, call, states)
+		case stop:
+			h.core.StopFailed(now, name, call)
+		default:
+			h.core.AskFailed(now, name, call)
+		}
+	})
+}
+
+func (h *host) watch(life int, m *model, after int64) {
+	w := h.world
+	var page workerapi.Results
+	h.call(life, m, func() { page = m.results(string(h.inc), after) }, func(now time.Time, ok bool) {
+		if ok {
+			h.core.Ended(now, m.name, page)
+			for _, r := range page.Results {
+				after = r.Seq
+			}
+		}
+		if h.core.Outstanding(m.name) {
+			w.after(w.between(5*time.Millisecond, 50*time.Millisecond), func() { h.watch(life, m, after) })
+		}
+	})
+}
+
+// submit has a caller send a job.
+func (h *host) submit(spec callerapi.Job) {
+	w := h.world
+	k := Key{Customer: spec.Customer, Submission: spec.Submission}
+	w.arrived[k]++
+	w.sizes[k] = len(spec.Tasks)
+	h.do(func(now time.Time) {
+		if err := h.core.Submit(now, spec, "digest"); err != nil {
+			w.given = append(w.given, given{at: w.at, key: k, refused: err})
+		}
+	})
+}
+
+// ask has a caller ask for a job; the owner is asked in its place.
+func (h *host) ask(k Key) {
+	h.do(func(now time.Time) {
+		view := h.core.Lookup(now, k)
+		switch view.Status {
+		case StatusClosed:
+			h.world.given = append(h.world.given, given{at: h.world.at, key: k, answer: view.Answer})
+		case StatusElsewhere:
+			h.askOwner(now, k, view.Owner)
+		}
+	})
+}
+
+func (h *host) askOwner(now time.Time, k Key, owner ids.Incarnation) {
+	w := h.world
+	for _, o := range w.hosts {
+		if o.name != owner.Host() {
+			continue
+		}
+		reachable := o.alive && w.at >= o.frozen && !o.cut && !h.cut && !o.alone && !h.alone
+		if reachable && o.inc == owner {
+			if view := o.core.Lookup(now, k); view.Status == StatusClosed {
+				w.given = append(w.given, given{at: w.at, key: k, answer: view.Answer})
+			}
+			return
+		}
+		if err := h.core.OwnerSilent(now, k, owner, reachable); err != nil {
+			w.given = append(w.given, given{at: w.at, key: k, refused: err})
+		}
+	}
+}
--- a/internal/decide/place/health.go
+++ b/internal/decide/place/health.go
@@ -86,7 +86,7 @@
 
 func (f *Fleet) mayQuarantine() bool {
 	out := 0
-	for _, n := range f.nodes {
+	for _, n := range f.list {
 		if n.health.out {
 			out++
 		}
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -90,9 +91,10 @@
 	policy Policy
 	rng    *rand.Rand
 	nodes  map[string]*node
+	list   []*node
 	home   index
 	away   index
-	// largest is the largest capacity of each kind over usable workers.
+	// shapes counts the workers by capacity.
 	shapes map[Size]int
 }
 
@@ -107,6 +109,7 @@
 	if !ok {
 		n = &node{}
 		f.nodes[w.Name] = n
+		f.list = append(f.list, n)
 		f.shapes[w.Capacity]++
 	} else if n.Capacity != w.Capacity {
 		f.dropShape(n.Capacity)
@@ -126,6 +129,7 @@
 	n.unlink()
 	f.dropShape(n.Capacity)
 	delete(f.nodes, name)
+	f.list = slices.DeleteFunc(f.list, func(o *node) bool { return o == n })
 }
 
 func (f *Fleet) dropShape(s Size) {
@@ -197,7 +201,7 @@
 
 // Refresh drops reports that are too old to count.
 func (f *Fleet) Refresh(now time.Time) {
-	for _, n := range f.nodes {
+	for _, n := range f.list {
 		if n.foreign != (Size{}) && now.Sub(n.reported) > reportTTL {
 			n.foreign = Size{}
 			f.reindex(n)
@@ -213,7 +217,7 @@
 // returns its name.
 func (f *Fleet) Reserve(s Size) (string, bool) {
 	var best *node
-	for _, n := range f.nodes {
+	for _, n := range f.list {
 		if !n.usable || n.reserved || n.health.out || !s.Fits(n.Capacity) {
 			continue
 		}
