Follow the cancel path and the attempt of jobs in the tool

A job that says it is attempt 1, or has no submission, is not sent to the next entry host after a lost reply: nothing would join it to the first send.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -121,7 +121,7 @@
 		{"job submit -", complete, "POST /v1/jobs", exitDone, "2 results from 1 workers", ""},
 		{"job submit -", failed, "POST /v1/jobs", errkind.Lookup(errkind.TaskFailed).Exit, "b/1 is failed", "task_failed: task a ended failed"},
 		{"job status -customer t -wait 2s b/1", complete, "GET /v1/jobs/t/b%2F1?wait_ms=2000", exitDone, "owned by entry-2", ""},
-		{"job cancel -customer t b/1", failed, "DELETE /v1/jobs/t/b%2F1", exitDone, "b/1 is failed", ""},
+		{"job cancel -customer t b/1", failed, "POST /v1/jobs/t/b%2F1/cancel", exitDone, "b/1 is failed", ""},
 	}
 	for _, c := range cases {
 		host := &entryHost{handler: answers(c.answer)}
@@ -130,12 +130,27 @@
 		require.Equal(t, c.call, host.calls[0].method+" "+host.calls[0].path)
 		require.Contains(t, got.out, c.out, c.args)
 		require.Contains(t, got.err, c.err, c.args)
-		if host.calls[0].method == http.MethodPost {
+		if host.calls[0].path == callerapi.PathJobs {
 			require.JSONEq(t, `{"submission": "b/1"}`, host.calls[0].body)
 		}
 	}
 }
 
+// TestJobIsSentAgainOnlyIfItsSubmissionJoins loses the first reply.
+func TestJobIsSentAgainOnlyIfItsSubmissionJoins(t *testing.T) {
+	cases := map[string]int{
+		`{"submission": "b"}`:               1,
+		`{"submission": "b", "attempt": 2}`: 1,
+		`{"submission": "b", "attempt": 1}`: 0,
+		`{"tasks": []}`:                     0,
+	}
+	for job, sends := range cases {
+		f := fleet{"a:1": {loseReply: true}, "b:1": {handler: answers(callerapi.JobAnswer{})}}
+		run(t, f, job, "job", "submit", "-url", "http://a:1,http://b:1", "-")
+		require.Len(t, f["b:1"].calls, sends, job)
+	}
+}
+
 func TestPlanCommandsSendIntents(t *testing.T) {
 	rules := filepath.Join(t.TempDir(), "rules.json")
 	require.NoError(t, os.WriteFile(rules, []byte(`{"queue_limit": 7} // few`), 0o600))
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -21,9 +22,10 @@
   {"submission": "batch-1", "customer": "tamarind", "deadline_ms": 60000,
    "tasks": [{"name": "pair-1", "cores": 2, "memory_mb": 1024}]}
 
-The command waits for the job's answer. A job that was sent again joins the
-first one: the submission names it. A failed job exits with the status of its
-error kind.`
+The command waits for the job's answer. A job that is sent again joins the
+first one: the submission names it. After a lost reply the command turns to the
+next entry host by itself unless the job has no submission or says that it is
+attempt 1. A failed job exits with the status of its error kind.`
 
 func (t *Tool) jobCommand() *ffcli.Command {
 	return &ffcli.Command{
@@ -57,12 +59,24 @@
 			}
 			return t.job(ctx, client, call{
 				Call:       entryclient.Call{Method: http.MethodPost, Path: callerapi.PathJobs, Body: body},
-				repeatable: true,
+				repeatable: isRepeatable(body),
 			})
 		},
 	}
 }
 
+// isRepeatable reports whether a job may be sent again after its reply was
+// lost: it has a submission id and does not claim to be the first attempt.
+func isRepeatable(document []byte) bool {
+	var job struct {
+		Submission string `json:"submission"`
+		Attempt    int    `json:"attempt"`
+	}
+	// The entry host refuses a document that is no job.
+	err := json.Unmarshal(document, &job)
+	return err == nil && job.Submission != "" && job.Attempt != 1
+}
+
 func (t *Tool) jobStatusCommand() *ffcli.Command {
 	flags := t.newFlags("job status")
 	client := t.client(flags, "callers'", defaultCallers)
@@ -103,7 +117,7 @@
 				return err
 			}
 			var answer callerapi.JobAnswer
-			cancel := call{Call: entryclient.Call{Method: http.MethodDelete, Path: path}, repeatable: true}
+			cancel := call{Call: entryclient.Call{Method: http.MethodPost, Path: path + "/cancel"}, repeatable: true}
 			raw, err := client.document(ctx, cancel, &answer)
 			if err != nil {
 				return err
