Refuse bad input whole, and give retry advice by run state

Contract tables for the callers' and operators' ports, with stand-ins behind one entry host, failed at first on: - a job with anything after its document ran; a negative attempt or run time was taken; - a request with an attempt that is no number, or an idempotent mark that is neither true nor false, ran as if unmarked; a negative declared time and an id of any length were taken; - a customer that had just come into force was refused as unknown_customer, never to be retried, until the next tick of 20 ms; - an operator's document over the limit was called malformed; - an error answer could say run unknown and retry safe at once (not_ready with another run state), and a proved not_run said ask or if_idempotent.

One strict reader in httpjson now serves jobs and operators. The advice in an answer follows its run state.

--- a/internal/cli/failure.go
+++ b/internal/cli/failure.go
@@ -34,12 +34,12 @@
 	e := errkind.From(f.err)
 	row := errkind.Lookup(e.Kind)
 	if f.asJSON {
-		doc := errkind.Document{Kind: e.Kind, Run: e.Run, Retry: row.Retry, Detail: detail(e), ID: f.id}
+		doc := errkind.Document{Kind: e.Kind, Run: e.Run, Retry: e.Retry(), Detail: detail(e), ID: f.id}
 		_ = json.NewEncoder(w).Encode(doc)
 		return row.Exit
 	}
 	_, _ = fmt.Fprintf(w, "parsleyhill: %s: %s\n", e.Kind, detail(e))
-	_, _ = fmt.Fprintf(w, "  %s, retry: %s\n", runText(e.Run), row.Retry)
+	_, _ = fmt.Fprintf(w, "  %s, retry: %s\n", runText(e.Run), e.Retry())
 	if f.id != "" {
 		_, _ = fmt.Fprintf(w, "  id: %s\n", f.id)
 	}
--- /dev/null
+++ b/internal/daemon/contract_test.go
@@ -0,0 +1,291 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
+	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+	"github.com/parsleyhill/parsleyhill/internal/settings"
+	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
+	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
+	"github.com/parsleyhill/parsleyhill/internal/standin/worker"
+)
+
+// site is one entry host with stand-ins for all that it calls.
+type site struct {
+	daemon    *Daemon
+	platform  *standinplatform.Server
+	backend   *httptest.Server
+	worker    *worker.Worker
+	callers   http.Handler
+	operators http.Handler
+}
+
+// newSite starts an entry host without ports and puts a customer in force.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{worker: worker.New("worker-1", worker.Capacity{Cores: 8, MemoryMB: 8192})}
+	s.backend = serveTest(t, backend.New("backend-1", 2, 2).Handler())
+	tasks := serveTest(t, s.worker.Handler())
+	s.platform = standinplatform.NewServer([]platform.Host{
+		{Name: "entry-1", Role: platform.RoleEntry, Zone: "karen", Address: "127.0.0.1:1", State: platform.HostLive},
+		{Name: "backend-1", Role: platform.RoleBackend, Zone: "karen", Address: address(s.backend), State: platform.HostLive, Customer: "tamarind", Slots: 2},
+		{Name: "worker-1", Role: platform.RoleWorker, Zone: "karen", Address: address(tasks), State: platform.HostLive, Cores: 8, MemoryMB: 8192},
+	})
+	// With a record in a stream the first read does not wait for one.
+	for _, stream := range []platform.Stream{platform.StreamConfig, platform.StreamJobs} {
+		_, err := s.platform.Log.Append(t.Context(), stream, [][]byte{[]byte("{}")})
+		require.NoError(t, err)
+	}
+	base := serveTest(t, s.platform.Handler()).URL
+	settings := settings.Settings{
+		Host: "entry-1", Region: "nairobi", Zone: "karen", Platform: settings.Platform{Log: base, HostList: base},
+		Limits: settings.Limits{BodyBytes: 1024, JobBytes: 4096, TasksPerJob: 4},
+	}
+	s.daemon = New(settings.WithDefaults(), log.New(io.Discard))
+	s.callers, s.operators = s.daemon.callerRoutes(), s.daemon.operatorRoutes()
+	s.run(t)
+	s.confirm(t, config.Intent{Operator: "wanjiru", Verb: config.SetCustomer, Customer: "tamarind", Rules: &standing.Customer{}})
+	return s
+}
+
+// serveTest serves a handler until the test ends.
+func serveTest(t *testing.T, h http.Handler) *httptest.Server {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// run starts the parts of the entry host but for its ports.
+func (s *site) run(t *testing.T) {
+	var parts []supervise.Part
+	for _, p := range s.daemon.parts() {
+		if !strings.HasSuffix(p.Name, "port") {
+			parts = append(parts, p)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- supervise.Run(ctx, log.New(io.Discard), parts...) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
+
+// confirm puts an intent in force.
+func (s *site) confirm(t *testing.T, i config.Intent) {
+	t.Helper()
+	var plan config.Plan
+	for plan.ID == "" { // not ready yet
+		_, answer := post(t, s.operators, operator.PathPlans, nil, encode(t, i))
+		require.NoError(t, json.Unmarshal([]byte(answer), &plan))
+	}
+	status, answer := post(t, s.operators, operator.PathConfirms, nil, encode(t, plan))
+	require.Equal(t, http.StatusOK, status, answer)
+}
+
+func encode(t *testing.T, v any) string {
+	data, err := json.Marshal(v)
+	require.NoError(t, err)
+	return string(data)
+}
+
+func post(t *testing.T, h http.Handler, path string, header http.Header, body string) (int, string) {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+// requestHeader returns the headers of a good request, changed by pairs of
+// name and value.
+func requestHeader(pairs ...string) http.Header {
+	h := http.Header{}
+	h.Set(callerapi.HeaderCustomer, "tamarind")
+	h.Set(callerapi.HeaderAttempt, "1")
+	for i := 0; i < len(pairs); i += 2 {
+		h.Set(pairs[i], pairs[i+1])
+	}
+	return h
+}
+
+// checkRefused checks that an answer is an error of the kind whose work was not
+// run. The test goes on after a wrong one.
+func checkRefused(t *testing.T, name string, kind errkind.Kind, status int, answer string) {
+	t.Helper()
+	var doc errkind.Document
+	// An answer that is no error document fails the checks below.
+	_ = json.Unmarshal([]byte(answer), &doc)
+	assert.Equal(t, kind, doc.Kind, "%s: %s", name, answer)
+	assert.Equal(t, errkind.NotRun, doc.Run, name)
+	assert.Equal(t, errkind.Lookup(kind).HTTPStatus, status, name)
+	assert.NotEmpty(t, doc.Detail, name)
+}
+
+func TestBadRequestsAreRefusedAsNotRun(t *testing.T) {
+	s := newSite(t)
+	cases := []struct {
+		name   string
+		header http.Header
+		body   string
+		kind   errkind.Kind
+	}{
+		{"no customer", requestHeader(callerapi.HeaderCustomer, ""), "{}", errkind.UnknownCustomer},
+		{"unknown customer", requestHeader(callerapi.HeaderCustomer, "nobody"), "{}", errkind.UnknownCustomer},
+		{"body too large", requestHeader(), strings.Repeat("x", 1025), errkind.TooLarge},
+		{"deadline passed", requestHeader(callerapi.HeaderDeadline, "-5"), "{}", errkind.DeadlinePassed},
+		{"deadline of 0", requestHeader(callerapi.HeaderDeadline, "0"), "{}", errkind.DeadlinePassed},
+		{"deadline no number", requestHeader(callerapi.HeaderDeadline, "soon"), "{}", errkind.BadRequest},
+		{"deadline out of range", requestHeader(callerapi.HeaderDeadline, "99999999999999999999"), "{}", errkind.BadRequest},
+		{"declared no number", requestHeader(callerapi.HeaderDeclared, "short"), "{}", errkind.BadRequest},
+		{"declared negative", requestHeader(callerapi.HeaderDeclared, "-1"), "{}", errkind.BadRequest},
+		{"attempt no number", requestHeader(callerapi.HeaderAttempt, "first", callerapi.HeaderRequestID, "r-1"), "{}", errkind.BadRequest},
+		{"attempt of 0", requestHeader(callerapi.HeaderAttempt, "0", callerapi.HeaderRequestID, "r-1"), "{}", errkind.BadRequest},
+		{"idempotent neither true nor false", requestHeader(callerapi.HeaderIdempotent, "maybe"), "{}", errkind.BadRequest},
+		{"id too long", requestHeader(callerapi.HeaderRequestID, strings.Repeat("x", 300)), "{}", errkind.BadRequest},
+	}
+	for _, c := range cases {
+		status, answer := post(t, s.callers, callerapi.PathRequests, c.header, c.body)
+		checkRefused(t, c.name, c.kind, status, answer)
+	}
+	resp, err := http.Get(s.backend.URL + "/v1/ledger")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var ledger backend.Ledger
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&ledger))
+	require.Empty(t, ledger.Starts)
+	status, answer := post(t, s.callers, callerapi.PathRequests, requestHeader(callerapi.HeaderRequestID, "r-1"), `{"run_ms":1}`)
+	require.Equal(t, http.StatusOK, status, answer)
+}
+
+// job returns a job's document with tasks given as JSON.
+func job(submission, tasks string) string {
+	return fmt.Sprintf(`{"submission":%q,"attempt":1,"customer":"tamarind","tasks":[%s]}`, submission, tasks)
+}
+
+// runJob runs a job of two tasks, as soon as the job stream has been read.
+func (s *site) runJob(t *testing.T) {
+	t.Helper()
+	good := job("good", `{"name":"a","cores":1},{"name":"b","cores":1}`)
+	status, answer := post(t, s.callers, callerapi.PathJobs, nil, good)
+	for status == http.StatusServiceUnavailable {
+		status, answer = post(t, s.callers, callerapi.PathJobs, nil, good)
+	}
+	require.Equal(t, http.StatusOK, status, answer)
+	require.Contains(t, answer, `"state":"complete"`)
+}
+
+func TestBadJobsAreRefusedAsNotRun(t *testing.T) {
+	s := newSite(t)
+	s.runJob(t)
+	appends := s.platform.Log.Appends()
+	five := strings.Repeat(`{"name":"a"},`, 4) + `{"name":"a"}`
+	cases := []struct {
+		name string
+		body string
+		kind errkind.Kind
+	}{
+		{"not JSON", `{"submission`, errkind.BadRequest},
+		{"empty", ``, errkind.BadRequest},
+		{"an array", `[]`, errkind.BadRequest},
+		{"more after the document", job("x", `{"name":"a"}`) + `{}`, errkind.BadRequest},
+		{"unknown field", `{"submission":"x","colour":1}`, errkind.BadRequest},
+		{"wrong type", `{"submission":7}`, errkind.BadRequest},
+		{"too large", job(strings.Repeat("x", 5000), `{"name":"a"}`), errkind.TooLarge},
+		{"unknown customer", `{"submission":"x","customer":"nobody","tasks":[{"name":"a"}]}`, errkind.UnknownCustomer},
+		{"no tasks", job("x", ``), errkind.BadRequest},
+		{"too many tasks", job("x", five), errkind.BadRequest},
+		{"duplicate task names", job("x", `{"name":"a"},{"name":"a"}`), errkind.BadRequest},
+		{"task without a name", job("x", `{"cores":1}`), errkind.BadRequest},
+		{"negative need", job("x", `{"name":"a","cores":-1}`), errkind.BadRequest},
+		{"negative run time", job("x", `{"name":"a","run_ms":-1}`), errkind.BadRequest},
+		{"deadline passed", `{"submission":"x","customer":"tamarind","deadline_ms":-1,"tasks":[{"name":"a"}]}`, errkind.DeadlinePassed},
+		{"negative attempt", `{"submission":"x","customer":"tamarind","attempt":-1,"tasks":[{"name":"a"}]}`, errkind.BadRequest},
+	}
+	for _, c := range cases {
+		status, answer := post(t, s.callers, callerapi.PathJobs, nil, c.body)
+		checkRefused(t, c.name, c.kind, status, answer)
+	}
+	require.Equal(t, map[string]int{"tamarind/good/a": 1, "tamarind/good/b": 1}, s.worker.Starts())
+	require.Equal(t, appends, s.platform.Log.Appends(), "a refused job left a record in the log")
+}
+
+// TestJobsThatFitNoWorkerFailAsNotRun checks that such a job is answered as
+// failed at once, with a reason, and that none of its tasks started.
+func TestJobsThatFitNoWorkerFailAsNotRun(t *testing.T) {
+	s := newSite(t)
+	s.runJob(t)
+	started := s.worker.Starts()
+	tooMuch := []string{`{"name":"b","cores":9}`, `{"name":"b","memory_mb":8193}`, `{"name":"b","accelerators":1}`}
+	for i, task := range tooMuch {
+		status, answer := post(t, s.callers, callerapi.PathJobs, nil, job(fmt.Sprint("x-", i), `{"name":"a"},`+task))
+		var got callerapi.JobAnswer
+		require.NoError(t, json.Unmarshal([]byte(answer), &got))
+		require.Equal(t, http.StatusOK, status, answer)
+		require.Equal(t, callerapi.JobFailed, got.State, answer)
+		require.Equal(t, string(errkind.TaskUnplaceable), got.ErrorKind)
+		require.Equal(t, string(errkind.NotRun), got.Run)
+		require.Contains(t, got.Reason, "task b")
+		require.Empty(t, got.Results)
+	}
+	require.Equal(t, started, s.worker.Starts())
+}
+
+func TestBadOperatorCallsAreRefused(t *testing.T) {
+	s := newSite(t)
+	var plan config.Plan
+	_, answer := post(t, s.operators, operator.PathPlans, nil, `{"operator":"wanjiru","verb":"drain","host":"backend-1"}`)
+	require.NoError(t, json.Unmarshal([]byte(answer), &plan))
+	altered := plan
+	altered.Intent.Host = "backend-2"
+	cases := []struct {
+		name string
+		path string
+		body string
+		kind errkind.Kind
+	}{
+		{"not JSON", operator.PathPlans, `{`, errkind.BadRequest},
+		{"unknown field", operator.PathPlans, `{"colour":1}`, errkind.BadRequest},
+		{"too large", operator.PathPlans, `{"reason":"` + strings.Repeat("x", 2<<20) + `"}`, errkind.TooLarge},
+		{"no operator", operator.PathPlans, `{"verb":"drain","host":"backend-1"}`, errkind.PlanInvalid},
+		{"no host", operator.PathPlans, `{"operator":"w","verb":"drain"}`, errkind.PlanInvalid},
+		{"unknown verb", operator.PathPlans, `{"operator":"w","verb":"explode"}`, errkind.PlanInvalid},
+		{"undrain of a host in service", operator.PathPlans, `{"operator":"w","verb":"undrain","host":"backend-1"}`, errkind.PlanRejected},
+		{"altered plan", operator.PathConfirms, encode(t, altered), errkind.PlanInvalid},
+		{"empty plan", operator.PathConfirms, `{}`, errkind.PlanInvalid},
+	}
+	appends := s.platform.Log.Appends()
+	for _, c := range cases {
+		status, answer := post(t, s.operators, c.path, nil, c.body)
+		checkRefused(t, c.name, c.kind, status, answer)
+	}
+	status, answer := post(t, s.callers, operator.PathPlans, nil, `{}`)
+	checkRefused(t, "callers' port", errkind.WrongPort, status, answer)
+	require.Equal(t, appends, s.platform.Log.Appends())
+}
--- a/internal/daemon/jobs/http.go
+++ b/internal/daemon/jobs/http.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,14 +74,8 @@
 func (s *Service) parse(w http.ResponseWriter, r *http.Request) (callerapi.Job, *errkind.Error) {
 	var job callerapi.Job
 	limits := s.deps.Settings.Limits
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limits.JobBytes))
-	dec.DisallowUnknownFields()
-	var tooLarge *http.MaxBytesError
-	switch err := dec.Decode(&job); {
-	case errors.As(err, &tooLarge):
-		return job, errkind.New(errkind.TooLarge, "the job is larger than %d bytes", limits.JobBytes)
-	case err != nil:
-		return job, errkind.Wrap(errkind.BadRequest, err, "decode job")
+	if err := httpjson.ReadStrict(w, r, limits.JobBytes, &job); err != nil {
+		return job, err
 	}
 	state := s.deps.View.State()
 	if state == nil {
@@ -94,6 +87,8 @@
 		return job, errkind.New(errkind.UnknownCustomer, "no customer %q", job.Customer)
 	case len(job.Tasks) == 0 || len(job.Tasks) > limits.TasksPerJob:
 		return job, errkind.New(errkind.BadRequest, "a job has 1 to %d tasks, this one %d", limits.TasksPerJob, len(job.Tasks))
+	case job.Attempt < 0:
+		return job, errkind.New(errkind.BadRequest, "attempt %d is less than 0", job.Attempt)
 	case job.DeadlineMs < 0:
 		return job, errkind.New(errkind.DeadlinePassed, "the deadline is %d ms away", job.DeadlineMs)
 	}
@@ -116,7 +111,7 @@
 			return errkind.New(errkind.BadRequest, "a task has no name")
 		case names[t.Name]:
 			return errkind.New(errkind.BadRequest, "two tasks are named %q", t.Name)
-		case t.Cores < 0 || t.MemoryMB < 0 || t.Accelerators < 0:
+		case t.Cores < 0 || t.MemoryMB < 0 || t.Accelerators < 0 || t.RunMs < 0:
 			return errkind.New(errkind.BadRequest, "task %q needs less than nothing", t.Name)
 		}
 		names[t.Name] = true
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -108,7 +107,7 @@
 
 func (s *Service) servePlan(w http.ResponseWriter, r *http.Request) {
 	var intent config.Intent
-	if err := decodeStrict(r, &intent); err != nil {
+	if err := httpjson.ReadStrict(w, r, maxDocument, &intent); err != nil {
 		errkind.Write(w, "", err, 0)
 		return
 	}
@@ -129,7 +128,7 @@
 
 func (s *Service) serveConfirm(w http.ResponseWriter, r *http.Request) {
 	var plan config.Plan
-	if err := decodeStrict(r, &plan); err != nil {
+	if err := httpjson.ReadStrict(w, r, maxDocument, &plan); err != nil {
 		errkind.Write(w, "", err, 0)
 		return
 	}
@@ -185,14 +184,5 @@
 	})
 }
 
-// maxDocument bounds an operator's document.
+// maxDocument bounds an operator's document, in bytes.
 const maxDocument = 1 << 20
-
-func decodeStrict(r *http.Request, v any) *errkind.Error {
-	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxDocument))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return errkind.Wrap(errkind.BadRequest, err, "decode document")
-	}
-	return nil
-}
--- a/internal/daemon/requests/http.go
+++ b/internal/daemon/requests/http.go
@@ -65,6 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if declaredMs < 0 {
+		return nil, errkind.New(errkind.BadRequest, "the declared run time is %d ms", declaredMs)
+	}
+	if err := checkMarks(h); err != nil {
+		return nil, err
+	}
 	body, err := readBody(w, r, s.deps.Settings.Limits.BodyBytes)
 	if err != nil {
 		return nil, err
@@ -89,6 +95,25 @@
 	}, nil
 }
 
+// maxIDBytes bounds the length of a caller's id.
+const maxIDBytes = 256
+
+// checkMarks checks the headers that say how a request may be sent again, so
+// that no typing error turns into a second run.
+func checkMarks(h http.Header) *errkind.Error {
+	idempotent := h.Get(callerapi.HeaderIdempotent)
+	attempt, err := strconv.Atoi(h.Get(callerapi.HeaderAttempt))
+	switch {
+	case idempotent != "" && idempotent != "true" && idempotent != "false":
+		return errkind.New(errkind.BadRequest, "header %s is neither true nor false", callerapi.HeaderIdempotent)
+	case h.Get(callerapi.HeaderAttempt) != "" && (err != nil || attempt < 1):
+		return errkind.New(errkind.BadRequest, "header %s is no number from 1", callerapi.HeaderAttempt)
+	case len(h.Get(callerapi.HeaderRequestID)) > maxIDBytes:
+		return errkind.New(errkind.BadRequest, "header %s is longer than %d bytes", callerapi.HeaderRequestID, maxIDBytes)
+	}
+	return nil
+}
+
 func parseDeadline(text string, rules standing.Customer) (time.Duration, *errkind.Error) {
 	ms, err := parseMs(callerapi.HeaderDeadline, text, rules.DeadlineMs)
 	if err != nil {
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -122,13 +122,20 @@
 	}
 	hosts := s.deps.Hosts.Hosts()
 	for name, rules := range state.Customers {
-		c := s.customer(name, rules)
-		c.core.SetRules(rules)
-		s.apply(c, c.core.SetBackends(now, c.backends(name, rules, state, hosts)))
-		s.apply(c, c.core.Tick(now))
+		s.refresh(now, name, rules, state, hosts)
 	}
 }
 
+// refresh brings one customer up to date with the configuration and the host
+// list. The lock is held.
+func (s *Service) refresh(now time.Time, name string, rules standing.Customer, state *standing.State, hosts []platform.Host) *customer {
+	c := s.customer(name, rules)
+	c.core.SetRules(rules)
+	s.apply(c, c.core.SetBackends(now, c.backends(name, rules, state, hosts)))
+	s.apply(c, c.core.Tick(now))
+	return c
+}
+
 // customer returns the state of the customer, made on first use.
 func (s *Service) customer(name string, rules standing.Customer) *customer {
 	c, ok := s.customers[name]
@@ -166,6 +173,20 @@
 	return backends
 }
 
+// known returns the state of a customer in force, also of one that came into
+// force since the last tick. The lock is held.
+func (s *Service) known(name string) (*customer, *errkind.Error) {
+	if c, ok := s.customers[name]; ok {
+		return c, nil
+	}
+	if state := s.deps.View.State(); state != nil {
+		if rules, ok := state.Customers[name]; ok {
+			return s.refresh(time.Now(), name, rules, state, s.deps.Hosts.Hosts()), nil
+		}
+	}
+	return nil, errkind.New(errkind.UnknownCustomer, "no customer %q", name)
+}
+
 // submit hands a request to the customer's core.
 func (s *Service) submit(r *request) *errkind.Error {
 	s.mu.Lock()
@@ -173,9 +194,9 @@
 	if s.stopping {
 		return errkind.New(errkind.Stopping, "the entry host is stopping")
 	}
-	c, ok := s.customers[r.customer]
-	if !ok {
-		return errkind.New(errkind.UnknownCustomer, "no customer %q", r.customer)
+	c, err := s.known(r.customer)
+	if err != nil {
+		return err
 	}
 	if _, ok := c.requests[r.ID]; ok {
 		return errkind.New(errkind.DuplicateUnresolved, "request %s is already in flight", r.ID)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -86,6 +86,22 @@
 	return &c
 }
 
+// Retry returns the advice about sending the work again. Proof that it was not
+// run makes a retry safe, and without proof none is.
+func (e *Error) Retry() Retry {
+	advice := Lookup(e.Kind).Retry
+	switch {
+	case advice == RetryNever:
+		return RetryNever
+	case e.Run == NotRun:
+		return RetrySafe
+	case advice == RetrySafe:
+		return RetryAsk
+	default:
+		return advice
+	}
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Err != nil {
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -1,10 +1,12 @@
 package errkind
 
 import (
+	"encoding/json"
 	"errors"
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 
@@ -66,3 +68,23 @@
 	require.Equal(t, Internal, other.Kind)
 	require.Equal(t, Unknown, other.Run)
 }
+
+// TestAdviceFollowsTheRunState checks every kind with every run state.
+func TestAdviceFollowsTheRunState(t *testing.T) {
+	for _, k := range All() {
+		for _, run := range []RunState{NotRun, Unknown, Ran} {
+			e := New(k, "x").WithRun(run)
+			w := httptest.NewRecorder()
+			Write(w, "id", e, 0)
+			var doc Document
+			require.NoError(t, json.Unmarshal(w.Body.Bytes(), &doc))
+			require.Equal(t, e.Retry(), doc.Retry)
+			if doc.Retry == RetrySafe {
+				require.Equal(t, NotRun, run, "kind %s", k)
+			}
+			if run == NotRun && Lookup(k).Retry != RetryNever {
+				require.Equal(t, RetrySafe, doc.Retry, "kind %s", k)
+			}
+		}
+	}
+}
--- a/internal/errkind/http.go
+++ b/internal/errkind/http.go
@@ -28,7 +28,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(row.HTTPStatus)
-	doc := Document{Kind: e.Kind, Run: e.Run, Retry: row.Retry, Detail: e.Detail, ID: id}
+	doc := Document{Kind: e.Kind, Run: e.Run, Retry: e.Retry(), Detail: e.Detail, ID: id}
 	// A failed write means that the caller has gone; there is nobody to tell.
 	_ = json.NewEncoder(w).Encode(doc)
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -4,7 +4,11 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
+
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
 // Write answers with status and v as JSON.
@@ -24,3 +28,25 @@
 	}
 	return true
 }
+
+// ReadStrict decodes a body of at most limit bytes into v. Unknown fields and
+// anything after the document are errors.
+func ReadStrict(w http.ResponseWriter, r *http.Request, limit int64, v any) *errkind.Error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil {
+		if _, err = dec.Token(); err == nil {
+			err = errors.New("more after the document")
+		}
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, io.EOF) && dec.InputOffset() > 0:
+		return nil
+	case errors.As(err, &tooLarge):
+		return errkind.New(errkind.TooLarge, "the document is larger than %d bytes", limit)
+	default:
+		return errkind.New(errkind.BadRequest, "decode document: %v", err)
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -107,7 +107,7 @@
 // attempt after an unknown outcome is safe: it joins or is refused.
 func mayRetry(a Arrival, err *errkind.Error) bool {
 	switch {
-	case errkind.Lookup(err.Kind).Retry == errkind.RetryNever:
+	case err.Retry() == errkind.RetryNever:
 		return false
 	case err.Run == errkind.Ran:
 		return a.Idempotent
