Log in logfmt by default: a decision line costs a seventh

A decision is logged while its part holds a lock, and the coloured text format spends most of its time on styles. go test -run '^$' -bench DecisionLine ./internal/logging, three runs: text 37 to 46 us and 84 allocations a line, json 5.2 to 7.1 us and 30, logfmt 5.1 to 5.8 us and 35. Sampling was ruled out: it would break the promise to explain. text remains for terminals.

A forged line inside an id stays inside its line in logfmt and json (tested). The log writes of the benchmark go to a sink of its own; for io.Discard the library skips the work and the first run showed 0.4 us.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -80,7 +80,7 @@
 	flags.StringVar(&o.path, "settings", "parsleyhilld.json", "settings `file`, JSON with comments")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	flags.StringVar(&o.overrides.LogLevel, "log-level", "", "replace log.level: debug, info, warn or error")
-	flags.StringVar(&o.overrides.LogFormat, "log-format", "", "replace log.format: text or json")
+	flags.StringVar(&o.overrides.LogFormat, "log-format", "", "replace log.format: logfmt, json or text")
 	flags.Usage = func() {
 		_, _ = io.WriteString(errOut, usage)
 		flags.PrintDefaults()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -15,8 +15,11 @@
 // an unknown level means "info".
 func New(w io.Writer, s settings.Log) *log.Logger {
 	options := log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.TextFormatter}
-	if s.Format == "json" {
+	switch s.Format {
+	case "json":
 		options.Formatter = log.JSONFormatter
+	case "logfmt":
+		options.Formatter = log.LogfmtFormatter
 	}
 	if level, err := log.ParseLevel(s.Level); err == nil {
 		options.Level = level
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -19,9 +19,9 @@
 func (v fixedView) State() *standing.State { return v.state }
 
 // TestDecisionLinesCarryTheID checks that one decision is one line with the
-// part, the ids, the inputs and the version, in both formats.
+// part, the ids, the inputs and the version, in every format.
 func TestDecisionLinesCarryTheID(t *testing.T) {
-	for _, format := range []string{"text", "json"} {
+	for _, format := range []string{"text", "json", "logfmt"} {
 		var out bytes.Buffer
 		view := fixedView{&standing.State{Version: 41}}
 		j := journal.New("entry-1", New(&out, settings.Log{Level: "info", Format: format}), view, 10)
@@ -38,6 +38,16 @@
 	}
 }
 
+// TestOneDecisionIsOneLine uses an id that a caller made to look like a line.
+func TestOneDecisionIsOneLine(t *testing.T) {
+	for _, format := range []string{"json", "logfmt"} {
+		var out bytes.Buffer
+		j := journal.New("entry-1", New(&out, settings.Log{Level: "info", Format: format}), fixedView{}, 10)
+		j.Record(decision.Record{Part: decision.PartJob, Action: "claim", Subjects: []string{"batch\nlevel=error msg=forged"}})
+		require.Equal(t, 1, strings.Count(out.String(), "\n"), out.String())
+	}
+}
+
 func TestLevelHidesLowerLines(t *testing.T) {
 	var out bytes.Buffer
 	logger := New(&out, settings.Log{Level: "warn", Format: "text"})
@@ -46,3 +56,26 @@
 	require.NotContains(t, out.String(), "routine")
 	require.Contains(t, out.String(), "config: log service gives no records")
 }
+
+// sink drops lines. The logger skips its work for io.Discard.
+type sink struct{}
+
+func (sink) Write(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkDecisionLine measures one decision, kept and logged.
+func BenchmarkDecisionLine(b *testing.B) {
+	for _, format := range []string{"text", "json", "logfmt"} {
+		b.Run(format, func(b *testing.B) {
+			view := fixedView{&standing.State{Version: 41}}
+			j := journal.New("entry-1", New(sink{}, settings.Log{Level: "info", Format: format}), view, 1000)
+			record := decision.Record{
+				Part: decision.PartRoute, Action: "send", Rule: "least", Why: "2 of 8 slots taken, 0 wait",
+				Subjects: []string{"valve-7", "backend-3"}, Customer: "tamarind",
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				j.Record(record)
+			}
+		})
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,7 +48,7 @@
 	c.bounds("stop.drain_ms", s.Stop.DrainMs, 0, maxDrainMs)
 	c.bounds("stop.grace_ms", s.Stop.GraceMs, 0, maxGraceMs)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	c.oneOf("log.format", s.Log.Format, "text", "json")
+	c.oneOf("log.format", s.Log.Format, "logfmt", "json", "text")
 }
 
 func (c checker) fault(field, format string, args ...any) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,7 +68,8 @@
 type Log struct {
 	// Level is "debug", "info", "warn" or "error". Default "info".
 	Level string `json:"level"`
-	// Format is "text" or "json". Default "text".
+	// Format is "logfmt" or "json" for programs, or "text" for a terminal, which
+	// costs the processor several times as much a line. Default "logfmt".
 	Format string `json:"format"`
 }
 
@@ -81,7 +82,7 @@
 	DefaultDrainMs     = 2_000
 	DefaultGraceMs     = 30_000
 	DefaultLogLevel    = "info"
-	DefaultLogFormat   = "text"
+	DefaultLogFormat   = "logfmt"
 )
 
 // WithDefaults returns a copy of s with unset fields filled in.
