--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,46 +3,138 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"flag"
 	"fmt"
-	"io"
 	"net/http"
+	"strings"
 
+	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
-// call sends one HTTP request and returns the answer's headers and body. An
-// answer that carries an error document becomes that error.
-func call(ctx context.Context, method, url string, header http.Header, body io.Reader) (http.Header, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
-	if err != nil {
-		return nil, nil, errkind.Wrap(errkind.BadRequest, err, "build request")
+const (
+	defaultCallers   = "http://127.0.0.1:7101"
+	defaultOperators = "http://127.0.0.1:7201"
+)
+
+// urlList is a flag that takes several URLs, separated by commas or repeated.
+type urlList struct {
+	urls []string
+	// set is false while urls holds the default.
+	set bool
+}
+
+func (l *urlList) String() string { return strings.Join(l.urls, ",") }
+
+func (l *urlList) Set(text string) error {
+	if !l.set {
+		l.urls, l.set = nil, true
 	}
-	for name, values := range header {
-		req.Header[name] = values
+	for url := range strings.SplitSeq(text, ",") {
+		url = strings.TrimSuffix(strings.TrimSpace(url), "/")
+		if !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
+			return fmt.Errorf("%q is not an http or https URL", url)
+		}
+		l.urls = append(l.urls, url)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, nil, errkind.Wrap(errkind.PeerUnreachable, err, "no answer from the entry host")
+	return nil
+}
+
+// client calls entry hosts.
+type client struct {
+	urls      urlList
+	transport http.RoundTripper
+	asJSON    bool
+}
+
+// client adds the flags that all commands with calls share.
+func (t *Tool) client(flags *flag.FlagSet, port, defaultURL string) *client {
+	c := &client{urls: urlList{urls: []string{defaultURL}}, transport: t.Transport}
+	flags.Var(&c.urls, "url", port+" `URL` of an entry host; repeat it, or separate by commas, to name others to turn to")
+	flags.BoolVar(&c.asJSON, "json", false, "print one JSON document")
+	return c
+}
+
+// call is one call to an entry host.
+type call struct {
+	entryclient.Call
+	// repeatable is set if the call may be sent again although it may have
+	// taken effect.
+	repeatable bool
+}
+
+// get returns a call that reads a path.
+func get(path string) call {
+	return call{Call: entryclient.Call{Method: http.MethodGet, Path: path}, repeatable: true}
+}
+
+// do sends a call to the first entry host and turns to the next one if that
+// is safe: nothing was sent, the host proves that nothing was run, or the call
+// is repeatable.
+func (c *client) do(ctx context.Context, k call) (entryclient.Reply, error) {
+	var last error
+	for _, base := range c.urls.urls {
+		r, err := c.send(ctx, base, k)
+		if err == nil {
+			return r, nil
+		}
+		last = worse(last, err)
+		if ctx.Err() != nil || !mayTurn(k, errkind.From(err)) {
+			break
+		}
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, nil, errkind.Wrap(errkind.AnswerInvalid, err, "the answer was cut off")
+	var failed *failure
+	if errors.As(last, &failed) {
+		failed.asJSON = c.asJSON
+	}
+	return entryclient.Reply{}, last
+}
+
+// worse returns the error that says more about whether the work was run.
+func worse(before, after error) error {
+	if before != nil && errkind.From(before).Run != errkind.NotRun {
+		return before
+	}
+	return after
+}
+
+// mayTurn reports whether the next entry host may be tried after err. A
+// refusal for load is final: sending it elsewhere would add to the load.
+func mayTurn(k call, err *errkind.Error) bool {
+	switch err.Kind {
+	case errkind.NotReady, errkind.Stopping, errkind.NoBackend, errkind.LogUnavailable:
+		return err.Run == errkind.NotRun || k.repeatable
+	case errkind.PeerUnreachable:
+		return err.Run == errkind.NotRun || k.repeatable
+	default:
+		return false
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, nil, answerError(resp.StatusCode, data)
+}
+
+// send sends a call once.
+func (c *client) send(ctx context.Context, base string, k call) (entryclient.Reply, error) {
+	r, failed := entryclient.Send(ctx, c.transport, base, k.Call)
+	if failed != nil {
+		return r, &failure{err: failed.Err, id: failed.ID}
 	}
-	return resp.Header, data, nil
+	return r, nil
 }
 
-func answerError(status int, data []byte) error {
-	var doc errkind.Document
-	if err := json.Unmarshal(data, &doc); err != nil || doc.Kind == "" {
-		return errkind.New(errkind.Internal, "the entry host answered status %d", status)
+// get reads a document of an entry host.
+func (c *client) get(ctx context.Context, path string, into any) ([]byte, error) {
+	return c.document(ctx, get(path), into)
+}
+
+// document sends a call and decodes the document in the answer. It returns
+// the document's bytes too.
+func (c *client) document(ctx context.Context, k call, into any) ([]byte, error) {
+	r, err := c.do(ctx, k)
+	if err != nil {
+		return nil, err
 	}
-	e := errkind.New(doc.Kind, "%s", doc.Detail)
-	if doc.ID != "" {
-		e.Detail = fmt.Sprintf("%s (id %s)", e.Detail, doc.ID)
+	if err := json.Unmarshal(r.Body, into); err != nil {
+		return nil, &failure{err: errkind.Wrap(errkind.AnswerInvalid, err, "decode the answer"), asJSON: c.asJSON}
 	}
-	return e.WithRun(doc.Run)
+	return r.Body, nil
 }
