Ping a few peers, pass evidence on, and fetch configuration from peers

Cause: the daemon pinged every peer each second and had no source of configuration but the log.

Members drives the pure table; a ping that is answered in another host's name counts as missed, and an incoming ping shows life but no address. The follower asks the peer with the newest version while the log is away or behind.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,11 +64,11 @@
 	d.hosts = follower.NewHosts(hostList, prefixed(logger, "hosts"), milliseconds(s.Platform.PollMs))
 
 	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
-	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, d.summary)
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
+	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, record, d.summary)
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
 	d.operator = operator.New(d.config, platformLog, record, d.explain, d.hosts.Site, d.status)
-	d.config.Attach(nil, d.hosts, record)
+	d.config.Attach(peers.NewConfig(d.members, peerClient), d.hosts, record)
 
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
@@ -139,7 +139,7 @@
 func (d *Daemon) summary() *peerv1.HostSummary {
 	s := &peerv1.HostSummary{
 		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: string(d.incarnation),
-		Leaving: d.leaving.Load(), UptimeMs: time.Since(d.started).Milliseconds(), LastPeerLossMs: -1,
+		Leaving: d.leaving.Load(), UptimeMs: time.Since(d.started).Milliseconds(), Address: d.settings.Listen.Peers,
 	}
 	if state := d.config.State(); state != nil {
 		s.ConfigVersion = state.Version
@@ -182,6 +182,7 @@
 func (d *Daemon) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
+	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since}))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
 	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
 	return mux
--- /dev/null
+++ b/internal/daemon/peers/config.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
+	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/follower"
+	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+// maxAsked bounds the peers that one fetch asks.
+const maxAsked = 3
+
+// Config fetches configuration from peers. It is a follower.Peers.
+type Config struct {
+	directory Directory
+	client    *http.Client
+}
+
+// NewConfig returns a client of the configuration protocol.
+func NewConfig(d Directory, client *http.Client) *Config {
+	return &Config{directory: d, client: client}
+}
+
+// NewestVersion implements follower.Peers.
+func (c *Config) NewestVersion() int64 {
+	var newest int64
+	for _, p := range c.directory.Peers() {
+		if p.Reachable {
+			newest = max(newest, p.Version)
+		}
+	}
+	return newest
+}
+
+// FetchConfig implements follower.Peers.
+func (c *Config) FetchConfig(ctx context.Context, after int64) (follower.Fetched, error) {
+	failures := []error{errors.New("no peer gives configuration")}
+	for _, p := range c.sources() {
+		got, err := c.fetch(ctx, p, after)
+		if err == nil {
+			return got, nil
+		}
+		failures = append(failures, err)
+	}
+	return follower.Fetched{}, errors.Join(failures...)
+}
+
+// sources returns the peers to ask, the most promising first.
+func (c *Config) sources() []Peer {
+	peers := slices.DeleteFunc(c.directory.Peers(), func(p Peer) bool { return p.URL == "" })
+	slices.SortStableFunc(peers, func(a, b Peer) int {
+		if a.Reachable != b.Reachable {
+			if a.Reachable {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Version, a.Version)
+	})
+	return peers[:min(len(peers), maxAsked)]
+}
+
+func (c *Config) fetch(ctx context.Context, p Peer, after int64) (follower.Fetched, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := peerv1connect.NewConfigServiceClient(c.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes))
+	resp, err := client.FetchRecords(ctx, connect.NewRequest(&peerv1.FetchRecordsRequest{After: after}))
+	if err != nil {
+		return follower.Fetched{}, fmt.Errorf("ask %s: %w", p.Host, err)
+	}
+	got := follower.Fetched{Host: p.Host, Offset: resp.Msg.GetSnapshotOffset()}
+	if data := resp.Msg.GetSnapshot(); len(data) > 0 {
+		got.Snapshot = &standing.State{}
+		if err := json.Unmarshal(data, got.Snapshot); err != nil {
+			return follower.Fetched{}, fmt.Errorf("decode state of %s: %w", p.Host, err)
+		}
+	}
+	for _, r := range resp.Msg.GetRecords() {
+		got.Entries = append(got.Entries, config.Entry{Offset: r.GetOffset(), Data: r.GetData()})
+	}
+	return got, nil
+}
+
+// ConfigHandler serves the configuration protocol.
+type ConfigHandler struct {
+	// Since gives what this host holds after an offset.
+	Since func(after int64) follower.Fetched
+}
+
+// FetchRecords implements peerv1connect.ConfigServiceHandler.
+func (h ConfigHandler) FetchRecords(_ context.Context, req *connect.Request[peerv1.FetchRecordsRequest]) (*connect.Response[peerv1.FetchRecordsResponse], error) {
+	held := h.Since(req.Msg.GetAfter())
+	resp := &peerv1.FetchRecordsResponse{SnapshotOffset: held.Offset}
+	if held.Snapshot != nil {
+		data, err := json.Marshal(held.Snapshot)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, fmt.Errorf("encode state: %w", err))
+		}
+		resp.Snapshot = data
+	}
+	for _, e := range held.Entries {
+		resp.Records = append(resp.Records, &peerv1.LogRecord{Offset: e.Offset, Data: e.Data})
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/internal/daemon/peers/directory.go
+++ b/internal/daemon/peers/directory.go
@@ -2,7 +2,11 @@
 // them.
 package peers
 
-import "github.com/parsleyhill/parsleyhill/internal/ids"
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+)
 
 // Peer is one other entry host as last seen.
 type Peer struct {
@@ -12,12 +16,23 @@
 	Zone string
 	// Incarnation is the last one seen, or empty before the first contact.
 	Incarnation ids.Incarnation
-	// URL is the base URL of the peer protocol.
+	// URL is the base URL of the peer protocol, or empty while no address is
+	// known.
 	URL string
 	// Leaving is set when the peer is stopping.
 	Leaving bool
-	// Reachable is set while the peer answers.
+	// Reachable is set while the peer is heard of and answers.
 	Reachable bool
+	// Uptime is the age of the incarnation.
+	Uptime time.Duration
+	// LastLoss is the time since the peer lost sight of a peer incarnation;
+	// negative if it never did.
+	LastLoss time.Duration
+	// Silent is the time since the peer was heard of; negative if it never
+	// was.
+	Silent time.Duration
+	// Version is the configuration version that the peer last reported.
+	Version int64
 }
 
 // Directory lists the other entry hosts.
--- a/internal/daemon/peers/members.go
+++ b/internal/daemon/peers/members.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"expvar"
+	"fmt"
+	"hash/maphash"
+	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,15 +15,26 @@
 
 	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
 	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/decide/members"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
 	"github.com/parsleyhill/parsleyhill/internal/platform"
 )
 
 const (
-	// pingInterval is the time between pings of a peer.
+	// pingInterval is the time between rounds of pings.
 	pingInterval = time.Second
 	// callTimeout bounds one call to a peer.
 	callTimeout = 800 * time.Millisecond
+	// maxReplyBytes bounds what is read from one reply of a peer.
+	maxReplyBytes = 4 << 20
+)
+
+// The metrics of the package.
+var (
+	pingsSent   = expvar.NewInt("parsleyhill.members.pings")
+	pingsMissed = expvar.NewInt("parsleyhill.members.missed")
+	hostsLost   = expvar.NewInt("parsleyhill.members.lost")
 )
 
 // Hosts gives the newest usable host list.
@@ -32,22 +45,24 @@
 // Members follows the other entry hosts by the host list and by pings. It is
 // a Directory and safe for concurrent use.
 type Members struct {
-	self   string
-	hosts  Hosts
-	client *http.Client
+	self     string
+	hosts    Hosts
+	client   *http.Client
+	recorder decision.Recorder
 	// summary describes this host to peers.
 	summary func() *peerv1.HostSummary
 
-	mu       sync.Mutex
-	peers    map[string]*Peer
-	versions map[string]int64
+	mu    sync.Mutex
+	table *members.Table
 }
 
-// NewMembers returns a directory that knows nobody.
-func NewMembers(self string, hosts Hosts, client *http.Client, summary func() *peerv1.HostSummary) *Members {
+// NewMembers returns a directory that knows nobody. Summary describes this
+// host; the time since the last loss of a peer is filled in here.
+func NewMembers(self string, hosts Hosts, client *http.Client, r decision.Recorder, summary func() *peerv1.HostSummary) *Members {
+	rng := rand.New(rand.NewPCG(maphash.String(maphash.MakeSeed(), self), 0))
 	return &Members{
-		self: self, hosts: hosts, client: client, summary: summary,
-		peers: map[string]*Peer{}, versions: map[string]int64{},
+		self: self, hosts: hosts, client: client, recorder: r, summary: summary,
+		table: members.New(self, members.DefaultOptions(), rng),
 	}
 }
 
@@ -56,8 +71,7 @@
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
 	for {
-		m.refresh()
-		m.pingAll(ctx)
+		m.round(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -66,37 +80,19 @@
 	}
 }
 
-// refresh takes new peers from the host list.
-func (m *Members) refresh() {
-	listed := map[string]platform.Host{}
-	for _, h := range m.hosts.Hosts() {
-		if h.Role == platform.RoleEntry && h.Name != m.self {
-			listed[h.Name] = h
-		}
-	}
+// round takes the host list and pings this round's peers at the same time.
+func (m *Members) round(ctx context.Context) {
+	listed := m.listed()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, h := range listed {
-		p, ok := m.peers[name]
-		if !ok {
-			p = &Peer{Host: name}
-			m.peers[name] = p
-		}
-		p.Zone = h.Zone
-		p.URL = "http://" + h.Address
-	}
-	for name, p := range m.peers {
-		if _, ok := listed[name]; !ok && !p.Reachable {
-			delete(m.peers, name)
-		}
-	}
-}
-
-func (m *Members) pingAll(ctx context.Context) {
+	m.table.List(listed)
+	events := m.table.Tick(time.Now())
+	targets := m.table.Targets()
+	m.mu.Unlock()
+	m.record(events)
 	var group errgroup.Group
-	for _, p := range m.Peers() {
+	for _, host := range targets {
 		group.Go(func() error {
-			m.ping(ctx, p)
+			m.ping(ctx, host)
 			return nil
 		})
 	}
@@ -104,68 +100,162 @@
 	_ = group.Wait()
 }
 
-func (m *Members) ping(ctx context.Context, p Peer) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	client := peerv1connect.NewMemberServiceClient(m.client, p.URL)
-	resp, err := client.Ping(ctx, connect.NewRequest(&peerv1.PingRequest{From: m.summary()}))
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known, ok := m.peers[p.Host]
+func (m *Members) listed() []members.Listed {
+	var listed []members.Listed
+	for _, h := range m.hosts.Hosts() {
+		if h.Role == platform.RoleEntry {
+			listed = append(listed, members.Listed{
+				Name: h.Name, Zone: h.Zone, Address: h.Address, Leaving: h.State == platform.HostLeaving,
+			})
+		}
+	}
+	return listed
+}
+
+func (m *Members) ping(ctx context.Context, host string) {
+	p, ok := m.Lookup(host)
 	if !ok {
 		return
 	}
-	known.Reachable = err == nil
-	if err == nil {
-		m.heard(known, resp.Msg.GetFrom())
+	pingsSent.Add(1)
+	resp, err := m.call(ctx, p)
+	if ctx.Err() != nil {
+		return
 	}
+	m.mu.Lock()
+	var events []members.Event
+	if err != nil {
+		pingsMissed.Add(1)
+		m.table.Missed(host)
+	} else {
+		events = m.hear(resp.GetFrom(), resp.GetEvidence(), true)
+	}
+	m.mu.Unlock()
+	m.record(events)
 }
 
-// heard takes a peer's summary. The lock is held.
-func (m *Members) heard(p *Peer, s *peerv1.HostSummary) {
-	p.Incarnation = ids.Incarnation(s.GetIncarnation())
-	p.Leaving = s.GetLeaving()
-	m.versions[p.Host] = s.GetConfigVersion()
+// call pings the peer. An answer in another host's name is an error.
+func (m *Members) call(ctx context.Context, p Peer) (*peerv1.PingResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := peerv1connect.NewMemberServiceClient(m.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes))
+	from, evidence := m.tell()
+	resp, err := client.Ping(ctx, connect.NewRequest(&peerv1.PingRequest{From: from, Evidence: evidence}))
+	if err != nil {
+		return nil, fmt.Errorf("ping %s: %w", p.Host, err)
+	}
+	if got := resp.Msg.GetFrom().GetHost(); got != p.Host {
+		return nil, fmt.Errorf("ping %s: %q answered", p.Host, got)
+	}
+	return resp.Msg, nil
 }
 
 // Ping implements peerv1connect.MemberServiceHandler.
 func (m *Members) Ping(_ context.Context, req *connect.Request[peerv1.PingRequest]) (*connect.Response[peerv1.PingResponse], error) {
-	from := req.Msg.GetFrom()
 	m.mu.Lock()
-	if p, ok := m.peers[from.GetHost()]; ok {
-		p.Reachable = true
-		m.heard(p, from)
-	}
+	events := m.hear(req.Msg.GetFrom(), req.Msg.GetEvidence(), false)
 	m.mu.Unlock()
-	return connect.NewResponse(&peerv1.PingResponse{From: m.summary()}), nil
+	m.record(events)
+	from, evidence := m.tell()
+	return connect.NewResponse(&peerv1.PingResponse{From: from, Evidence: evidence}), nil
+}
+
+// record records what happened to peers.
+func (m *Members) record(events []members.Event) {
+	for _, e := range events {
+		if e.Kind == members.EventLost {
+			hostsLost.Add(1)
+		}
+		if m.recorder == nil {
+			continue
+		}
+		m.recorder.Record(decision.Record{
+			Part: decision.PartMember, Action: string(e.Kind), Rule: "evidence before list",
+			Why:      fmt.Sprintf("incarnation %s, heard of %s ago", e.Incarnation, e.Silent.Round(time.Millisecond)),
+			Subjects: []string{e.Host, string(e.Incarnation)},
+		})
+	}
 }
 
 // Peers implements Directory.
 func (m *Members) Peers() []Peer {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	peers := make([]Peer, 0, len(m.peers))
-	for _, p := range m.peers {
-		peers = append(peers, *p)
+	known := m.table.Peers()
+	out := make([]Peer, 0, len(known))
+	for _, p := range known {
+		out = append(out, asPeer(p, now))
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Host, b.Host) })
-	return peers
+	return out
 }
 
 // Lookup implements Directory.
 func (m *Members) Lookup(host string) (Peer, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p, ok := m.peers[host]
-	if !ok {
-		return Peer{}, false
+	p, ok := m.table.Lookup(host)
+	return asPeer(p, time.Now()), ok
+}
+
+func asPeer(p members.Peer, now time.Time) Peer {
+	out := Peer{
+		Host: p.Name, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving,
+		Reachable: p.Reachable, Version: p.Version, LastLoss: -1, Silent: -1,
+	}
+	if p.Address != "" {
+		out.URL = "http://" + p.Address
+	}
+	if !p.Heard.IsZero() {
+		out.Silent = now.Sub(p.Heard)
+		out.Uptime = p.Uptime + out.Silent
 	}
-	return *p, true
+	if !p.LastLoss.IsZero() {
+		out.LastLoss = now.Sub(p.LastLoss)
+	}
+	return out
 }
 
 // Version returns the configuration version that the peer last reported.
 func (m *Members) Version(host string) int64 {
+	p, _ := m.Lookup(host)
+	return p.Version
+}
+
+// LastLoss returns the time since this host lost sight of a peer incarnation;
+// negative if it never did.
+func (m *Members) LastLoss() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at := m.table.LastLoss(); !at.IsZero() {
+		return time.Since(at)
+	}
+	return -1
+}
+
+// Replaced returns the time since another process was found in the place of
+// the incarnation's, which proves that it is gone.
+func (m *Members) Replaced(i ids.Incarnation) (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.table.Replaced(i)
+	if !ok {
+		return 0, false
+	}
+	return time.Since(at), true
+}
+
+// SawLeaving passes on that a backend server refused work because it leaves.
+func (m *Members) SawLeaving(backend string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Hint(time.Now(), members.Hint{Backend: backend})
+}
+
+// LeavingBackends returns the backend servers that an entry host lately saw
+// leaving, this one included, newest first.
+func (m *Members) LeavingBackends() []members.Hint {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.versions[host]
+	return m.table.Hints(time.Now())
 }
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -187,7 +187,7 @@
 	if direct {
 		p.failed = false
 	}
-	return append(events, t.take(now, at, p, r)...)
+	return append(events, t.take(at, p, r)...)
 }
 
 // replace notes that the peer's incarnation has been followed by another.
@@ -206,7 +206,7 @@
 	return Event{Kind: EventReplaced, Host: p.Name, Incarnation: p.Incarnation, Silent: now.Sub(p.Heard)}
 }
 
-func (t *Table) take(now, at time.Time, p *Peer, r Report) []Event {
+func (t *Table) take(at time.Time, p *Peer, r Report) []Event {
 	var events []Event
 	if !p.alive {
 		events = append(events, Event{Kind: EventJoined, Host: p.Name, Incarnation: r.Incarnation})
--- a/internal/decide/members/members_test.go
+++ b/internal/decide/members/members_test.go
@@ -308,8 +308,10 @@
 func BenchmarkDetection(b *testing.B) {
 	for _, n := range sizes {
 		for _, o := range []Options{
-			{Fanout: 1, Evidence: 3, Fresh: 5 * time.Second}, {Fanout: 1, Evidence: 3, Fresh: 8 * time.Second},
-			{Fanout: 2, Evidence: 3, Fresh: 5 * time.Second}, {Fanout: 2, Evidence: 3, Fresh: 8 * time.Second},
+			{Fanout: 1, Evidence: 3, Fresh: 5 * time.Second},
+			{Fanout: 1, Evidence: 3, Fresh: 8 * time.Second},
+			{Fanout: 2, Evidence: 3, Fresh: 5 * time.Second},
+			{Fanout: 2, Evidence: 3, Fresh: 8 * time.Second},
 			{Fanout: 3, Evidence: 3, Fresh: 5 * time.Second},
 		} {
 			b.Run(fmt.Sprintf("hosts=%d/fanout=%d/evidence=%d/fresh=%s", n, o.Fanout, o.Evidence, o.Fresh), func(b *testing.B) {
