requests: serve identities across entry hosts, hand on the queue at a planned stop

Cause: the table of identities had no shell. A second arrival at another host ran again, a joined caller was refused, and a stop waited for the queue.

Forward now does what Join was to do, and carries the receiver's incarnation, so a host that was replaced never takes what was meant for the last one. A host that had left a request to another says to whom. POST /v1/ids mints ids that run once wherever they arrive. A starting host learns its peers' claims before it is ready, so a first attempt that is late there does not run.

Ruled out: forwarding on from a host that had only promised (two hosts that promised each other would wait for each other); treating the stop of a host as a reason to refuse arrivals of requests in flight.

--- a/gen/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/peer/v1/peerv1connect/peer.connect.go
@@ -49,10 +49,10 @@
 	MemberServicePingProcedure = "/peer.v1.MemberService/Ping"
 	// IdentityServiceFenceProcedure is the fully-qualified name of the IdentityService's Fence RPC.
 	IdentityServiceFenceProcedure = "/peer.v1.IdentityService/Fence"
-	// IdentityServiceJoinProcedure is the fully-qualified name of the IdentityService's Join RPC.
-	IdentityServiceJoinProcedure = "/peer.v1.IdentityService/Join"
 	// IdentityServiceForwardProcedure is the fully-qualified name of the IdentityService's Forward RPC.
 	IdentityServiceForwardProcedure = "/peer.v1.IdentityService/Forward"
+	// IdentityServiceClaimsProcedure is the fully-qualified name of the IdentityService's Claims RPC.
+	IdentityServiceClaimsProcedure = "/peer.v1.IdentityService/Claims"
 	// SlotServiceBorrowProcedure is the fully-qualified name of the SlotService's Borrow RPC.
 	SlotServiceBorrowProcedure = "/peer.v1.SlotService/Borrow"
 	// JobServiceGetJobProcedure is the fully-qualified name of the JobService's GetJob RPC.
@@ -145,11 +145,13 @@
 	// Fence asks whether the receiver has seen a request and forbids it from
 	// starting that request later.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
-	// Join waits for the answer of a request that the receiver owns.
-	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
-	// Forward runs a request on the host that minted its id, or hands over a
-	// queued request when the sender stops.
-	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.JoinResponse], error)
+	// Forward hands an arrival to the host that runs the request, may run it or
+	// minted its id, and waits for the answer. It also hands over a queued
+	// request when the sender stops.
+	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
+	// Claims lists the requests that only their claimant may start, for a host
+	// that starts anew.
+	Claims(context.Context, *connect.Request[v1.ClaimsRequest]) (*connect.Response[v1.ClaimsResponse], error)
 }
 
 // NewIdentityServiceClient constructs a client for the peer.v1.IdentityService service. By default,
@@ -169,16 +171,16 @@
 			connect.WithSchema(identityServiceMethods.ByName("Fence")),
 			connect.WithClientOptions(opts...),
 		),
-		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+		forward: connect.NewClient[v1.ForwardRequest, v1.ForwardResponse](
 			httpClient,
-			baseURL+IdentityServiceJoinProcedure,
-			connect.WithSchema(identityServiceMethods.ByName("Join")),
+			baseURL+IdentityServiceForwardProcedure,
+			connect.WithSchema(identityServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
-		forward: connect.NewClient[v1.ForwardRequest, v1.JoinResponse](
+		claims: connect.NewClient[v1.ClaimsRequest, v1.ClaimsResponse](
 			httpClient,
-			baseURL+IdentityServiceForwardProcedure,
-			connect.WithSchema(identityServiceMethods.ByName("Forward")),
+			baseURL+IdentityServiceClaimsProcedure,
+			connect.WithSchema(identityServiceMethods.ByName("Claims")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -187,8 +189,8 @@
 // identityServiceClient implements IdentityServiceClient.
 type identityServiceClient struct {
 	fence   *connect.Client[v1.FenceRequest, v1.FenceResponse]
-	join    *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	forward *connect.Client[v1.ForwardRequest, v1.JoinResponse]
+	forward *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	claims  *connect.Client[v1.ClaimsRequest, v1.ClaimsResponse]
 }
 
 // Fence calls peer.v1.IdentityService.Fence.
@@ -196,26 +198,28 @@
 	return c.fence.CallUnary(ctx, req)
 }
 
-// Join calls peer.v1.IdentityService.Join.
-func (c *identityServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
-	return c.join.CallUnary(ctx, req)
-}
-
 // Forward calls peer.v1.IdentityService.Forward.
-func (c *identityServiceClient) Forward(ctx context.Context, req *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.JoinResponse], error) {
+func (c *identityServiceClient) Forward(ctx context.Context, req *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error) {
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Claims calls peer.v1.IdentityService.Claims.
+func (c *identityServiceClient) Claims(ctx context.Context, req *connect.Request[v1.ClaimsRequest]) (*connect.Response[v1.ClaimsResponse], error) {
+	return c.claims.CallUnary(ctx, req)
+}
+
 // IdentityServiceHandler is an implementation of the peer.v1.IdentityService service.
 type IdentityServiceHandler interface {
 	// Fence asks whether the receiver has seen a request and forbids it from
 	// starting that request later.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
-	// Join waits for the answer of a request that the receiver owns.
-	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
-	// Forward runs a request on the host that minted its id, or hands over a
-	// queued request when the sender stops.
-	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.JoinResponse], error)
+	// Forward hands an arrival to the host that runs the request, may run it or
+	// minted its id, and waits for the answer. It also hands over a queued
+	// request when the sender stops.
+	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
+	// Claims lists the requests that only their claimant may start, for a host
+	// that starts anew.
+	Claims(context.Context, *connect.Request[v1.ClaimsRequest]) (*connect.Response[v1.ClaimsResponse], error)
 }
 
 // NewIdentityServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -231,26 +235,26 @@
 		connect.WithSchema(identityServiceMethods.ByName("Fence")),
 		connect.WithHandlerOptions(opts...),
 	)
-	identityServiceJoinHandler := connect.NewUnaryHandler(
-		IdentityServiceJoinProcedure,
-		svc.Join,
-		connect.WithSchema(identityServiceMethods.ByName("Join")),
-		connect.WithHandlerOptions(opts...),
-	)
 	identityServiceForwardHandler := connect.NewUnaryHandler(
 		IdentityServiceForwardProcedure,
 		svc.Forward,
 		connect.WithSchema(identityServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	identityServiceClaimsHandler := connect.NewUnaryHandler(
+		IdentityServiceClaimsProcedure,
+		svc.Claims,
+		connect.WithSchema(identityServiceMethods.ByName("Claims")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.IdentityService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case IdentityServiceFenceProcedure:
 			identityServiceFenceHandler.ServeHTTP(w, r)
-		case IdentityServiceJoinProcedure:
-			identityServiceJoinHandler.ServeHTTP(w, r)
 		case IdentityServiceForwardProcedure:
 			identityServiceForwardHandler.ServeHTTP(w, r)
+		case IdentityServiceClaimsProcedure:
+			identityServiceClaimsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -264,12 +268,12 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.IdentityService.Fence is not implemented"))
 }
 
-func (UnimplementedIdentityServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.IdentityService.Join is not implemented"))
+func (UnimplementedIdentityServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.IdentityService.Forward is not implemented"))
 }
 
-func (UnimplementedIdentityServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.JoinResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.IdentityService.Forward is not implemented"))
+func (UnimplementedIdentityServiceHandler) Claims(context.Context, *connect.Request[v1.ClaimsRequest]) (*connect.Response[v1.ClaimsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.IdentityService.Claims is not implemented"))
 }
 
 // SlotServiceClient is a client for the peer.v1.SlotService service.
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -5,6 +5,7 @@
 // The paths of the interface.
 const (
 	PathRequests = "/v1/requests"
+	PathIDs      = "/v1/ids"
 	PathJobs     = "/v1/jobs"
 	PathReady    = "/v1/ready"
 )
@@ -35,6 +36,22 @@
 	HeaderMessages = "Parsleyhill-Extra-Messages"
 )
 
+// ParamCount is the query parameter of PathIDs that says how many ids to mint.
+const ParamCount = "count"
+
+// MaxIDs is the largest number of ids minted at once.
+const MaxIDs = 1000
+
+// IDs is the answer of PathIDs: request ids that run at most once wherever
+// and however often they arrive.
+type IDs struct {
+	IDs []string `json:"ids"`
+	// Host is the entry host that runs them. Others forward to it.
+	Host string `json:"host"`
+	// ValidMs is how long the ids may be used, in milliseconds.
+	ValidMs int64 `json:"valid_ms"`
+}
+
 // JobState is where a job stands.
 type JobState string
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
 	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/fences"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/follower"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/jobs"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/journal"
@@ -41,6 +42,7 @@
 	config   *follower.Config
 	hosts    *follower.Hosts
 	members  *peers.Members
+	fleet    *fences.Fleet
 	explain  *peers.Explain
 	requests *requests.Service
 	jobs     *jobs.Service
@@ -65,6 +67,7 @@
 
 	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
 	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, d.summary)
+	d.fleet = fences.NewFleet(d.members)
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
 	d.operator = operator.New(d.config, platformLog, record, d.explain, d.status)
@@ -72,6 +75,7 @@
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
+		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient),
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
@@ -112,6 +116,7 @@
 		{Name: "host list", Run: d.hosts.Run},
 		{Name: "configuration", Run: d.config.Run},
 		{Name: "members", Run: d.members.Run},
+		{Name: "fleet", Run: d.fleet.Run},
 		{Name: "requests", Run: d.requests.Run},
 		{Name: "jobs", Run: d.jobs.Run},
 		{Name: "peers port", Run: serveHTTP(listen.Peers, d.peerRoutes()), Restart: supervise.Never},
@@ -133,12 +138,14 @@
 	d.logger.Info("planned stop ends")
 }
 
-func (d *Daemon) ready() bool { return !d.leaving.Load() && d.config.State() != nil }
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.config.State() != nil && d.requests.Ready()
+}
 
 func (d *Daemon) summary() *peerv1.HostSummary {
 	s := &peerv1.HostSummary{
 		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: string(d.incarnation),
-		Leaving: d.leaving.Load(), UptimeMs: time.Since(d.started).Milliseconds(), LastPeerLossMs: -1,
+		Leaving: d.leaving.Load(), UptimeMs: time.Since(d.started).Milliseconds(), LastPeerLossMs: fences.EncodeLoss(d.fleet.Losses()),
 	}
 	if state := d.config.State(); state != nil {
 		s.ConfigVersion = state.Version
@@ -181,6 +188,7 @@
 func (d *Daemon) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
+	mux.Handle(peerv1connect.NewIdentityServiceHandler(fences.Handler{Requests: d.requests}))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
 	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
 	return mux
--- /dev/null
+++ b/internal/daemon/fences/client.go
@@ -0,0 +1,152 @@
+// Package fences speaks the identity protocol between entry hosts: fences,
+// forwarded requests and claims.
+package fences
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
+	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
+	"github.com/parsleyhill/parsleyhill/internal/decide/identity"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+)
+
+// Client calls other entry hosts. It is a requests.Remote.
+type Client struct {
+	directory peers.Directory
+	http      *http.Client
+}
+
+// NewClient returns a client that finds hosts in the directory.
+func NewClient(d peers.Directory, client *http.Client) *Client {
+	return &Client{directory: d, http: client}
+}
+
+func (c *Client) service(host string) (peerv1connect.IdentityServiceClient, error) {
+	p, ok := c.directory.Lookup(host)
+	if !ok {
+		return nil, fmt.Errorf("entry host %s is not known", host)
+	}
+	return peerv1connect.NewIdentityServiceClient(c.http, p.URL), nil
+}
+
+// Fence implements requests.Remote.
+func (c *Client) Fence(ctx context.Context, host, customer, id string, claimant ids.Incarnation) (identity.Reply, error) {
+	service, err := c.service(host)
+	if err != nil {
+		return identity.Reply{}, err
+	}
+	resp, err := service.Fence(ctx, connect.NewRequest(&peerv1.FenceRequest{
+		Customer: customer, RequestId: id, Claimant: string(claimant),
+	}))
+	if err != nil {
+		return identity.Reply{}, fmt.Errorf("fence at %s: %w", host, err)
+	}
+	seen, err := decodeSeen(resp.Msg.GetSeen())
+	if err != nil {
+		return identity.Reply{}, fmt.Errorf("fence at %s: %w", host, err)
+	}
+	from := resp.Msg.GetFrom()
+	return identity.Reply{
+		Seen:      seen,
+		Claimant:  ids.Incarnation(resp.Msg.GetClaimant()),
+		From:      ids.Incarnation(from.GetIncarnation()),
+		Remembers: milliseconds(resp.Msg.GetRemembersMs()),
+		Losses:    decodeLoss(from.GetLastPeerLossMs()),
+		Known:     resp.Msg.GetKnown(),
+	}, nil
+}
+
+// Forward implements requests.Remote.
+func (c *Client) Forward(ctx context.Context, f requests.Forwarded) (identity.Result, error) {
+	service, err := c.service(f.To.Host())
+	if err != nil {
+		return identity.Result{}, err
+	}
+	resp, err := service.Forward(ctx, connect.NewRequest(&peerv1.ForwardRequest{
+		Customer: f.Customer, Team: f.Team, RequestId: f.ID, Idempotent: f.Idempotent,
+		TimeoutMs: f.Timeout.Milliseconds(), DeclaredRunMs: f.Declared.Milliseconds(),
+		ContentType: f.ContentType, Body: f.Body, HandOver: f.HandOver, To: string(f.To), From: string(f.From),
+	}))
+	if err != nil {
+		return identity.Result{}, fmt.Errorf("forward to %s: %w", f.To, err)
+	}
+	return decodeResult(resp.Msg.GetAnswer()), nil
+}
+
+// Claims implements requests.Remote.
+func (c *Client) Claims(ctx context.Context, host string) ([]requests.Claim, error) {
+	service, err := c.service(host)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := service.Claims(ctx, connect.NewRequest(&peerv1.ClaimsRequest{}))
+	if err != nil {
+		return nil, fmt.Errorf("claims of %s: %w", host, err)
+	}
+	var claims []requests.Claim
+	for _, m := range resp.Msg.GetClaims() {
+		claims = append(claims, requests.Claim{
+			Customer: m.GetCustomer(),
+			Claim:    identity.Claim{ID: m.GetRequestId(), Claimant: ids.Incarnation(m.GetClaimant())},
+		})
+	}
+	return claims, nil
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func decodeSeen(s peerv1.Seen) (identity.Seen, error) {
+	switch s {
+	case peerv1.Seen_SEEN_NEVER:
+		return identity.SeenNever, nil
+	case peerv1.Seen_SEEN_OWNED:
+		return identity.SeenOwned, nil
+	case peerv1.Seen_SEEN_FENCED:
+		return identity.SeenFenced, nil
+	default:
+		return 0, fmt.Errorf("unknown answer %v", s)
+	}
+}
+
+func decodeLoss(ms int64) identity.Loss {
+	if ms < 0 {
+		return identity.Loss{}
+	}
+	return identity.Loss{Ever: true, Ago: milliseconds(ms)}
+}
+
+// decodeResult reads a peer's result. One that says neither answer nor known
+// error proves nothing.
+func decodeResult(a *peerv1.Answer) identity.Result {
+	result := identity.Result{RetryAfter: milliseconds(a.GetRetryAfterMs()), Messages: int(a.GetMessages())}
+	result.LeftTo = ids.Incarnation(a.GetLeftTo())
+	switch {
+	case a.GetErrorKind() != "":
+		result.Err = errkind.New(errkind.Kind(a.GetErrorKind()), "%s", a.GetDetail()).WithRun(decodeRun(a.GetRunState()))
+	case a.GetStatus() == 0:
+		result.Err = errkind.New(errkind.PeerUnreachable, "the peer gave no answer")
+	default:
+		result.Answer = identity.Answer{
+			Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody(), Backend: a.GetBackend(),
+		}
+	}
+	return result
+}
+
+func decodeRun(state string) errkind.RunState {
+	switch run := errkind.RunState(state); run {
+	case errkind.NotRun, errkind.Ran:
+		return run
+	default:
+		return errkind.Unknown
+	}
+}
--- /dev/null
+++ b/internal/daemon/fences/fleet.go
@@ -0,0 +1,96 @@
+package fences
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
+	"github.com/parsleyhill/parsleyhill/internal/decide/identity"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+)
+
+// watchInterval is the time between looks at the directory.
+const watchInterval = 250 * time.Millisecond
+
+// Fleet watches the directory for lost incarnations: a host that was replaced
+// or is no longer listed. It is a requests.Fleet and safe for concurrent use.
+type Fleet struct {
+	directory peers.Directory
+
+	mu     sync.Mutex
+	last   map[string]ids.Incarnation
+	lostAt time.Time
+}
+
+// NewFleet returns a fleet that has lost nobody.
+func NewFleet(d peers.Directory) *Fleet {
+	return &Fleet{directory: d, last: map[string]ids.Incarnation{}}
+}
+
+// Run watches until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		f.look(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// look compares the directory with the last look.
+func (f *Fleet) look(now time.Time) []peers.Peer {
+	listed := f.directory.Peers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := map[string]ids.Incarnation{}
+	for _, p := range listed {
+		current[p.Host] = p.Incarnation
+		if p.Incarnation == "" {
+			current[p.Host] = f.last[p.Host]
+		}
+	}
+	for host, inc := range f.last {
+		if found, ok := current[host]; !ok || inc != "" && found != inc {
+			f.lostAt = now
+		}
+	}
+	f.last = current
+	return listed
+}
+
+// Fleet implements requests.Fleet.
+func (f *Fleet) Fleet() identity.Fleet {
+	now := time.Now()
+	var fleet identity.Fleet
+	for _, p := range f.look(now) {
+		fleet.Peers = append(fleet.Peers, p.Host)
+	}
+	fleet.Losses = f.Losses()
+	return fleet
+}
+
+// Losses returns when this host last lost sight of a peer's incarnation.
+func (f *Fleet) Losses() identity.Loss {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		return identity.Loss{}
+	}
+	return identity.Loss{Ever: true, Ago: time.Since(f.lostAt)}
+}
+
+// Takers implements requests.Fleet.
+func (f *Fleet) Takers() []ids.Incarnation {
+	var takers []ids.Incarnation
+	for _, p := range f.directory.Peers() {
+		if p.Reachable && !p.Leaving && p.Incarnation != "" {
+			takers = append(takers, p.Incarnation)
+		}
+	}
+	return takers
+}
--- a/internal/daemon/requests/http.go
+++ b/internal/daemon/requests/http.go
@@ -2,95 +2,185 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
-	"github.com/parsleyhill/parsleyhill/internal/decide/dispatch"
+	"github.com/parsleyhill/parsleyhill/internal/decide/identity"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/httpjson"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
 )
 
+// maxIDLength bounds a caller's id.
+const maxIDLength = 128
+
 // Routes adds the callers' paths to mux.
 func (s *Service) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+callerapi.PathRequests, s.serveRequest)
+	mux.HandleFunc("POST "+callerapi.PathIDs, s.serveIDs)
 }
 
 func (s *Service) serveRequest(w http.ResponseWriter, r *http.Request) {
 	req, err := s.parse(w, r)
 	if err != nil {
-		errkind.Write(w, "", err, 0)
+		errkind.Write(w, req.ID, err, 0)
 		return
 	}
 	w.Header().Set(callerapi.HeaderRequestID, req.ID)
 	w.Header().Set(callerapi.HeaderHost, s.deps.Settings.Host)
-	if err := s.submit(req); err != nil {
-		errkind.Write(w, req.ID, err, 0)
-		return
-	}
-	res := <-req.done
-	if res.err != nil {
-		errkind.Write(w, req.ID, res.err, res.retryAfter)
+	result := s.do(r.Context(), req)
+	s.count(req.customer, result)
+	w.Header().Set(callerapi.HeaderMessages, strconv.Itoa(result.Messages))
+	if result.Err != nil {
+		errkind.Write(w, req.ID, result.Err, result.RetryAfter)
 		return
 	}
 	h := w.Header()
-	h.Set(callerapi.HeaderBackend, res.backend)
-	h.Set("Content-Type", res.answer.ContentType)
-	h.Set("Content-Length", strconv.Itoa(len(res.answer.Body)))
-	w.WriteHeader(res.answer.Status)
+	h.Set(callerapi.HeaderBackend, result.Answer.Backend)
+	h.Set("Content-Type", result.Answer.ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(result.Answer.Body)))
+	w.WriteHeader(result.Answer.Status)
 	// A failed write means that the caller has gone; there is nobody to tell.
-	_, _ = w.Write(res.answer.Body)
+	_, _ = w.Write(result.Answer.Body)
 }
 
-// parse checks a request whole before anything is done with it.
-func (s *Service) parse(w http.ResponseWriter, r *http.Request) (*request, *errkind.Error) {
+// serveIDs mints request ids that name this host.
+func (s *Service) serveIDs(w http.ResponseWriter, r *http.Request) {
+	count, err := parseInt(callerapi.ParamCount, r.URL.Query().Get(callerapi.ParamCount), 1)
+	if err == nil && (count < 1 || count > callerapi.MaxIDs) {
+		err = errkind.New(errkind.BadRequest, "parameter %s: %d is not in 1 to %d", callerapi.ParamCount, count, callerapi.MaxIDs)
+	}
+	name := r.Header.Get(callerapi.HeaderCustomer)
+	rules, found := s.rules(name)
+	if err == nil && !found {
+		err = errkind.New(errkind.UnknownCustomer, "no customer %q", name)
+	}
+	if err != nil {
+		errkind.Write(w, "", err, 0)
+		return
+	}
+	minted := callerapi.IDs{Host: s.deps.Settings.Host, ValidMs: rules.HorizonMs}
+	for range count {
+		minted.IDs = append(minted.IDs, s.mint())
+	}
+	httpjson.Write(w, http.StatusOK, minted)
+}
+
+func (s *Service) mint() string { return ids.NewRequestAt(s.deps.Incarnation, time.Since(s.started)) }
+
+// rules returns a customer's rules in force.
+func (s *Service) rules(customer string) (standing.Customer, bool) {
 	state := s.deps.View.State()
 	if state == nil {
-		return nil, errkind.New(errkind.NotReady, "no configuration yet")
+		return standing.Customer{}, false
 	}
+	rules, ok := state.Customers[customer]
+	return rules.WithDefaults(), ok
+}
+
+// parse checks a request whole before anything is done with it. With an
+// error, the request's ID is set if it is known.
+func (s *Service) parse(w http.ResponseWriter, r *http.Request) (*request, *errkind.Error) {
 	h := r.Header
-	name := h.Get(callerapi.HeaderCustomer)
-	rules, ok := state.Customers[name]
-	if !ok {
-		return nil, errkind.New(errkind.UnknownCustomer, "no customer %q", name)
-	}
-	deadline, err := parseDeadline(h.Get(callerapi.HeaderDeadline), rules.WithDefaults())
+	req := &request{customer: h.Get(callerapi.HeaderCustomer), contentType: h.Get("Content-Type")}
+	attempt, err := parseAttempt(h.Get(callerapi.HeaderAttempt))
 	if err != nil {
-		return nil, err
+		return req, err
+	}
+	req.ID = h.Get(callerapi.HeaderRequestID)
+	req.Team = h.Get(callerapi.HeaderTeam)
+	req.Idempotent = h.Get(callerapi.HeaderIdempotent) == "true"
+	if req.body, err = readBody(w, r, s.deps.Settings.Limits.BodyBytes); err != nil {
+		return req, err
 	}
-	declaredMs, err := parseMs(callerapi.HeaderDeclared, h.Get(callerapi.HeaderDeclared), 0)
+	declaredMs, err := parseInt(callerapi.HeaderDeclared, h.Get(callerapi.HeaderDeclared), 0)
 	if err != nil {
-		return nil, err
+		return req, err
+	}
+	req.Declared = time.Duration(declaredMs) * time.Millisecond
+	if err := s.identify(req, attempt); err != nil {
+		return req, err
+	}
+	if s.deps.View.State() == nil {
+		return req, req.unproven(errkind.New(errkind.NotReady, "no configuration yet"))
+	}
+	rules, ok := s.rules(req.customer)
+	if !ok {
+		return req, req.unproven(errkind.New(errkind.UnknownCustomer, "no customer %q", req.customer))
 	}
-	body, err := readBody(w, r, s.deps.Settings.Limits.BodyBytes)
+	deadline, err := parseDeadline(h.Get(callerapi.HeaderDeadline), rules)
 	if err != nil {
-		return nil, err
-	}
-	id := h.Get(callerapi.HeaderRequestID)
-	if id == "" {
-		id = ids.NewRequest(s.deps.Incarnation)
-	}
-	return &request{
-		Request: dispatch.Request{
-			ID:         id,
-			Team:       h.Get(callerapi.HeaderTeam),
-			Idempotent: h.Get(callerapi.HeaderIdempotent) == "true",
-			Deadline:   time.Now().Add(deadline),
-			Declared:   time.Duration(declaredMs) * time.Millisecond,
-		},
-		customer:    name,
-		contentType: h.Get("Content-Type"),
-		body:        body,
-		done:        make(chan result, 1),
-		ctx:         r.Context(),
-	}, nil
+		return req, req.unproven(err)
+	}
+	req.Deadline = time.Now().Add(deadline)
+	return req, nil
+}
+
+// identify fills in the request's arrival. Attempt 0 means unmarked. A request
+// without an id gets one.
+func (s *Service) identify(req *request, attempt int64) *errkind.Error {
+	rules, _ := s.rules(req.customer)
+	minted := req.ID == ""
+	if minted {
+		req.ID = s.mint()
+	}
+	if !validID(req.ID) {
+		return errkind.New(errkind.BadRequest, "an id has up to %d printable characters", maxIDLength)
+	}
+	unmarkedFirst := attempt == 0 && req.from == "" && rules.Unmarked == standing.UnmarkedFirst
+	req.arrival = identity.Arrival{
+		ID:          req.ID,
+		First:       minted || attempt == 1 || unmarkedFirst,
+		Idempotent:  req.Idempotent,
+		Fingerprint: fingerprint(req),
+	}
+	if !ids.IsMinted(req.ID) {
+		return nil
+	}
+	by, err := ids.ParseMinted(req.ID)
+	age := time.Since(s.started) - by.At
+	if err != nil || by.By == s.deps.Incarnation && age < 0 {
+		return errkind.New(errkind.BadRequest, "id %q was not minted by an entry host", req.ID)
+	}
+	req.arrival.Minter, req.arrival.MintedAgo = by.By, age
+	return nil
+}
+
+func validID(id string) bool {
+	for _, r := range id {
+		if r <= ' ' || r > '~' {
+			return false
+		}
+	}
+	return len(id) <= maxIDLength
+}
+
+// fingerprint tells requests with the same id apart.
+func fingerprint(req *request) string {
+	d := xxhash.New()
+	// A hash never fails to take bytes.
+	_, _ = fmt.Fprintf(d, "%d %s %t ", len(req.contentType), req.contentType, req.Idempotent)
+	_, _ = d.Write(req.body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+func parseAttempt(text string) (int64, *errkind.Error) {
+	attempt, err := parseInt(callerapi.HeaderAttempt, text, 0)
+	if err == nil && text != "" && attempt < 1 {
+		return 0, errkind.New(errkind.BadRequest, "header %s counts from 1", callerapi.HeaderAttempt)
+	}
+	return attempt, err
 }
 
 func parseDeadline(text string, rules standing.Customer) (time.Duration, *errkind.Error) {
-	ms, err := parseMs(callerapi.HeaderDeadline, text, rules.DeadlineMs)
+	ms, err := parseInt(callerapi.HeaderDeadline, text, rules.DeadlineMs)
 	if err != nil {
 		return 0, err
 	}
@@ -100,15 +190,15 @@
 	return time.Duration(min(ms, rules.MaxDeadlineMs)) * time.Millisecond, nil
 }
 
-func parseMs(name, text string, unset int64) (int64, *errkind.Error) {
+func parseInt(name, text string, unset int64) (int64, *errkind.Error) {
 	if text == "" {
 		return unset, nil
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
+	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
-		return 0, errkind.Wrap(errkind.BadRequest, err, "header %s", name)
+		return 0, errkind.Wrap(errkind.BadRequest, err, "%s", name)
 	}
-	return ms, nil
+	return n, nil
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errkind.Error) {
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -1,5 +1,6 @@
 // Package requests serves callers' requests on an entry host: it runs the
-// decisions of package dispatch, sends to backend servers and answers.
+// decisions of packages identity and dispatch, sends to backend servers and
+// answers.
 package requests
 
 import (
@@ -10,6 +11,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon/pool"
 	"github.com/parsleyhill/parsleyhill/internal/decide/dispatch"
+	"github.com/parsleyhill/parsleyhill/internal/decide/identity"
 	"github.com/parsleyhill/parsleyhill/internal/decide/route"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -24,9 +26,15 @@
 	Hosts() []platform.Host
 }
 
-// tickInterval is the time between checks of waiting requests' deadlines and
-// of the configuration.
-const tickInterval = 20 * time.Millisecond
+const (
+	// tickInterval is the time between checks of waiting requests' deadlines
+	// and of the configuration.
+	tickInterval = 20 * time.Millisecond
+	// maxIDs bounds the request ids remembered for one customer.
+	maxIDs = 200_000
+	// maxAnswerBytes bounds the answers remembered for one customer.
+	maxAnswerBytes = 48 << 20
+)
 
 // Deps are what the service needs.
 type Deps struct {
@@ -36,48 +44,39 @@
 	Hosts       Hosts
 	Recorder    decision.Recorder
 	Pool        *pool.Pool
+	// Fleet knows the other entry hosts, and Remote calls them.
+	Fleet  Fleet
+	Remote Remote
 	// Seed makes ties in routing repeatable.
 	Seed uint64
 }
 
-// request is one accepted request with its payload.
-type request struct {
-	dispatch.Request
-	customer    string
-	contentType string
-	body        []byte
-	done        chan result
-	ctx         context.Context
-}
-
-// result ends a request: an answer or an error.
-type result struct {
-	answer     pool.Answer
-	backend    string
-	err        *errkind.Error
-	retryAfter time.Duration
-}
-
 // customer is the state of one customer on this host.
 type customer struct {
+	name      string
 	core      *dispatch.Core
-	requests  map[string]*request
+	table     *identity.Table
+	work      map[string]*work
 	addresses map[string]string
 }
 
 // Service serves requests. It is safe for concurrent use.
 type Service struct {
-	deps Deps
+	deps    Deps
+	started time.Time
 
 	mu        sync.Mutex
 	customers map[string]*customer
 	stopping  bool
-	inFlight  sync.WaitGroup
+	// learning and learned are set when the peers are and were asked for the
+	// claims made before this host started.
+	learning bool
+	learned  bool
 }
 
 // New returns a service that serves nothing until Run.
 func New(deps Deps) *Service {
-	return &Service{deps: deps, customers: map[string]*customer{}}
+	return &Service{deps: deps, started: time.Now(), customers: map[string]*customer{}}
 }
 
 // Run keeps decisions up to date until ctx ends.
@@ -94,25 +93,6 @@
 	}
 }
 
-// Stop refuses new requests and waits until those in flight are answered or
-// ctx ends.
-func (s *Service) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (s *Service) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,23 +101,60 @@
 		return
 	}
 	hosts := s.deps.Hosts.Hosts()
+	if len(hosts) > 0 && !s.learning {
+		s.learning = true
+		go s.learn()
+	}
 	for name, rules := range state.Customers {
 		c := s.customer(name, rules)
 		c.core.SetRules(rules)
-		s.apply(c, c.core.SetBackends(now, c.backends(name, rules, state, hosts)))
+		c.table.SetHorizon(now, horizon(rules))
+		c.table.Expire(now)
+		s.apply(c, c.core.SetBackends(now, c.backends(rules, state, hosts)))
 		s.apply(c, c.core.Tick(now))
 	}
 }
 
-// customer returns the state of the customer, made on first use.
+// Ready returns whether the service may take first attempts.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learned && !s.stopping
+}
+
+func horizon(rules standing.Customer) time.Duration {
+	return time.Duration(rules.WithDefaults().HorizonMs) * time.Millisecond
+}
+
+// known returns the state of a customer of the configuration in force, also
+// if it was in force before. The lock is held.
+func (s *Service) known(name string) (*customer, *errkind.Error) {
+	if c, ok := s.customers[name]; ok {
+		return c, nil
+	}
+	state := s.deps.View.State()
+	if state == nil {
+		return nil, errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	rules, ok := state.Customers[name]
+	if !ok {
+		return nil, errkind.New(errkind.UnknownCustomer, "no customer %q", name)
+	}
+	return s.customer(name, rules), nil
+}
+
+// customer returns the state of the customer, made on first use. What it
+// remembers of request ids is whole since the service started.
 func (s *Service) customer(name string, rules standing.Customer) *customer {
 	c, ok := s.customers[name]
 	if !ok {
 		rng := rand.New(rand.NewPCG(s.deps.Seed, uint64(len(s.customers))))
-		selector := route.NewLeast(s.deps.Settings.Zone, rng)
+		limits := identity.Limits{Entries: maxIDs, Bytes: maxAnswerBytes}
 		c = &customer{
-			core:      dispatch.New(name, rules, selector),
-			requests:  map[string]*request{},
+			name:      name,
+			core:      dispatch.New(name, rules, route.NewLeast(s.deps.Settings.Zone, rng)),
+			table:     identity.NewTable(s.started, name, s.deps.Incarnation, horizon(rules), limits),
+			work:      map[string]*work{},
 			addresses: map[string]string{},
 		}
 		s.customers[name] = c
@@ -146,10 +163,10 @@
 }
 
 // backends lists the servers that may get new work and notes all addresses.
-func (c *customer) backends(name string, rules standing.Customer, state *standing.State, hosts []platform.Host) []route.Backend {
+func (c *customer) backends(rules standing.Customer, state *standing.State, hosts []platform.Host) []route.Backend {
 	var backends []route.Backend
 	for _, h := range hosts {
-		if h.Role != platform.RoleBackend || h.Customer != name {
+		if h.Role != platform.RoleBackend || h.Customer != c.name {
 			continue
 		}
 		c.addresses[h.Name] = h.Address
@@ -161,67 +178,45 @@
 		if !ok {
 			weight = 1
 		}
-		backends = append(backends, route.Backend{Name: h.Name, Zone: h.Zone, Slots: h.Slots, Weight: weight})
+		backends = append(backends, route.Backend{
+			Name: h.Name, Zone: h.Zone, Slots: h.Slots, Limit: pool.ConnsPerBackend, Weight: weight,
+		})
 	}
 	return backends
 }
 
-// submit hands a request to the customer's core.
-func (s *Service) submit(r *request) *errkind.Error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping {
-		return errkind.New(errkind.Stopping, "the entry host is stopping")
-	}
-	c, ok := s.customers[r.customer]
-	if !ok {
-		return errkind.New(errkind.UnknownCustomer, "no customer %q", r.customer)
-	}
-	if _, ok := c.requests[r.ID]; ok {
-		return errkind.New(errkind.DuplicateUnresolved, "request %s is already in flight", r.ID)
-	}
-	c.requests[r.ID] = r
-	s.inFlight.Add(1)
-	s.apply(c, c.core.Arrive(time.Now(), r.Request))
-	return nil
-}
-
-// apply carries out actions. The lock is held.
+// apply carries out actions of the dispatch core. The lock is held.
 func (s *Service) apply(c *customer, actions []dispatch.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case dispatch.Send:
-			r := c.requests[a.ID]
-			go s.send(c, r, a.Backend, c.addresses[a.Backend])
+			w := c.work[a.ID]
+			w.sends++
+			if w.sends > 1 {
+				w.messages += messagesPerCall
+			}
+			go s.send(c, w.req, a.Backend, c.addresses[a.Backend])
 		case dispatch.Finish:
-			s.finish(c, a.ID, result{err: a.Err, retryAfter: a.RetryAfter})
+			s.finish(c, a.ID, identity.Result{Err: a.Err, RetryAfter: a.RetryAfter})
 		case dispatch.Note:
 			s.deps.Recorder.Record(a.Record)
 		}
 	}
 }
 
-// send sends a request once and reports the outcome.
+// send sends a request once and reports the outcome. Callers that hang up do
+// not stop it.
 func (s *Service) send(c *customer, r *request, backend, address string) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.ctx), r.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	defer cancel()
 	call := pool.Call{ID: r.ID, Address: address, ContentType: r.contentType, Body: r.body}
 	answer, err := s.deps.Pool.Send(ctx, call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
-		s.finish(c, r.ID, result{answer: answer, backend: backend})
-	}
-	s.apply(c, c.core.Done(time.Now(), dispatch.Outcome{ID: r.ID, Backend: backend, Err: err}))
-}
-
-// finish ends a request once. The lock is held.
-func (s *Service) finish(c *customer, id string, res result) {
-	r, ok := c.requests[id]
-	if !ok {
-		return
+		s.finish(c, r.ID, identity.Result{Answer: identity.Answer{
+			Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Backend: backend,
+		}})
 	}
-	delete(c.requests, id)
-	r.done <- res
-	s.inFlight.Done()
+	s.apply(c, c.core.Done(time.Now(), dispatch.Outcome{ID: r.ID, Backend: backend, Err: err, Load: answer.Load}))
 }
--- a/internal/decide/identity/identity.go
+++ b/internal/decide/identity/identity.go
@@ -108,6 +108,12 @@
 	Err *errkind.Error
 	// RetryAfter is when a refused request may be sent again, or 0.
 	RetryAfter time.Duration
+	// Messages counts the messages spent on the result beyond the request to
+	// the backend server and its reply.
+	Messages int
+	// LeftTo is set with an error if the peer that was called has left the
+	// request to another incarnation.
+	LeftTo ids.Incarnation
 }
 
 // Action is something that the caller of Table has to do. An arrival that
@@ -138,7 +144,11 @@
 }
 
 // Refuse ends only the arrival that was just given.
-type Refuse struct{ Err *errkind.Error }
+type Refuse struct {
+	Err *errkind.Error
+	// LeftTo is set if a forwarded arrival has to go to another incarnation.
+	LeftTo ids.Incarnation
+}
 
 // Replay ends only the arrival that was just given, with a stored result.
 type Replay struct{ Result Result }
--- a/internal/decide/identity/sim_test.go
+++ b/internal/decide/identity/sim_test.go
@@ -212,7 +212,7 @@
 			h.relay([]Action{a})
 		case Refuse:
 			h.sim.check(id, Result{Err: a.Err})
-			h.last(id)(Result{Err: a.Err})
+			h.last(id)(Result{Err: a.Err, LeftTo: a.LeftTo})
 		case Replay:
 			h.sim.check(id, a.Result)
 			h.last(id)(a.Result)
--- a/internal/decide/identity/table.go
+++ b/internal/decide/identity/table.go
@@ -18,6 +18,9 @@
 	Bytes int
 }
 
+// maxHops bounds the claimants that are called one after the other.
+const maxHops = 3
+
 type state int
 
 const (
@@ -39,6 +42,8 @@
 	claimant ids.Incarnation
 	// calling is set while the claimant is being asked for the result.
 	calling bool
+	// hops counts the claimants called for one result.
+	hops int
 	// transient entries are dropped after their call.
 	transient bool
 	claim     claim
@@ -100,6 +105,19 @@
 // Len returns the number of ids held.
 func (t *Table) Len() int { return len(t.entries) }
 
+// Busy returns whether a result of the id is still to come.
+func (t *Table) Busy(id string) bool {
+	e, ok := t.entries[id]
+	return ok && (e.state == asking || e.state == running || e.calling)
+}
+
+// Settled returns whether an arrival of the id starts nothing: a result is to
+// come or held.
+func (t *Table) Settled(id string) bool {
+	e, ok := t.entries[id]
+	return ok && (t.Busy(id) || e.state == ended && e.started)
+}
+
 // Arrive takes an arrival of a request.
 func (t *Table) Arrive(now time.Time, a Arrival, fleet Fleet) []Action {
 	t.expire(now)
@@ -116,8 +134,9 @@
 // arriveNew takes an arrival of an id that is not held.
 func (t *Table) arriveNew(now time.Time, a Arrival, fleet Fleet) []Action {
 	minted := a.Minter != ""
+	gone := minted && a.Minter != t.self && (a.Forwarded || a.Minter.Host() == t.self.Host())
 	switch {
-	case minted && a.Minter != t.self && a.Forwarded:
+	case gone:
 		return t.refuse(a.ID, "minter-lost", errkind.New(errkind.DuplicateUnresolved, "the id belongs to %s, which is gone", a.Minter))
 	case minted && a.Minter == t.self && a.MintedAgo > t.Remembers(now):
 		return t.refuse(a.ID, "minted-expired", errkind.New(errkind.DuplicateUnresolved, "the id is older than what this host remembers"))
@@ -146,7 +165,7 @@
 		return []Action{t.note("join", "in-progress", "an earlier arrival is in progress here", e.id)}
 	case e.state == fenced && a.Forwarded:
 		err := errkind.New(errkind.DuplicateUnresolved, "the request was left to %s", e.claimant)
-		return t.refuse(e.id, "fenced", err)
+		return []Action{t.note("refuse", "fenced", err.Detail, e.id), Refuse{Err: err, LeftTo: e.claimant}}
 	case e.state == fenced:
 		return t.call(e, "fenced", "left to the claimant before")
 	case a.Idempotent && e.result.Err != nil, a.Minter != "" && !a.First && e.open():
@@ -180,6 +199,12 @@
 		return nil
 	}
 	e.calling = false
+	if r.LeftTo != "" && r.LeftTo != t.self && e.hops < maxHops {
+		e.claimant = r.LeftTo
+		e.hops++
+		return t.call(e, "left", "the last claimant left it to another")
+	}
+	e.hops = 0
 	if e.transient {
 		t.remove(e)
 	} else {
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -3,7 +3,10 @@
 package ids
 
 import (
+	"fmt"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 )
@@ -14,6 +17,9 @@
 // mintedPrefix marks request ids that an entry host minted.
 const mintedPrefix = "ph."
 
+// mintedBase is the base of the age in a minted id.
+const mintedBase = 36
+
 // NewIncarnation returns a fresh incarnation of host. Host names hold no dots
 // or tildes; settings check that.
 func NewIncarnation(host string) Incarnation {
@@ -26,7 +32,15 @@
 	return host
 }
 
-// NewRequest mints a request id that names its incarnation.
+// Minted is what a minted request id says.
+type Minted struct {
+	// By is the incarnation that minted the id.
+	By Incarnation
+	// At is the age of that incarnation when it did.
+	At time.Duration
+}
+
+// NewRequest mints an id that names its incarnation.
 func NewRequest(i Incarnation) string {
 	return mintedPrefix + string(i) + "." + uuid.NewString()
 }
@@ -41,6 +55,29 @@
 	return Incarnation(inc), ok && inc != ""
 }
 
+// NewRequestAt mints a request id that names its incarnation and the age of
+// that incarnation.
+func NewRequestAt(i Incarnation, age time.Duration) string {
+	at := strconv.FormatInt(age.Milliseconds(), mintedBase)
+	return mintedPrefix + string(i) + "." + at + "." + uuid.NewString()
+}
+
+// IsMinted returns whether the id has the form of a minted one.
+func IsMinted(id string) bool { return strings.HasPrefix(id, mintedPrefix) }
+
+// ParseMinted reads an id of NewRequestAt.
+func ParseMinted(id string) (Minted, error) {
+	parts := strings.Split(strings.TrimPrefix(id, mintedPrefix), ".")
+	if !IsMinted(id) || len(parts) != 3 || Incarnation(parts[0]).Host() == "" {
+		return Minted{}, fmt.Errorf("id %q was not minted by an entry host", id)
+	}
+	ms, err := strconv.ParseInt(parts[1], mintedBase, 64)
+	if err != nil || ms < 0 {
+		return Minted{}, fmt.Errorf("id %q names no age", id)
+	}
+	return Minted{By: Incarnation(parts[0]), At: time.Duration(ms) * time.Millisecond}, nil
+}
+
 // New returns a random id with a prefix, such as "plan" or "job".
 func New(prefix string) string {
 	return prefix + "-" + uuid.NewString()
