--- a/internal/daemon/requests/http.go
+++ b/internal/daemon/requests/http.go
@@ -18,8 +18,8 @@
 	"github.com/parsleyhill/parsleyhill/internal/ids"
 )
 
-// maxIDLength bounds a caller's id.
-const maxIDLength = 128
+// maxIDBytes bounds the length of a caller's id.
+const maxIDBytes = 256
 
 // Routes adds the callers' paths to mux.
 func (s *Service) Routes(mux *http.ServeMux) {
@@ -90,7 +90,10 @@
 func (s *Service) parse(w http.ResponseWriter, r *http.Request) (*request, *errkind.Error) {
 	h := r.Header
 	req := &request{customer: h.Get(callerapi.HeaderCustomer), contentType: h.Get("Content-Type")}
-	attempt, err := parseAttempt(h.Get(callerapi.HeaderAttempt))
+	if err := checkMarks(h); err != nil {
+		return req, err
+	}
+	attempt, err := parseInt(callerapi.HeaderAttempt, h.Get(callerapi.HeaderAttempt), 0)
 	if err != nil {
 		return req, err
 	}
@@ -104,6 +107,9 @@
 	if err != nil {
 		return req, err
 	}
+	if declaredMs < 0 {
+		return req, errkind.New(errkind.BadRequest, "the declared run time is %d ms", declaredMs)
+	}
 	req.Declared = time.Duration(declaredMs) * time.Millisecond
 	if err := s.identify(req, attempt); err != nil {
 		return req, err
@@ -131,9 +137,6 @@
 	if minted {
 		req.ID = s.mint()
 	}
-	if !validID(req.ID) {
-		return errkind.New(errkind.BadRequest, "an id has up to %d printable characters", maxIDLength)
-	}
 	unmarkedFirst := attempt == 0 && req.from == "" && rules.Unmarked == standing.UnmarkedFirst
 	req.arrival = identity.Arrival{
 		ID:          req.ID,
@@ -159,7 +162,7 @@
 			return false
 		}
 	}
-	return len(id) <= maxIDLength
+	return len(id) <= maxIDBytes
 }
 
 // fingerprint tells requests with the same id apart.
@@ -171,12 +174,20 @@
 	return strconv.FormatUint(d.Sum64(), 16)
 }
 
-func parseAttempt(text string) (int64, *errkind.Error) {
-	attempt, err := parseInt(callerapi.HeaderAttempt, text, 0)
-	if err == nil && text != "" && attempt < 1 {
-		return 0, errkind.New(errkind.BadRequest, "header %s counts from 1", callerapi.HeaderAttempt)
+// checkMarks checks the headers that say how a request may be sent again, so
+// that no typing error turns into a second run.
+func checkMarks(h http.Header) *errkind.Error {
+	idempotent := h.Get(callerapi.HeaderIdempotent)
+	attempt, err := strconv.Atoi(h.Get(callerapi.HeaderAttempt))
+	switch {
+	case idempotent != "" && idempotent != "true" && idempotent != "false":
+		return errkind.New(errkind.BadRequest, "header %s is neither true nor false", callerapi.HeaderIdempotent)
+	case h.Get(callerapi.HeaderAttempt) != "" && (err != nil || attempt < 1):
+		return errkind.New(errkind.BadRequest, "header %s is no number from 1", callerapi.HeaderAttempt)
+	case !validID(h.Get(callerapi.HeaderRequestID)):
+		return errkind.New(errkind.BadRequest, "header %s has up to %d printable characters", callerapi.HeaderRequestID, maxIDBytes)
 	}
-	return attempt, err
+	return nil
 }
 
 func parseDeadline(text string, rules standing.Customer) (time.Duration, *errkind.Error) {
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -106,15 +106,22 @@
 		go s.learn()
 	}
 	for name, rules := range state.Customers {
-		c := s.customer(name, rules)
-		c.core.SetRules(rules)
-		c.table.SetHorizon(now, horizon(rules))
-		c.table.Expire(now)
-		s.apply(c, c.core.SetBackends(now, c.backends(rules, state, hosts)))
-		s.apply(c, c.core.Tick(now))
+		s.refresh(now, name, rules, state, hosts)
 	}
 }
 
+// refresh brings one customer up to date with the configuration and the host
+// list. The lock is held.
+func (s *Service) refresh(now time.Time, name string, rules standing.Customer, state *standing.State, hosts []platform.Host) *customer {
+	c := s.customer(name, rules)
+	c.core.SetRules(rules)
+	c.table.SetHorizon(now, horizon(rules))
+	c.table.Expire(now)
+	s.apply(c, c.core.SetBackends(now, c.backends(rules, state, hosts)))
+	s.apply(c, c.core.Tick(now))
+	return c
+}
+
 // Ready returns whether the service may take first attempts.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
@@ -140,7 +147,7 @@
 	if !ok {
 		return nil, errkind.New(errkind.UnknownCustomer, "no customer %q", name)
 	}
-	return s.customer(name, rules), nil
+	return s.refresh(time.Now(), name, rules, state, s.deps.Hosts.Hosts()), nil
 }
 
 // customer returns the state of the customer, made on first use. What it
