Count others' use apart from what is not yet at the worker

A worker's report was compared with everything this host had placed, sent or not, so the use of others was taken too low and starts were refused. Only tasks that the worker has said it runs are taken off the report now, and tasks placed before a lease came are taken back if its report leaves them no room.

--- a/internal/decide/jobs/model_test.go
+++ b/internal/decide/jobs/model_test.go
@@ -12,6 +12,8 @@
 	world    *world
 	name     string
 	process  int
+	cores    int
+	waiting  map[string]func()
 	down     bool
 	failing  bool
 	epoch    int64
@@ -33,12 +35,7 @@
 }
 
 func (w *world) worker(name string) *model {
-	for _, m := range w.workers {
-		if m.name == name {
-			return m
-		}
-	}
-	return nil
+	return w.byName[name]
 }
 
 // restart begins a new process that knows nothing of the old one's tasks and
@@ -46,6 +43,7 @@
 func (m *model) restart() {
 	m.process++
 	m.epoch, m.usedCore, m.down = 0, 0, false
+	m.waiting = map[string]func(){}
 	m.leases = map[string]modelLease{}
 	m.ledger = map[workerapi.TaskRef]*modelTask{}
 	m.ended = map[string][]workerapi.Result{}
@@ -83,7 +81,8 @@
 		return workerapi.RefusedLease
 	case m.ledger[r] != nil:
 		return workerapi.RefusedTwice
-	case m.usedCore+t.Cores > 8:
+	case m.usedCore+t.Cores > m.cores:
+		m.world.refused++
 		return workerapi.RefusedRoom
 	}
 	l.expires = m.world.at + time.Duration(call.TTLMs)*time.Millisecond
@@ -94,7 +93,9 @@
 	m.usedCore += t.Cores
 	process := m.process
 	length := m.world.between(20*time.Millisecond, 2*time.Second)
-	if m.world.chance(0.03) {
+	if run, ok := m.world.runs[t.Submission+"/"+t.Task]; ok {
+		length = run
+	} else if m.world.chance(0.03) {
 		length = worldEnd
 	}
 	m.world.after(length, func() {
@@ -116,6 +117,20 @@
 		Seq: int64(len(m.ended[t.holder]) + 1), Submission: r.Submission, Task: r.Task, State: state,
 		Output: []byte(r.Submission + "/" + r.Task),
 	})
+	if wake, ok := m.waiting[t.holder]; ok {
+		delete(m.waiting, t.holder)
+		m.world.after(0, wake)
+	}
+}
+
+// whenEnded gives the holder's results after seq, once there are any.
+func (m *model) whenEnded(holder string, after int64, give func(workerapi.Results)) {
+	page := m.results(holder, after)
+	if len(page.Results) > 0 {
+		give(page)
+		return
+	}
+	m.waiting[holder] = func() { m.whenEnded(holder, after, give) }
 }
 
 func (m *model) states(call workerapi.StopCall, stop bool) []workerapi.TaskState {
@@ -142,11 +157,7 @@
 
 func (m *model) results(holder string, after int64) workerapi.Results {
 	page := workerapi.Results{Instance: m.instance(), Used: m.usage()}
-	for _, r := range m.ended[holder] {
-		if r.Seq > after {
-			page.Results = append(page.Results, r)
-		}
-	}
+	page.Results = append(page.Results, m.ended[holder][min(int(after), len(m.ended[holder])):]...)
 	return page
 }
 
--- a/internal/decide/jobs/outcome.go
+++ b/internal/decide/jobs/outcome.go
@@ -49,7 +49,7 @@
 	t := r.t()
 	switch v {
 	case workerapi.Started:
-		t.state, t.started = taskRunning, true
+		w.run(r)
 		if r.job.closed || r.job.ending != nil {
 			c.stopAt(now, w, workerapi.TaskRef{Submission: r.job.text, Task: t.spec.Name})
 		}
@@ -171,7 +171,7 @@
 		case workerapi.TaskUnknown:
 			c.lost(now, w, r)
 		default:
-			r.t().state, r.t().started = taskRunning, true
+			w.run(r)
 			if r.job.closed || r.job.ending != nil {
 				bar = append(bar, tr)
 			}
@@ -235,7 +235,7 @@
 		}
 	case state == workerapi.TaskDone || state == workerapi.TaskFailed:
 		// The result follows, or has been read.
-		t.state, t.started = taskRunning, true
+		w.run(r)
 		if r.job.closed {
 			c.release(r)
 			t.state = taskEnded
--- a/internal/decide/jobs/worker.go
+++ b/internal/decide/jobs/worker.go
@@ -46,6 +46,8 @@
 
 	// tasks are what is placed here, with the room it takes.
 	tasks map[ref]place.Size
+	// running is the room of the tasks that the worker has said it runs.
+	running place.Size
 	// queue are the tasks placed here that were not sent.
 	queue []ref
 	// doubts are the tasks to ask about, stops the tasks to stop again, when
@@ -135,6 +137,19 @@
 	w.epoch = l.Epoch
 	w.expires = asked.Add(time.Duration(l.TTLMs) * time.Millisecond)
 	c.report(now, w, l.Used)
+	c.shed(w)
+}
+
+// shed takes back tasks that were not sent, while the worker's own report says
+// that they find no room.
+func (c *Core) shed(w *worker) {
+	for len(w.queue) > 0 && c.fleet.Over(w.name) {
+		last := w.queue[len(w.queue)-1]
+		w.queue = w.queue[:len(w.queue)-1]
+		if last.t().state == taskPlaced && last.t().worker == w.name {
+			c.putBack(last)
+		}
+	}
 }
 
 // LeaseFailed is told when a worker gave no lease.
@@ -211,7 +226,16 @@
 }
 
 func (c *Core) report(now time.Time, w *worker, u workerapi.Usage) {
-	c.fleet.Report(now, w.name, place.Size{Cores: u.Cores, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators})
+	c.fleet.Report(now, w.name, place.Size{Cores: u.Cores, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators}, w.running)
+}
+
+// run takes that the worker runs, or ran, a task.
+func (w *worker) run(r ref) {
+	t := r.t()
+	if t.state != taskRunning {
+		t.state, t.started = taskRunning, true
+		w.running = w.running.Plus(t.size)
+	}
 }
 
 // hold counts a task in at a worker.
@@ -235,6 +259,9 @@
 		return
 	}
 	delete(w.tasks, r)
+	if r.t().state == taskRunning {
+		w.running = w.running.Minus(size)
+	}
 	c.fleet.Give(w.name, size)
 	k := team{r.job.key.Customer, r.job.spec.Team}
 	c.holding[k] -= size.Cores
--- a/internal/decide/jobs/world_test.go
+++ b/internal/decide/jobs/world_test.go
@@ -63,7 +63,16 @@
 	loss    float64
 	hosts   []*host
 	workers []*model
+	byName  map[string]*model
+	entries []string
+	policy  place.Policy
 	starts  map[string]int
+	// runs are the run times of tasks that have a fixed one.
+	runs     map[string]time.Duration
+	messages int
+	refused  int
+	// instant has every message arrive at once.
+	instant bool
 	given   []given
 	arrived map[Key]int
 	sizes   map[Key]int
@@ -72,14 +81,23 @@
 }
 
 func newWorld(seed uint64, hosts, workers int) *world {
+	return newSizedWorld(seed, hosts, workers, 8, place.PolicyHome)
+}
+
+func newSizedWorld(seed uint64, hosts, workers, cores int, policy place.Policy) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), epoch: time.Unix(1_000_000, 0), first: 1,
-		starts: map[string]int{}, arrived: map[Key]int{}, sizes: map[Key]int{}, closedAt: map[Key]time.Duration{},
+		policy: policy, starts: map[string]int{}, runs: map[string]time.Duration{}, arrived: map[Key]int{}, sizes: map[Key]int{}, closedAt: map[Key]time.Duration{},
+		byName: map[string]*model{},
 	}
 	for i := range workers {
-		w.workers = append(w.workers, &model{world: w, name: fmt.Sprintf("worker-%d", i)})
+		w.workers = append(w.workers, &model{world: w, name: fmt.Sprintf("worker-%d", i), cores: cores})
+		w.byName[w.workers[i].name] = w.workers[i]
 		w.workers[i].restart()
 	}
+	for i := range hosts {
+		w.entries = append(w.entries, fmt.Sprintf("entry-%d", i))
+	}
 	for i := range hosts {
 		h := &host{world: w, name: fmt.Sprintf("entry-%d", i)}
 		w.hosts = append(w.hosts, h)
@@ -114,6 +132,10 @@
 // message carries a request over the network. It may be lost, or come very
 // late.
 func (w *world) message(run func()) {
+	if w.instant {
+		w.after(0, run)
+		return
+	}
 	delay := w.between(0, 3*time.Millisecond)
 	if w.chance(w.loss / 2) {
 		delay = w.between(0, 12*time.Second)
@@ -144,13 +166,14 @@
 	h.life++
 	h.inc = ids.Incarnation(fmt.Sprintf("%s~%d", h.name, h.life))
 	h.alive, h.opened, h.read = true, false, 0
-	cfg := Config{Self: h.inc, Address: h.name, Horizon: horizon, ReserveAfter: 50 * time.Millisecond}
+	cfg := Config{Self: h.inc, Address: h.name, Horizon: horizon, Policy: w.policy, ReserveAfter: 50 * time.Millisecond}
 	h.core = NewCore(w.now(), cfg, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	var infos []WorkerInfo
-	for _, m := range w.workers {
-		infos = append(infos, WorkerInfo{Name: m.name, Rack: m.name, Capacity: place.Size{Cores: 8, MemoryMB: 8}, Live: true})
+	for i, m := range w.workers {
+		rack := fmt.Sprintf("rack-%d", i/8)
+		infos = append(infos, WorkerInfo{Name: m.name, Rack: rack, Capacity: place.Size{Cores: m.cores, MemoryMB: 1 << 20}, Live: true})
 	}
-	h.do(func(now time.Time) { h.core.Workers(now, infos, []string{"entry-0", "entry-1", "entry-2"}) })
+	h.do(func(now time.Time) { h.core.Workers(now, infos, w.entries) })
 	h.repeat(h.life, func() time.Duration { return 50 * time.Millisecond }, func(now time.Time) { h.core.Tick(now) })
 	h.repeat(h.life, func() time.Duration { return w.between(2*time.Millisecond, 100*time.Millisecond) }, h.follow)
 }
@@ -255,6 +278,7 @@
 // call does one call to a worker; reply is told false when none came in time.
 func (h *host) call(life int, m *model, at func(), reply func(now time.Time, ok bool)) {
 	w := h.world
+	w.messages++
 	replied := false
 	w.message(func() {
 		if m.down {
@@ -329,10 +353,13 @@
 	})
 }
 
+// watch reads results as the shell does: the worker holds a reading open until
+// a task ends.
 func (h *host) watch(life int, m *model, after int64) {
 	w := h.world
-	var page workerapi.Results
-	h.call(life, m, func() { page = m.results(string(h.inc), after) }, func(now time.Time, ok bool) {
+	w.messages++
+	replied := false
+	reply := func(now time.Time, page workerapi.Results, ok bool) {
 		if ok {
 			h.core.Ended(now, m.name, page)
 			for _, r := range page.Results {
@@ -340,7 +367,26 @@
 			}
 		}
 		if h.core.Outstanding(m.name) {
-			w.after(w.between(5*time.Millisecond, 50*time.Millisecond), func() { h.watch(life, m, after) })
+			w.after(0, func() { h.watch(life, m, after) })
+		}
+	}
+	w.message(func() {
+		if m.down {
+			return
+		}
+		m.whenEnded(string(h.inc), after, func(page workerapi.Results) {
+			w.message(func() {
+				if !replied {
+					replied = true
+					h.doLife(life, func(now time.Time) { reply(now, page, true) })
+				}
+			})
+		})
+	})
+	w.after(callWait, func() {
+		if !replied {
+			replied = true
+			h.doLife(life, func(now time.Time) { reply(now, workerapi.Results{}, false) })
 		}
 	})
 }
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -21,11 +21,13 @@
 	return s.Cores <= room.Cores && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
 }
 
-func (s Size) plus(o Size) Size {
+// Plus returns the sum of both.
+func (s Size) Plus(o Size) Size {
 	return Size{s.Cores + o.Cores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
 }
 
-func (s Size) minus(o Size) Size {
+// Minus returns s less o.
+func (s Size) Minus(o Size) Size {
 	return Size{s.Cores - o.Cores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
@@ -82,7 +84,7 @@
 }
 
 func (n *node) free() Size {
-	return n.Capacity.minus(n.used).minus(n.foreign).clampZero()
+	return n.Capacity.Minus(n.used).Minus(n.foreign).clampZero()
 }
 
 // Fleet is the set of workers as one entry host sees it. It is not safe for
@@ -163,7 +165,7 @@
 // Take counts a task in.
 func (f *Fleet) Take(name string, s Size) {
 	if n, ok := f.nodes[name]; ok {
-		n.used = n.used.plus(s)
+		n.used = n.used.Plus(s)
 		f.reindex(n)
 	}
 }
@@ -171,23 +173,30 @@
 // Give counts a task out.
 func (f *Fleet) Give(name string, s Size) {
 	if n, ok := f.nodes[name]; ok {
-		n.used = n.used.minus(s).clampZero()
+		n.used = n.used.Minus(s).clampZero()
 		f.reindex(n)
 	}
 }
 
-// Report takes a worker's own count of its use. What this host did not start
-// is the use of others, until the report is old.
-func (f *Fleet) Report(now time.Time, name string, used Size) {
+// Report takes a worker's own count of its use. What is beyond own, the room of
+// the tasks that this host knows to run there, is the use of others, until the
+// report is old.
+func (f *Fleet) Report(now time.Time, name string, used, own Size) {
 	n, ok := f.nodes[name]
 	if !ok {
 		return
 	}
-	n.foreign = used.minus(n.used).clampZero()
+	n.foreign = used.Minus(own).clampZero()
 	n.reported = now
 	f.reindex(n)
 }
 
+// Over reports whether a worker is given more than it has, by what is known.
+func (f *Fleet) Over(name string) bool {
+	n, ok := f.nodes[name]
+	return ok && !n.used.Plus(n.foreign).Fits(n.Capacity)
+}
+
 // Refused marks a worker as too full for the size, until its next report.
 func (f *Fleet) Refused(now time.Time, name string, s Size) {
 	n, ok := f.nodes[name]
