--- a/internal/decide/place/index.go
+++ b/internal/decide/place/index.go
@@ -86,7 +86,7 @@
 		limit = x.randomStart(s, rng)
 	}
 	best, looked := x.walk(s, racks, rng, limit, samples)
-	if best == nil && looked >= samples {
+	if best == nil && (looked >= samples || limit < maxCores) {
 		best, _ = x.walk(s, racks, rng, maxCores, 1<<30)
 	}
 	return best
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -65,6 +65,12 @@
 	samples = 8
 	// bucketSamples bounds the workers looked at in one bucket.
 	bucketSamples = 4
+	// homeBias is how many times emptier another host's worker must be before
+	// it is taken although an own one has room, while the own share is small.
+	homeBias = 2
+	// largeShare is the number of own workers from which on they are taken as
+	// long as one of them has room.
+	largeShare = 32
 	// reportTTL is how long a report of others' use counts.
 	reportTTL = 2 * time.Second
 )
@@ -94,8 +100,10 @@
 	rng    *rand.Rand
 	nodes  map[string]*node
 	list   []*node
-	home   index
-	away   index
+	// homes counts the workers of this entry host's share.
+	homes int
+	home  index
+	away  index
 	// shapes counts the workers by capacity.
 	shapes map[Size]int
 }
@@ -117,6 +125,12 @@
 		f.dropShape(n.Capacity)
 		f.shapes[w.Capacity]++
 	}
+	if ok && n.Home {
+		f.homes--
+	}
+	if w.Home {
+		f.homes++
+	}
 	n.Worker = w
 	n.usable = usable
 	f.reindex(n)
@@ -129,6 +143,9 @@
 		return
 	}
 	n.unlink()
+	if n.Home {
+		f.homes--
+	}
 	f.dropShape(n.Capacity)
 	delete(f.nodes, name)
 	f.list = slices.DeleteFunc(f.list, func(o *node) bool { return o == n })
@@ -276,9 +293,13 @@
 // Among near equals it takes the one whose rack holds the fewest tasks of the
 // job.
 func (f *Fleet) Pick(s Size, racks Racks) (string, bool) {
-	n := f.home.pick(s, racks, f.rng, f.policy)
+	first, second := &f.home, &f.away
+	if f.homes < largeShare && homeBias*f.home.top() < f.away.top() {
+		first, second = second, first
+	}
+	n := first.pick(s, racks, f.rng, f.policy)
 	if n == nil {
-		n = f.away.pick(s, racks, f.rng, f.policy)
+		n = second.pick(s, racks, f.rng, f.policy)
 	}
 	if n == nil {
 		return "", false
