--- a/internal/daemon/jobs/carry.go
+++ b/internal/daemon/jobs/carry.go
@@ -18,6 +18,9 @@
 
 // carry does what an action says. Calls run on goroutines of their own.
 func (s *Service) carry(a jobs.Action) {
+	if s.ctx.Err() != nil {
+		return
+	}
 	switch a := a.(type) {
 	case jobs.Note:
 		s.deps.Recorder.Record(a.Record)
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -135,7 +135,7 @@
 // NewCore returns a core that owns nothing.
 func NewCore(now time.Time, cfg Config, rng *rand.Rand) *Core {
 	cfg = cfg.WithDefaults()
-	return &Core{
+	c := &Core{
 		cfg: cfg, rng: rng, born: now, lastRecord: now,
 		// A claim is appended at most ClaimWait after the submission arrived.
 		table:   NewTable(cfg.Horizon, cfg.Horizon+cfg.ClaimWait),
@@ -149,6 +149,9 @@
 		quotas:  map[team]int{},
 		holding: map[team]int{},
 	}
+	// A stream that holds a record is read without a wait.
+	c.append(now, Record{Kind: KindBeat})
+	return c
 }
 
 // Take places what can be placed and returns the actions since the last call.
--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -31,6 +31,7 @@
 	capacity := place.Size{Cores: 8, MemoryMB: 8}
 	r.core.Workers(epoch, []WorkerInfo{{Name: "worker-1", Capacity: capacity, Live: true}}, nil)
 	r.core.LeaseGranted(epoch, epoch, "worker-1", workerapi.Lease{Instance: "one", Epoch: 1, TTLMs: 60_000})
+	r.core.Take(epoch)
 	return r
 }
 
--- a/internal/decide/jobs/cost_test.go
+++ b/internal/decide/jobs/cost_test.go
@@ -32,8 +32,10 @@
 	m.core.Opened(epoch, 1, 0)
 	var infos []WorkerInfo
 	for i := range workers {
-		infos = append(infos, WorkerInfo{Name: fmt.Sprintf("worker-%d", i), Rack: fmt.Sprintf("rack-%d", i/8),
-			Capacity: place.Size{Cores: 48, MemoryMB: 1 << 17}, Live: true})
+		infos = append(infos, WorkerInfo{
+			Name: fmt.Sprintf("worker-%d", i), Rack: fmt.Sprintf("rack-%d", i/8),
+			Capacity: place.Size{Cores: 48, MemoryMB: 1 << 17}, Live: true,
+		})
 	}
 	entries := make([]string, 8)
 	for i := range entries {
