Wait for the host list before the contract tests plan

Cause: a plan made before the first reading of the host list has a warning and needs force; the test's set-up planned as soon as there was a configuration. Ruled out: forcing the plan, which would hide real warnings. The set-up now waits for a plan without warnings.

--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -98,7 +98,8 @@
 func (s *site) confirm(t *testing.T, i config.Intent) {
 	t.Helper()
 	var plan config.Plan
-	for plan.ID == "" { // not ready yet
+	for plan.ID == "" || len(plan.Warnings) > 0 { // no configuration or host list yet
+		plan = config.Plan{}
 		_, answer := post(t, s.operators, operator.PathPlans, nil, encode(t, i))
 		require.NoError(t, json.Unmarshal([]byte(answer), &plan))
 	}
