Answer a confirmation with what became of the plan, also later and elsewhere

Cause: a confirm whose reply was lost ended as log_unknown even where a second append would have settled it, a plan confirmed twice was appended twice, and nobody could ask for the outcome afterwards.

GET /v1/plans/{id} answers accepted, rejected with what moved, or unknown.

--- a/internal/daemon/follower/config.go
+++ b/internal/daemon/follower/config.go
@@ -102,6 +102,19 @@
 // Age returns the time since the log last answered.
 func (c *Config) Age(now time.Time) time.Duration { return c.Health(now).LogAge }
 
+// Blocked says why nothing that is appended now takes effect on this host, or
+// "".
+func (c *Config) Blocked() string {
+	h := c.Health(time.Now())
+	switch {
+	case h.Regressed:
+		return fmt.Sprintf("the log lost records: it ends before offset %d, which is in force", h.Offset)
+	case h.Gap:
+		return fmt.Sprintf("the log trimmed records after offset %d that this host has not seen; ask another entry host", h.Offset)
+	}
+	return ""
+}
+
 // Run follows the stream and the peers until ctx ends.
 func (c *Config) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/follower/hosts.go
+++ b/internal/daemon/follower/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,11 +18,14 @@
 	logger *log.Logger
 	poll   time.Duration
 	last   atomic.Pointer[platform.Hosts]
+	// first is closed with the first usable reading.
+	first     chan struct{}
+	closeOnce sync.Once
 }
 
 // NewHosts returns a follower that reads the list every poll.
 func NewHosts(list platform.HostList, logger *log.Logger, poll time.Duration) *Hosts {
-	return &Hosts{list: list, logger: logger, poll: poll}
+	return &Hosts{list: list, logger: logger, poll: poll, first: make(chan struct{})}
 }
 
 // Hosts returns the hosts of the last usable reading.
@@ -52,6 +56,7 @@
 		h.logger.Warn("host list is empty, keeping the last reading")
 	default:
 		h.last.Store(&hosts)
+		h.closeOnce.Do(func() { close(h.first) })
 	}
 }
 
--- a/internal/daemon/follower/site.go
+++ b/internal/daemon/follower/site.go
@@ -1,12 +1,24 @@
 package follower
 
 import (
+	"context"
+	"time"
+
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/platform"
 )
 
+// firstReadingWait bounds the wait for the first reading of the host list.
+const firstReadingWait = 2 * time.Second
+
 // Site returns the hosts of the last usable reading for the checks of plans.
-func (h *Hosts) Site() config.Site {
+// It waits a short time for the first one.
+func (h *Hosts) Site(ctx context.Context) config.Site {
+	select {
+	case <-h.first:
+	case <-ctx.Done():
+	case <-time.After(firstReadingWait):
+	}
 	var s config.Site
 	for _, host := range h.Hosts() {
 		switch host.Role {
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -26,24 +25,15 @@
 	PathMetrics  = "/debug/vars"
 )
 
-// confirmWait bounds the wait for a record's outcome.
-const confirmWait = 5 * time.Second
-
 // Follower is the part of the configuration follower that is used here.
 type Follower interface {
 	standing.View
+	// Outcome waits until the record's outcome is known.
 	Outcome(ctx context.Context, id string) (config.Outcome, error)
-}
-
-// Confirmed is the answer to a confirmed plan.
-type Confirmed struct {
-	Plan string `json:"plan"`
-	// Result is "accepted", "rejected" or "unknown".
-	Result string `json:"result"`
-	// Reason says why a plan was rejected.
-	Reason string `json:"reason,omitempty"`
-	// Version is the version in force on this host after the answer.
-	Version int64 `json:"version"`
+	// Blocked says why nothing that is appended now takes effect here, or "".
+	Blocked() string
+	// Age returns the time since the log last answered.
+	Age(now time.Time) time.Duration
 }
 
 // Explainer gathers what entry hosts know of a subject.
@@ -87,19 +77,21 @@
 	log       platform.Log
 	recorder  decision.Recorder
 	explainer Explainer
-	site      func() config.Site
+	site      func(context.Context) config.Site
 	status    func() Status
+	unsettled unsettled
 }
 
 // New returns a service. Site gives the hosts as last listed, status describes
 // this host.
-func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, site func() config.Site, status func() Status) *Service {
+func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, site func(context.Context) config.Site, status func() Status) *Service {
 	return &Service{follower: f, log: l, recorder: r, explainer: e, site: site, status: status}
 }
 
 // Routes adds the operators' paths to mux.
 func (s *Service) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PathPlans, s.servePlan)
+	mux.HandleFunc("GET "+PathPlans+"/{id}", s.serveOutcome)
 	mux.HandleFunc("POST "+PathConfirms, s.serveConfirm)
 	mux.HandleFunc("GET "+PathExplain+"/{subject}", s.serveExplain)
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
@@ -119,7 +111,7 @@
 		return
 	}
 	intent.ID = ids.New("intent")
-	plan, err := config.MakePlan(ids.New("plan"), state, s.site(), intent)
+	plan, err := config.MakePlan(ids.New("plan"), state, s.site(r.Context()), intent)
 	if err != nil {
 		errkind.Write(w, "", err, 0)
 		return
@@ -128,48 +120,6 @@
 	httpjson.Write(w, http.StatusOK, plan)
 }
 
-func (s *Service) serveConfirm(w http.ResponseWriter, r *http.Request) {
-	var plan config.Plan
-	if err := httpjson.ReadStrict(w, r, maxDocument, &plan); err != nil {
-		errkind.Write(w, "", err, 0)
-		return
-	}
-	if err := plan.Verify(); err != nil {
-		errkind.Write(w, plan.ID, err, 0)
-		return
-	}
-	confirmed, err := s.confirm(r.Context(), plan)
-	if err != nil {
-		errkind.Write(w, plan.ID, err, 0)
-		return
-	}
-	s.note("confirm", confirmed.Result, plan.Intent.Operator+" confirmed: "+confirmed.Reason, plan)
-	httpjson.Write(w, http.StatusOK, confirmed)
-}
-
-// confirm appends the plan and reads back what became of it.
-func (s *Service) confirm(ctx context.Context, plan config.Plan) (Confirmed, *errkind.Error) {
-	record := config.Record{Kind: config.KindChange, ID: plan.ID, Plan: &plan}
-	data, err := record.Encode()
-	if err != nil {
-		return Confirmed{}, errkind.Wrap(errkind.Internal, err, "encode plan").WithRun(errkind.NotRun)
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmWait)
-	defer cancel()
-	_, err = s.log.Append(ctx, platform.StreamConfig, [][]byte{data})
-	if errors.Is(err, platform.ErrUnavailable) {
-		return Confirmed{}, errkind.Wrap(errkind.LogUnavailable, err, "the plan was not recorded")
-	}
-	outcome, err := s.follower.Outcome(ctx, plan.ID)
-	if err != nil {
-		return Confirmed{}, errkind.Wrap(errkind.LogUnknown, err, "ask again for plan %s", plan.ID)
-	}
-	if !outcome.Accepted {
-		return Confirmed{}, errkind.New(errkind.PlanStale, "%s", outcome.Reason)
-	}
-	return Confirmed{Plan: plan.ID, Result: "accepted", Version: s.follower.State().Version}, nil
-}
-
 func (s *Service) serveExplain(w http.ResponseWriter, r *http.Request) {
 	httpjson.Write(w, http.StatusOK, s.explainer.Explain(r.Context(), r.PathValue("subject")))
 }
