--- a/internal/daemon/follower/tend.go
+++ b/internal/daemon/follower/tend.go
@@ -40,8 +40,9 @@
 	// NewestVersion returns the newest version that a reachable peer reported.
 	NewestVersion() int64
 	// FetchConfig asks the peer that reported the newest version, or any other
-	// if none did, for what it holds after the offset.
-	FetchConfig(ctx context.Context, after int64) (Fetched, error)
+	// if none did, for what it holds after the offset. Chain identifies the
+	// records up to there.
+	FetchConfig(ctx context.Context, after int64, chain string) (Fetched, error)
 }
 
 // tend fetches from peers what the log does not give, and publishes snapshots.
@@ -78,10 +79,10 @@
 
 func (c *Config) fetch(ctx context.Context) {
 	c.mu.Lock()
-	after := c.replica.Offset()
+	after, chain := c.replica.Offset(), c.replica.Chain()
 	c.mu.Unlock()
 	peerFetches.Add(1)
-	got, err := c.peers.FetchConfig(ctx, after)
+	got, err := c.peers.FetchConfig(ctx, after, chain)
 	if err != nil {
 		c.logger.Debug("peer gives no configuration", "error", err)
 		return
@@ -182,11 +183,12 @@
 }
 
 // Since returns what this host holds after the offset: the records, or the
-// whole state if the records are gone, and its own offset.
-func (c *Config) Since(after int64) Fetched {
+// whole state if the records are gone or the asker's are others, and its own
+// offset.
+func (c *Config) Since(after int64, chain string) Fetched {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := Fetched{Host: c.self, Offset: c.replica.Offset()}
-	f.Snapshot, f.Entries = c.replica.Since(after)
+	f.Snapshot, f.Entries = c.replica.Since(after, chain)
 	return f
 }
--- a/internal/daemon/peers/config.go
+++ b/internal/daemon/peers/config.go
@@ -44,10 +44,10 @@
 }
 
 // FetchConfig implements follower.Peers.
-func (c *Config) FetchConfig(ctx context.Context, after int64) (follower.Fetched, error) {
+func (c *Config) FetchConfig(ctx context.Context, after int64, chain string) (follower.Fetched, error) {
 	failures := []error{errors.New("no peer gives configuration")}
 	for _, p := range c.sources() {
-		got, err := c.fetch(ctx, p, after)
+		got, err := c.fetch(ctx, p, after, chain)
 		if err == nil {
 			return got, nil
 		}
@@ -71,11 +71,11 @@
 	return peers[:min(len(peers), maxAsked)]
 }
 
-func (c *Config) fetch(ctx context.Context, p Peer, after int64) (follower.Fetched, error) {
+func (c *Config) fetch(ctx context.Context, p Peer, after int64, chain string) (follower.Fetched, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := peerv1connect.NewConfigServiceClient(c.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes))
-	resp, err := client.FetchRecords(ctx, connect.NewRequest(&peerv1.FetchRecordsRequest{After: after}))
+	resp, err := client.FetchRecords(ctx, connect.NewRequest(&peerv1.FetchRecordsRequest{After: after, Chain: chain}))
 	if err != nil {
 		return follower.Fetched{}, fmt.Errorf("ask %s: %w", p.Host, err)
 	}
@@ -94,13 +94,14 @@
 
 // ConfigHandler serves the configuration protocol.
 type ConfigHandler struct {
-	// Since gives what this host holds after an offset.
-	Since func(after int64) follower.Fetched
+	// Since gives what this host holds after an offset of the history that
+	// chain identifies.
+	Since func(after int64, chain string) follower.Fetched
 }
 
 // FetchRecords implements peerv1connect.ConfigServiceHandler.
 func (h ConfigHandler) FetchRecords(_ context.Context, req *connect.Request[peerv1.FetchRecordsRequest]) (*connect.Response[peerv1.FetchRecordsResponse], error) {
-	held := h.Since(req.Msg.GetAfter())
+	held := h.Since(req.Msg.GetAfter(), req.Msg.GetChain())
 	resp := &peerv1.FetchRecordsResponse{SnapshotOffset: held.Offset}
 	if held.Snapshot != nil {
 		data, err := json.Marshal(held.Snapshot)
--- a/internal/decide/config/replica.go
+++ b/internal/decide/config/replica.go
@@ -1,7 +1,9 @@
 package config
 
 import (
-	"slices"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 )
@@ -19,6 +21,21 @@
 	Data   []byte
 }
 
+// link is a folded record with the chain after it.
+type link struct {
+	Entry
+	chain string
+}
+
+// chain returns the identity of a history with one more record.
+func chain(before string, e Entry) string {
+	h := sha256.New()
+	// Writes to a hash do not fail.
+	_, _ = fmt.Fprintf(h, "%s/%d/", before, e.Offset)
+	_, _ = h.Write(e.Data)
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
 // Page is one reading of the log.
 type Page struct {
 	// Entries are in offset order.
@@ -45,7 +62,7 @@
 type Replica struct {
 	state *standing.State
 	// tail holds the records folded last, up to the state's offset.
-	tail      []Entry
+	tail      []link
 	tailBytes int
 	// gap is the oldest offset that the log held when it had trimmed records
 	// that were not folded in, or 0. Scan holds the records from there on.
@@ -70,6 +87,14 @@
 	return r.state.Offset
 }
 
+// Chain returns the identity of the records that are folded in.
+func (r *Replica) Chain() string {
+	if r.state == nil {
+		return ""
+	}
+	return r.state.Chain
+}
+
 // After returns the offset after which to read the log.
 func (r *Replica) After() int64 {
 	if r.gap == 0 {
@@ -129,7 +154,9 @@
 	if len(p.Entries) > 0 {
 		r.Start()
 	}
-	return r.fold(p.Entries)
+	folded := r.fold(p.Entries)
+	r.regressed = p.Last < r.Offset()
+	return folded
 }
 
 // look searches records beyond a gap for a snapshot that bridges it.
@@ -169,7 +196,6 @@
 			continue
 		}
 		out = append(out, r.foldOne(e))
-		r.keep(e)
 	}
 	return out
 }
@@ -177,19 +203,26 @@
 func (r *Replica) foldOne(e Entry) Folded {
 	rec, err := Decode(e.Data)
 	if err != nil {
-		r.state = skip(r.state, e.Offset)
+		r.advance(skip(r.state, e.Offset), e)
 		return Folded{Err: err, Outcome: Outcome{Offset: e.Offset, Reason: "not a record"}}
 	}
 	if rec.Kind == KindSnapshot && rec.Snapshot != nil {
 		r.snapshotAt, r.snapshotOf = e.Offset, rec.Snapshot.Offset
 	}
+	if rec.Kind == KindSnapshot && rec.Snapshot != nil && rec.Snapshot.Offset >= e.Offset && r.replace(rec.Snapshot) {
+		// The log held more when the snapshot was made.
+		return Folded{Kind: rec.Kind, Outcome: Outcome{ID: rec.ID, Offset: e.Offset, Reason: "the log lost records"}}
+	}
 	next, outcome := Fold(r.state, e.Offset, rec)
-	r.state = next
+	r.advance(next, e)
 	return Folded{Kind: rec.Kind, Outcome: outcome, Plan: rec.Plan}
 }
 
-func (r *Replica) keep(e Entry) {
-	r.tail = append(r.tail, e)
+// advance takes the state after a record and keeps the record for peers.
+func (r *Replica) advance(next *standing.State, e Entry) {
+	next.Chain = chain(r.state.Chain, e)
+	r.state = next
+	r.tail = append(r.tail, link{e, next.Chain})
 	r.tailBytes += len(e.Data)
 	for len(r.tail) > maxTail || r.tailBytes > maxTailBytes {
 		r.tailBytes -= len(r.tail[0].Data)
@@ -199,12 +232,10 @@
 
 // replace takes a whole state if it is newer and reaches the gap, if any.
 func (r *Replica) replace(s *standing.State) bool {
-	switch {
-	case s == nil, s.Version < 0, s.Version > s.Offset:
-		return false
-	case r.state != nil && (s.Offset <= r.state.Offset || s.Version < r.state.Version):
+	if s == nil || s.Version < 0 || s.Version > s.Offset || s.Offset < r.gap-1 {
 		return false
-	case s.Offset < r.gap-1:
+	}
+	if r.state != nil && !newer(s, r.state) {
 		return false
 	}
 	r.state = s
@@ -212,30 +243,65 @@
 	return true
 }
 
+// newer reports whether a is newer than b. The offsets decide; they disagree
+// with the versions only if the log lost records, and then the versions decide.
+func newer(a, b *standing.State) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return a.Offset > b.Offset
+}
+
 // Adopt takes what a peer holds: a snapshot, or nil, and the records after it.
 // It returns false if nothing of it was newer.
 func (r *Replica) Adopt(snapshot *standing.State, entries []Entry) ([]Folded, bool) {
-	before := r.Offset()
+	held := r.state
 	if snapshot != nil {
 		r.replace(snapshot)
 	}
+	if r.state == nil && len(entries) > 0 && entries[0].Offset == 1 {
+		r.Start()
+	}
 	if r.state == nil {
 		return nil, false
 	}
 	folded := r.fold(entries)
 	folded = append(folded, r.bridge()...)
-	return folded, r.Offset() > before || snapshot != nil && r.state == snapshot
+	return folded, r.state != held
 }
 
-// Since returns the records after the offset, or, if they are no longer held,
-// the whole state.
-func (r *Replica) Since(after int64) (*standing.State, []Entry) {
-	if r.state == nil || after >= r.state.Offset {
+// Since returns the records after the offset, or, if they are no longer held or
+// the asker's history is another one, the whole state.
+func (r *Replica) Since(after int64, chain string) (*standing.State, []Entry) {
+	if r.state == nil {
 		return nil, nil
 	}
 	oldest := r.state.Offset - int64(len(r.tail))
-	if after < oldest {
+	switch {
+	case after == r.state.Offset && chain == r.state.Chain:
+		return nil, nil
+	case after < oldest, after > r.state.Offset, chain != r.chainAt(after, oldest):
 		return r.state, nil
 	}
-	return nil, slices.Clone(r.tail[after-oldest:])
+	var entries []Entry
+	for _, l := range r.tail[after-oldest:] {
+		entries = append(entries, l.Entry)
+	}
+	return nil, entries
 }
+
+// chainAt returns the chain after the offset, which is in the tail or right
+// before it. Oldest is the offset before the tail.
+func (r *Replica) chainAt(offset, oldest int64) string {
+	switch {
+	case offset > oldest:
+		return r.tail[offset-oldest-1].chain
+	case offset == 0:
+		return ""
+	default:
+		return unknownChain
+	}
+}
+
+// unknownChain equals no chain.
+const unknownChain = "unknown"
--- a/internal/decide/standing/state.go
+++ b/internal/decide/standing/state.go
@@ -8,6 +8,8 @@
 	// Offset is the log offset up to which records are folded in. It is at
 	// least Version.
 	Offset int64 `json:"offset"`
+	// Chain identifies the records that led to the state.
+	Chain string `json:"chain,omitempty"`
 	// Intent is the id of the intent that led to Version.
 	Intent string `json:"intent,omitempty"`
 	// Customers are the rules by customer name.
--- a/internal/standin/platform/log.go
+++ b/internal/standin/platform/log.go
@@ -64,6 +64,16 @@
 	return l.faults
 }
 
+// Lose drops every record, as a service that was restored from nothing.
+func (l *Log) Lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.streams {
+		close(s.grown)
+	}
+	l.streams = map[platform.Stream]*stream{}
+}
+
 // Appends returns the number of append calls that took effect.
 func (l *Log) Appends() int {
 	l.mu.Lock()
