--- a/internal/daemon/peers/fleet_test.go
+++ b/internal/daemon/peers/fleet_test.go
@@ -459,7 +459,7 @@
 				server := &http.Server{Handler: c.answer, ReadHeaderTimeout: time.Minute, ErrorLog: nil}
 				listener := f.net.Listen("bad")
 				go func() { _ = server.Serve(listener) }()
-				defer server.Close()
+				defer func() { _ = server.Close() }()
 				pause(5 * time.Second)
 				p, ok := f.hosts[0].members.Lookup("bad")
 				require.True(t, ok)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -21,11 +21,13 @@
 	return s.Cores <= room.Cores && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
 }
 
-func (s Size) plus(o Size) Size {
+// Plus returns the sum of both.
+func (s Size) Plus(o Size) Size {
 	return Size{s.Cores + o.Cores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
 }
 
-func (s Size) minus(o Size) Size {
+// Minus returns s less o.
+func (s Size) Minus(o Size) Size {
 	return Size{s.Cores - o.Cores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
@@ -63,6 +65,12 @@
 	samples = 8
 	// bucketSamples bounds the workers looked at in one bucket.
 	bucketSamples = 4
+	// homeBias is how many times emptier another host's worker must be before
+	// it is taken although an own one has room, while the own share is small.
+	homeBias = 2
+	// largeShare is the number of own workers from which on they are taken as
+	// long as one of them has room.
+	largeShare = 32
 	// reportTTL is how long a report of others' use counts.
 	reportTTL = 2 * time.Second
 )
@@ -82,7 +90,7 @@
 }
 
 func (n *node) free() Size {
-	return n.Capacity.minus(n.used).minus(n.foreign).clampZero()
+	return n.Capacity.Minus(n.used).Minus(n.foreign).clampZero()
 }
 
 // Fleet is the set of workers as one entry host sees it. It is not safe for
@@ -92,8 +100,10 @@
 	rng    *rand.Rand
 	nodes  map[string]*node
 	list   []*node
-	home   index
-	away   index
+	// homes counts the workers of this entry host's share.
+	homes int
+	home  index
+	away  index
 	// shapes counts the workers by capacity.
 	shapes map[Size]int
 }
@@ -115,6 +125,12 @@
 		f.dropShape(n.Capacity)
 		f.shapes[w.Capacity]++
 	}
+	if ok && n.Home {
+		f.homes--
+	}
+	if w.Home {
+		f.homes++
+	}
 	n.Worker = w
 	n.usable = usable
 	f.reindex(n)
@@ -127,6 +143,9 @@
 		return
 	}
 	n.unlink()
+	if n.Home {
+		f.homes--
+	}
 	f.dropShape(n.Capacity)
 	delete(f.nodes, name)
 	f.list = slices.DeleteFunc(f.list, func(o *node) bool { return o == n })
@@ -163,7 +182,7 @@
 // Take counts a task in.
 func (f *Fleet) Take(name string, s Size) {
 	if n, ok := f.nodes[name]; ok {
-		n.used = n.used.plus(s)
+		n.used = n.used.Plus(s)
 		f.reindex(n)
 	}
 }
@@ -171,23 +190,30 @@
 // Give counts a task out.
 func (f *Fleet) Give(name string, s Size) {
 	if n, ok := f.nodes[name]; ok {
-		n.used = n.used.minus(s).clampZero()
+		n.used = n.used.Minus(s).clampZero()
 		f.reindex(n)
 	}
 }
 
-// Report takes a worker's own count of its use. What this host did not start
-// is the use of others, until the report is old.
-func (f *Fleet) Report(now time.Time, name string, used Size) {
+// Report takes a worker's own count of its use. What is beyond own, the room of
+// the tasks that this host knows to run there, is the use of others, until the
+// report is old.
+func (f *Fleet) Report(now time.Time, name string, used, own Size) {
 	n, ok := f.nodes[name]
 	if !ok {
 		return
 	}
-	n.foreign = used.minus(n.used).clampZero()
+	n.foreign = used.Minus(own).clampZero()
 	n.reported = now
 	f.reindex(n)
 }
 
+// Over reports whether a worker is given more than it has, by what is known.
+func (f *Fleet) Over(name string) bool {
+	n, ok := f.nodes[name]
+	return ok && !n.used.Plus(n.foreign).Fits(n.Capacity)
+}
+
 // Refused marks a worker as too full for the size, until its next report.
 func (f *Fleet) Refused(now time.Time, name string, s Size) {
 	n, ok := f.nodes[name]
@@ -267,9 +293,13 @@
 // Among near equals it takes the one whose rack holds the fewest tasks of the
 // job.
 func (f *Fleet) Pick(s Size, racks Racks) (string, bool) {
-	n := f.home.pick(s, racks, f.rng, f.policy)
+	first, second := &f.home, &f.away
+	if f.homes < largeShare && homeBias*f.home.top() < f.away.top() {
+		first, second = second, first
+	}
+	n := first.pick(s, racks, f.rng, f.policy)
 	if n == nil {
-		n = f.away.pick(s, racks, f.rng, f.policy)
+		n = second.pick(s, racks, f.rng, f.policy)
 	}
 	if n == nil {
 		return "", false
