Keep a worker for a large task that small ones would starve

A task that finds no room for 300 ms while smaller ones are placed has a worker kept for it. So the worker keeps the room from other holders until the holder's next start or the lease's end; a worker that ignores the field only loses the last step. Small tasks that wait behind equal ones keep no worker.

--- a/internal/daemon/jobs/carry.go
+++ b/internal/daemon/jobs/carry.go
@@ -47,7 +47,7 @@
 	ctx, cancel := s.callContext(callTimeout)
 	defer cancel()
 	metrics.Add("lease_calls", 1)
-	call := workerapi.LeaseCall{Holder: string(s.deps.Incarnation), TTLMs: a.TTL.Milliseconds()}
+	call := workerapi.LeaseCall{Holder: string(s.deps.Incarnation), TTLMs: a.TTL.Milliseconds(), Reserve: a.Reserve}
 	asked := time.Now()
 	lease, err := s.deps.Workers.Lease(ctx, a.Address, call)
 	s.do(func(now time.Time) {
--- a/internal/decide/jobs/action.go
+++ b/internal/decide/jobs/action.go
@@ -47,6 +47,8 @@
 	Worker  string
 	Address string
 	TTL     time.Duration
+	// Reserve is room to keep from other hosts.
+	Reserve workerapi.Usage
 }
 
 // Start sends tasks to a worker in one message. It must not be sent after
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -111,7 +111,9 @@
 	quotas   map[team]int
 	holding  map[team]int
 	reserved int
-	jobSeq   int64
+	// placed counts the tasks placed by their cores.
+	placed [sizeClasses]int64
+	jobSeq int64
 	// dirty are the workers with something to send.
 	dirty []*worker
 
@@ -126,6 +128,9 @@
 	p   *pending
 }
 
+// sizeClasses is how many sizes in cores are counted apart.
+const sizeClasses = 65
+
 // team names one team of one customer.
 type team struct {
 	customer string
--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -244,3 +244,26 @@
 	require.Len(t, stops, 1)
 	require.Equal(t, []workerapi.TaskRef{{Submission: key.String(), Task: "a"}}, stops[0].Call.Tasks)
 }
+
+// TestRecordsStaySmall bounds what every entry host reads of every job: a claim
+// and a complete close.
+func TestRecordsStaySmall(t *testing.T) {
+	owner := ids.NewIncarnation("entry-westlands-1")
+	k := Key{Customer: "tamarind", Submission: "6f1c4f8e-5a1b-4c0e-9a53-0f3c1d7b2a44"}
+	claim := Record{
+		Kind: KindClaim, Key: k, Owner: owner, AgeMs: 86_400_000, Address: "10.20.30.40:7300",
+		Digest: "00112233445566778899aabbccddeeff", LeaseMs: 70_000,
+	}
+	end := Record{Kind: KindClose, Key: k, Owner: owner, Of: owner, AgeMs: 86_400_000, State: callerapi.JobComplete}
+	total := 0
+	for _, r := range []Record{claim, end} {
+		data, err := r.Encode()
+		require.NoError(t, err)
+		back, err := DecodeRecord(data)
+		require.NoError(t, err)
+		require.Equal(t, r, back)
+		total += len(data)
+		t.Logf("%s: %d bytes", r.Kind, len(data))
+	}
+	require.Less(t, total, 400)
+}
--- a/internal/decide/jobs/job.go
+++ b/internal/decide/jobs/job.go
@@ -74,7 +74,9 @@
 	racks   place.Racks
 
 	blockedSince time.Time
-	reserved     string
+	// smaller is the count of smaller tasks placed when the job was blocked.
+	smaller  int64
+	reserved string
 
 	// ending is why the job is being stopped, while stops are awaited.
 	ending *errkind.Error
--- a/internal/decide/jobs/model_test.go
+++ b/internal/decide/jobs/model_test.go
@@ -13,6 +13,7 @@
 	name     string
 	process  int
 	cores    int
+	slowBy   float64
 	waiting  map[string]func()
 	down     bool
 	failing  bool
@@ -26,12 +27,14 @@
 type modelLease struct {
 	epoch   int64
 	expires time.Duration
+	reserve int
 }
 
 type modelTask struct {
 	state  workerapi.TaskState
 	holder string
 	cores  int
+	run    time.Duration
 }
 
 func (w *world) worker(name string) *model {
@@ -51,25 +54,33 @@
 
 func (m *model) instance() string { return fmt.Sprintf("%s#%d", m.name, m.process) }
 
-func (m *model) lease(holder string, ttl time.Duration) workerapi.Lease {
+func (m *model) lease(holder string, ttl time.Duration, reserve int) workerapi.Lease {
 	l, ok := m.leases[holder]
 	if !ok || m.world.at > l.expires {
 		m.epoch++
 		l.epoch = m.epoch
 	}
-	l.expires = m.world.at + ttl
+	l.expires, l.reserve = m.world.at+ttl, reserve
 	m.leases[holder] = l
-	return workerapi.Lease{Instance: m.instance(), Epoch: l.epoch, TTLMs: ttl.Milliseconds(), Used: m.usage()}
+	return workerapi.Lease{Instance: m.instance(), Epoch: l.epoch, TTLMs: ttl.Milliseconds(), Used: m.usage(holder)}
 }
 
-func (m *model) usage() workerapi.Usage { return workerapi.Usage{Cores: m.usedCore} }
+func (m *model) usage(holder string) workerapi.Usage {
+	cores := m.usedCore
+	for other, l := range m.leases {
+		if other != holder && m.world.at <= l.expires {
+			cores += l.reserve
+		}
+	}
+	return workerapi.Usage{Cores: cores}
+}
 
 func (m *model) start(call workerapi.StartCall) workerapi.StartReply {
 	reply := workerapi.StartReply{}
 	for _, t := range call.Tasks {
 		reply.Verdicts = append(reply.Verdicts, m.startOne(call, t))
 	}
-	reply.Used = m.usage()
+	reply.Used = m.usage(call.Holder)
 	return reply
 }
 
@@ -81,11 +92,11 @@
 		return workerapi.RefusedLease
 	case m.ledger[r] != nil:
 		return workerapi.RefusedTwice
-	case m.usedCore+t.Cores > m.cores:
+	case m.usage(call.Holder).Cores+t.Cores > m.cores:
 		m.world.refused++
 		return workerapi.RefusedRoom
 	}
-	l.expires = m.world.at + time.Duration(call.TTLMs)*time.Millisecond
+	l.expires, l.reserve = m.world.at+time.Duration(call.TTLMs)*time.Millisecond, 0
 	m.leases[call.Holder] = l
 	m.world.starts[t.Submission+"/"+t.Task]++
 	task := &modelTask{state: workerapi.TaskRunning, holder: call.Holder, cores: t.Cores}
@@ -98,6 +109,10 @@
 	} else if m.world.chance(0.03) {
 		length = worldEnd
 	}
+	if m.slowBy > 0 {
+		length = time.Duration(float64(length) * m.slowBy)
+	}
+	task.run = length
 	m.world.after(length, func() {
 		if m.process == process && !m.down && task.state == workerapi.TaskRunning {
 			state := workerapi.TaskDone
@@ -115,7 +130,7 @@
 	m.usedCore -= t.cores
 	m.ended[t.holder] = append(m.ended[t.holder], workerapi.Result{
 		Seq: int64(len(m.ended[t.holder]) + 1), Submission: r.Submission, Task: r.Task, State: state,
-		Output: []byte(r.Submission + "/" + r.Task),
+		Output: []byte(r.Submission + "/" + r.Task), RunMs: t.run.Milliseconds(),
 	})
 	if wake, ok := m.waiting[t.holder]; ok {
 		delete(m.waiting, t.holder)
@@ -156,7 +171,7 @@
 }
 
 func (m *model) results(holder string, after int64) workerapi.Results {
-	page := workerapi.Results{Instance: m.instance(), Used: m.usage()}
+	page := workerapi.Results{Instance: m.instance(), Used: m.usage(holder)}
 	page.Results = append(page.Results, m.ended[holder][min(int(after), len(m.ended[holder])):]...)
 	return page
 }
--- a/internal/decide/jobs/policy_test.go
+++ b/internal/decide/jobs/policy_test.go
@@ -19,6 +19,9 @@
 	cores   int
 	load    float64
 	length  time.Duration
+	// slow workers run tasks slowBy times longer.
+	slow   int
+	slowBy float64
 }
 
 // arrival is one job of a trial with its tasks' run times.
@@ -70,6 +73,9 @@
 func (f fleet) trial(list []arrival, hosts int, policy place.Policy, instant bool) outcomes {
 	w := newSizedWorld(1, hosts, f.workers, f.cores, policy)
 	w.instant = instant
+	for i := range f.slow {
+		w.workers[i].slowBy = f.slowBy
+	}
 	for i, a := range list {
 		k := Key{Customer: a.spec.Customer, Submission: a.spec.Submission}
 		for n, run := range a.runs {
@@ -131,6 +137,30 @@
 	}
 }
 
+// stragglerSeeds is the number of arrival lists averaged over.
+const stragglerSeeds = 5
+
+// BenchmarkStragglers measures job times with slow workers among the others.
+func BenchmarkStragglers(b *testing.B) {
+	for _, slow := range []int{0, 1, 5} {
+		f := fleet{workers: 50, cores: 32, load: 0.5, length: 15 * time.Second, slow: slow, slowBy: 10}
+		b.Run(fmt.Sprintf("%d-of-50-slow", slow), func(b *testing.B) {
+			for b.Loop() {
+				mean, p99 := 0.0, 0.0
+				for seed := range uint64(stragglerSeeds) {
+					list := f.arrivals(seed)
+					ideal := fleet{workers: 50, cores: 32, length: f.length}.trial(list, 1, place.PolicyMostFree, true)
+					m, p := f.trial(list, 8, place.PolicyHome, false).against(ideal)
+					mean += m / stragglerSeeds
+					p99 += p / stragglerSeeds
+				}
+				b.ReportMetric(mean, "x-ideal-mean")
+				b.ReportMetric(p99, "x-ideal-p99")
+			}
+		})
+	}
+}
+
 // TestMessagesPerStart bounds the calls to workers: one start with its result
 // is two calls, and tasks that travel together share them.
 func TestMessagesPerStart(t *testing.T) {
@@ -140,3 +170,46 @@
 	require.Len(t, got.spans, len(list))
 	require.Less(t, got.perStart(), 2.0)
 }
+
+// largeTaskWait floods a fleet with small tasks, more than it can run, and
+// returns how long a task waits that needs a whole worker.
+func largeTaskWait(hosts int, reserve time.Duration) time.Duration {
+	w := newSizedWorld(1, hosts, 16, 32, place.PolicyHome)
+	for _, h := range w.hosts {
+		h.core.cfg.ReserveAfter = reserve
+	}
+	flood := fleet{workers: 16, cores: 32, load: 1.5, length: 20 * time.Second}
+	for i, a := range flood.arrivals(3) {
+		for n, run := range a.runs {
+			w.runs[fmt.Sprintf("tamarind/%s/task-%d", a.spec.Submission, n)] = run
+			a.spec.Tasks[n].Cores = 1
+		}
+		w.after(time.Second+a.at, func() { w.hosts[i%hosts].submit(a.spec) })
+	}
+	large := callerapi.Job{
+		Submission: "large", Customer: "tamarind", Attempt: 1, DeadlineMs: 50_000,
+		Tasks: []callerapi.Task{{Name: "task-0", Cores: 32}},
+	}
+	w.runs["tamarind/large/task-0"] = 500 * time.Millisecond
+	began := 8 * time.Second
+	w.after(began, func() { w.hosts[0].submit(large) })
+	w.run(70 * time.Second)
+	for _, g := range w.given {
+		if g.key.Submission == "large" && g.answer.State == callerapi.JobComplete {
+			return g.at - began
+		}
+	}
+	return w.at
+}
+
+// TestLargeTaskIsNotStarvedBySmallOnes bounds the wait of a task that needs a
+// whole worker by the longest small task, the wait before a worker is kept and
+// its own run, twice over.
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	const bound = 2 * (5*time.Second + 300*time.Millisecond + 500*time.Millisecond)
+	for _, hosts := range []int{1, 8} {
+		kept := largeTaskWait(hosts, 300*time.Millisecond)
+		t.Logf("%d hosts: %v with a worker kept, %v without", hosts, kept, largeTaskWait(hosts, time.Hour))
+		require.Less(t, kept, bound, "%d hosts", hosts)
+	}
+}
--- a/internal/decide/jobs/record.go
+++ b/internal/decide/jobs/record.go
@@ -28,40 +28,45 @@
 
 // Key names a submission.
 type Key struct {
-	Customer   string `json:"customer,omitempty"`
-	Submission string `json:"submission,omitempty"`
+	Customer   string `json:"c,omitempty"`
+	Submission string `json:"s,omitempty"`
 }
 
 // String returns the key as text.
 func (k Key) String() string { return k.Customer + "/" + k.Submission }
 
-// Record is one record in the job stream.
+// Record is one record in the job stream. Its field names are short, since every
+// entry host reads every record.
 type Record struct {
-	Kind Kind `json:"kind"`
-	Key  Key  `json:"key,omitzero"`
+	Kind Kind `json:"k"`
+	Key  Key  `json:"n,omitzero"`
 	// Owner is the incarnation that wrote the record.
-	Owner ids.Incarnation `json:"owner"`
+	Owner ids.Incarnation `json:"o"`
 	// AgeMs is the writer's age when it wrote, on its monotonic clock, in
 	// milliseconds.
-	AgeMs int64 `json:"age_ms"`
+	AgeMs int64 `json:"t"`
 	// Address is the owner's address for peers, in a claim.
-	Address string `json:"address,omitempty"`
+	Address string `json:"a,omitempty"`
 	// Digest is the digest of the job's content, in a claim.
-	Digest string `json:"digest,omitempty"`
+	Digest string `json:"d,omitempty"`
 	// LeaseMs is how long the owner alone may close the job, counted by each
 	// host from when it sees the claim, in milliseconds.
-	LeaseMs int64 `json:"lease_ms,omitempty"`
-	// Of is the owner whose claim a close ends.
-	Of ids.Incarnation `json:"of,omitempty"`
+	LeaseMs int64 `json:"l,omitempty"`
+	// Of is the owner whose claim a close ends. It is left out of the log if it
+	// is the writer.
+	Of ids.Incarnation `json:"f,omitempty"`
 	// State, ErrorKind, Run and Reason are set in a close.
-	State     callerapi.JobState `json:"state,omitempty"`
-	ErrorKind string             `json:"error_kind,omitempty"`
-	Run       string             `json:"run,omitempty"`
-	Reason    string             `json:"reason,omitempty"`
+	State     callerapi.JobState `json:"st,omitempty"`
+	ErrorKind string             `json:"e,omitempty"`
+	Run       string             `json:"r,omitempty"`
+	Reason    string             `json:"w,omitempty"`
 }
 
 // Encode returns the record's bytes.
 func (r Record) Encode() ([]byte, error) {
+	if r.Of == r.Owner {
+		r.Of = ""
+	}
 	data, err := json.Marshal(r)
 	if err != nil {
 		return nil, fmt.Errorf("encode job record %s: %w", r.Key, err)
@@ -75,6 +80,9 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Record{}, fmt.Errorf("decode job record: %w", err)
 	}
+	if r.Kind == KindClose && r.Of == "" {
+		r.Of = r.Owner
+	}
 	return r, nil
 }
 
--- a/internal/decide/jobs/schedule.go
+++ b/internal/decide/jobs/schedule.go
@@ -109,6 +109,7 @@
 
 func (c *Core) assign(r ref, w *worker, size place.Size, rule, why string) {
 	r.t().state = taskPlaced
+	c.placed[min(size.Cores, len(c.placed)-1)]++
 	c.hold(r, w, size)
 	w.queue = append(w.queue, r)
 	c.touch(w)
@@ -116,13 +117,23 @@
 		"%s; %d cores, %d MB", why, size.Cores, size.MemoryMB)
 }
 
-// blocked keeps a worker for a task that has found no room for long.
+// smallerPlaced counts the tasks placed so far that need fewer cores.
+func (c *Core) smallerPlaced(size place.Size) int64 {
+	total := int64(0)
+	for _, n := range c.placed[:min(size.Cores, len(c.placed))] {
+		total += n
+	}
+	return total
+}
+
+// blocked keeps a worker for a task that has found no room for long while smaller ones have.
 func (c *Core) blocked(now time.Time, j *job, size place.Size) {
 	switch {
 	case j.blockedSince.IsZero():
 		j.blockedSince = now
+		j.smaller = c.smallerPlaced(size)
 		return
-	case j.reserved != "", now.Sub(j.blockedSince) < c.cfg.ReserveAfter:
+	case j.reserved != "", now.Sub(j.blockedSince) < c.cfg.ReserveAfter, c.smallerPlaced(size) == j.smaller:
 		return
 	case c.reserved > c.fleet.Len()/workersPerReservation:
 		return
@@ -133,6 +144,9 @@
 	}
 	j.reserved = name
 	c.reserved++
+	w := c.workers[name]
+	w.reserve = workerapi.Usage{Cores: size.Cores, MemoryMB: size.MemoryMB, Accelerators: size.Accelerators}
+	c.askLease(w)
 	c.note(decision.PartPlace, "reserve", "no-room", j.key, []string{name},
 		"a task of %d cores found no room for %v", size.Cores, now.Sub(j.blockedSince).Round(time.Millisecond))
 }
@@ -142,6 +156,9 @@
 		return
 	}
 	c.fleet.Release(j.reserved)
+	if w, ok := c.workers[j.reserved]; ok {
+		w.reserve = workerapi.Usage{}
+	}
 	j.reserved = ""
 	c.reserved--
 }
@@ -198,8 +215,7 @@
 			continue
 		}
 		if !now.Before(w.expires.Add(-c.cfg.LeaseMargin)) {
-			w.leasing = true
-			c.emit(AskLease{Worker: w.name, Address: w.address, TTL: c.cfg.LeaseTTL})
+			c.askLease(w)
 			continue
 		}
 		c.send(w)
@@ -207,6 +223,13 @@
 	c.dirty = c.dirty[:0]
 }
 
+func (c *Core) askLease(w *worker) {
+	if !w.leasing {
+		w.leasing = true
+		c.emit(AskLease{Worker: w.name, Address: w.address, TTL: c.cfg.LeaseTTL, Reserve: w.reserve})
+	}
+}
+
 func (c *Core) send(w *worker) {
 	c.startSeq++
 	s := &start{worker: w}
--- a/internal/decide/jobs/tick.go
+++ b/internal/decide/jobs/tick.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/workerapi"
 )
 
 // beatsPerHorizon is how many records a quiet host writes in one horizon.
@@ -66,6 +67,9 @@
 			c.fleet.SetUsable(w.name, true)
 			c.note(decision.PartWorker, "use", "avoid-over", Key{}, []string{w.name}, "the worker may get tasks again")
 		}
+		if w.reserve != (workerapi.Usage{}) && now.After(w.expires.Add(-c.cfg.LeaseTTL+c.cfg.RetryInterval)) {
+			c.askLease(w)
+		}
 		if now.Before(w.retryAt) {
 			continue
 		}
--- a/internal/decide/jobs/worker.go
+++ b/internal/decide/jobs/worker.go
@@ -56,6 +56,8 @@
 	stops  []workerapi.TaskRef
 	// stopNow are the tasks to stop with the next flush.
 	stopNow []workerapi.TaskRef
+	// reserve is room kept here for a large task.
+	reserve workerapi.Usage
 	// dirty is set while the worker has something to send.
 	dirty bool
 }
--- a/internal/decide/jobs/world_test.go
+++ b/internal/decide/jobs/world_test.go
@@ -305,7 +305,7 @@
 	m := h.world.worker(a.Worker)
 	holder := string(h.inc)
 	var lease workerapi.Lease
-	h.call(life, m, func() { lease = m.lease(holder, a.TTL) }, func(now time.Time, ok bool) {
+	h.call(life, m, func() { lease = m.lease(holder, a.TTL, a.Reserve.Cores) }, func(now time.Time, ok bool) {
 		if !ok {
 			h.core.LeaseFailed(now, a.Worker)
 			return
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -65,6 +65,7 @@
 type lease struct {
 	epoch   int64
 	expires time.Time
+	reserve Capacity
 }
 
 // Worker is one worker. It is safe for concurrent use.
@@ -112,6 +113,7 @@
 		l.epoch = w.epoch
 	}
 	l.expires = now.Add(time.Duration(call.TTLMs) * time.Millisecond)
+	l.reserve = Capacity{call.Reserve.Cores, call.Reserve.MemoryMB, call.Reserve.Accelerators}
 	w.leases[call.Holder] = l
 	return workerapi.Lease{
 		Worker:       w.name,
@@ -122,12 +124,22 @@
 		Cores:        w.capacity.Cores,
 		MemoryMB:     w.capacity.MemoryMB,
 		Accelerators: w.capacity.Accelerators,
-		Used:         w.usage(),
+		Used:         w.usage(call.Holder),
 	}
 }
 
-func (w *Worker) usage() workerapi.Usage {
-	return workerapi.Usage{Cores: w.used.Cores, MemoryMB: w.used.MemoryMB, Accelerators: w.used.Accelerators}
+// usage is what is not free for the holder: what runs and what others have
+// reserved.
+func (w *Worker) usage(holder string) workerapi.Usage {
+	u := workerapi.Usage{Cores: w.used.Cores, MemoryMB: w.used.MemoryMB, Accelerators: w.used.Accelerators}
+	for other, l := range w.leases {
+		if other != holder && time.Now().Before(l.expires) {
+			u.Cores += l.reserve.Cores
+			u.MemoryMB += l.reserve.MemoryMB
+			u.Accelerators += l.reserve.Accelerators
+		}
+	}
+	return u
 }
 
 // Start starts what fits of the call's tasks.
@@ -139,7 +151,7 @@
 		verdicts[i] = w.startOne(call, t)
 	}
 	w.renew(call)
-	return workerapi.StartReply{Verdicts: verdicts, Used: w.usage()}
+	return workerapi.StartReply{Verdicts: verdicts, Used: w.usage(call.Holder)}
 }
 
 // renew extends the lease that the call was made under, unless it has lapsed.
@@ -150,6 +162,7 @@
 		return
 	}
 	l.expires = now.Add(time.Duration(call.TTLMs) * time.Millisecond)
+	l.reserve = Capacity{}
 	w.leases[call.Holder] = l
 }
 
@@ -163,7 +176,7 @@
 		return workerapi.RefusedLease
 	case w.tasks[key] != nil:
 		return workerapi.RefusedTwice
-	case !w.fits(t):
+	case !w.fits(call.Holder, t):
 		return workerapi.RefusedRoom
 	}
 	w.starts[t.Submission+"/"+t.Task]++
@@ -174,10 +187,11 @@
 	return workerapi.Started
 }
 
-func (w *Worker) fits(t workerapi.Start) bool {
-	return w.used.Cores+t.Cores <= w.capacity.Cores &&
-		w.used.MemoryMB+t.MemoryMB <= w.capacity.MemoryMB &&
-		w.used.Accelerators+t.Accelerators <= w.capacity.Accelerators
+func (w *Worker) fits(holder string, t workerapi.Start) bool {
+	used := w.usage(holder)
+	return used.Cores+t.Cores <= w.capacity.Cores &&
+		used.MemoryMB+t.MemoryMB <= w.capacity.MemoryMB &&
+		used.Accelerators+t.Accelerators <= w.capacity.Accelerators
 }
 
 func (w *Worker) take(t workerapi.Start, sign int) {
@@ -257,7 +271,7 @@
 		kept = kept[1:]
 	}
 	w.results[holder] = kept
-	page := workerapi.Results{Instance: w.instance, Results: slices.Clone(kept), Used: w.usage()}
+	page := workerapi.Results{Instance: w.instance, Results: slices.Clone(kept), Used: w.usage(holder)}
 	return page, w.ended
 }
 
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -17,6 +17,10 @@
 	Holder string `json:"holder"`
 	// TTLMs is how long the lease holds, in milliseconds.
 	TTLMs int64 `json:"ttl_ms"`
+	// Reserve keeps room from other holders, as long as the lease holds and
+	// until the holder's next start or lease call. It is counted as used in what
+	// others are told.
+	Reserve Usage `json:"reserve,omitzero"`
 }
 
 // Usage is a worker's use as last measured, over all holders.
