Eject backend servers in trouble, and pay for retries with successes

Cause: a server that failed everything at once had the fewest requests and drew the most work; a frozen one kept its place; every refusal was sent to the next server, up to all fifty.

Ejection: failures in a row, no answers beyond what healthy servers would do by chance (learned from all answers of the customer), answers slower than three times the median server's, a ceiling on the share out, a doubling time out, three probes one at a time to return. A server that says that it leaves gets no more work, also if only a peer saw it. Retries: only after NotRun, or for idempotent requests, at most 4 sends, within a budget of the customer's retry ratio and 20 saved up; what is known of the run is kept over all sends.

Ruled out: judging slowness by the mean of three probes (one task of several seconds threw a healthy server out again); a bound from 200 answers (8 false ejections in 5 minutes, the tail was not in them).

Seen failing first, by taking each rule out: failures, silence, ceiling, doubling, one probe at a time, leaving header, own hints only, budget, proof before a retry, ejected servers kept from the selector. Each failed its test in trouble_test.go. Taking out the slowness rule alone also failed, before the probes were judged by their number.

--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -225,5 +225,5 @@
 			Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Backend: backend,
 		}})
 	}
-	s.apply(c, c.core.Done(time.Now(), dispatch.Outcome{ID: r.ID, Backend: backend, Err: err, Load: answer.Load}))
+	s.apply(c, c.core.Done(time.Now(), dispatch.Outcome{ID: r.ID, Backend: backend, Err: err, Load: answer.Load, Leaving: answer.Leaving}))
 }
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/admit"
+	"github.com/parsleyhill/parsleyhill/internal/decide/eject"
+	"github.com/parsleyhill/parsleyhill/internal/decide/retry"
 	"github.com/parsleyhill/parsleyhill/internal/decide/route"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -59,6 +61,8 @@
 	// Load is how many requests the server held when it answered, the answered
 	// one included, or 0 if it did not say.
 	Load int
+	// Leaving is set if the server said that it leaves.
+	Leaving bool
 }
 
 // waiting is a request that has not been answered.
@@ -70,6 +74,11 @@
 	tried   map[string]bool
 	// cancelled keeps a request that was sent from being sent again.
 	cancelled bool
+	sends     int
+	// run is what the sends so far tell of the request's run.
+	run errkind.RunState
+	// probe is set if the last send took no slot of the selector.
+	probe bool
 }
 
 func (w *waiting) item() admit.Item {
@@ -86,6 +95,11 @@
 	selector route.Selector
 	queue    *admit.Queue
 	requests map[string]*waiting
+	retries  *retry.Policy
+	held     []heldRequest
+	watch    *eject.Watch
+	listed   []route.Backend
+	relisted bool
 }
 
 // New returns an empty core.
@@ -97,6 +111,8 @@
 		selector: selector,
 		queue:    admit.NewQueue(rules),
 		requests: map[string]*waiting{},
+		retries:  retry.New(rules.RetryRatio),
+		watch:    eject.New(customer, rules.Eject),
 	}
 }
 
@@ -104,11 +120,13 @@
 func (c *Core) SetRules(rules standing.Customer) {
 	c.rules = rules.WithDefaults()
 	c.queue.SetRules(c.rules)
+	c.retries.SetRatio(c.rules.RetryRatio)
+	c.watch.SetRules(c.rules.Eject)
 }
 
 // SetBackends replaces the servers that may get new work.
 func (c *Core) SetBackends(now time.Time, backends []route.Backend) []Action {
-	c.selector.SetBackends(now, backends)
+	c.list(now, backends)
 	return c.pump(now, nil)
 }
 
@@ -123,27 +141,31 @@
 // Done takes the outcome of a send. A success ends the request without an
 // action for it: the caller has the answer.
 func (c *Core) Done(now time.Time, o Outcome) []Action {
-	c.selector.Release(now, o.Backend)
+	w, ok := c.requests[o.ID]
+	if !ok || !w.probe {
+		c.selector.Release(now, o.Backend)
+	}
+	c.observe(now, o)
 	if observer, ok := c.selector.(route.Observer); ok && o.Load > 0 {
 		observer.Observe(now, o.Backend, o.Load)
 	}
-	w, ok := c.requests[o.ID]
 	if !ok {
 		return c.pump(now, nil)
 	}
 	c.finished(now, w, o.Err)
-	switch {
-	case o.Err == nil, w.cancelled:
+	if o.Err == nil {
+		c.retries.Success()
+	}
+	if o.Err == nil || w.cancelled {
 		delete(c.requests, o.ID)
 		return c.pump(now, nil)
-	case c.mayRetry(now, w, o.Err):
-		w.skip(o.Backend)
-		c.queue.PushFront(w.item())
-		note := c.note(decision.PartRetry, "retry", "not-run", fmt.Sprintf("%s: %s", o.Backend, o.Err.Kind), o.ID, o.Backend)
-		return c.pump(now, []Action{note})
 	}
-	delete(c.requests, o.ID)
-	return c.pump(now, []Action{Finish{ID: o.ID, Err: o.Err}})
+	actions, again := c.again(now, w, o)
+	if !again {
+		delete(c.requests, o.ID)
+		actions = append(actions, Finish{ID: o.ID, Err: w.known(o.Err)})
+	}
+	return c.pump(now, actions)
 }
 
 // finished takes a request off the running ones and learns its run time.
@@ -163,11 +185,6 @@
 	w.tried[backend] = true
 }
 
-// mayRetry allows another send only with proof that the last one did not run.
-func (c *Core) mayRetry(now time.Time, w *waiting, err *errkind.Error) bool {
-	return err.Run == errkind.NotRun && now.Before(w.req.Deadline)
-}
-
 // Cancel gives up a request. It returns whether the request was still
 // waiting, which proves that it did not run. A request that was sent keeps its
 // slot until Done.
@@ -189,14 +206,18 @@
 
 // Tick refuses requests that can no longer meet their deadlines.
 func (c *Core) Tick(now time.Time) []Action {
+	c.watch.Tick(now)
+	c.release(now)
 	return c.pump(now, c.refuse(c.queue.Expire(now)))
 }
 
 // pump sends what can be sent and adds to actions.
 func (c *Core) pump(now time.Time, actions []Action) []Action {
+	c.refresh(now)
+	actions = append(actions, c.explain()...)
 	refused := c.queue.Serve(now, func(it admit.Item) admit.Verdict {
 		w := c.requests[it.ID]
-		backend, ok := c.selector.Acquire(now, w.tried)
+		backend, rule, ok := c.acquire(now, w)
 		switch {
 		case !ok && len(w.tried) == 0:
 			return admit.Stopped
@@ -204,21 +225,24 @@
 			return admit.Skipped
 		}
 		w.backend, w.sent = backend, now
+		w.sends++
+		c.watch.Sent(now, backend, it.ID)
 		why := fmt.Sprintf("%s, %d wait", c.selector.Rule(), c.queue.Len()-1)
-		note := c.note(decision.PartRoute, "send", string(c.rules.Policy), why, it.ID, backend)
+		note := c.note(decision.PartRoute, "send", rule, why, it.ID, backend)
 		actions = append(actions, note, Send{ID: it.ID, Backend: backend})
 		return admit.Taken
 	})
 	return append(actions, c.refuse(refused)...)
 }
 
-// refuse ends requests that did not run.
+// refuse ends requests that wait.
 func (c *Core) refuse(refused []admit.Refusal) []Action {
 	var actions []Action
 	for _, r := range refused {
+		err := c.requests[r.ID].known(r.Err)
 		delete(c.requests, r.ID)
-		note := c.note(decision.PartAdmit, "refuse", string(r.Err.Kind), r.Err.Detail, r.ID)
-		actions = append(actions, note, Finish{ID: r.ID, Err: r.Err, RetryAfter: r.RetryAfter})
+		note := c.note(decision.PartAdmit, "refuse", string(err.Kind), err.Detail, r.ID)
+		actions = append(actions, note, Finish{ID: r.ID, Err: err, RetryAfter: r.RetryAfter})
 	}
 	return actions
 }
