Share slots between entry hosts and lend them under leases

Every host computes the same integer shares from the host list and the servers, of its own zone first, and borrows what it lacks. An ask states all that the borrower holds, so a lost, doubled or late message corrects itself; an ask that finds no free slot waits at the lender for one.

First try: lend only own slots, hold loans to the lease's end. Slots now pass on whoever owns them, and a lender first returns what it holds of the asker.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -192,8 +192,9 @@
 	return c.pump(now, c.refuse(c.queue.Expire(now)))
 }
 
-// pump sends what can be sent and adds to actions.
+// pump lends, sends and borrows what can be and adds to actions.
 func (c *Core) pump(now time.Time, actions []Action) []Action {
+	actions = c.lend(now, actions)
 	refused := c.queue.Serve(now, func(it admit.Item) admit.Verdict {
 		w := c.requests[it.ID]
 		backend, ok := c.selector.Acquire(now, w.tried)
@@ -209,7 +210,8 @@
 		actions = append(actions, note, Send{ID: it.ID, Backend: backend})
 		return admit.Taken
 	})
-	return append(actions, c.refuse(refused)...)
+	actions = append(actions, c.refuse(refused)...)
+	return c.borrow(now, c.lend(now, actions))
 }
 
 // refuse ends requests that did not run.
--- a/internal/decide/routebench/run.go
+++ b/internal/decide/routebench/run.go
@@ -116,7 +116,12 @@
 		r.hosts[h.name] = h
 		r.order = append(r.order, h)
 	}
+	var hosts []route.Host
+	for _, h := range r.order {
+		hosts = append(hosts, route.Host{Name: h.name, Zone: h.zone})
+	}
 	for i, h := range r.order {
+		r.apply(h, h.core.SetHosts(epoch, hosts))
 		r.apply(h, h.core.SetBackends(epoch, listed))
 		// The hosts' clocks are not in step.
 		r.schedule(time.Duration(i)*tickInterval/time.Duration(r.Hosts), func() { r.tick(h) })
@@ -158,6 +163,14 @@
 			i, _ := strconv.Atoi(a.ID)
 			j := job{request: i, host: h, backend: r.backends[a.Backend]}
 			r.schedule(r.now+r.delay(h.zone, j.backend.zone), func() { r.reach(j) })
+		case dispatch.Borrow:
+			r.message()
+			to := r.hosts[a.Ask.To]
+			r.schedule(r.now+r.delay(h.zone, to.zone), func() { r.apply(to, to.core.Asked(r.time(), a.Ask)) })
+		case dispatch.Lend:
+			r.message()
+			to := r.hosts[a.Offer.To]
+			r.schedule(r.now+r.delay(h.zone, to.zone), func() { r.apply(to, to.core.Offered(r.time(), a.Offer)) })
 		case dispatch.Finish:
 			i, _ := strconv.Atoi(a.ID)
 			if r.measured(r.requests[i]) {
@@ -167,6 +180,13 @@
 	}
 }
 
+// message counts a message between entry hosts.
+func (r *runner) message() {
+	if r.now >= r.Warmup && r.now < r.Warmup+r.Measure {
+		r.result.Messages++
+	}
+}
+
 func (r *runner) delay(a, b string) time.Duration {
 	if a == b {
 		return r.LocalDelay
--- a/internal/decide/routebench/ways.go
+++ b/internal/decide/routebench/ways.go
@@ -9,7 +9,7 @@
 
 // Ways returns the ways that are compared.
 func Ways() []Way {
-	return []Way{Least()}
+	return []Way{Least(), Shares()}
 }
 
 // Least is the least loaded server by local counts.
@@ -19,3 +19,13 @@
 		New: func(_, zone string, rng *rand.Rand) route.Selector { return route.NewLeast(zone, rng) },
 	}
 }
+
+// Shares is slot shares with borrowing.
+func Shares() Way {
+	return Way{
+		Name: "slot shares with borrowing", Policy: standing.PolicyShares,
+		New: func(host, zone string, rng *rand.Rand) route.Selector {
+			return route.NewShares(route.Host{Name: host, Zone: zone}, host+"~1", rng)
+		},
+	}
+}
--- a/internal/decide/routebench/workload.go
+++ b/internal/decide/routebench/workload.go
@@ -48,9 +48,15 @@
 	return s
 }
 
-// Deployments returns the deployments by name.
-func Deployments() map[string]func(load, skew float64, seed uint64) Scenario {
-	return map[string]func(load, skew float64, seed uint64) Scenario{"Tamarind": Tamarind, "Vadodara": Vadodara}
+// Deployment is a named setting.
+type Deployment struct {
+	Name     string
+	Scenario func(load, skew float64, seed uint64) Scenario
+}
+
+// Deployments returns the settings that are compared.
+func Deployments() []Deployment {
+	return []Deployment{{"Tamarind", Tamarind}, {"Vadodara", Vadodara}}
 }
 
 const (
