--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -5,6 +5,7 @@
 // The paths of the interface.
 const (
 	PathRequests = "/v1/requests"
+	PathIDs      = "/v1/ids"
 	PathJobs     = "/v1/jobs"
 	PathReady    = "/v1/ready"
 )
@@ -35,6 +36,22 @@
 	HeaderMessages = "Parsleyhill-Extra-Messages"
 )
 
+// ParamCount is the query parameter of PathIDs that says how many ids to mint.
+const ParamCount = "count"
+
+// MaxIDs is the largest number of ids minted at once.
+const MaxIDs = 1000
+
+// IDs is the answer of PathIDs: request ids that run at most once wherever
+// and however often they arrive.
+type IDs struct {
+	IDs []string `json:"ids"`
+	// Host is the entry host that runs them. Others forward to it.
+	Host string `json:"host"`
+	// ValidMs is how long the ids may be used, in milliseconds.
+	ValidMs int64 `json:"valid_ms"`
+}
+
 // JobState is where a job stands.
 type JobState string
 
@@ -61,10 +78,14 @@
 
 // Job is a submission of many tasks.
 type Job struct {
-	// Submission is the caller's id. A second arrival joins the first.
-	Submission string `json:"submission"`
-	Customer   string `json:"customer"`
-	Team       string `json:"team,omitempty"`
+	// Submission is the caller's id. A second arrival joins the first. Without
+	// it the entry host mints one, and the job needs no claim in the log.
+	Submission string `json:"submission,omitempty"`
+	// Attempt is 1 when the caller sends the submission for the first time and
+	// counts up; 0 means that the caller does not say.
+	Attempt  int    `json:"attempt,omitempty"`
+	Customer string `json:"customer"`
+	Team     string `json:"team,omitempty"`
 	// DeadlineMs is the time the job may take, in milliseconds.
 	DeadlineMs int64  `json:"deadline_ms,omitempty"`
 	Tasks      []Task `json:"tasks"`
@@ -80,12 +101,15 @@
 // JobAnswer is the state of a job. Results are present, one a task, only when
 // the state is complete.
 type JobAnswer struct {
-	Submission string       `json:"submission"`
-	Customer   string       `json:"customer"`
-	State      JobState     `json:"state"`
-	Owner      string       `json:"owner,omitempty"`
-	ErrorKind  string       `json:"error_kind,omitempty"`
-	Run        string       `json:"run,omitempty"`
-	Reason     string       `json:"reason,omitempty"`
+	Submission string   `json:"submission"`
+	Customer   string   `json:"customer"`
+	State      JobState `json:"state"`
+	Owner      string   `json:"owner,omitempty"`
+	ErrorKind  string   `json:"error_kind,omitempty"`
+	Run        string   `json:"run,omitempty"`
+	Reason     string   `json:"reason,omitempty"`
+	// Unrecorded is set when the log had not taken the job's close when the
+	// answer was given.
+	Unrecorded bool         `json:"unrecorded,omitempty"`
 	Results    []TaskResult `json:"results,omitempty"`
 }
