Meet the message targets by asking later and leasing longer

Renewals cost 0.04 messages a request at load 0.8 with leases of 8 s, and asks went out at once at 0.95 although one of the host's own slots becomes free every 12 ms on average. A lease now holds 16 s, a request waits 15 ms before its host asks, and a second ask under way waits 45 ms longer. Loans to hosts that are no longer listed end at once, so the longer lease does not keep a dead host's slots.

--- a/internal/decide/route/borrow.go
+++ b/internal/decide/route/borrow.go
@@ -8,6 +8,10 @@
 )
 
 const (
+	// askAfter is how long a request waits for a slot of this host's before
+	// others are asked. Each further ask at the same time waits askMore longer.
+	askAfter = 15 * time.Millisecond
+	askMore  = 45 * time.Millisecond
 	// maxAsks bounds the asks for slots under way at once.
 	maxAsks = 2
 	// spareAsked is how many slots a host asks for beyond its need.
@@ -65,7 +69,7 @@
 			underWay++
 		}
 	}
-	for need > 0 && underWay < maxAsks {
+	for need > 0 && underWay < maxAsks && now.Sub(since) >= askAfter+time.Duration(underWay)*askMore {
 		p := s.bestPeer(now)
 		if p == nil {
 			break
--- a/internal/decide/route/lend.go
+++ b/internal/decide/route/lend.go
@@ -8,9 +8,9 @@
 
 const (
 	// leaseTime is how long lent slots stay with the borrower.
-	leaseTime = 8 * time.Second
+	leaseTime = 16 * time.Second
 	// parkTime bounds the wait of an ask for a slot to become free.
-	parkTime = 300 * time.Millisecond
+	parkTime = 500 * time.Millisecond
 	// ageMargin is how much longer another host's request must have waited to
 	// be served before this host's own.
 	ageMargin = 5 * time.Millisecond
@@ -201,9 +201,12 @@
 	}
 }
 
-// trimLoans forgets loans of servers that are no longer listed.
+// trimLoans forgets loans of servers and to hosts that are no longer listed.
 func (s *Shares) trimLoans() {
 	for _, l := range s.lender.loans {
+		if !slices.ContainsFunc(s.hosts, func(h Host) bool { return h.Name == l.borrower }) {
+			l.slots = nil
+		}
 		l.slots = slices.DeleteFunc(l.slots, func(g Grant) bool {
 			i, ok := s.table.byName[g.Backend]
 			return !ok || s.table.servers[i].gone
