Test the examples on the pages and the tool against an entry host

The tool is taken through plan, confirm, status, request, job and explain against one entry host in memory.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -3,11 +3,15 @@
 package docs
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io"
 	"io/fs"
+	"net/http"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -15,9 +19,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/cli"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/settings"
 )
@@ -142,6 +148,41 @@
 	require.NoError(t, err)
 }
 
+// refused is a transport to nobody.
+type refused struct{}
+
+func (refused) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("connection refused")
+}
+
+// words splits a command line and joins quoted words.
+var words = regexp.MustCompile(`"[^"]*"|'[^']*'|[^\s]+`)
+
+// TestCommandsOnThePagesAreWellFormed runs each example of the tool against
+// nobody. Files on the pages do not exist.
+func TestCommandsOnThePagesAreWellFormed(t *testing.T) {
+	example := regexp.MustCompile(`(?m)^    (?:bin/)?parsleyhill ([^#\n]+)`)
+	count := 0
+	for _, name := range []string{"../README.md", "OPERATING.md"} {
+		for _, match := range example.FindAllStringSubmatch(page(t, name), -1) {
+			if strings.Contains(match[1], ".json") {
+				continue
+			}
+			var args []string
+			for _, word := range words.FindAllString(match[1], -1) {
+				args = append(args, strings.Trim(word, `"'`))
+			}
+			synctest.Test(t, func(t *testing.T) {
+				var errOut bytes.Buffer
+				tool := cli.Tool{In: strings.NewReader(""), Out: io.Discard, Err: &errOut, Transport: refused{}}
+				require.NotEqual(t, 2, tool.Run(t.Context(), args), "%s: %s", match[0], errOut.String())
+			})
+			count++
+		}
+	}
+	require.Greater(t, count, 5)
+}
+
 // TestLinksBetweenPagesLead checks relative links.
 func TestLinksBetweenPagesLead(t *testing.T) {
 	link := regexp.MustCompile(`\]\(([^)#:]+)\)`)
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
+	"github.com/parsleyhill/parsleyhill/internal/cli"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
@@ -289,3 +290,38 @@
 	checkRefused(t, "callers' port", errkind.WrongPort, status, answer)
 	require.Equal(t, appends, s.platform.Log.Appends())
 }
+
+// entryTransport carries the tool's calls to both ports of an entry host.
+type entryTransport struct{ s *site }
+
+func (e entryTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	if r.URL.Port() == "7101" {
+		e.s.callers.ServeHTTP(w, r)
+	} else {
+		e.s.operators.ServeHTTP(w, r)
+	}
+	return w.Result(), nil
+}
+
+// TestToolDrivesAnEntryHost takes the tool through the whole path.
+func TestToolDrivesAnEntryHost(t *testing.T) {
+	s := newSite(t)
+	s.runJob(t)
+	tool := func(stdin string, args ...string) string {
+		var out, errOut strings.Builder
+		tool := cli.Tool{In: strings.NewReader(stdin), Out: &out, Err: &errOut, Transport: entryTransport{s}}
+		require.Zero(t, tool.Run(t.Context(), args), "%v: %s", args, errOut.String())
+		return out.String()
+	}
+	require.Contains(t, tool("", "ready"), "1 entry hosts are ready")
+	plan := tool("", "plan", "set-team", "tamarind", "rigs", "-slots", "4", "-operator", "wanjiru", "-reason", "share", "-json")
+	require.Contains(t, tool(plan, "confirm", "-"), "is accepted")
+	require.Contains(t, tool("", "status", "-wait-version", "3"), "version 3")
+	require.Contains(t, tool("", "request", "-customer", "tamarind", "-team", "rigs", "-id", "pair-1", `{"run_ms":1}`), "pair-1 answered by backend-1")
+	require.Contains(t, tool(job("batch-1", `{"name":"a"}`), "job", "submit", "-"), "batch-1 is complete")
+	require.Contains(t, tool("", "job", "status", "-customer", "tamarind", "batch-1"), "is complete")
+	for _, id := range []string{"pair-1", "batch-1", "backend-1", "worker-1"} {
+		require.NotContains(t, tool("", "explain", id), ": 0 decisions", id)
+	}
+}
