--- a/internal/decide/jobs/outcome.go
+++ b/internal/decide/jobs/outcome.go
@@ -49,9 +49,9 @@
 	t := r.t()
 	switch v {
 	case workerapi.Started:
-		t.state, t.started = taskRunning, true
+		w.run(r)
 		if r.job.closed || r.job.ending != nil {
-			c.stopAt(now, w, []workerapi.TaskRef{{Submission: r.job.text, Task: t.spec.Name}})
+			c.stopAt(now, w, workerapi.TaskRef{Submission: r.job.text, Task: t.spec.Name})
 		}
 		return
 	case workerapi.RefusedTwice:
@@ -130,7 +130,7 @@
 	return workerapi.StopCall{Holder: string(c.cfg.Self), Instance: w.instance, Tasks: refs}
 }
 
-func (c *Core) stopAt(now time.Time, w *worker, refs []workerapi.TaskRef) {
+func (c *Core) stopAt(now time.Time, w *worker, refs ...workerapi.TaskRef) {
 	if w == nil || len(refs) == 0 {
 		return
 	}
@@ -171,13 +171,13 @@
 		case workerapi.TaskUnknown:
 			c.lost(now, w, r)
 		default:
-			r.t().state, r.t().started = taskRunning, true
+			w.run(r)
 			if r.job.closed || r.job.ending != nil {
 				bar = append(bar, tr)
 			}
 		}
 	}
-	c.stopAt(now, w, bar)
+	c.stopAt(now, w, bar...)
 }
 
 func (c *Core) lost(now time.Time, w *worker, r ref) {
@@ -235,7 +235,7 @@
 		}
 	case state == workerapi.TaskDone || state == workerapi.TaskFailed:
 		// The result follows, or has been read.
-		t.state, t.started = taskRunning, true
+		w.run(r)
 		if r.job.closed {
 			c.release(r)
 			t.state = taskEnded
@@ -261,7 +261,9 @@
 	if !ok {
 		return
 	}
-	c.seeInstance(now, w, page.Instance)
+	if !c.seeInstance(now, w, page.Instance) {
+		return
+	}
 	for _, res := range page.Results {
 		if r, ok := c.find(w, res.Submission, res.Task); ok && r.t().atWorker() {
 			c.ended(now, w, r, res)
--- a/internal/decide/jobs/worker.go
+++ b/internal/decide/jobs/worker.go
@@ -12,6 +12,9 @@
 	"github.com/parsleyhill/parsleyhill/internal/workerapi"
 )
 
+// replacedKept is how many replaced processes of a worker are remembered.
+const replacedKept = 8
+
 // WorkerInfo is one worker as the host list gives it.
 type WorkerInfo struct {
 	Name     string
@@ -30,6 +33,9 @@
 	listed  bool
 
 	instance string
+	// replaced are the instances before this one, whose late replies do not
+	// count.
+	replaced []string
 	epoch    int64
 	expires  time.Time
 	leasing  bool
@@ -40,6 +46,8 @@
 
 	// tasks are what is placed here, with the room it takes.
 	tasks map[ref]place.Size
+	// running is the room of the tasks that the worker has said it runs.
+	running place.Size
 	// queue are the tasks placed here that were not sent.
 	queue []ref
 	// doubts are the tasks to ask about, stops the tasks to stop again, when
@@ -62,7 +70,7 @@
 	if len(infos) == 0 {
 		return
 	}
-	for _, w := range c.workers {
+	for _, w := range c.list {
 		w.listed = false
 	}
 	for _, info := range infos {
@@ -70,22 +78,25 @@
 		if !ok {
 			w = &worker{name: info.Name, tasks: map[ref]place.Size{}}
 			c.workers[info.Name] = w
+			c.list = append(c.list, w)
 		}
 		w.address, w.live, w.listed = info.Address, info.Live, true
 		c.fleet.Put(place.Worker{
 			Name: info.Name, Rack: info.Rack, Capacity: info.Capacity, Home: c.isHome(info.Name, entries),
 		}, w.usable(now))
 	}
-	for name, w := range c.workers {
+	c.list = slices.DeleteFunc(c.list, func(w *worker) bool {
 		if w.listed {
-			continue
+			return false
 		}
-		c.fleet.SetUsable(name, false)
-		if len(w.tasks) == 0 {
-			c.fleet.Remove(name)
-			delete(c.workers, name)
+		c.fleet.SetUsable(w.name, false)
+		if len(w.tasks) > 0 {
+			return false
 		}
-	}
+		c.fleet.Remove(w.name)
+		delete(c.workers, w.name)
+		return true
+	})
 }
 
 // isHome reports whether this entry host ranks first for the worker by
@@ -119,11 +130,26 @@
 		return
 	}
 	w.leasing = false
-	c.seeInstance(now, w, l.Instance)
 	c.touch(w)
+	if !c.seeInstance(now, w, l.Instance) {
+		return
+	}
 	w.epoch = l.Epoch
 	w.expires = asked.Add(time.Duration(l.TTLMs) * time.Millisecond)
 	c.report(now, w, l.Used)
+	c.shed(w)
+}
+
+// shed takes back tasks that were not sent, while the worker's own report says
+// that they find no room.
+func (c *Core) shed(w *worker) {
+	for len(w.queue) > 0 && c.fleet.Over(w.name) {
+		last := w.queue[len(w.queue)-1]
+		w.queue = w.queue[:len(w.queue)-1]
+		if last.t().state == taskPlaced && last.t().worker == w.name {
+			c.putBack(last)
+		}
+	}
 }
 
 // LeaseFailed is told when a worker gave no lease.
@@ -154,18 +180,24 @@
 }
 
 // seeInstance takes the name of a worker's process. If it is another than
-// before, what the old one held is lost.
-func (c *Core) seeInstance(now time.Time, w *worker, instance string) {
-	if instance == w.instance || instance == "" {
-		return
+// before, what the old one held is lost. It returns false for the late word of
+// a process that was replaced.
+func (c *Core) seeInstance(now time.Time, w *worker, instance string) bool {
+	if slices.Contains(w.replaced, instance) {
+		return false
+	}
+	if instance == w.instance {
+		return true
 	}
 	old := w.instance
 	w.instance = instance
 	w.expires = time.Time{}
 	w.doubts, w.stops, w.stopNow = nil, nil, nil
 	if old == "" {
-		return
+		return true
 	}
+	w.replaced = append(w.replaced, old)
+	w.replaced = w.replaced[max(0, len(w.replaced)-replacedKept):]
 	c.note(decision.PartWorker, "lost", "new-instance", Key{}, []string{w.name}, "the worker's process was replaced")
 	for _, r := range sortedRefs(w.tasks) {
 		t := r.t()
@@ -176,6 +208,7 @@
 		t.state, t.lost = taskEnded, true
 		c.fail(now, r.job, errkind.New(errkind.TaskUnknown, "worker %s was replaced while it had task %s", w.name, t.spec.Name))
 	}
+	return true
 }
 
 func sortedRefs(tasks map[ref]place.Size) []ref {
@@ -193,7 +226,16 @@
 }
 
 func (c *Core) report(now time.Time, w *worker, u workerapi.Usage) {
-	c.fleet.Report(now, w.name, place.Size{Cores: u.Cores, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators})
+	c.fleet.Report(now, w.name, place.Size{Cores: u.Cores, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators}, w.running)
+}
+
+// run takes that the worker runs, or ran, a task.
+func (w *worker) run(r ref) {
+	t := r.t()
+	if t.state != taskRunning {
+		t.state, t.started = taskRunning, true
+		w.running = w.running.Plus(t.size)
+	}
 }
 
 // hold counts a task in at a worker.
@@ -217,6 +259,9 @@
 		return
 	}
 	delete(w.tasks, r)
+	if r.t().state == taskRunning {
+		w.running = w.running.Minus(size)
+	}
 	c.fleet.Give(w.name, size)
 	k := team{r.job.key.Customer, r.job.spec.Team}
 	c.holding[k] -= size.Cores
