Show warnings and what is in flight in plans, and acknowledge with -force

Plans have learnt warnings; the tool neither showed them nor could acknowledge them, so a plan with one could not be confirmed by it.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -179,6 +179,22 @@
 	}
 }
 
+func TestPlanWithWarningsSaysThatItNeedsForce(t *testing.T) {
+	plan := config.Plan{ID: "plan-1", Warnings: []string{"customer t has no usable backend server"}}
+	host := &entryHost{handler: func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&plan.Intent)
+		answers(plan)(w, r)
+	}}
+	args := []string{"plan", "drain", "b-1", "-operator", "wanjiru", "-out", filepath.Join(t.TempDir(), "p.json")}
+	got := run(t, fleet{operators: host}, "", args...)
+	require.Contains(t, got.out, "WARNING: customer t has no usable backend server")
+	require.Contains(t, got.out, "cannot be confirmed")
+	got = run(t, fleet{operators: host}, "", append(args, "-force")...)
+	require.Contains(t, got.out, "WARNING: customer t has no usable backend server")
+	require.Contains(t, got.out, "confirm ")
+	require.NotContains(t, got.out, "cannot be confirmed")
+}
+
 func TestConfirmIsSentOnceWhenItsReplyIsLost(t *testing.T) {
 	f := fleet{"a:1": {loseReply: true}, "b:1": {handler: answers(operator.Confirmed{})}}
 	got := run(t, f, `{"id": "plan-1"}`, "confirm", "-url", "http://a:1,http://b:1", "-")
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -25,7 +25,9 @@
 The plan is written to a file named after its id, or to the file that -out
 names. With -json it goes to the standard output and to -out alone.
 
-"plan intent <file>" takes any intent as a JSON document with comments.`
+A plan that would break something has warnings and is refused unless it was
+planned with -force. "plan intent <file>" takes any intent as a JSON document
+with comments.`
 
 // planner makes one plan command.
 type planner struct {
@@ -35,6 +37,7 @@
 	out      string
 	operator string
 	reason   string
+	force    bool
 }
 
 func (t *Tool) planner(name string) *planner {
@@ -48,6 +51,7 @@
 func (p *planner) command(name, help string, names []string, intent func(args []string) (config.Intent, error)) *ffcli.Command {
 	p.flags.StringVar(&p.operator, "operator", "", "your `name`")
 	p.flags.StringVar(&p.reason, "reason", "", "why, in a short `sentence`")
+	p.flags.BoolVar(&p.force, "force", false, "acknowledge the plan's warnings")
 	usage := "parsleyhill plan " + name
 	for _, n := range names {
 		usage += " <" + n + ">"
@@ -70,7 +74,7 @@
 			if err != nil {
 				return err
 			}
-			i.Operator, i.Reason = p.operator, p.reason
+			i.Operator, i.Reason, i.Force = p.operator, p.reason, p.force
 			document, err := json.Marshal(i)
 			if err != nil {
 				return fmt.Errorf("encode intent: %w", err)
@@ -205,10 +209,19 @@
 const planMode = 0o600
 
 func (t *Tool) printPlan(plan config.Plan, out string) error {
-	_, err := fmt.Fprintf(t.Out, "%s by %s rests on version %d. It\n", plan.ID, plan.Intent.Operator, plan.Base)
+	w := t.Out
+	_, err := fmt.Fprintf(w, "%s by %s rests on version %d. It\n", plan.ID, plan.Intent.Operator, plan.Base)
 	for _, effect := range plan.Effects {
-		_, _ = fmt.Fprintf(t.Out, "  - %s\n", effect)
+		_, _ = fmt.Fprintf(w, "  - %s\n", effect)
 	}
-	_, _ = fmt.Fprintf(t.Out, "Nothing has happened yet. To go on: parsleyhill confirm %s\n", out)
+	_, _ = fmt.Fprintf(w, "In flight: %s.\nIt holds %s.\n", plan.InFlight, plan.Holds)
+	for _, warning := range plan.Warnings {
+		_, _ = fmt.Fprintf(w, "WARNING: %s\n", warning)
+	}
+	if len(plan.Warnings) > 0 && !plan.Intent.Force {
+		_, _ = fmt.Fprintln(w, "It cannot be confirmed. To go on all the same, plan again with -force, or \"force\": true in the intent.")
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "Nothing has happened yet. To go on: parsleyhill confirm %s\n", out)
 	return err
 }
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -114,6 +115,17 @@
 	return string(data)
 }
 
+// postReady posts again while the entry host is not ready.
+func postReady(t *testing.T, h http.Handler, path, body string) (int, string) {
+	t.Helper()
+	for {
+		status, answer := post(t, h, path, nil, body)
+		if status != http.StatusServiceUnavailable {
+			return status, answer
+		}
+	}
+}
+
 func post(t *testing.T, h http.Handler, path string, header http.Header, body string) (int, string) {
 	t.Helper()
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
@@ -195,10 +207,7 @@
 func (s *site) runJob(t *testing.T) {
 	t.Helper()
 	good := job("good", `{"name":"a","cores":1},{"name":"b","cores":1}`)
-	status, answer := post(t, s.callers, callerapi.PathJobs, nil, good)
-	for status == http.StatusServiceUnavailable {
-		status, answer = post(t, s.callers, callerapi.PathJobs, nil, good)
-	}
+	status, answer := postReady(t, s.callers, callerapi.PathJobs, good)
 	require.Equal(t, http.StatusOK, status, answer)
 	require.Contains(t, answer, `"state":"complete"`)
 }
@@ -316,9 +325,11 @@
 		return out.String()
 	}
 	require.Contains(t, tool("", "ready"), "1 entry hosts are ready")
-	plan := tool("", "plan", "set-team", "tamarind", "rigs", "-slots", "4", "-operator", "wanjiru", "-reason", "share", "-json")
-	require.Contains(t, tool(plan, "confirm", "-"), "is accepted")
-	require.Contains(t, tool("", "status", "-wait-version", "3"), "version 3")
+	plan := tool("", "plan", "set-team", "tamarind", "rigs", "-slots", "2", "-operator", "wanjiru", "-reason", "share", "-json")
+	var confirmed operator.Confirmed
+	require.NoError(t, json.Unmarshal([]byte(tool(plan, "confirm", "-json", "-")), &confirmed))
+	version := strconv.FormatInt(confirmed.Version, 10)
+	require.Contains(t, tool("", "status", "-wait-version", version), "version "+version)
 	require.Contains(t, tool("", "request", "-customer", "tamarind", "-team", "rigs", "-id", "pair-1", `{"run_ms":1}`), "pair-1 answered by backend-1")
 	require.Contains(t, tool(job("batch-1", `{"name":"a"}`), "job", "submit", "-"), "batch-1 is complete")
 	require.Contains(t, tool("", "job", "status", "-customer", "tamarind", "batch-1"), "is complete")
