Count only sends that may have run as attempts; mend status

load marked every further send with the next attempt number, also after a refused dial. A later attempt asks every peer, so with one entry host dead 122 of 1,013 requests ended as duplicate_unresolved although nothing had been sent for them before. Now a send that is proved not to have run keeps the number.

status exited as not_ready when any peer was unreachable, also when it was asked to wait for nothing.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -219,6 +219,7 @@
 		Conditions: []decision.Record{{Part: decision.PartEject, Action: "eject", Why: "5 failures in a row"}},
 	}
 	got = run(t, fleet{operators: {handler: answers(status)}}, "", "status")
+	require.Equal(t, exitDone, got.status, got.err)
 	for _, want := range []string{"version 9", "drained: backend-3", "wanjiru (bad rig)", "entry-3 in zone embakasi: not reachable", "5 failures in a row"} {
 		require.Contains(t, got.out, want)
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -53,7 +53,7 @@
 			var raw []byte
 			err := poll(ctx, wait, func(ctx context.Context) (err error) {
 				st = operator.Status{}
-				if raw, err = client.get(ctx, operator.PathStatus, &st); err != nil {
+				if raw, err = client.get(ctx, operator.PathStatus, &st); err != nil || *version == 0 {
 					return err
 				}
 				return inForce(st, *version, *hosts)
--- a/internal/load/http.go
+++ b/internal/load/http.go
@@ -48,7 +48,7 @@
 		h.Set(callerapi.HeaderTeam, s.Team)
 	}
 	h.Set(callerapi.HeaderRequestID, a.ID)
-	h.Set(callerapi.HeaderAttempt, strconv.Itoa(a.Number))
+	h.Set(callerapi.HeaderAttempt, strconv.Itoa(a.Mark))
 	h.Set(callerapi.HeaderIdempotent, strconv.FormatBool(a.Idempotent))
 	h.Set(callerapi.HeaderDeadline, strconv.FormatInt(max(1, a.Deadline.Milliseconds()), 10))
 	h.Set(callerapi.HeaderDeclared, strconv.FormatInt(a.RunTime.Milliseconds(), 10))
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -146,6 +146,11 @@
 			for _, attempts := range sent {
 				for i, a := range attempts {
 					require.Equal(t, i+1, a.Number, c.name)
+					if c.out.Err != nil && c.out.Err.Run == errkind.NotRun {
+						require.Equal(t, 1, a.Mark, c.name)
+					} else {
+						require.Equal(t, i+1, a.Mark, c.name)
+					}
 					require.Equal(t, (attempts[0].Target+i)%p.Targets, a.Target, c.name)
 				}
 				last := attempts[len(attempts)-1]
@@ -234,7 +239,7 @@
 			return &http.Response{StatusCode: http.StatusOK, Header: h, Body: io.NopCloser(strings.NewReader(c.body))}, nil
 		})
 		s := &HTTPSender{URLs: []string{"http://a:1", "http://b:1"}, Customer: "tamarind", Transport: transport}
-		out := s.Send(t.Context(), Attempt{Arrival: Arrival{ID: "t-1", RunTime: 80 * time.Millisecond}, Number: 2, Target: 1, Deadline: time.Second})
+		out := s.Send(t.Context(), Attempt{Arrival: Arrival{ID: "t-1", RunTime: 80 * time.Millisecond}, Number: 3, Mark: 2, Target: 1, Deadline: time.Second})
 		require.Nil(t, out.Err, c.name)
 		require.Equal(t, c.crossed, out.Crossed, c.name)
 		require.EqualValues(t, 3, out.ExtraMessages)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -22,6 +22,9 @@
 	Arrival
 	// Number counts the sends of the request from 1.
 	Number int
+	// Mark is the attempt number to send: 1 and the number of earlier sends
+	// that were not proved not to have run.
+	Mark int
 	// Target is the index of the entry host.
 	Target int
 	// Deadline is the time left for the answer.
@@ -89,11 +92,15 @@
 	due := r.started.Add(a.At)
 	r.seen.offered(a, time.Since(due))
 	rng := rand.New(rand.NewPCG(r.plan.Seed, uint64(a.At)))
+	mark := 1
 	for number := 1; ; number++ {
 		left := r.options.Deadline - time.Since(due)
 		target := (a.Target + number - 1) % r.plan.Targets
-		out := r.sender.Send(ctx, Attempt{Arrival: a, Number: number, Target: target, Deadline: left})
+		out := r.sender.Send(ctx, Attempt{Arrival: a, Number: number, Mark: mark, Target: target, Deadline: left})
 		r.seen.attempt(a, out)
+		if out.Err != nil && out.Err.Run != errkind.NotRun {
+			mark++
+		}
 		delay := retryDelay(rng, number, out)
 		left = r.options.Deadline - time.Since(due) - delay
 		if out.Err == nil || number == r.options.Attempts || !mayRetry(a, out.Err) || left <= 0 || !sleep(ctx, delay) {
