Compare the confirmation's result by its own type

Cause: the result of a confirmation became a type of its own; the process test compared it with a plain string. Ruled out: a wrong answer; it was accepted. Before: 1 of 12 process tests failed (go test -tags e2e -parallel 3 ./internal/e2e, 64 s); the others passed: no request or task started twice, no not_run that ran, no send to a server leaving for 5 s, a host replaced while the log is away is ready. After: the test passes alone.

--- a/internal/e2e/recovery_test.go
+++ b/internal/e2e/recovery_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
@@ -76,7 +77,7 @@
 	f.setPlatform(standinplatform.Faults{LoseReplies: 1})
 	c, kind := f.confirm(f.entries[0], p)
 	require.Empty(t, kind)
-	assert.Equal(t, "accepted", c.Result)
+	assert.Equal(t, operator.ResultAccepted, c.Result)
 	f.setPlatform(standinplatform.Faults{Down: true})
 	q := f.plan(f.entries[1], config.Intent{Operator: "achieng", Verb: config.Undrain, Host: "worker-karen-1"})
 	_, kind = f.confirm(f.entries[1], q)
