Give the host list to a host that starts while the platform is away

Cause: an entry host with empty memory learned its peers, backend servers and workers from the host list alone, so one that was replaced in a full outage of the platform never became ready. Ruled out: keeping the list on a disk; entry hosts have none. A list in the settings; it ages. Settings now name seeds, peer addresses that are asked for the list while the platform gives none; a higher version wins, an empty list stays an outage.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -109,7 +109,8 @@
 	var walk func(prefix string, typ reflect.Type)
 	walk = func(prefix string, typ reflect.Type) {
 		for i := range typ.NumField() {
-			name := prefix + typ.Field(i).Tag.Get("json")
+			tag, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			name := prefix + tag
 			if typ.Field(i).Type.Kind() == reflect.Struct {
 				walk(name+".", typ.Field(i).Type)
 				continue
--- a/gen/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/peer/v1/peerv1connect/peer.connect.go
@@ -62,6 +62,9 @@
 	// ConfigServiceFetchRecordsProcedure is the fully-qualified name of the ConfigService's
 	// FetchRecords RPC.
 	ConfigServiceFetchRecordsProcedure = "/peer.v1.ConfigService/FetchRecords"
+	// ConfigServiceFetchHostsProcedure is the fully-qualified name of the ConfigService's FetchHosts
+	// RPC.
+	ConfigServiceFetchHostsProcedure = "/peer.v1.ConfigService/FetchHosts"
 	// ExplainServiceExplainProcedure is the fully-qualified name of the ExplainService's Explain RPC.
 	ExplainServiceExplainProcedure = "/peer.v1.ExplainService/Explain"
 	// ExplainServiceStatusProcedure is the fully-qualified name of the ExplainService's Status RPC.
@@ -452,6 +455,8 @@
 type ConfigServiceClient interface {
 	// FetchRecords returns the records after an offset, or a snapshot.
 	FetchRecords(context.Context, *connect.Request[v1.FetchRecordsRequest]) (*connect.Response[v1.FetchRecordsResponse], error)
+	// FetchHosts returns the host list as the receiver last read it.
+	FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error)
 }
 
 // NewConfigServiceClient constructs a client for the peer.v1.ConfigService service. By default, it
@@ -471,12 +476,19 @@
 			connect.WithSchema(configServiceMethods.ByName("FetchRecords")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchHosts: connect.NewClient[v1.FetchHostsRequest, v1.FetchHostsResponse](
+			httpClient,
+			baseURL+ConfigServiceFetchHostsProcedure,
+			connect.WithSchema(configServiceMethods.ByName("FetchHosts")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // configServiceClient implements ConfigServiceClient.
 type configServiceClient struct {
 	fetchRecords *connect.Client[v1.FetchRecordsRequest, v1.FetchRecordsResponse]
+	fetchHosts   *connect.Client[v1.FetchHostsRequest, v1.FetchHostsResponse]
 }
 
 // FetchRecords calls peer.v1.ConfigService.FetchRecords.
@@ -484,10 +496,17 @@
 	return c.fetchRecords.CallUnary(ctx, req)
 }
 
+// FetchHosts calls peer.v1.ConfigService.FetchHosts.
+func (c *configServiceClient) FetchHosts(ctx context.Context, req *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error) {
+	return c.fetchHosts.CallUnary(ctx, req)
+}
+
 // ConfigServiceHandler is an implementation of the peer.v1.ConfigService service.
 type ConfigServiceHandler interface {
 	// FetchRecords returns the records after an offset, or a snapshot.
 	FetchRecords(context.Context, *connect.Request[v1.FetchRecordsRequest]) (*connect.Response[v1.FetchRecordsResponse], error)
+	// FetchHosts returns the host list as the receiver last read it.
+	FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error)
 }
 
 // NewConfigServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -503,10 +522,18 @@
 		connect.WithSchema(configServiceMethods.ByName("FetchRecords")),
 		connect.WithHandlerOptions(opts...),
 	)
+	configServiceFetchHostsHandler := connect.NewUnaryHandler(
+		ConfigServiceFetchHostsProcedure,
+		svc.FetchHosts,
+		connect.WithSchema(configServiceMethods.ByName("FetchHosts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.ConfigService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ConfigServiceFetchRecordsProcedure:
 			configServiceFetchRecordsHandler.ServeHTTP(w, r)
+		case ConfigServiceFetchHostsProcedure:
+			configServiceFetchHostsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -520,6 +547,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.ConfigService.FetchRecords is not implemented"))
 }
 
+func (UnimplementedConfigServiceHandler) FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.ConfigService.FetchHosts is not implemented"))
+}
+
 // ExplainServiceClient is a client for the peer.v1.ExplainService service.
 type ExplainServiceClient interface {
 	// Explain returns the decision records about one subject.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
 	d.operator = operator.New(d.config, platformLog, record, d.explain, d.hosts.Site, d.status)
 	d.config.Attach(peers.NewConfig(d.members, peerClient), d.hosts, record)
+	d.hosts.Attach(peers.NewHostLists(s.Zone, d.members, s.Seeds, peerClient), record)
 
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
@@ -189,7 +190,7 @@
 func (d *Daemon) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
-	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since}))
+	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since, HostsSince: d.hosts.Since}))
 	mux.Handle(peerv1connect.NewIdentityServiceHandler(fences.Handler{Requests: d.requests}))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
 	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
--- a/internal/daemon/peers/config.go
+++ b/internal/daemon/peers/config.go
@@ -16,6 +16,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/follower"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/platform"
 )
 
 // maxAsked bounds the peers that one fetch asks.
@@ -94,6 +95,8 @@
 
 // ConfigHandler serves the configuration protocol.
 type ConfigHandler struct {
+	// HostsSince gives the host list if it is newer than a version.
+	HostsSince func(version int64) (platform.Hosts, bool)
 	// Since gives what this host holds after an offset of the history that
 	// chain identifies.
 	Since func(after int64, chain string) follower.Fetched
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -120,6 +120,7 @@
 			Host: e.name, Region: "nairobi", Zone: e.zone,
 			Listen:   settings.Listen{Callers: e.callers, Operators: e.operators, Peers: peerAddress[e.name]},
 			Platform: settings.Platform{Log: base, HostList: base, PollMs: 250},
+			Seeds:    f.seeds(e, peerAddress),
 			Limits:   settings.Limits{BodyBytes: 1 << 20, JobBytes: 8 << 20, TasksPerJob: 670},
 			Stop:     settings.Stop{DrainMs: 300, GraceMs: 10_000},
 			Log:      settings.Log{Level: "info", Format: "text"},
@@ -127,6 +128,17 @@
 	}
 }
 
+// seeds are the peer addresses of the other entry hosts in the same zone.
+func (f *fleet) seeds(e *entryHost, peerAddress map[string]string) []string {
+	var seeds []string
+	for _, other := range f.entries {
+		if other != e && other.zone == e.zone {
+			seeds = append(seeds, peerAddress[other.name])
+		}
+	}
+	return seeds
+}
+
 // run starts a program of ours and ends it with the test.
 func (f *fleet) run(logPath, program string, args ...string) *exec.Cmd {
 	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/internal/e2e/recovery_test.go
+++ b/internal/e2e/recovery_test.go
@@ -23,7 +23,7 @@
 func TestHostIsReplacedWhileThePlatformIsAway(t *testing.T) {
 	t.Parallel()
 	underLoad(t, 8, func(ctx context.Context, f *fleet) {
-		f.setPlatform(standinplatform.Faults{Down: true})
+		f.setPlatform(standinplatform.Faults{Down: true, HostsDown: true})
 		e := f.entries[1]
 		f.kill(e)
 		f.start(e)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -42,6 +42,9 @@
 	c.baseURL("platform.log", s.Platform.Log)
 	c.baseURL("platform.host_list", s.Platform.HostList)
 	c.bounds("platform.poll_ms", s.Platform.PollMs, minPollMs, maxPollMs)
+	for i, seed := range s.Seeds {
+		c.address(&listener{field: fmt.Sprintf("seeds[%d]", i), text: seed})
+	}
 	c.bounds("limits.body_bytes", s.Limits.BodyBytes, minBodyBytes, maxBodyBytes)
 	c.bounds("limits.job_bytes", s.Limits.JobBytes, minBodyBytes, maxJobBytes)
 	c.bounds("limits.tasks_per_job", int64(s.Limits.TasksPerJob), 1, maxTasksPerJob)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -45,6 +45,8 @@
 		d.object(path, object, into)
 	case into.Kind() == reflect.Struct:
 		d.fault(path, "must be an object, not %s", kindOf(v))
+	case into.Kind() == reflect.Slice:
+		d.array(path, v, into)
 	default:
 		d.scalar(path, v, into)
 	}
@@ -69,6 +71,19 @@
 	}
 }
 
+// array sets a field that holds a list of strings.
+func (d *decoder) array(path string, v hujson.Value, into reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.fault(path, "must be an array, not %s", kindOf(v))
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.value(fmt.Sprintf("%s[%d]", path, i), element, into.Index(i))
+	}
+}
+
 func (d *decoder) scalar(path string, v hujson.Value, into reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || kindOf(v) == "null" || json.Unmarshal(literal, into.Addr().Interface()) != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,9 @@
 	Listen Listen `json:"listen"`
 	// Platform holds the addresses of the platform's services.
 	Platform Platform `json:"platform"`
+	// Seeds are peer addresses of other entry hosts, as IP and port. They are
+	// asked for the host list while the platform does not give one.
+	Seeds []string `json:"seeds,omitempty"`
 	// Limits bounds what one caller may send.
 	Limits Limits `json:"limits"`
 	// Stop holds the times of a planned stop.
