--- a/internal/daemon/journal/journal.go
+++ b/internal/daemon/journal/journal.go
@@ -3,7 +3,6 @@
 package journal
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -23,15 +22,14 @@
 	logger *log.Logger
 	view   standing.View
 
-	mu      sync.Mutex
-	records []decision.Record
-	next    int
+	mu   sync.Mutex
+	ring *ring
 }
 
 // New returns a journal of one host that keeps up to capacity records. The
 // version and intent of a record come from view.
 func New(host string, logger *log.Logger, view standing.View, capacity int) *Journal {
-	return &Journal{host: host, logger: logger, view: view, records: make([]decision.Record, 0, capacity)}
+	return &Journal{host: host, logger: logger, view: view, ring: newRing(max(1, capacity))}
 }
 
 // Record implements decision.Recorder.
@@ -40,26 +38,27 @@
 	if r.Time.IsZero() {
 		r.Time = time.Now()
 	}
-	if state := j.view.State(); state != nil && r.Version == 0 {
-		r.Version = state.Version
-		r.Intent = state.Intent
-	}
-	j.keep(r)
+	j.ground(&r)
+	j.mu.Lock()
+	j.ring.add(r)
+	j.mu.Unlock()
 	j.logger.Info(
 		string(r.Part)+": "+r.Action,
-		"subjects", r.Subjects, "rule", r.Rule, "why", r.Why, "version", r.Version,
+		"subjects", r.Subjects, "rule", r.Rule, "why", r.Why, "version", r.Version, "intent", r.Intent,
 	)
 }
 
-func (j *Journal) keep(r decision.Record) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if len(j.records) < cap(j.records) {
-		j.records = append(j.records, r)
+// ground fills in the version in force and the intent that last changed what
+// the decision rests on.
+func (j *Journal) ground(r *decision.Record) {
+	state := j.view.State()
+	if state == nil || r.Version != 0 {
 		return
 	}
-	j.records[j.next] = r
-	j.next = (j.next + 1) % len(j.records)
+	r.Version = state.Version
+	if touch, ok := state.Ground(r.Customer, r.Subjects...); ok && r.Intent == "" {
+		r.Intent, r.IntentVersion = touch.Intent, touch.Version
+	}
 }
 
 // About returns up to limit of the newest records with the subject, oldest
@@ -67,20 +66,12 @@
 func (j *Journal) About(subject string, limit int) ([]decision.Record, time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var found []decision.Record
-	for i := len(j.records) - 1; i >= 0 && len(found) < limit; i-- {
-		r := j.records[(j.next+i)%len(j.records)]
-		if slices.Contains(r.Subjects, subject) {
-			found = append(found, r)
-		}
-	}
-	slices.Reverse(found)
-	return found, j.horizon()
+	return j.ring.about(subject, limit), j.horizon()
 }
 
 func (j *Journal) horizon() time.Duration {
-	if len(j.records) == 0 {
+	if len(j.ring.records) == 0 {
 		return 0
 	}
-	return time.Since(j.records[j.next%len(j.records)].Time)
+	return time.Since(j.ring.at(j.ring.oldest()).Time)
 }
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
@@ -110,8 +111,10 @@
 		errkind.Write(w, "", errkind.New(errkind.NotReady, "no configuration yet"), 0)
 		return
 	}
-	intent.ID = ids.New("intent")
-	plan, err := config.MakePlan(ids.New("plan"), state, s.site(r.Context()), intent)
+	// The ids differ by their prefix alone, so that one leads to the other.
+	id := ids.New("plan")
+	intent.ID = "intent-" + strings.TrimPrefix(id, "plan-")
+	plan, err := config.MakePlan(id, state, s.site(r.Context()), intent)
 	if err != nil {
 		errkind.Write(w, "", err, 0)
 		return
--- a/internal/decision/record.go
+++ b/internal/decision/record.go
@@ -43,8 +43,12 @@
 	Why string `json:"why"`
 	// Version is the configuration version in force.
 	Version int64 `json:"version"`
-	// Intent is the id of the operator's intent behind that version, or empty.
+	// Intent is the id of the operator's intent that last changed what the
+	// decision rests on: the customer's rules or the hosts among the subjects.
+	// It is empty if none of that was ever changed.
 	Intent string `json:"intent,omitempty"`
+	// IntentVersion is the version that the intent led to.
+	IntentVersion int64 `json:"intent_version,omitempty"`
 	// Customer is the customer concerned, or empty.
 	Customer string `json:"customer,omitempty"`
 }
