--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	jobs     *jobs.Service
 	operator *operator.Service
 	pool     *pool.Pool
+	journal  *journal.Journal
 }
 
 // New builds a daemon that does nothing until Run.
@@ -67,6 +68,7 @@
 
 	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
+	d.journal = record
 	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, record, d.summary)
 	d.fleet = fences.NewFleet(d.members)
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
@@ -87,6 +89,8 @@
 }
 
 const (
+	// refusalWindow is how far back the status counts refusals.
+	refusalWindow = 5 * time.Minute
 	// peerConns is the number of idle connections kept to one peer.
 	peerConns = 8
 	// workerConns is the number of idle connections kept to one worker.
@@ -162,6 +166,8 @@
 	if s.State != nil {
 		s.Version = s.State.Version
 	}
+	s.Conditions = d.config.Conditions(time.Now())
+	s.Refusals = d.journal.Refusals(refusalWindow)
 	for _, p := range d.members.Peers() {
 		s.Peers = append(s.Peers, operator.PeerStatus{
 			Host: p.Host, Zone: p.Zone, Reachable: p.Reachable, Version: d.members.Version(p.Host),
--- a/internal/daemon/follower/config.go
+++ b/internal/daemon/follower/config.go
@@ -115,6 +115,30 @@
 	return ""
 }
 
+// awayAfter is how long the log may be silent before that is a condition.
+const awayAfter = 2 * readWait
+
+// Conditions are what an engineer has to know about the configuration here.
+func (c *Config) Conditions(now time.Time) []decision.Record {
+	h := c.Health(now)
+	var out []decision.Record
+	note := func(action, why string) {
+		out = append(out, decision.Record{
+			Time: now, Host: c.self, Part: decision.PartConfig, Action: action, Why: why, Version: c.version(), Subjects: []string{c.self},
+		})
+	}
+	if c.State() == nil {
+		note("not ready", "neither the log nor a peer has given a configuration")
+	}
+	if h.LogAge >= awayAfter {
+		note("log away", fmt.Sprintf("the log was heard %s ago, the version stays in force", h.LogAge.Round(time.Second)))
+	}
+	if reason := c.Blocked(); reason != "" {
+		note("log broken", reason)
+	}
+	return out
+}
+
 // Run follows the stream and the peers until ctx ends.
 func (c *Config) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/journal/journal.go
+++ b/internal/daemon/journal/journal.go
@@ -3,6 +3,8 @@
 package journal
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,3 +77,38 @@
 	}
 	return time.Since(j.ring.at(j.ring.oldest()).Time)
 }
+
+// ActionRefuse is the action of a refusal.
+const ActionRefuse = "refuse"
+
+// Count is how often a part refused by one rule.
+type Count struct {
+	Part decision.Part `json:"part"`
+	Rule string        `json:"rule"`
+	N    int           `json:"n"`
+}
+
+// Refusals counts what was refused within the time, the most frequent first.
+func (j *Journal) Refusals(within time.Duration) []Count {
+	counts := map[Count]int{}
+	j.mu.Lock()
+	for n := j.ring.next; n > j.ring.oldest(); n-- {
+		r := j.ring.at(n - 1)
+		if time.Since(r.Time) > within {
+			break
+		}
+		if r.Action == ActionRefuse {
+			counts[Count{Part: r.Part, Rule: r.Rule}]++
+		}
+	}
+	j.mu.Unlock()
+	out := make([]Count, 0, len(counts))
+	for c, n := range counts {
+		c.N = n
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		return cmp.Or(cmp.Compare(b.N, a.N), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Rule, b.Rule))
+	})
+	return out
+}
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/daemon/journal"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -23,6 +24,7 @@
 	PathConfirms = "/v1/confirms"
 	PathExplain  = "/v1/explain"
 	PathStatus   = "/v1/status"
+	PathFleet    = "/v1/fleet"
 	PathMetrics  = "/debug/vars"
 )
 
@@ -40,6 +42,22 @@
 // Explainer gathers what entry hosts know of a subject.
 type Explainer interface {
 	Explain(ctx context.Context, subject string) Explanation
+	// Fleet gathers the status of every entry host.
+	Fleet(ctx context.Context) Fleet
+}
+
+// Fleet is the status of every entry host that answered.
+type Fleet struct {
+	Hosts []Status `json:"hosts"`
+	// Unreached are the entry hosts that did not answer.
+	Unreached []string `json:"unreached,omitempty"`
+}
+
+// Horizon says how far back an entry host remembers.
+type Horizon struct {
+	Host string `json:"host"`
+	// AgeMs is the age of its oldest record, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // Explanation is what is known of a subject.
@@ -48,6 +66,8 @@
 	Records []decision.Record `json:"records"`
 	// Hosts are the entry hosts that answered.
 	Hosts []string `json:"hosts"`
+	// Horizons say how far back these remember.
+	Horizons []Horizon `json:"horizons,omitempty"`
 	// Unreached are the entry hosts that did not.
 	Unreached []string `json:"unreached,omitempty"`
 }
@@ -62,6 +82,8 @@
 	State       *standing.State   `json:"state,omitempty"`
 	Peers       []PeerStatus      `json:"peers"`
 	Conditions  []decision.Record `json:"conditions,omitempty"`
+	// Refusals count what was refused lately, by part and rule.
+	Refusals []journal.Count `json:"refusals,omitempty"`
 }
 
 // PeerStatus is one other entry host as seen from here.
@@ -95,11 +117,16 @@
 	mux.HandleFunc("GET "+PathPlans+"/{id}", s.serveOutcome)
 	mux.HandleFunc("POST "+PathConfirms, s.serveConfirm)
 	mux.HandleFunc("GET "+PathExplain+"/{subject}", s.serveExplain)
+	mux.HandleFunc("GET "+PathFleet, s.serveFleet)
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.status())
 	})
 }
 
+func (s *Service) serveFleet(w http.ResponseWriter, r *http.Request) {
+	httpjson.Write(w, http.StatusOK, s.explainer.Fleet(r.Context()))
+}
+
 func (s *Service) servePlan(w http.ResponseWriter, r *http.Request) {
 	var intent config.Intent
 	if err := httpjson.ReadStrict(w, r, maxDocument, &intent); err != nil {
--- a/internal/daemon/peers/explain.go
+++ b/internal/daemon/peers/explain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -38,50 +39,99 @@
 
 // Explain implements operator.Explainer.
 func (e *Explain) Explain(ctx context.Context, subject string) operator.Explanation {
-	records, _ := e.journal.About(subject, explainLimit)
+	records, horizon := e.journal.About(subject, explainLimit)
 	out := operator.Explanation{Subject: subject, Records: records, Hosts: []string{e.self}}
+	out.Horizons = []operator.Horizon{{Host: e.self, AgeMs: horizon.Milliseconds()}}
+	answers, unreached := gather(ctx, e, func(ctx context.Context, c peerv1connect.ExplainServiceClient) (*peerv1.ExplainResponse, error) {
+		resp, err := c.Explain(ctx, connect.NewRequest(&peerv1.ExplainRequest{Subject: subject, Limit: explainLimit}))
+		if err != nil {
+			return nil, err
+		}
+		return resp.Msg, nil
+	})
+	for _, a := range answers {
+		found, err := decodeRecords(a.value)
+		if err != nil {
+			unreached = append(unreached, a.host)
+			continue
+		}
+		out.Hosts = append(out.Hosts, a.host)
+		out.Horizons = append(out.Horizons, operator.Horizon{Host: a.host, AgeMs: a.value.GetHorizonMs()})
+		out.Records = append(out.Records, found...)
+	}
+	out.Unreached = unreached
+	slices.Sort(out.Hosts)
+	slices.Sort(out.Unreached)
+	slices.SortStableFunc(out.Records, func(a, b decision.Record) int { return a.Time.Compare(b.Time) })
+	return out
+}
+
+func decodeRecords(resp *peerv1.ExplainResponse) ([]decision.Record, error) {
+	records := make([]decision.Record, 0, len(resp.GetRecords()))
+	for _, data := range resp.GetRecords() {
+		var r decision.Record
+		if err := json.Unmarshal(data, &r); err != nil {
+			return nil, fmt.Errorf("decode record: %w", err)
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// Fleet implements operator.Explainer.
+func (e *Explain) Fleet(ctx context.Context) operator.Fleet {
+	out := operator.Fleet{Hosts: []operator.Status{e.status()}}
+	answers, unreached := gather(ctx, e, func(ctx context.Context, c peerv1connect.ExplainServiceClient) (operator.Status, error) {
+		var s operator.Status
+		resp, err := c.Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
+		if err != nil {
+			return s, err
+		}
+		return s, json.Unmarshal(resp.Msg.GetBody(), &s)
+	})
+	for _, a := range answers {
+		out.Hosts = append(out.Hosts, a.value)
+	}
+	out.Unreached = unreached
+	slices.Sort(out.Unreached)
+	slices.SortFunc(out.Hosts, func(a, b operator.Status) int { return strings.Compare(a.Host, b.Host) })
+	return out
+}
+
+// answer is what one peer answered.
+type answer[T any] struct {
+	host  string
+	value T
+}
+
+// gather asks all peers at the same time and returns the answers, and the
+// peers without one. No peer takes longer than callTimeout.
+func gather[T any](
+	ctx context.Context, e *Explain, ask func(context.Context, peerv1connect.ExplainServiceClient) (T, error),
+) ([]answer[T], []string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	var mu sync.Mutex
+	var answers []answer[T]
+	var unreached []string
 	var group errgroup.Group
 	for _, p := range e.directory.Peers() {
 		group.Go(func() error {
-			found, err := e.ask(ctx, p, subject)
+			client := peerv1connect.NewExplainServiceClient(e.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes))
+			value, err := ask(ctx, client)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				out.Unreached = append(out.Unreached, p.Host)
+				unreached = append(unreached, p.Host)
 				return nil
 			}
-			out.Hosts = append(out.Hosts, p.Host)
-			out.Records = append(out.Records, found...)
+			answers = append(answers, answer[T]{p.Host, value})
 			return nil
 		})
 	}
 	// The functions return no errors.
 	_ = group.Wait()
-	slices.Sort(out.Hosts)
-	slices.Sort(out.Unreached)
-	slices.SortStableFunc(out.Records, func(a, b decision.Record) int { return a.Time.Compare(b.Time) })
-	return out
-}
-
-func (e *Explain) ask(ctx context.Context, p Peer, subject string) ([]decision.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	client := peerv1connect.NewExplainServiceClient(e.client, p.URL)
-	req := connect.NewRequest(&peerv1.ExplainRequest{Subject: subject, Limit: explainLimit})
-	resp, err := client.Explain(ctx, req)
-	if err != nil {
-		return nil, fmt.Errorf("ask %s: %w", p.Host, err)
-	}
-	records := make([]decision.Record, 0, len(resp.Msg.GetRecords()))
-	for _, data := range resp.Msg.GetRecords() {
-		var r decision.Record
-		if err := json.Unmarshal(data, &r); err != nil {
-			return nil, fmt.Errorf("decode record of %s: %w", p.Host, err)
-		}
-		records = append(records, r)
-	}
-	return records, nil
+	return answers, unreached
 }
 
 // Handler serves the explain protocol to peers.
