--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,161 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/platform"
+	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
+)
+
+// callTimeout bounds the calls of the tests. Slow cases end by their own
+// cancellation, not by this.
+const callTimeout = time.Minute
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.URL
+}
+
+// answers replies to every call with the status and body.
+func answers(status int, body string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	})
+}
+
+// aborts drops the connection in place of the reply.
+var aborts = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+
+// TestBadPlatformAnswers checks what the adapters make of bad answers. An
+// append counts as without effect only if that is certain.
+func TestBadPlatformAnswers(t *testing.T) {
+	gone := httptest.NewServer(aborts)
+	gone.Close()
+	cases := []struct {
+		name         string
+		url          string
+		append, read error
+	}{
+		{"nobody listens", gone.URL, platform.ErrUnavailable, platform.ErrUnavailable},
+		{"no URL", "http://127.0.0.1:0", platform.ErrUnavailable, platform.ErrUnavailable},
+		{"refused", serve(t, answers(http.StatusServiceUnavailable, "")), platform.ErrUnavailable, platform.ErrUnavailable},
+		{"failed", serve(t, answers(http.StatusInternalServerError, "")), platform.ErrUnknown, platform.ErrUnavailable},
+		{"gateway", serve(t, answers(http.StatusBadGateway, "")), platform.ErrUnknown, platform.ErrUnavailable},
+		{"garbage", serve(t, answers(http.StatusOK, "<html>")), platform.ErrUnknown, platform.ErrUnavailable},
+		{"cut short", serve(t, answers(http.StatusOK, `{"offset": `)), platform.ErrUnknown, platform.ErrUnavailable},
+		{"dropped", serve(t, aborts), platform.ErrUnknown, platform.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			l := platform.NewHTTPLog(c.url, &http.Client{})
+			_, err := l.Append(ctx, platform.StreamConfig, [][]byte{[]byte("x")})
+			require.ErrorIs(t, err, c.append)
+			require.Equal(t, errors.Is(c.append, platform.ErrUnknown), platform.IsUnknown(err))
+			_, err = l.Read(ctx, platform.StreamConfig, 0)
+			require.ErrorIs(t, err, c.read)
+			_, err = platform.NewHTTPHostList(c.url, &http.Client{}).Hosts(ctx)
+			require.Error(t, err)
+		})
+	}
+}
+
+// TestLogContract runs the adapter against the stand-in.
+func TestLogContract(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standinplatform.Faults
+		append error
+		read   error
+		// records is how many records the log took.
+		records int
+	}{
+		{"good", standinplatform.Faults{}, nil, nil, 3},
+		{"down", standinplatform.Faults{Down: true}, platform.ErrUnavailable, platform.ErrUnavailable, 2},
+		{"reply lost", standinplatform.Faults{LoseReplies: 1}, platform.ErrUnknown, nil, 3},
+		{"slow", standinplatform.Faults{SlowMs: 20}, nil, nil, 3},
+		{"trimmed", standinplatform.Faults{Retain: 1}, nil, platform.ErrTrimmed, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			server := standinplatform.NewServer(nil)
+			l := platform.NewHTTPLog(serve(t, server.Handler()), &http.Client{})
+			offset, err := l.Append(ctx, platform.StreamConfig, [][]byte{[]byte("a"), []byte("b")})
+			require.NoError(t, err)
+			require.EqualValues(t, 1, offset)
+			server.Log.SetFaults(c.faults)
+			_, err = l.Append(ctx, platform.StreamConfig, [][]byte{[]byte("c")})
+			require.ErrorIs(t, err, c.append)
+			page, err := l.Read(ctx, platform.StreamConfig, 0)
+			require.ErrorIs(t, err, c.read)
+			if c.read == nil {
+				require.Len(t, page.Entries, c.records)
+				require.EqualValues(t, 1, page.Entries[0].Offset)
+			}
+			if errors.Is(c.read, platform.ErrTrimmed) {
+				require.EqualValues(t, 3, page.First)
+			}
+			server.Log.SetFaults(standinplatform.Faults{})
+			page, err = l.Read(ctx, platform.StreamConfig, int64(c.records)-1)
+			require.NoError(t, err)
+			require.EqualValues(t, c.records, page.Last)
+		})
+	}
+}
+
+// TestHangingLogEndsWithItsCaller checks that a call ends with its context and
+// says truly whether it may have taken effect.
+func TestHangingLogEndsWithItsCaller(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	l := platform.NewHTTPLog(serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})), &http.Client{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := l.Append(ctx, platform.StreamConfig, [][]byte{[]byte("x")})
+	require.ErrorIs(t, err, platform.ErrUnknown)
+}
+
+func TestHostListContract(t *testing.T) {
+	host := platform.Host{Name: "entry-1", Role: platform.RoleEntry, State: platform.HostLive}
+	cases := []struct {
+		name   string
+		faults standinplatform.Faults
+		hosts  int
+		failed bool
+	}{
+		{"good", standinplatform.Faults{}, 1, false},
+		{"down", standinplatform.Faults{HostsDown: true}, 0, true},
+		{"empty", standinplatform.Faults{HostsEmpty: true}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := standinplatform.NewServer([]platform.Host{host})
+			server.Log.SetFaults(c.faults)
+			hosts, err := platform.NewHTTPHostList(serve(t, server.Handler()), &http.Client{}).Hosts(t.Context())
+			require.Equal(t, c.failed, err != nil)
+			require.Len(t, hosts.Hosts, c.hosts)
+		})
+	}
+}
