Send pings uncompressed

Cause: BenchmarkPing spent 732 us and 222 KB of allocations on one ping and its answer, both sides, most of it in gzip.

--- a/internal/daemon/peers/members.go
+++ b/internal/daemon/peers/members.go
@@ -134,11 +134,15 @@
 	m.record(events)
 }
 
+// uncompressed spares pings the compression, which costs more than it saves on
+// keys and ages.
+var uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
+
 // call pings the peer. An answer in another host's name is an error.
 func (m *Members) call(ctx context.Context, p Peer) (*peerv1.PingResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	client := peerv1connect.NewMemberServiceClient(m.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes))
+	client := peerv1connect.NewMemberServiceClient(m.client, p.URL, connect.WithReadMaxBytes(maxReplyBytes), uncompressed)
 	from, evidence := m.tell()
 	resp, err := client.Ping(ctx, connect.NewRequest(&peerv1.PingRequest{From: from, Evidence: evidence}))
 	if err != nil {
