requests: show ejected servers in status, share leaving servers, guard the host list

Cause: the watch's findings reached neither status nor the peers, and a host list that lost most of its rows would have put those servers out of service.

More than the ejection ceiling vanishing at once is taken for an outage of the list for a minute; dead servers are ejected by their failures meanwhile. A drain by an operator and a leaving state are obeyed at once. What is known of a request's run is now tested also when its retry is refused in the queue.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
-		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient),
+		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient), Hints: leavingHints{d.members},
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
@@ -167,9 +167,22 @@
 			Host: p.Host, Zone: p.Zone, Reachable: p.Reachable, Version: d.members.Version(p.Host),
 		})
 	}
+	s.Conditions = append(s.Conditions, d.requests.Conditions()...)
 	return s
 }
 
+// leavingHints gives the requests the members' hints as names.
+type leavingHints struct{ *peers.Members }
+
+// LeavingBackends implements requests.Hints.
+func (h leavingHints) LeavingBackends() []string {
+	var names []string
+	for _, hint := range h.Members.LeavingBackends() {
+		names = append(names, hint.Backend)
+	}
+	return names
+}
+
 func (d *Daemon) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	d.requests.Routes(mux)
--- a/internal/daemon/fences/fleet.go
+++ b/internal/daemon/fences/fleet.go
@@ -74,14 +74,29 @@
 	return fleet
 }
 
-// Losses returns when this host last lost sight of a peer's incarnation.
+// lossKeeper is a directory that notices losses itself.
+type lossKeeper interface {
+	// LastLoss returns the time since the last loss, or a negative time.
+	LastLoss() time.Duration
+}
+
+// Losses returns when this host last lost sight of a peer's incarnation, by
+// its own watch or the directory's.
 func (f *Fleet) Losses() identity.Loss {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lostAt.IsZero() {
-		return identity.Loss{}
+	var loss identity.Loss
+	if !f.lostAt.IsZero() {
+		loss = identity.Loss{Ever: true, Ago: time.Since(f.lostAt)}
+	}
+	keeper, ok := f.directory.(lossKeeper)
+	if !ok {
+		return loss
+	}
+	if ago := keeper.LastLoss(); ago >= 0 && (!loss.Ever || ago < loss.Ago) {
+		loss = identity.Loss{Ever: true, Ago: ago}
 	}
-	return identity.Loss{Ever: true, Ago: time.Since(f.lostAt)}
+	return loss
 }
 
 // Takers implements requests.Fleet.
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon/pool"
 	"github.com/parsleyhill/parsleyhill/internal/decide/dispatch"
+	"github.com/parsleyhill/parsleyhill/internal/decide/eject"
 	"github.com/parsleyhill/parsleyhill/internal/decide/identity"
 	"github.com/parsleyhill/parsleyhill/internal/decide/route"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
@@ -36,6 +38,14 @@
 	maxAnswerBytes = 48 << 20
 )
 
+// Hints passes on, between entry hosts, which backend servers are leaving.
+type Hints interface {
+	// SawLeaving takes a server that told this host that it leaves.
+	SawLeaving(backend string)
+	// LeavingBackends returns the servers that an entry host lately saw leaving.
+	LeavingBackends() []string
+}
+
 // Deps are what the service needs.
 type Deps struct {
 	Settings    settings.Settings
@@ -47,6 +57,8 @@
 	// Fleet knows the other entry hosts, and Remote calls them.
 	Fleet  Fleet
 	Remote Remote
+	// Hints may be nil.
+	Hints Hints
 	// Seed makes ties in routing repeatable.
 	Seed uint64
 }
@@ -58,6 +70,8 @@
 	table     *identity.Table
 	work      map[string]*work
 	addresses map[string]string
+	listing   eject.Listing
+	rows      map[string]platform.Host
 }
 
 // Service serves requests. It is safe for concurrent use.
@@ -117,11 +131,26 @@
 	c.core.SetRules(rules)
 	c.table.SetHorizon(now, horizon(rules))
 	c.table.Expire(now)
-	s.apply(c, c.core.SetBackends(now, c.backends(rules, state, hosts)))
+	s.apply(c, c.core.SetBackends(now, c.backends(now, rules, state, hosts)))
+	if s.deps.Hints != nil {
+		s.apply(c, c.core.Hint(now, s.deps.Hints.LeavingBackends()))
+	}
 	s.apply(c, c.core.Tick(now))
 	return c
 }
 
+// Conditions returns a record for each backend server that gets no work or
+// only probes: since when, by which rule and why.
+func (s *Service) Conditions() []decision.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []decision.Record
+	for _, c := range s.customers {
+		records = append(records, c.core.Conditions()...)
+	}
+	return records
+}
+
 // Ready returns whether the service may take first attempts.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
@@ -163,19 +192,37 @@
 			table:     identity.NewTable(s.started, name, s.deps.Incarnation, horizon(rules), limits),
 			work:      map[string]*work{},
 			addresses: map[string]string{},
+			rows:      map[string]platform.Host{},
 		}
 		s.customers[name] = c
 	}
 	return c
 }
 
-// backends lists the servers that may get new work and notes all addresses.
-func (c *customer) backends(rules standing.Customer, state *standing.State, hosts []platform.Host) []route.Backend {
-	var backends []route.Backend
+// listed returns the customer's rows of the host list, and the last known rows
+// of servers that vanished from it too many at once.
+func (c *customer) listed(now time.Time, rules standing.Customer, hosts []platform.Host) []platform.Host {
+	var rows []platform.Host
+	var names []string
 	for _, h := range hosts {
-		if h.Role != platform.RoleBackend || h.Customer != c.name {
-			continue
+		if h.Role == platform.RoleBackend && h.Customer == c.name {
+			rows = append(rows, h)
+			names = append(names, h.Name)
+			c.rows[h.Name] = h
 		}
+	}
+	kept := c.listing.Keep(now, names, rules.WithDefaults().Eject.MaxShare)
+	slices.Sort(kept)
+	for _, name := range kept {
+		rows = append(rows, c.rows[name])
+	}
+	return rows
+}
+
+// backends lists the servers that may get new work and notes all addresses.
+func (c *customer) backends(now time.Time, rules standing.Customer, state *standing.State, hosts []platform.Host) []route.Backend {
+	var backends []route.Backend
+	for _, h := range c.listed(now, rules, hosts) {
 		c.addresses[h.Name] = h.Address
 		_, drained := state.Drains[h.Name]
 		if h.State != platform.HostLive || drained {
@@ -218,6 +265,9 @@
 	defer cancel()
 	call := pool.Call{ID: r.ID, Address: address, ContentType: r.contentType, Body: r.body}
 	answer, err := s.deps.Pool.Send(ctx, call)
+	if answer.Leaving && s.deps.Hints != nil {
+		s.deps.Hints.SawLeaving(backend)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
--- a/internal/decide/dispatch/trouble_test.go
+++ b/internal/decide/dispatch/trouble_test.go
@@ -334,11 +334,12 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		core := New("tamarind", standing.Customer{}, route.NewLeast("westlands", rng))
 		now := time.Time{}.Add(time.Hour)
-		core.SetBackends(now, []route.Backend{{Name: "a", Slots: 2, Weight: 1}, {Name: "b", Slots: 2, Weight: 1}, {Name: "c", Slots: 2, Weight: 1}})
+		all := []route.Backend{{Name: "a", Slots: 2, Weight: 1}, {Name: "b", Slots: 2, Weight: 1}, {Name: "c", Slots: 2, Weight: 1}}
+		core.SetBackends(now, all[:1+seed%3])
 		r := Request{ID: "r", Idempotent: seed%2 == 0, Deadline: now.Add(time.Second)}
 		known := errkind.NotRun
 		actions := core.Arrive(now, r)
-		for actions != nil {
+		for ended := false; !ended; {
 			var out Outcome
 			for _, a := range actions {
 				switch a := a.(type) {
@@ -351,6 +352,7 @@
 					out = Outcome{ID: "r", Backend: a.Backend, Err: err}
 				case Finish:
 					require.Equal(t, known, a.Err.Run, "seed %d", seed)
+					ended = true
 				}
 			}
 			now = now.Add(20 * time.Millisecond)
--- /dev/null
+++ b/internal/decide/eject/listing_test.go
@@ -0,0 +1,26 @@
+package eject
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestListThatLosesManyServersIsAnOutage(t *testing.T) {
+	now := time.Time{}.Add(time.Hour)
+	all := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	var l Listing
+	keep := func(names []string) []string { return l.Keep(now, names, 0.3) }
+	require.Empty(t, keep(all))
+	require.Empty(t, keep(all[:8]), "two of ten died")
+	require.ElementsMatch(t, []string{"c", "d", "e", "f", "g", "h"}, keep(all[:2]))
+	require.Len(t, keep(nil), 8)
+	now = now.Add(vanishedHold - time.Second)
+	require.Len(t, keep(all[:2]), 6)
+	require.Empty(t, keep(all[:8]), "the list is back")
+	require.Len(t, keep(all[:2]), 6)
+	now = now.Add(vanishedHold)
+	require.Empty(t, keep(all[:2]), "the list goes on saying so")
+	require.Empty(t, keep(all), "new servers")
+}
