Keep only the answer of a settled job

Tasks, payloads and indexes of closed jobs stayed for the whole memory of a submission: 625 jobs of 670 tasks a host at 27,000 starts/s. Only the answer stays now, and its bound counts 128 bytes a result beside the output.

--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -41,7 +41,7 @@
 	ReserveAfter time.Duration
 	// RetryInterval is the time between tries of calls that failed.
 	RetryInterval time.Duration
-	// ResultBytes bounds the outputs held of closed jobs, in bytes.
+	// ResultBytes bounds the results held of closed jobs, in bytes.
 	ResultBytes int
 }
 
--- a/internal/decide/jobs/job.go
+++ b/internal/decide/jobs/job.go
@@ -100,7 +100,13 @@
 	task int
 }
 
-func (r ref) t() *task { return &r.job.tasks[r.task] }
+// t returns the task. One of a job that keeps only its answer has ended.
+func (r ref) t() *task {
+	if r.job.tasks == nil {
+		return &task{state: taskEnded}
+	}
+	return &r.job.tasks[r.task]
+}
 
 func (c *Core) newJob(p *pending, k Key, leaseEnd time.Time) *job {
 	spec := p.job
@@ -177,11 +183,14 @@
 	return false
 }
 
-// answerBytes is the size of the outputs in an answer.
+// resultOverhead is what one result takes besides its output, in bytes.
+const resultOverhead = 128
+
+// answerBytes is about the size of the results in an answer.
 func answerBytes(a callerapi.JobAnswer) int {
 	total := 0
 	for i := range a.Results {
-		total += len(a.Results[i].Output)
+		total += len(a.Results[i].Output) + resultOverhead
 	}
 	return total
 }
--- a/internal/decide/jobs/tick.go
+++ b/internal/decide/jobs/tick.go
@@ -38,7 +38,13 @@
 
 // tickJobs closes jobs whose time is over and repeats what was not confirmed.
 func (c *Core) tickJobs(now time.Time) {
-	c.open = slices.DeleteFunc(c.open, (*job).settled)
+	c.open = slices.DeleteFunc(c.open, func(j *job) bool {
+		if !j.settled() || (j.busy() && now.Sub(j.closedAt) <= c.cfg.Horizon) {
+			return false
+		}
+		c.shrink(j)
+		return true
+	})
 	for _, j := range c.open {
 		switch {
 		case !j.closed && j.ending != nil:
@@ -103,16 +109,22 @@
 	c.closed = c.closed[kept:]
 }
 
-// drop forgets a closed job. Tasks that no worker has accounted for are let
-// go with it.
-func (c *Core) drop(j *job) {
+// shrink keeps only the answer of a job. Tasks that no worker has accounted for
+// are let go.
+func (c *Core) shrink(j *job) {
 	for i := range j.tasks {
 		if j.tasks[i].atWorker() {
 			c.release(ref{j, i})
 			j.tasks[i].state = taskEnded
 		}
 	}
+	j.spec.Tasks, j.tasks, j.index, j.results, j.racks = nil, nil, nil, nil, nil
+	delete(c.byText, j.text)
+}
+
+// drop forgets a closed job.
+func (c *Core) drop(j *job) {
+	c.shrink(j)
 	c.resultBytes -= answerBytes(j.answer)
 	delete(c.owned, j.key)
-	delete(c.byText, j.text)
 }
