Say that results are gone rather than that the job failed

A complete job whose results were let go for memory was repeated as failed, which contradicts the first answer. It is now an owner_lost error with run state ran. TestResultsBeyondTheBound did not compile before (no such state).

--- a/internal/daemon/jobs/submit.go
+++ b/internal/daemon/jobs/submit.go
@@ -36,7 +36,7 @@
 	s.mu.Unlock()
 	switch view.Status {
 	case jobs.StatusClosed:
-		return view.Answer, nil
+		return view.Answer, view.Err
 	case jobs.StatusElsewhere:
 		return s.ask(ctx, k, view.Owner, view.Address, wait)
 	case jobs.StatusHere:
@@ -119,7 +119,7 @@
 	s.mu.Unlock()
 	switch view.Status {
 	case jobs.StatusClosed:
-		return view.Answer, true
+		return view.Answer, view.Err == nil
 	case jobs.StatusHere:
 		answer, err := s.waitHere(ctx, k, view.Answer, wait)
 		return answer, err == nil
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -208,6 +208,8 @@
 	// Answer is set with StatusClosed, and holds the running state with
 	// StatusHere.
 	Answer callerapi.JobAnswer
+	// Err is set with StatusClosed in place of an answer that is gone.
+	Err *errkind.Error
 	// Owner and Address are set with StatusElsewhere.
 	Owner   ids.Incarnation
 	Address string
@@ -217,7 +219,7 @@
 func (c *Core) Lookup(now time.Time, k Key) View {
 	if j, ok := c.owned[k]; ok {
 		if j.answered && (j.recorded || now.Before(j.leaseEnd)) {
-			return View{Status: StatusClosed, Answer: j.document()}
+			return View{Status: StatusClosed, Answer: j.document(), Err: j.trimmed}
 		}
 		running := callerapi.JobAnswer{
 			Submission: k.Submission, Customer: k.Customer, State: callerapi.JobRunning, Owner: c.cfg.Self.Host(),
@@ -270,7 +272,7 @@
 		if gone {
 			kind = errkind.OwnerLost
 		}
-		return errkind.New(kind, "the job completed; its results are with entry host %s, which could not be reached",
+		return errkind.New(kind, "the job completed; its results are with entry host %s, which did not give them",
 			owner.Host()).WithRun(errkind.Ran)
 	case e.Close != nil:
 		c.emit(Answer{Key: k, Answer: e.Close.answer()})
--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -270,3 +270,24 @@
 	}
 	require.Less(t, total, 400)
 }
+
+func TestResultsBeyondTheBoundAreSaidToBeGone(t *testing.T) {
+	r := newRig()
+	r.core.cfg.ResultBytes = 1
+	for _, name := range []string{"first", "second"} {
+		spec := jobOf(1)
+		spec.Submission = name
+		start := r.own(t, spec)[0]
+		r.core.StartReplied(r.now, r.now, start.ID, workerapi.StartReply{Verdicts: []workerapi.Verdict{workerapi.Started}})
+		r.core.Ended(r.now, "worker-1", workerapi.Results{Instance: "one", Results: []workerapi.Result{
+			{Submission: "tamarind/" + name, Task: "a", State: workerapi.TaskDone},
+		}})
+		r.fold(all[Append](r)[0].Record)
+	}
+	first := r.core.Lookup(r.now, Key{Customer: "tamarind", Submission: "first"})
+	require.Equal(t, errkind.OwnerLost, first.Err.Kind)
+	require.Equal(t, errkind.Ran, first.Err.Run)
+	second := r.core.Lookup(r.now, Key{Customer: "tamarind", Submission: "second"})
+	require.Nil(t, second.Err)
+	require.Len(t, second.Answer.Results, 1)
+}
--- a/internal/decide/jobs/end.go
+++ b/internal/decide/jobs/end.go
@@ -168,6 +168,8 @@
 func (c *Core) give(now time.Time, j *job) {
 	switch {
 	case !j.answered:
+	case j.trimmed != nil:
+		c.emit(Refused{Key: j.key, Err: j.trimmed})
 	case j.recorded:
 		c.emit(Answer{Key: j.key, Answer: j.answer})
 	case now.Before(j.leaseEnd):
@@ -225,12 +227,8 @@
 			continue
 		}
 		c.resultBytes -= answerBytes(j.answer)
-		j.answer = callerapi.JobAnswer{
-			Submission: j.key.Submission, Customer: j.key.Customer, State: callerapi.JobFailed, Owner: j.answer.Owner,
-			ErrorKind: string(errkind.OwnerLost), Run: string(errkind.Ran),
-			Reason: "the job completed; its results are no longer held",
-		}
-		j.results = nil
+		j.answer.Results, j.results = nil, nil
+		j.trimmed = errkind.New(errkind.OwnerLost, "the job completed; its results are no longer held").WithRun(errkind.Ran)
 	}
 }
 
--- a/internal/decide/jobs/job.go
+++ b/internal/decide/jobs/job.go
@@ -92,6 +92,8 @@
 	answerBy time.Time
 	retryAt  time.Time
 	answer   callerapi.JobAnswer
+	// trimmed is what is said of a complete job whose results were let go.
+	trimmed *errkind.Error
 }
 
 // ref names one task of an owned job.
