--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,7 +31,7 @@
 10 and above the kind of the error, see "parsleyhill kinds".
 
 A flag can be set in the environment: PARSLEYHILL_CALLERS_URL for request,
-job, ready and load, PARSLEYHILL_OPERATORS_URL for the others.`
+ids, job, ready and load, PARSLEYHILL_OPERATORS_URL for the others.`
 
 // Tool is the command-line tool with its surroundings.
 type Tool struct {
@@ -62,7 +62,7 @@
 		LongHelp:   rootHelp,
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
-			t.requestCommand(), t.jobCommand(), t.loadCommand(), t.readyCommand(),
+			t.requestCommand(), t.idsCommand(), t.jobCommand(), t.loadCommand(), t.readyCommand(),
 			t.planCommand(), t.confirmCommand(), t.explainCommand(), t.statusCommand(), t.kindsCommand(),
 		},
 		Exec: unknownCommand,
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -195,6 +195,22 @@
 	require.NotContains(t, got.out, "cannot be confirmed")
 }
 
+func TestPlanOutcomeAndIDs(t *testing.T) {
+	rejected := operator.Confirmed{Plan: "plan-1", Result: operator.ResultRejected, Reason: "host/b-1 moved", Version: 9}
+	host := &entryHost{handler: answers(rejected)}
+	got := run(t, fleet{operators: host}, "", "plan", "outcome", "plan-1")
+	require.Equal(t, exitDone, got.status, got.err)
+	require.Equal(t, "/v1/plans/plan-1", host.calls[0].path)
+	require.Contains(t, got.out, "plan-1 is rejected")
+	require.Contains(t, got.out, "host/b-1 moved")
+
+	host = &entryHost{handler: answers(callerapi.IDs{IDs: []string{"ph.a", "ph.b"}})}
+	got = run(t, fleet{callers: host}, "", "ids", "-customer", "tamarind", "-count", "2")
+	require.Equal(t, "ph.a\nph.b\n", got.out)
+	require.Equal(t, "/v1/ids?count=2", host.calls[0].path)
+	require.Equal(t, "tamarind", host.calls[0].header.Get(callerapi.HeaderCustomer))
+}
+
 func TestConfirmIsSentOnceWhenItsReplyIsLost(t *testing.T) {
 	f := fleet{"a:1": {loseReply: true}, "b:1": {handler: answers(operator.Confirmed{})}}
 	got := run(t, f, `{"id": "plan-1"}`, "confirm", "-url", "http://a:1,http://b:1", "-")
--- a/internal/cli/confirm.go
+++ b/internal/cli/confirm.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -12,6 +13,9 @@
 	"github.com/parsleyhill/parsleyhill/internal/entryclient"
 )
 
+const confirmHelp = `If the outcome is unknown, ask for it with "parsleyhill plan outcome <plan>", or
+confirm the same file again: a plan counts once, however often it is confirmed.`
+
 func (t *Tool) confirmCommand() *ffcli.Command {
 	flags := t.newFlags("confirm")
 	client := t.client(flags, "operators'", defaultOperators)
@@ -19,7 +23,7 @@
 		Name:       "confirm",
 		ShortUsage: "parsleyhill confirm [flags] <file>",
 		ShortHelp:  "Confirm the plan in a file; \"-\" reads the standard input.",
-		LongHelp:   "If the outcome is unknown, look it up: parsleyhill explain <plan id>.",
+		LongHelp:   confirmHelp,
 		FlagSet:    flags,
 		Options:    env(envOperators),
 		Exec: func(ctx context.Context, args []string) error {
@@ -62,3 +66,27 @@
 	}
 	return err
 }
+
+func (t *Tool) planOutcomeCommand() *ffcli.Command {
+	flags := t.newFlags("plan outcome")
+	client := t.client(flags, "operators'", defaultOperators)
+	return &ffcli.Command{
+		Name:       "outcome",
+		ShortUsage: "parsleyhill plan outcome [flags] <plan>",
+		ShortHelp:  "Tell what became of a confirmed plan, by its id.",
+		FlagSet:    flags,
+		Options:    env(envOperators),
+		Exec: func(ctx context.Context, args []string) error {
+			args, err := arguments(flags, args, "plan")
+			if err != nil {
+				return err
+			}
+			var c operator.Confirmed
+			raw, err := client.get(ctx, operator.PathPlans+"/"+url.PathEscape(args[0]), &c)
+			if err != nil {
+				return withID(err, args[0])
+			}
+			return t.printConfirmed(client.asJSON, raw, c)
+		},
+	}
+}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -95,6 +95,7 @@
 			t.planIntentCommand(), t.planHostCommand(config.Drain, "Take a host out of service: it gets no new work."),
 			t.planHostCommand(config.Undrain, "Return a drained host to service."), t.planWeightCommand(),
 			t.planSetCustomerCommand(), t.planRemoveCustomerCommand(), t.planSetTeamCommand(), t.planRemoveTeamCommand(),
+			t.planOutcomeCommand(),
 		},
 		Exec: unknownCommand,
 	}
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -328,6 +328,8 @@
 	plan := tool("", "plan", "set-team", "tamarind", "rigs", "-slots", "2", "-operator", "wanjiru", "-reason", "share", "-json")
 	var confirmed operator.Confirmed
 	require.NoError(t, json.Unmarshal([]byte(tool(plan, "confirm", "-json", "-")), &confirmed))
+	require.Contains(t, tool("", "plan", "outcome", confirmed.Plan), "is accepted")
+	require.Contains(t, tool("", "ids", "-customer", "tamarind"), "ph.entry-1~")
 	version := strconv.FormatInt(confirmed.Version, 10)
 	require.Contains(t, tool("", "status", "-wait-version", version), "version "+version)
 	require.Contains(t, tool("", "request", "-customer", "tamarind", "-team", "rigs", "-id", "pair-1", `{"run_ms":1}`), "pair-1 answered by backend-1")
