Say why an entry host is not ready

A trial killed an entry host and started it again while the platform was away. With the log away it was ready, with the configuration of its peers. With the host list away too it stayed not_ready, rightly, since it knows no backend server; but the answer said 'stopping, or no configuration yet' while it had one.

--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -339,3 +339,24 @@
 		require.NotContains(t, tool("", "explain", id), ": 0 decisions", id)
 	}
 }
+
+func TestReadyPathSaysWhyNot(t *testing.T) {
+	s := newSite(t)
+	fresh := New(s.daemon.settings, log.New(io.Discard))
+	cases := []struct {
+		daemon  *Daemon
+		leaving bool
+		kind    errkind.Kind
+		detail  string
+	}{
+		{fresh, false, errkind.NotReady, "no configuration"},
+		{s.daemon, true, errkind.Stopping, "planned stop"},
+	}
+	for _, c := range cases {
+		c.daemon.leaving.Store(c.leaving)
+		w := httptest.NewRecorder()
+		c.daemon.callerRoutes().ServeHTTP(w, httptest.NewRequest(http.MethodGet, callerapi.PathReady, nil))
+		checkRefused(t, c.detail, c.kind, w.Code, w.Body.String())
+		require.Contains(t, w.Body.String(), c.detail)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,8 +139,19 @@
 	d.logger.Info("planned stop ends")
 }
 
-func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.config.State() != nil && d.requests.Ready()
+// notReady says why this host takes no work, or returns nil.
+func (d *Daemon) notReady() *errkind.Error {
+	switch {
+	case d.leaving.Load():
+		return errkind.New(errkind.Stopping, "a planned stop goes on")
+	case d.config.State() == nil:
+		return errkind.New(errkind.NotReady, "no configuration yet, neither from the log nor from a peer")
+	case len(d.hosts.Hosts()) == 0:
+		return errkind.New(errkind.NotReady, "no host list yet")
+	case !d.requests.Ready():
+		return errkind.New(errkind.NotReady, "the other entry hosts have not yet said which requests they hold")
+	}
+	return nil
 }
 
 func (d *Daemon) summary() *peerv1.HostSummary {
@@ -197,8 +208,8 @@
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.ready() {
-		errkind.Write(w, "", errkind.New(errkind.NotReady, "stopping, or no configuration yet"), 0)
+	if err := d.notReady(); err != nil {
+		errkind.Write(w, "", err, 0)
 		return
 	}
 	// A failed write means that the caller has gone; there is nobody to tell.
