--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -54,7 +54,11 @@
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
 		errkind.Write(w, "", errkind.New(errkind.WrongPort, "operators have a port of their own"), 0)
 	}
-	for _, path := range []string{operator.PathPlans, operator.PathPlans + "/", operator.PathConfirms, operator.PathExplain + "/", operator.PathStatus, operator.PathFleet} {
+	paths := []string{
+		operator.PathPlans, operator.PathPlans + "/", operator.PathConfirms, operator.PathExplain + "/",
+		operator.PathStatus, operator.PathFleet, operator.PathMetrics,
+	}
+	for _, path := range paths {
 		mux.HandleFunc(path, refuse)
 	}
 }
