--- a/internal/decide/config/history_test.go
+++ b/internal/decide/config/history_test.go
@@ -21,6 +21,8 @@
 	reference []*standing.State
 	hosts     []*Replica
 	versions  []int64
+	// checked holds the states that were compared last.
+	checked   []*standing.State
 	pending   []Plan
 	confirmed map[string]bool
 	accepted  map[string]bool
@@ -32,6 +34,7 @@
 	h := &history{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), first: 1, reference: []*standing.State{{}},
 		confirmed: map[string]bool{}, accepted: map[string]bool{}, versions: make([]int64, hosts),
+		checked: make([]*standing.State, hosts),
 	}
 	for range hosts {
 		h.hosts = append(h.hosts, &Replica{})
@@ -208,6 +211,10 @@
 	}
 	require.GreaterOrEqual(h.t, state.Version, h.versions[n], "the version went back")
 	h.versions[n] = state.Version
+	if h.checked[n] == state {
+		return
+	}
+	h.checked[n] = state
 	want, err := json.Marshal(h.reference[state.Offset])
 	require.NoError(h.t, err)
 	got, err := json.Marshal(state)
