--- a/internal/decide/config/fuzz_test.go
+++ b/internal/decide/config/fuzz_test.go
@@ -73,3 +73,34 @@
 		require.Equal(t, p.Verify() == nil, outcome.Accepted, outcome.Reason)
 	})
 }
+
+// FuzzPeerState checks that no state from a peer takes a host back or stops it
+// from folding what follows.
+func FuzzPeerState(f *testing.F) {
+	f.Add([]byte(`{"version":5,"offset":7,"customers":{"tamarind":{}},"drains":{"b1":{}},"chain":"x"}`))
+	f.Add([]byte(`{"version":1,"offset":0}`))
+	f.Add([]byte(`{"version":-1,"offset":9223372036854775807,"touched":{"a":{"version":9}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s standing.State
+		if json.Unmarshal(data, &s) != nil {
+			return
+		}
+		plan, _ := MakePlan("p", &standing.State{}, testSite, drain("w9"))
+		record, err := change(plan).Encode()
+		require.NoError(t, err)
+		var r Replica
+		r.Take(Page{Entries: []Entry{{Offset: 1, Data: record}}, First: 1, Last: 1})
+		before := *r.State()
+		r.Adopt(&s, nil)
+		require.GreaterOrEqual(t, r.State().Version, before.Version)
+		require.LessOrEqual(t, r.State().Version, r.State().Offset)
+		held := r.State()
+		if held.Offset < 1<<62 {
+			r.Take(Page{Entries: []Entry{{Offset: held.Offset + 1, Data: record}}, First: 1, Last: held.Offset + 1})
+			require.Equal(t, held.Offset+1, r.Offset())
+		}
+		r.Since(0, "")
+		r.Since(held.Offset, "other")
+		r.Since(1<<62, "")
+	})
+}
