--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
-		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient),
+		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient), Hints: leavingHints{d.members},
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
@@ -144,8 +144,19 @@
 	d.logger.Info("planned stop ends")
 }
 
-func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.config.State() != nil && d.requests.Ready()
+// notReady says why this host takes no work, or returns nil.
+func (d *Daemon) notReady() *errkind.Error {
+	switch {
+	case d.leaving.Load():
+		return errkind.New(errkind.Stopping, "a planned stop goes on")
+	case d.config.State() == nil:
+		return errkind.New(errkind.NotReady, "no configuration yet, neither from the log nor from a peer")
+	case len(d.hosts.Hosts()) == 0:
+		return errkind.New(errkind.NotReady, "no host list yet")
+	case !d.requests.Ready():
+		return errkind.New(errkind.NotReady, "the other entry hosts have not yet said which requests they hold")
+	}
+	return nil
 }
 
 func (d *Daemon) summary() *peerv1.HostSummary {
@@ -174,9 +185,22 @@
 			Host: p.Host, Zone: p.Zone, Reachable: p.Reachable, Version: d.members.Version(p.Host),
 		})
 	}
+	s.Conditions = append(s.Conditions, d.requests.Conditions()...)
 	return s
 }
 
+// leavingHints gives the requests the members' hints as names.
+type leavingHints struct{ *peers.Members }
+
+// LeavingBackends implements requests.Hints.
+func (h leavingHints) LeavingBackends() []string {
+	var names []string
+	for _, hint := range h.Members.LeavingBackends() {
+		names = append(names, hint.Backend)
+	}
+	return names
+}
+
 func (d *Daemon) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	d.requests.Routes(mux)
@@ -204,8 +228,8 @@
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.ready() {
-		errkind.Write(w, "", errkind.New(errkind.NotReady, "stopping, or no configuration yet"), 0)
+	if err := d.notReady(); err != nil {
+		errkind.Write(w, "", err, 0)
 		return
 	}
 	// A failed write means that the caller has gone; there is nobody to tell.
