--- a/internal/daemon/journal/journal_test.go
+++ b/internal/daemon/journal/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -115,3 +116,24 @@
 		})
 	}
 }
+
+// BenchmarkMemory prints the memory of a full journal in bytes a record.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		j := New("entry-1", log.New(io.Discard), view{testState()}, DefaultCapacity)
+		for n := range 2 * DefaultCapacity {
+			j.Record(decision.Record{
+				Part: decision.PartPlace, Action: "start", Rule: "most free cores", Customer: "tamarind",
+				Why:      fmt.Sprintf("worker has %d of 32 cores free", n%32),
+				Subjects: []string{fmt.Sprintf("task-%036d", n), fmt.Sprintf("job-%036d", n/500), fmt.Sprint("worker-", n%880)},
+			})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(j)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/DefaultCapacity, "B/record")
+}
