--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -291,3 +291,16 @@
 	require.Nil(t, second.Err)
 	require.Len(t, second.Answer.Results, 1)
 }
+
+func TestCloseTakenAfterTheLeaseIsNotYetTheAnswer(t *testing.T) {
+	r := newRig()
+	r.own(t, jobOf(1))
+	r.now = r.now.Add(10 * time.Second)
+	r.core.Tick(r.now)
+	ours := all[Append](r)[0].Record
+	r.now = r.core.owned[key].leaseEnd
+	r.core.AppendDone(r.now, ours)
+	require.Empty(t, all[Answer](r), "another host's close may be first")
+	r.fold(ours)
+	require.Len(t, all[Answer](r), 1)
+}
