--- a/internal/decide/eject/eject.go
+++ b/internal/decide/eject/eject.go
@@ -90,10 +90,11 @@
 	times    times
 	// median is the median server's mean of the logarithm of answer times, if
 	// compared is set.
-	median   float64
-	compared bool
-	changed  bool
-	notes    []decision.Record
+	median     float64
+	compared   bool
+	comparison time.Time
+	changed    bool
+	notes      []decision.Record
 }
 
 // New returns a watch that knows no servers.
--- a/internal/decide/eject/tick.go
+++ b/internal/decide/eject/tick.go
@@ -11,11 +11,14 @@
 // keeps in service.
 const withheldInterval = 10 * time.Second
 
+// compareInterval is the time between comparisons of the servers.
+const compareInterval = time.Second
+
 // Tick ejects servers that do not answer or are slow, and moves servers whose
 // time is over to probing.
 func (w *Watch) Tick(now time.Time) {
 	w.times.rotate(now)
-	w.compare()
+	w.compare(now)
 	for _, s := range w.servers {
 		switch {
 		case s.leaving && !now.Before(s.leftAt):
@@ -64,8 +67,12 @@
 	return 0, 0, false
 }
 
-// compare finds the median server's answer times.
-func (w *Watch) compare() {
+// compare finds the median server's answer times from time to time.
+func (w *Watch) compare(now time.Time) {
+	if now.Sub(w.comparison) < compareInterval {
+		return
+	}
+	w.comparison = now
 	var means []float64
 	for _, s := range w.servers {
 		if s.listed && s.samples >= slowSamples {
