Keep lent slots held once under loss, repetition, pauses and deaths

A borrower that was paused took slots of ended leases; Acquire now ends leases first. A lender short of what it lent no longer cuts the borrower's slots at a renewal, which the borrower learns too late; it does not extend the lease.

Ejection by one host's own evidence must not move shares: Backend.Out keeps the server in the list. The deal of slots starts at a hash of the server's name, so that one server more or less moves few shares.

--- a/internal/decide/route/assign.go
+++ b/internal/decide/route/assign.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Host is an entry host that shares the servers.
@@ -40,18 +42,21 @@
 	order  []int
 	left   []int
 	shares []int
-	turn   int
+	// turns is the next host in turn for each server. It begins at a hash of
+	// the server's name, so that one server more or less moves few shares.
+	turns []int
 }
 
 func newAssignment(self string, hosts []Host, backends []Backend) *assignment {
 	a := &assignment{
 		self: self, backends: backends,
-		left: make([]int, len(backends)), shares: make([]int, len(backends)),
+		left: make([]int, len(backends)), shares: make([]int, len(backends)), turns: make([]int, len(backends)),
 	}
 	total := 0
 	for i, b := range backends {
 		a.order = append(a.order, i)
 		a.left[i] = capacity(b)
+		a.turns[i] = int(xxhash.Sum64String(b.Name) % 1024)
 		total += a.left[i]
 	}
 	slices.SortFunc(a.order, func(x, y int) int { return strings.Compare(backends[x].Name, backends[y].Name) })
@@ -86,9 +91,9 @@
 func (a *assignment) dealOne(i int, may func(h *dealt, b Backend) bool) bool {
 	b := a.backends[i]
 	for range a.hosts {
-		h := a.hosts[a.turn%len(a.hosts)]
-		a.turn++
-		if h.held[i] >= b.limit() || !may(h, b) {
+		h := a.hosts[a.turns[i]%len(a.hosts)]
+		a.turns[i]++
+		if h.held[i] >= b.connections() || !may(h, b) {
 			continue
 		}
 		h.held[i]++
--- a/internal/decide/route/borrow.go
+++ b/internal/decide/route/borrow.go
@@ -52,12 +52,14 @@
 	// low is the least number of free slots since lowSince.
 	low      int
 	lowSince time.Time
-	// renewAt is the earliest time at which a lease is due, or zero.
-	renewAt time.Time
+	// renewAt and endsAt are the earliest times at which a lease is to be
+	// renewed and ends, or zero.
+	renewAt, endsAt time.Time
 }
 
 // Asks implements Sharer.
 func (s *Shares) Asks(now time.Time, waiting int, since time.Time) []Ask {
+	s.expireLeases(now)
 	var asks []Ask
 	if !s.borrower.renewAt.IsZero() && !now.Before(s.borrower.renewAt) {
 		asks = s.renewals(now)
@@ -125,12 +127,14 @@
 		return
 	}
 	s.takeBack(o)
-	before := slots(p.slots)
-	s.move(s.borrowed, p.slots, -1)
-	p.slots = slices.Clone(o.Grants)
-	s.move(s.borrowed, p.slots, 1)
-	p.expires = p.sent.Add(o.Lease)
 	p.free, p.heard = o.Free, now
+	before := slots(p.slots)
+	if expires := p.sent.Add(o.Lease); o.Lease > 0 && now.Before(expires) {
+		s.move(s.borrowed, p.slots, -1)
+		p.slots = slices.Clone(o.Grants)
+		s.move(s.borrowed, p.slots, 1)
+		p.expires = expires
+	}
 	if slots(p.slots) > before || o.LenderIncarnation != "" {
 		p.backoff = 0
 	} else if p.need > 0 {
@@ -148,6 +152,7 @@
 	}
 	p.seq, p.need = 0, 0
 	s.backOff(now, p)
+	s.scheduleRenewal()
 }
 
 func (s *Shares) backOff(now time.Time, p *peer) {
@@ -165,34 +170,45 @@
 
 // scheduleRenewal finds the next lease to renew or to end.
 func (s *Shares) scheduleRenewal() {
-	s.borrower.renewAt = time.Time{}
+	s.borrower.renewAt, s.borrower.endsAt = time.Time{}, time.Time{}
 	for _, p := range s.borrower.order {
 		if len(p.slots) == 0 {
 			continue
 		}
-		at := p.expires.Add(-renewBefore)
-		if p.seq > 0 {
-			at = p.expires
-		}
-		if s.borrower.renewAt.IsZero() || at.Before(s.borrower.renewAt) {
-			s.borrower.renewAt = at
+		s.borrower.endsAt = earlier(s.borrower.endsAt, p.expires)
+		if p.seq == 0 {
+			s.borrower.renewAt = earlier(s.borrower.renewAt, p.expires.Add(-renewBefore))
 		}
 	}
 }
 
-// renewals renews the leases that are due as far as their slots were needed,
-// and drops those that ended.
-func (s *Shares) renewals(now time.Time) []Ask {
-	var asks []Ask
+// earlier returns the earlier time; a zero time counts as none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// expireLeases drops the slots of leases that ended, also while this process
+// was paused.
+func (s *Shares) expireLeases(now time.Time) {
+	if s.borrower.endsAt.IsZero() || now.Before(s.borrower.endsAt) {
+		return
+	}
 	for _, p := range s.borrower.order {
-		if len(p.slots) == 0 {
-			continue
-		}
 		if !now.Before(p.expires) {
 			s.giveBack(p, slots(p.slots), true)
-			continue
 		}
-		if p.seq > 0 || now.Before(p.expires.Add(-renewBefore)) || now.Before(p.after) {
+	}
+	s.scheduleRenewal()
+}
+
+// renewals renews the leases that are due as far as their slots were needed.
+func (s *Shares) renewals(now time.Time) []Ask {
+	var asks []Ask
+	for _, p := range s.borrower.order {
+		if len(p.slots) == 0 || p.seq > 0 || now.Before(p.expires.Add(-renewBefore)) || now.Before(p.after) {
 			continue
 		}
 		spare := min(s.borrower.low, s.free)
--- a/internal/decide/route/lend.go
+++ b/internal/decide/route/lend.go
@@ -53,7 +53,7 @@
 	}
 	l.seq = a.Seq
 	s.renew(now, l, a.Holding)
-	s.lender.parked = slices.DeleteFunc(s.lender.parked, func(p parked) bool { return p.ask.Incarnation == a.Incarnation })
+	s.unpark(a.Incarnation)
 	until := now
 	if a.Need > 0 {
 		until = now.Add(parkTime)
@@ -61,22 +61,29 @@
 	s.lender.parked = append(s.lender.parked, parked{ask: a, since: now.Add(-a.Waited), until: until})
 }
 
-// renew takes the borrower's word for what it holds, as far as this host has
-// the slots.
+// unpark drops the ask of a borrower that waits.
+func (s *Shares) unpark(incarnation string) {
+	s.lender.parked = slices.DeleteFunc(s.lender.parked, func(p parked) bool { return p.ask.Incarnation == incarnation })
+}
+
+// renew takes the borrower's word for what it holds and extends the loan,
+// unless this host lacks what it lent because its own leases ended. Then the
+// loan runs out and nothing is granted.
 func (s *Shares) renew(now time.Time, l *loan, holding []Grant) {
 	s.move(s.lent, l.slots, -1)
-	l.slots = nil
-	for _, g := range holding {
-		i, ok := s.table.byName[g.Backend]
-		if !ok {
-			continue
-		}
-		if n := min(g.Slots, s.own(i)); n > 0 {
-			l.slots = append(l.slots, Grant{Backend: g.Backend, Slots: n})
-		}
-	}
+	l.slots = slices.Clone(holding)
 	s.move(s.lent, l.slots, 1)
-	s.extend(now, l)
+	if l.expires.IsZero() || !s.short(holding) {
+		s.extend(now, l)
+	}
+}
+
+// short reports whether this host lent more than it holds of a server.
+func (s *Shares) short(grants []Grant) bool {
+	return slices.ContainsFunc(grants, func(g Grant) bool {
+		i, ok := s.table.byName[g.Backend]
+		return ok && s.own(i) < 0
+	})
 }
 
 func (s *Shares) extend(now time.Time, l *loan) {
@@ -96,7 +103,7 @@
 		before := waiting == 0 || p.since.Add(ageMargin).Before(since)
 		var grants []Grant
 		returned := 0
-		if before {
+		if before && !s.short(s.lender.loans[p.ask.Incarnation].slots) {
 			returned = s.giveBackTo(p.ask.From, p.ask.Need)
 			p.ask.Need -= returned
 			grants = s.grant(p.ask, waiting)
@@ -119,11 +126,13 @@
 	for _, g := range grants {
 		l.slots = addGrant(l.slots, g)
 	}
-	s.extend(now, l)
-	return Offer{
-		From: s.self.Name, To: a.From, Incarnation: a.Incarnation, Seq: a.Seq,
-		Grants: slices.Clone(l.slots), Lease: leaseTime, Free: s.free,
+	o := Offer{From: s.self.Name, To: a.From, Incarnation: a.Incarnation, Seq: a.Seq, Free: s.free}
+	if s.short(l.slots) {
+		return o
 	}
+	s.extend(now, l)
+	o.Grants, o.Lease = slices.Clone(l.slots), leaseTime
+	return o
 }
 
 func addGrant(grants []Grant, g Grant) []Grant {
@@ -160,7 +169,7 @@
 	for i := range s.table.servers {
 		n := s.lendable(i)
 		near := s.table.servers[i].Zone == zone
-		if n <= 0 || (bestNear && !near) {
+		if n <= 0 || s.table.servers[i].Out || (bestNear && !near) {
 			continue
 		}
 		if n > most || (near && !bestNear) {
@@ -188,6 +197,7 @@
 		}
 		if !now.Before(next) {
 			delete(s.lender.loans, incarnation)
+			s.unpark(incarnation)
 			continue
 		}
 		s.checkLoansAt(next)
@@ -196,20 +206,14 @@
 
 // checkLoansAt makes sure that loans are checked by then.
 func (s *Shares) checkLoansAt(at time.Time) {
-	if s.lender.expires.IsZero() || at.Before(s.lender.expires) {
-		s.lender.expires = at
-	}
+	s.lender.expires = earlier(s.lender.expires, at)
 }
 
-// trimLoans forgets loans of servers and to hosts that are no longer listed.
+// trimLoans ends the loans to hosts that are no longer listed.
 func (s *Shares) trimLoans() {
 	for _, l := range s.lender.loans {
 		if !slices.ContainsFunc(s.hosts, func(h Host) bool { return h.Name == l.borrower }) {
 			l.slots = nil
 		}
-		l.slots = slices.DeleteFunc(l.slots, func(g Grant) bool {
-			i, ok := s.table.byName[g.Backend]
-			return !ok || s.table.servers[i].gone
-		})
 	}
 }
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -18,13 +18,22 @@
 	Limit int
 	// Weight scales the server's share of new work; 0 gives it none.
 	Weight float64
+	// Out is set if this host gives the server no new work by its own evidence,
+	// such as an ejection. Entry hosts must agree on the list and the weights
+	// to agree on shares, but not on Out.
+	Out bool
 }
 
 // limit returns how many requests one entry host may have on the server.
 func (b Backend) limit() int {
-	if b.Weight <= 0 {
+	if b.Weight <= 0 || b.Out {
 		return 0
 	}
+	return b.connections()
+}
+
+// connections returns the bound on this host's requests on the server.
+func (b Backend) connections() int {
 	if b.Limit > 0 {
 		return min(b.Limit, b.Slots)
 	}
--- a/internal/decide/route/shares.go
+++ b/internal/decide/route/shares.go
@@ -106,7 +106,8 @@
 }
 
 // Acquire implements Selector.
-func (s *Shares) Acquire(_ time.Time, skip map[string]bool) (string, bool) {
+func (s *Shares) Acquire(now time.Time, skip map[string]bool) (string, bool) {
+	s.expireLeases(now)
 	i := s.table.first(skip)
 	if i < 0 {
 		return "", false
--- a/internal/decide/route/sharing.go
+++ b/internal/decide/route/sharing.go
@@ -40,7 +40,7 @@
 	// Grants is all that the borrower holds of the lender's slots now.
 	Grants []Grant
 	// Lease is how long the grants hold, counted by the borrower from when it
-	// sent the ask.
+	// sent the ask; 0 leaves what it holds as it is, to the end of its lease.
 	Lease time.Duration
 	// Free is the number of slots that the lender has left.
 	Free int
