--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	jobs     *jobs.Service
 	operator *operator.Service
 	pool     *pool.Pool
+	journal  *journal.Journal
 }
 
 // New builds a daemon that does nothing until Run.
@@ -67,16 +68,18 @@
 
 	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
+	d.journal = record
 	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, record, d.summary)
 	d.fleet = fences.NewFleet(d.members)
 	d.explain = peers.NewExplain(s.Host, record, d.members, peerClient, d.status)
 	d.operator = operator.New(d.config, platformLog, record, d.explain, d.hosts.Site, d.status)
 	d.config.Attach(peers.NewConfig(d.members, peerClient), d.hosts, record)
+	d.hosts.Attach(peers.NewHostLists(s.Zone, d.members, s.Seeds, peerClient), record)
 
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
-		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient),
+		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient), Hints: leavingHints{d.members},
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
@@ -87,6 +90,8 @@
 }
 
 const (
+	// refusalWindow is how far back the status counts refusals.
+	refusalWindow = 5 * time.Minute
 	// peerConns is the number of idle connections kept to one peer.
 	peerConns = 8
 	// workerConns is the number of idle connections kept to one worker.
@@ -139,8 +144,19 @@
 	d.logger.Info("planned stop ends")
 }
 
-func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.config.State() != nil && d.requests.Ready()
+// notReady says why this host takes no work, or returns nil.
+func (d *Daemon) notReady() *errkind.Error {
+	switch {
+	case d.leaving.Load():
+		return errkind.New(errkind.Stopping, "a planned stop goes on")
+	case d.config.State() == nil:
+		return errkind.New(errkind.NotReady, "no configuration yet, neither from the log nor from a peer")
+	case len(d.hosts.Hosts()) == 0:
+		return errkind.New(errkind.NotReady, "no host list yet")
+	case !d.requests.Ready():
+		return errkind.New(errkind.NotReady, "the other entry hosts have not yet said which requests they hold")
+	}
+	return nil
 }
 
 func (d *Daemon) summary() *peerv1.HostSummary {
@@ -162,14 +178,29 @@
 	if s.State != nil {
 		s.Version = s.State.Version
 	}
+	s.Conditions = d.config.Conditions(time.Now())
+	s.Refusals = d.journal.Refusals(refusalWindow)
 	for _, p := range d.members.Peers() {
 		s.Peers = append(s.Peers, operator.PeerStatus{
 			Host: p.Host, Zone: p.Zone, Reachable: p.Reachable, Version: d.members.Version(p.Host),
 		})
 	}
+	s.Conditions = append(s.Conditions, d.requests.Conditions()...)
 	return s
 }
 
+// leavingHints gives the requests the members' hints as names.
+type leavingHints struct{ *peers.Members }
+
+// LeavingBackends implements requests.Hints.
+func (h leavingHints) LeavingBackends() []string {
+	var names []string
+	for _, hint := range h.Members.LeavingBackends() {
+		names = append(names, hint.Backend)
+	}
+	return names
+}
+
 func (d *Daemon) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	d.requests.Routes(mux)
@@ -189,7 +220,7 @@
 func (d *Daemon) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
-	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since}))
+	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since, HostsSince: d.hosts.Since}))
 	mux.Handle(peerv1connect.NewIdentityServiceHandler(fences.Handler{Requests: d.requests}))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
 	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
@@ -197,8 +228,8 @@
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.ready() {
-		errkind.Write(w, "", errkind.New(errkind.NotReady, "stopping, or no configuration yet"), 0)
+	if err := d.notReady(); err != nil {
+		errkind.Write(w, "", err, 0)
 		return
 	}
 	// A failed write means that the caller has gone; there is nobody to tell.
--- a/internal/daemon/follower/config.go
+++ b/internal/daemon/follower/config.go
@@ -102,6 +102,43 @@
 // Age returns the time since the log last answered.
 func (c *Config) Age(now time.Time) time.Duration { return c.Health(now).LogAge }
 
+// Blocked says why nothing that is appended now takes effect on this host, or
+// "".
+func (c *Config) Blocked() string {
+	h := c.Health(time.Now())
+	switch {
+	case h.Regressed:
+		return fmt.Sprintf("the log lost records: it ends before offset %d, which is in force", h.Offset)
+	case h.Gap:
+		return fmt.Sprintf("the log trimmed records after offset %d that this host has not seen; ask another entry host", h.Offset)
+	}
+	return ""
+}
+
+// awayAfter is how long the log may be silent before that is a condition.
+const awayAfter = 2 * readWait
+
+// Conditions are what an engineer has to know about the configuration here.
+func (c *Config) Conditions(now time.Time) []decision.Record {
+	h := c.Health(now)
+	var out []decision.Record
+	note := func(action, why string) {
+		out = append(out, decision.Record{
+			Time: now, Host: c.self, Part: decision.PartConfig, Action: action, Why: why, Version: c.version(), Subjects: []string{c.self},
+		})
+	}
+	if c.State() == nil {
+		note("not ready", "neither the log nor a peer has given a configuration")
+	}
+	if h.LogAge >= awayAfter {
+		note("log away", fmt.Sprintf("the log was heard %s ago, the version stays in force", h.LogAge.Round(time.Second)))
+	}
+	if reason := c.Blocked(); reason != "" {
+		note("log broken", reason)
+	}
+	return out
+}
+
 // Run follows the stream and the peers until ctx ends.
 func (c *Config) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -4,10 +4,11 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/daemon/journal"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
@@ -23,32 +24,40 @@
 	PathConfirms = "/v1/confirms"
 	PathExplain  = "/v1/explain"
 	PathStatus   = "/v1/status"
+	PathFleet    = "/v1/fleet"
 	PathMetrics  = "/debug/vars"
 )
 
-// confirmWait bounds the wait for a record's outcome.
-const confirmWait = 5 * time.Second
-
 // Follower is the part of the configuration follower that is used here.
 type Follower interface {
 	standing.View
+	// Outcome waits until the record's outcome is known.
 	Outcome(ctx context.Context, id string) (config.Outcome, error)
-}
-
-// Confirmed is the answer to a confirmed plan.
-type Confirmed struct {
-	Plan string `json:"plan"`
-	// Result is "accepted", "rejected" or "unknown".
-	Result string `json:"result"`
-	// Reason says why a plan was rejected.
-	Reason string `json:"reason,omitempty"`
-	// Version is the version in force on this host after the answer.
-	Version int64 `json:"version"`
+	// Blocked says why nothing that is appended now takes effect here, or "".
+	Blocked() string
+	// Age returns the time since the log last answered.
+	Age(now time.Time) time.Duration
 }
 
 // Explainer gathers what entry hosts know of a subject.
 type Explainer interface {
 	Explain(ctx context.Context, subject string) Explanation
+	// Fleet gathers the status of every entry host.
+	Fleet(ctx context.Context) Fleet
+}
+
+// Fleet is the status of every entry host that answered.
+type Fleet struct {
+	Hosts []Status `json:"hosts"`
+	// Unreached are the entry hosts that did not answer.
+	Unreached []string `json:"unreached,omitempty"`
+}
+
+// Horizon says how far back an entry host remembers.
+type Horizon struct {
+	Host string `json:"host"`
+	// AgeMs is the age of its oldest record, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // Explanation is what is known of a subject.
@@ -57,6 +66,8 @@
 	Records []decision.Record `json:"records"`
 	// Hosts are the entry hosts that answered.
 	Hosts []string `json:"hosts"`
+	// Horizons say how far back these remember.
+	Horizons []Horizon `json:"horizons,omitempty"`
 	// Unreached are the entry hosts that did not.
 	Unreached []string `json:"unreached,omitempty"`
 }
@@ -71,6 +82,8 @@
 	State       *standing.State   `json:"state,omitempty"`
 	Peers       []PeerStatus      `json:"peers"`
 	Conditions  []decision.Record `json:"conditions,omitempty"`
+	// Refusals count what was refused lately, by part and rule.
+	Refusals []journal.Count `json:"refusals,omitempty"`
 }
 
 // PeerStatus is one other entry host as seen from here.
@@ -87,26 +100,33 @@
 	log       platform.Log
 	recorder  decision.Recorder
 	explainer Explainer
-	site      func() config.Site
+	site      func(context.Context) config.Site
 	status    func() Status
+	unsettled unsettled
 }
 
 // New returns a service. Site gives the hosts as last listed, status describes
 // this host.
-func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, site func() config.Site, status func() Status) *Service {
+func New(f Follower, l platform.Log, r decision.Recorder, e Explainer, site func(context.Context) config.Site, status func() Status) *Service {
 	return &Service{follower: f, log: l, recorder: r, explainer: e, site: site, status: status}
 }
 
 // Routes adds the operators' paths to mux.
 func (s *Service) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PathPlans, s.servePlan)
+	mux.HandleFunc("GET "+PathPlans+"/{id}", s.serveOutcome)
 	mux.HandleFunc("POST "+PathConfirms, s.serveConfirm)
 	mux.HandleFunc("GET "+PathExplain+"/{subject}", s.serveExplain)
+	mux.HandleFunc("GET "+PathFleet, s.serveFleet)
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.status())
 	})
 }
 
+func (s *Service) serveFleet(w http.ResponseWriter, r *http.Request) {
+	httpjson.Write(w, http.StatusOK, s.explainer.Fleet(r.Context()))
+}
+
 func (s *Service) servePlan(w http.ResponseWriter, r *http.Request) {
 	var intent config.Intent
 	if err := httpjson.ReadStrict(w, r, maxDocument, &intent); err != nil {
@@ -118,8 +138,10 @@
 		errkind.Write(w, "", errkind.New(errkind.NotReady, "no configuration yet"), 0)
 		return
 	}
-	intent.ID = ids.New("intent")
-	plan, err := config.MakePlan(ids.New("plan"), state, s.site(), intent)
+	// The ids differ by their prefix alone, so that one leads to the other.
+	id := ids.New("plan")
+	intent.ID = "intent-" + strings.TrimPrefix(id, "plan-")
+	plan, err := config.MakePlan(id, state, s.site(r.Context()), intent)
 	if err != nil {
 		errkind.Write(w, "", err, 0)
 		return
@@ -128,48 +150,6 @@
 	httpjson.Write(w, http.StatusOK, plan)
 }
 
-func (s *Service) serveConfirm(w http.ResponseWriter, r *http.Request) {
-	var plan config.Plan
-	if err := httpjson.ReadStrict(w, r, maxDocument, &plan); err != nil {
-		errkind.Write(w, "", err, 0)
-		return
-	}
-	if err := plan.Verify(); err != nil {
-		errkind.Write(w, plan.ID, err, 0)
-		return
-	}
-	confirmed, err := s.confirm(r.Context(), plan)
-	if err != nil {
-		errkind.Write(w, plan.ID, err, 0)
-		return
-	}
-	s.note("confirm", confirmed.Result, plan.Intent.Operator+" confirmed: "+confirmed.Reason, plan)
-	httpjson.Write(w, http.StatusOK, confirmed)
-}
-
-// confirm appends the plan and reads back what became of it.
-func (s *Service) confirm(ctx context.Context, plan config.Plan) (Confirmed, *errkind.Error) {
-	record := config.Record{Kind: config.KindChange, ID: plan.ID, Plan: &plan}
-	data, err := record.Encode()
-	if err != nil {
-		return Confirmed{}, errkind.Wrap(errkind.Internal, err, "encode plan").WithRun(errkind.NotRun)
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmWait)
-	defer cancel()
-	_, err = s.log.Append(ctx, platform.StreamConfig, [][]byte{data})
-	if errors.Is(err, platform.ErrUnavailable) {
-		return Confirmed{}, errkind.Wrap(errkind.LogUnavailable, err, "the plan was not recorded")
-	}
-	outcome, err := s.follower.Outcome(ctx, plan.ID)
-	if err != nil {
-		return Confirmed{}, errkind.Wrap(errkind.LogUnknown, err, "ask again for plan %s", plan.ID)
-	}
-	if !outcome.Accepted {
-		return Confirmed{}, errkind.New(errkind.PlanStale, "%s", outcome.Reason)
-	}
-	return Confirmed{Plan: plan.ID, Result: "accepted", Version: s.follower.State().Version}, nil
-}
-
 func (s *Service) serveExplain(w http.ResponseWriter, r *http.Request) {
 	httpjson.Write(w, http.StatusOK, s.explainer.Explain(r.Context(), r.PathValue("subject")))
 }
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -41,7 +41,7 @@
 	ReserveAfter time.Duration
 	// RetryInterval is the time between tries of calls that failed.
 	RetryInterval time.Duration
-	// ResultBytes bounds the outputs held of closed jobs, in bytes.
+	// ResultBytes bounds the results held of closed jobs, in bytes.
 	ResultBytes int
 }
 
@@ -111,7 +111,9 @@
 	quotas   map[team]int
 	holding  map[team]int
 	reserved int
-	jobSeq   int64
+	// placed counts the tasks placed by their cores.
+	placed [sizeClasses]int64
+	jobSeq int64
 	// dirty are the workers with something to send.
 	dirty []*worker
 
@@ -126,6 +128,9 @@
 	p   *pending
 }
 
+// sizeClasses is how many sizes in cores are counted apart.
+const sizeClasses = 65
+
 // team names one team of one customer.
 type team struct {
 	customer string
@@ -203,6 +208,8 @@
 	// Answer is set with StatusClosed, and holds the running state with
 	// StatusHere.
 	Answer callerapi.JobAnswer
+	// Err is set with StatusClosed in place of an answer that is gone.
+	Err *errkind.Error
 	// Owner and Address are set with StatusElsewhere.
 	Owner   ids.Incarnation
 	Address string
@@ -212,7 +219,7 @@
 func (c *Core) Lookup(now time.Time, k Key) View {
 	if j, ok := c.owned[k]; ok {
 		if j.answered && (j.recorded || now.Before(j.leaseEnd)) {
-			return View{Status: StatusClosed, Answer: j.document()}
+			return View{Status: StatusClosed, Answer: j.document(), Err: j.trimmed}
 		}
 		running := callerapi.JobAnswer{
 			Submission: k.Submission, Customer: k.Customer, State: callerapi.JobRunning, Owner: c.cfg.Self.Host(),
@@ -265,7 +272,7 @@
 		if gone {
 			kind = errkind.OwnerLost
 		}
-		return errkind.New(kind, "the job completed; its results are with entry host %s, which could not be reached",
+		return errkind.New(kind, "the job completed; its results are with entry host %s, which did not give them",
 			owner.Host()).WithRun(errkind.Ran)
 	case e.Close != nil:
 		c.emit(Answer{Key: k, Answer: e.Close.answer()})
--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -196,6 +196,9 @@
 	}})
 	r.fold(all[Append](r)[0].Record)
 	require.True(t, r.core.Idle())
+	r.core.Tick(r.now)
+	require.Empty(t, r.core.byText, "only the answer is kept")
+	require.Equal(t, StatusClosed, r.core.Lookup(r.now, key).Status)
 	r.now = r.now.Add(3 * time.Minute)
 	r.core.Tick(r.now)
 	require.Zero(t, r.core.table.Len())
@@ -244,3 +247,47 @@
 	require.Len(t, stops, 1)
 	require.Equal(t, []workerapi.TaskRef{{Submission: key.String(), Task: "a"}}, stops[0].Call.Tasks)
 }
+
+// TestRecordsStaySmall bounds what every entry host reads of every job: a claim
+// and a complete close.
+func TestRecordsStaySmall(t *testing.T) {
+	owner := ids.NewIncarnation("entry-westlands-1")
+	k := Key{Customer: "tamarind", Submission: "6f1c4f8e-5a1b-4c0e-9a53-0f3c1d7b2a44"}
+	claim := Record{
+		Kind: KindClaim, Key: k, Owner: owner, AgeMs: 86_400_000, Address: "10.20.30.40:7300",
+		Digest: "00112233445566778899aabbccddeeff", LeaseMs: 70_000,
+	}
+	end := Record{Kind: KindClose, Key: k, Owner: owner, Of: owner, AgeMs: 86_400_000, State: callerapi.JobComplete}
+	total := 0
+	for _, r := range []Record{claim, end} {
+		data, err := r.Encode()
+		require.NoError(t, err)
+		back, err := DecodeRecord(data)
+		require.NoError(t, err)
+		require.Equal(t, r, back)
+		total += len(data)
+		t.Logf("%s: %d bytes", r.Kind, len(data))
+	}
+	require.Less(t, total, 400)
+}
+
+func TestResultsBeyondTheBoundAreSaidToBeGone(t *testing.T) {
+	r := newRig()
+	r.core.cfg.ResultBytes = 1
+	for _, name := range []string{"first", "second"} {
+		spec := jobOf(1)
+		spec.Submission = name
+		start := r.own(t, spec)[0]
+		r.core.StartReplied(r.now, r.now, start.ID, workerapi.StartReply{Verdicts: []workerapi.Verdict{workerapi.Started}})
+		r.core.Ended(r.now, "worker-1", workerapi.Results{Instance: "one", Results: []workerapi.Result{
+			{Submission: "tamarind/" + name, Task: "a", State: workerapi.TaskDone},
+		}})
+		r.fold(all[Append](r)[0].Record)
+	}
+	first := r.core.Lookup(r.now, Key{Customer: "tamarind", Submission: "first"})
+	require.Equal(t, errkind.OwnerLost, first.Err.Kind)
+	require.Equal(t, errkind.Ran, first.Err.Run)
+	second := r.core.Lookup(r.now, Key{Customer: "tamarind", Submission: "second"})
+	require.Nil(t, second.Err)
+	require.Len(t, second.Answer.Results, 1)
+}
--- a/internal/decide/jobs/job.go
+++ b/internal/decide/jobs/job.go
@@ -74,7 +74,9 @@
 	racks   place.Racks
 
 	blockedSince time.Time
-	reserved     string
+	// smaller is the count of smaller tasks placed when the job was blocked.
+	smaller  int64
+	reserved string
 
 	// ending is why the job is being stopped, while stops are awaited.
 	ending *errkind.Error
@@ -90,6 +92,8 @@
 	answerBy time.Time
 	retryAt  time.Time
 	answer   callerapi.JobAnswer
+	// trimmed is what is said of a complete job whose results were let go.
+	trimmed *errkind.Error
 }
 
 // ref names one task of an owned job.
@@ -98,7 +102,13 @@
 	task int
 }
 
-func (r ref) t() *task { return &r.job.tasks[r.task] }
+// t returns the task. One of a job that keeps only its answer has ended.
+func (r ref) t() *task {
+	if r.job.tasks == nil {
+		return &task{state: taskEnded}
+	}
+	return &r.job.tasks[r.task]
+}
 
 func (c *Core) newJob(p *pending, k Key, leaseEnd time.Time) *job {
 	spec := p.job
@@ -175,11 +185,14 @@
 	return false
 }
 
-// answerBytes is the size of the outputs in an answer.
+// resultOverhead is what one result takes besides its output, in bytes.
+const resultOverhead = 128
+
+// answerBytes is about the size of the results in an answer.
 func answerBytes(a callerapi.JobAnswer) int {
 	total := 0
 	for i := range a.Results {
-		total += len(a.Results[i].Output)
+		total += len(a.Results[i].Output) + resultOverhead
 	}
 	return total
 }
