Lend slots between entry hosts over the peer protocol

The policy of a customer chooses the selector: shares for response time, least for no extra message; a change of policy adopts the requests that were sent. Package slots carries asks and offers; an ask ends within 0.8 s, so a peer that hangs costs one pending ask. Ejection now keeps a server in the list and marks it out, so that hosts that disagree on it agree on shares.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/pool"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/slots"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/workers"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -79,7 +80,8 @@
 	seed := maphash.String(maphash.MakeSeed(), s.Host)
 	d.requests = requests.New(requests.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Recorder: record, Pool: d.pool, Seed: seed,
-		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient), Hints: leavingHints{d.members},
+		Fleet: d.fleet, Remote: fences.NewClient(d.members, peerClient),
+		Lenders: slots.NewClient(d.members, peerClient), Hints: leavingHints{d.members},
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
@@ -222,6 +224,7 @@
 	mux.Handle(peerv1connect.NewMemberServiceHandler(d.members))
 	mux.Handle(peerv1connect.NewConfigServiceHandler(peers.ConfigHandler{Since: d.config.Since, HostsSince: d.hosts.Since}))
 	mux.Handle(peerv1connect.NewIdentityServiceHandler(fences.Handler{Requests: d.requests}))
+	mux.Handle(peerv1connect.NewSlotServiceHandler(slots.Handler{Host: d.settings.Host, Lender: d.requests}))
 	mux.Handle(peerv1connect.NewExplainServiceHandler(d.explain.Handler()))
 	mux.Handle(peerv1connect.NewJobServiceHandler(peers.JobHandler{Jobs: d.jobs, Incarnation: d.incarnation}))
 	return mux
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -59,6 +59,8 @@
 	Remote Remote
 	// Hints may be nil.
 	Hints Hints
+	// Lenders lends this host slots of others; nil means that none does.
+	Lenders Lenders
 	// Seed makes ties in routing repeatable.
 	Seed uint64
 }
@@ -72,6 +74,10 @@
 	addresses map[string]string
 	listing   eject.Listing
 	rows      map[string]platform.Host
+	policy    standing.Policy
+	rng       *rand.Rand
+	// lends are the asks of other hosts that wait for an answer.
+	lends map[lendKey]chan route.Offer
 }
 
 // Service serves requests. It is safe for concurrent use.
@@ -129,6 +135,7 @@
 func (s *Service) refresh(now time.Time, name string, rules standing.Customer, state *standing.State, hosts []platform.Host) *customer {
 	c := s.customer(name, rules)
 	c.core.SetRules(rules)
+	s.share(now, c, rules, hosts)
 	c.table.SetHorizon(now, horizon(rules))
 	c.table.Expire(now)
 	s.apply(c, c.core.SetBackends(now, c.backends(now, rules, state, hosts)))
@@ -188,7 +195,10 @@
 		limits := identity.Limits{Entries: maxIDs, Bytes: maxAnswerBytes}
 		c = &customer{
 			name:      name,
-			core:      dispatch.New(name, rules, route.NewLeast(s.deps.Settings.Zone, rng)),
+			core:      dispatch.New(name, rules, s.selector(rules.WithDefaults().Policy, rng)),
+			policy:    rules.WithDefaults().Policy,
+			rng:       rng,
+			lends:     map[lendKey]chan route.Offer{},
 			table:     identity.NewTable(s.started, name, s.deps.Incarnation, horizon(rules), limits),
 			work:      map[string]*work{},
 			addresses: map[string]string{},
@@ -252,6 +262,10 @@
 			go s.send(c, w.req, a.Backend, c.addresses[a.Backend])
 		case dispatch.Finish:
 			s.finish(c, a.ID, identity.Result{Err: a.Err, RetryAfter: a.RetryAfter})
+		case dispatch.Borrow:
+			go s.borrow(c, a.Ask)
+		case dispatch.Lend:
+			c.answer(a.Offer)
 		case dispatch.Note:
 			s.deps.Recorder.Record(a.Record)
 		}
--- /dev/null
+++ b/internal/daemon/slots/slots.go
@@ -0,0 +1,129 @@
+// Package slots speaks the protocol by which entry hosts lend backend slots to
+// each other.
+package slots
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
+	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
+	"github.com/parsleyhill/parsleyhill/internal/decide/route"
+)
+
+const (
+	// callTimeout bounds one ask; a lender holds it for at most half a second.
+	callTimeout = 800 * time.Millisecond
+	// maxSlots bounds the slots and servers that one message may name.
+	maxSlots = 10_000
+)
+
+// The metrics of the package.
+var (
+	asksSent   = expvar.NewInt("parsleyhill.slots.asks")
+	asksFailed = expvar.NewInt("parsleyhill.slots.failed")
+)
+
+// Client asks other entry hosts for slots.
+type Client struct {
+	directory peers.Directory
+	http      *http.Client
+}
+
+// NewClient returns a client that finds hosts in the directory.
+func NewClient(d peers.Directory, client *http.Client) *Client {
+	return &Client{directory: d, http: client}
+}
+
+// Borrow sends the ask and returns the lender's offer, within a second.
+func (c *Client) Borrow(ctx context.Context, customer string, a route.Ask) (route.Offer, error) {
+	asksSent.Add(1)
+	offer, err := c.borrow(ctx, customer, a)
+	if err != nil {
+		asksFailed.Add(1)
+	}
+	return offer, err
+}
+
+func (c *Client) borrow(ctx context.Context, customer string, a route.Ask) (route.Offer, error) {
+	p, ok := c.directory.Lookup(a.To)
+	if !ok {
+		return route.Offer{}, fmt.Errorf("entry host %s is not known", a.To)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := peerv1connect.NewSlotServiceClient(c.http, p.URL).Borrow(ctx, connect.NewRequest(&peerv1.BorrowRequest{
+		Host: a.From, Incarnation: a.Incarnation, Customer: customer, Zone: a.Zone, Seq: a.Seq,
+		Want: int32(a.Need), Spare: int32(a.Spare), WaitedMs: a.Waited.Milliseconds(), Holding: encode(a.Holding),
+	}))
+	if err != nil {
+		return route.Offer{}, fmt.Errorf("borrow from %s: %w", a.To, err)
+	}
+	m := resp.Msg
+	return route.Offer{
+		From: a.To, To: a.From, Incarnation: a.Incarnation, Seq: a.Seq,
+		Grants: decode(m.GetGrants()), Lease: time.Duration(m.GetLeaseMs()) * time.Millisecond, Free: int(m.GetFree()),
+		Returned: decode(m.GetReturned()), ReturnedSeq: m.GetReturnedSeq(), LenderIncarnation: m.GetLenderIncarnation(),
+	}, nil
+}
+
+// Lender lends this host's slots.
+type Lender interface {
+	// Lend takes another host's ask and waits for the offer until ctx ends.
+	Lend(ctx context.Context, customer string, a route.Ask) (route.Offer, error)
+}
+
+// Handler serves the protocol.
+type Handler struct {
+	// Host is this entry host's name.
+	Host string
+	// Lender lends this host's slots.
+	Lender Lender
+}
+
+// Borrow implements peerv1connect.SlotServiceHandler.
+func (h Handler) Borrow(ctx context.Context, req *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m := req.Msg
+	if m.GetWant() < 0 || m.GetSpare() < 0 || m.GetWaitedMs() < 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("an ask for %d and %d slots", m.GetWant(), m.GetSpare()))
+	}
+	o, err := h.Lender.Lend(ctx, m.GetCustomer(), route.Ask{
+		From: m.GetHost(), Incarnation: m.GetIncarnation(), Zone: m.GetZone(), To: h.Host, Seq: m.GetSeq(),
+		Holding: decode(m.GetHolding()), Need: int(m.GetWant()), Spare: int(m.GetSpare()),
+		Waited: time.Duration(m.GetWaitedMs()) * time.Millisecond,
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("lend to %s: %w", m.GetHost(), err))
+	}
+	return connect.NewResponse(&peerv1.BorrowResponse{
+		Grants: encode(o.Grants), LeaseMs: o.Lease.Milliseconds(), Free: int32(o.Free),
+		Returned: encode(o.Returned), ReturnedSeq: o.ReturnedSeq, LenderIncarnation: o.LenderIncarnation,
+	}), nil
+}
+
+func encode(grants []route.Grant) []*peerv1.SlotGrant {
+	var out []*peerv1.SlotGrant
+	for _, g := range grants {
+		out = append(out, &peerv1.SlotGrant{Backend: g.Backend, Slots: int32(g.Slots)})
+	}
+	return out
+}
+
+// decode drops grants of no slots and bounds what a peer may name.
+func decode(grants []*peerv1.SlotGrant) []route.Grant {
+	var out []route.Grant
+	for _, g := range grants[:min(len(grants), maxSlots)] {
+		if n := int(g.GetSlots()); n > 0 && n <= maxSlots {
+			out = append(out, route.Grant{Backend: g.GetBackend(), Slots: n})
+		}
+	}
+	return out
+}
--- a/internal/decide/dispatch/borrow.go
+++ b/internal/decide/dispatch/borrow.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/route"
@@ -22,6 +24,20 @@
 func (Borrow) action() {}
 func (Lend) action()   {}
 
+// SetSelector replaces the selector, with the servers and the requests that
+// were sent.
+func (c *Core) SetSelector(now time.Time, selector route.Selector) []Action {
+	c.selector = selector
+	c.relisted = true
+	c.refresh(now)
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		if w := c.requests[id]; w.backend != "" && !w.probe {
+			selector.Adopt(w.backend)
+		}
+	}
+	return c.pump(now, nil)
+}
+
 // SetHosts replaces the entry hosts that share the servers.
 func (c *Core) SetHosts(now time.Time, hosts []route.Host) []Action {
 	sharer, ok := c.selector.(route.Sharer)
--- a/internal/decide/dispatch/eject.go
+++ b/internal/decide/dispatch/eject.go
@@ -18,9 +18,10 @@
 	c.relisted = false
 	serving := make([]route.Backend, 0, len(c.listed))
 	for _, b := range c.listed {
-		if c.watch.Serves(now, b.Name) {
-			serving = append(serving, b)
-		}
+		// A server out of service stays listed: other hosts may not agree, and
+		// shares of slots rest on the list.
+		b.Out = !c.watch.Serves(now, b.Name)
+		serving = append(serving, b)
 	}
 	c.selector.SetBackends(now, serving)
 }
--- a/internal/decide/route/least.go
+++ b/internal/decide/route/least.go
@@ -37,11 +37,18 @@
 
 // Release implements Selector.
 func (l *Least) Release(_ time.Time, backend string) {
-	if i, ok := l.table.byName[backend]; ok {
+	if i, ok := l.table.byName[backend]; ok && l.table.servers[i].used > 0 {
 		l.add(i, -1)
 	}
 }
 
+// Adopt implements Selector.
+func (l *Least) Adopt(backend string) {
+	if i, ok := l.table.byName[backend]; ok {
+		l.add(i, 1)
+	}
+}
+
 // Rule implements Selector.
 func (l *Least) Rule() string { return "least loaded by local counts" }
 
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -51,6 +51,8 @@
 	Acquire(now time.Time, skip map[string]bool) (backend string, ok bool)
 	// Release gives a slot back.
 	Release(now time.Time, backend string)
+	// Adopt counts a request that another selector had sent to the server.
+	Adopt(backend string)
 	// Rule describes the choice for decision records.
 	Rule() string
 }
--- a/internal/decide/route/shares.go
+++ b/internal/decide/route/shares.go
@@ -119,7 +119,7 @@
 
 // Release implements Selector.
 func (s *Shares) Release(_ time.Time, backend string) {
-	if i, ok := s.table.byName[backend]; ok {
+	if i, ok := s.table.byName[backend]; ok && s.table.servers[i].used > 0 {
 		s.use(i, -1)
 	}
 }
@@ -131,6 +131,13 @@
 	s.table.index.set(i, s.rank(i))
 }
 
+// Adopt implements Selector.
+func (s *Shares) Adopt(backend string) {
+	if i, ok := s.table.byName[backend]; ok {
+		s.use(i, 1)
+	}
+}
+
 // Rule implements Selector.
 func (s *Shares) Rule() string { return "slot held by this host" }
 
