Wait for owned jobs in a planned stop, and bound dials to peers

Cause: a planned stop waited for requests alone; a job with more than the port's closing time to go was cut off. Dials to peers, workers and the platform lasted as long as the system's own limit across a cut. Ruled out: a longer closing time of the port; it would hold every stop. Failing first: a job of 4.5 s on a stopping host came back empty; after: complete (go test -tags e2e -run TestPlannedStop ./internal/e2e).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,11 +7,13 @@
 	"expvar"
 	"fmt"
 	"hash/maphash"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
 
 	peerv1 "github.com/parsleyhill/parsleyhill/gen/peer/v1"
 	"github.com/parsleyhill/parsleyhill/gen/peer/v1/peerv1connect"
@@ -61,13 +63,13 @@
 		started:     time.Now(),
 		pool:        pool.New(),
 	}
-	platformClient := &http.Client{}
+	platformClient := newClient(platformConns)
 	platformLog := platform.NewHTTPLog(s.Platform.Log, platformClient)
 	hostList := platform.NewHTTPHostList(s.Platform.HostList, platformClient)
 	d.config = follower.NewConfig(s.Host, platformLog, prefixed(logger, "config"))
 	d.hosts = follower.NewHosts(hostList, prefixed(logger, "hosts"), milliseconds(s.Platform.PollMs))
 
-	peerClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}}
+	peerClient := newClient(peerConns)
 	record := journal.New(s.Host, logger, d.config, journal.DefaultCapacity)
 	d.journal = record
 	d.members = peers.NewMembers(s.Host, d.hosts, peerClient, record, d.summary)
@@ -85,7 +87,7 @@
 	})
 	d.jobs = jobs.New(jobs.Deps{
 		Settings: s, Incarnation: d.incarnation, View: d.config, Hosts: d.hosts, Log: platformLog,
-		Workers: workers.NewClient(&http.Transport{MaxIdleConnsPerHost: workerConns}), Recorder: record,
+		Workers: workers.NewClient(newTransport(workerConns)), Recorder: record,
 		Logger: prefixed(logger, "job"), Owners: peers.NewJobOwners(d.members, peerClient), Seed: seed,
 	})
 	return d
@@ -98,8 +100,24 @@
 	peerConns = 8
 	// workerConns is the number of idle connections kept to one worker.
 	workerConns = 4
+	// platformConns is the number of idle connections kept to the platform.
+	platformConns = 4
+	// dialTimeout bounds the opening of a connection, so that a cut is noticed
+	// long before the system's own limit.
+	dialTimeout = time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 90 * time.Second
 )
 
+func newClient(conns int) *http.Client { return &http.Client{Transport: newTransport(conns)} }
+
+// newTransport returns a transport that keeps up to conns idle connections to
+// each host.
+func newTransport(conns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: conns, IdleConnTimeout: idleTimeout}
+}
+
 func prefixed(l *log.Logger, prefix string) *log.Logger { return l.WithPrefix(prefix) }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -140,8 +158,11 @@
 	time.Sleep(milliseconds(d.settings.Stop.DrainMs))
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(d.settings.Stop.GraceMs))
 	defer cancel()
-	if err := d.requests.Stop(ctx); err != nil {
-		d.logger.Error("planned stop cut off requests", "error", err)
+	var group errgroup.Group
+	group.Go(func() error { return d.requests.Stop(ctx) })
+	group.Go(func() error { return d.jobs.Stop(ctx) })
+	if err := group.Wait(); err != nil {
+		d.logger.Error("planned stop cut off work in flight", "error", err)
 	}
 	d.logger.Info("planned stop ends")
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/callerapi"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
@@ -192,6 +194,14 @@
 				assert.True(f.t, o.answered, "%s was cut off: %s %s", o.id, o.kind, o.run)
 			})
 		}
+		inFlight.wg.Go(func() {
+			job := callerapi.Job{Submission: "stop-job", Customer: "tamarind", DeadlineMs: jobDeadline.Milliseconds()}
+			for i := range 4 {
+				job.Tasks = append(job.Tasks, callerapi.Task{Name: strconv.Itoa(i), Cores: 1, MemoryMB: 64, Payload: []byte(`{"run_ms": 4500}`)})
+			}
+			answer, ok := inFlight.submit(e, job)
+			assert.True(f.t, ok && answer.State == callerapi.JobComplete, "the job was cut off: %+v", answer)
+		})
 		pause(ctx, 300*time.Millisecond)
 		f.signal(e, syscall.SIGTERM)
 		inFlight.wg.Wait()
