requests: learn claims from peers when the host list is away

Cause: a host that started while the host list was down never asked its peers for their claims, so it was never ready.

--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -115,7 +115,7 @@
 		return
 	}
 	hosts := s.deps.Hosts.Hosts()
-	if len(hosts) > 0 && !s.learning {
+	if !s.learning && (len(hosts) > 0 || len(s.deps.Fleet.Fleet().Peers) > 0) {
 		s.learning = true
 		go s.learn()
 	}
