--- a/internal/decide/jobs/core_test.go
+++ b/internal/decide/jobs/core_test.go
@@ -304,3 +304,40 @@
 	r.fold(ours)
 	require.Len(t, all[Answer](r), 1)
 }
+
+func TestStopsAreRepeatedUntilConfirmed(t *testing.T) {
+	r := newRig()
+	start := r.own(t, jobOf(1))[0]
+	r.core.StartReplied(r.now, r.now, start.ID, workerapi.StartReply{Verdicts: []workerapi.Verdict{workerapi.Started}})
+	require.Nil(t, r.core.Cancel(r.now, key))
+	for range 3 {
+		stops := all[StopTasks](r)
+		require.Len(t, stops, 1)
+		r.core.StopFailed(r.now, "worker-1", stops[0].Call)
+		r.now = r.now.Add(time.Second)
+		r.core.Tick(r.now)
+	}
+	last := all[StopTasks](r)[0]
+	r.core.Stopped(r.now, "worker-1", last.Call, []workerapi.TaskState{workerapi.TaskStopped})
+	r.now = r.now.Add(time.Second)
+	r.core.Tick(r.now)
+	require.Empty(t, all[StopTasks](r))
+	require.Empty(t, r.core.holding)
+}
+
+func TestLateClaimOfAGivenUpJobIsClosedUntilTheLogHasIt(t *testing.T) {
+	r := newRig()
+	require.Nil(t, r.core.Submit(r.now, jobOf(1), "d"))
+	claim := all[Append](r)[0].Record
+	r.now = r.now.Add(6 * time.Second)
+	r.core.Tick(r.now)
+	require.Len(t, all[Refused](r), 1)
+	r.fold(claim)
+	for range 3 {
+		closes := all[Append](r)
+		require.Len(t, closes, 1)
+		require.Equal(t, string(errkind.NotRun), closes[0].Record.Run)
+		r.now = r.now.Add(time.Second)
+		r.core.Tick(r.now)
+	}
+}
--- a/internal/decide/jobs/history_test.go
+++ b/internal/decide/jobs/history_test.go
@@ -14,7 +14,7 @@
 )
 
 // histories is the number of seeded histories that one test run tries.
-var histories = flag.Int("histories", 60, "seeded histories to try")
+var histories = flag.Int("histories", 120, "seeded histories to try")
 
 // trouble brings about random faults until troubleEnd.
 func (w *world) trouble() {
@@ -99,6 +99,9 @@
 		first := spec
 		first.Attempt = 1
 		w.after(at, func() { anyHost().submit(first) })
+		if w.chance(0.3) {
+			w.after(at+w.between(0, 10*time.Millisecond), func() { anyHost().submit(spec) })
+		}
 		for range w.rng.IntN(3) {
 			w.after(at+w.between(0, 30*time.Second), func() { anyHost().submit(spec) })
 		}
