--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -328,6 +328,8 @@
 	plan := tool("", "plan", "set-team", "tamarind", "rigs", "-slots", "2", "-operator", "wanjiru", "-reason", "share", "-json")
 	var confirmed operator.Confirmed
 	require.NoError(t, json.Unmarshal([]byte(tool(plan, "confirm", "-json", "-")), &confirmed))
+	require.Contains(t, tool("", "plan", "outcome", confirmed.Plan), "is accepted")
+	require.Contains(t, tool("", "ids", "-customer", "tamarind"), "ph.entry-1~")
 	version := strconv.FormatInt(confirmed.Version, 10)
 	require.Contains(t, tool("", "status", "-wait-version", version), "version "+version)
 	require.Contains(t, tool("", "request", "-customer", "tamarind", "-team", "rigs", "-id", "pair-1", `{"run_ms":1}`), "pair-1 answered by backend-1")
@@ -337,3 +339,24 @@
 		require.NotContains(t, tool("", "explain", id), ": 0 decisions", id)
 	}
 }
+
+func TestReadyPathSaysWhyNot(t *testing.T) {
+	s := newSite(t)
+	fresh := New(s.daemon.settings, log.New(io.Discard))
+	cases := []struct {
+		daemon  *Daemon
+		leaving bool
+		kind    errkind.Kind
+		detail  string
+	}{
+		{fresh, false, errkind.NotReady, "no configuration"},
+		{s.daemon, true, errkind.Stopping, "planned stop"},
+	}
+	for _, c := range cases {
+		c.daemon.leaving.Store(c.leaving)
+		w := httptest.NewRecorder()
+		c.daemon.callerRoutes().ServeHTTP(w, httptest.NewRequest(http.MethodGet, callerapi.PathReady, nil))
+		checkRefused(t, c.detail, c.kind, w.Code, w.Body.String())
+		require.Contains(t, w.Body.String(), c.detail)
+	}
+}
