Stop the demonstration at once if a port is in use

Two demonstrations at once mixed: the second one found the entry hosts of the first ready, planned on their version 3 and failed in the middle. It now checks every port before it starts anything, and that its own processes live once all are ready. Seen: with a stand-in on port 7001 it ends with status 1 and the port's number; with free ports all steps pass.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,6 +29,17 @@
 }
 trap failed ERR
 
+# require_free fails if something listens on one of the ports of the site.
+require_free() {
+  local port
+  for port in 7001 710{1..4} 720{1..4} 730{1..4} 740{1..6} 750{1..3}; do
+    if (: </dev/tcp/127.0.0.1/"$port") 2>/dev/null; then
+      echo "port $port is in use; does another demonstration run?" >&2
+      exit 1
+    fi
+  done
+}
+
 say() { printf '\n== %s\n' "$1"; }
 
 # show prints a command and runs it.
@@ -37,6 +48,8 @@
   "$@"
 }
 
+require_free
+
 say "start the stand-ins and four entry hosts in three zones"
 standin -site "$site/site.json" 2>"$run/standin.log" &
 pids+=($!)
@@ -47,6 +60,7 @@
 stopped=${pids[1]}
 all=http://127.0.0.1:7101,http://127.0.0.1:7102,http://127.0.0.1:7103,http://127.0.0.1:7104
 show parsleyhill ready -url "$all" -wait 20s
+for pid in "${pids[@]}"; do kill -0 "$pid"; done
 
 say "an operator's intent becomes a plan; nothing happens until it is confirmed"
 show parsleyhill plan intent "$site/customer.json" -out "$run/plan.json"
