--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -187,7 +187,11 @@
 // TestLinksBetweenPagesLead checks relative links.
 func TestLinksBetweenPagesLead(t *testing.T) {
 	link := regexp.MustCompile(`\]\(([^)#:]+)\)`)
-	for _, name := range []string{"API.md", "OPERATING.md", "METRICS.md", "GLOSSARY.md", "../README.md"} {
+	pages, err := filepath.Glob("*.md")
+	require.NoError(t, err)
+	notes, err := filepath.Glob("design/*.md")
+	require.NoError(t, err)
+	for _, name := range append(append(pages, notes...), "../README.md") {
 		for _, match := range link.FindAllStringSubmatch(page(t, name), -1) {
 			require.FileExists(t, filepath.Join(filepath.Dir(name), match[1]), name)
 		}
