Try both users' routing settings in the process tests

Cause: the process tests ran with the setting without messages alone; sharing slots is the other user's and has a protocol of its own. Odd seeds now run with shares, even ones with least.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -67,10 +67,11 @@
 	return resp.StatusCode, body.Bytes()
 }
 
-func (f *fleet) openService() int64 {
+// openService puts the customer in force with the policy.
+func (f *fleet) openService(policy standing.Policy) int64 {
 	p := f.plan(f.entries[0], config.Intent{
 		Operator: "wanjiru", Reason: "open the matching service", Verb: config.SetCustomer, Customer: "tamarind",
-		Rules: &standing.Customer{Policy: standing.PolicyLeast, QueueLimit: 200, HorizonMs: 20_000},
+		Rules: &standing.Customer{Policy: policy, QueueLimit: 200, HorizonMs: 20_000},
 	})
 	c, kind := f.confirm(f.entries[0], p)
 	require.Empty(f.t, kind)
@@ -78,10 +79,19 @@
 	return c.Version
 }
 
+// policyOf tries the setting of each user: shares under odd seeds, least under
+// even ones.
+func policyOf(seed uint64) standing.Policy {
+	if seed%2 == 0 {
+		return standing.PolicyLeast
+	}
+	return standing.PolicyShares
+}
+
 // underLoad runs fault while a seeded load goes on, and checks the ledger.
 func underLoad(t *testing.T, seed uint64, fault func(ctx context.Context, f *fleet)) {
 	f := newFleet(t, 2, 2, 2)
-	f.openService()
+	f.openService(policyOf(seed))
 	l := newLoad(f)
 	watch := &versions{seen: map[string]operator.Status{}}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/e2e/recovery_test.go
+++ b/internal/e2e/recovery_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
 	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
@@ -56,7 +57,7 @@
 func TestConfigurationOutlivesTheLogsRetention(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 1, 1)
-	f.openService()
+	f.openService(standing.PolicyShares)
 	f.setPlatform(standinplatform.Faults{Retain: 40})
 	version := f.changes(120)
 	f.inForce(version)
@@ -72,7 +73,7 @@
 func TestConfirmWhoseReplyIsLostIsToldTruthfully(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1, 1, 1)
-	f.openService()
+	f.openService(standing.PolicyShares)
 	p := f.plan(f.entries[0], config.Intent{Operator: "achieng", Verb: config.Drain, Host: "worker-karen-1"})
 	f.setPlatform(standinplatform.Faults{LoseReplies: 1})
 	c, kind := f.confirm(f.entries[0], p)
