--- a/internal/decide/identity/table_test.go
+++ b/internal/decide/identity/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -273,3 +274,23 @@
 		table.Finish(now, id, Result{})
 	}
 }
+
+// BenchmarkMemory prints the memory of remembered ids in bytes an id.
+func BenchmarkMemory(b *testing.B) {
+	const held = 100_000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := settledTable(self, Limits{Entries: held, Bytes: 64 << 20})
+		for i := range held {
+			id := fmt.Sprintf("request-%036d", i)
+			table.Arrive(epoch, Arrival{ID: id, First: true, Fingerprint: "0123456789abcdef"}, fleet)
+			table.Finish(epoch, id, Result{Answer: Answer{Status: 200, Backend: "backend-1"}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(table)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/held, "B/id")
+}
