Keep overload at the entry host and admitted requests in time

Least now bounds its requests on a server by the load that answers report. Admission reserved the mean run time, so undeclared runs of several seconds came late; it now reserves the longest recent run, up to two thirds of the time to the deadline.

Deadlines of 3 s are left out: a tenth of the offered work runs longer.

--- a/internal/decide/admit/estimate.go
+++ b/internal/decide/admit/estimate.go
@@ -12,6 +12,10 @@
 	maxRatio = 100
 	// defaultInterval is the time between two starts before one was seen.
 	defaultInterval = time.Millisecond
+	// highDecay is what the longest run time seen loses with each run.
+	highDecay = 0.0001
+	// highMargin is kept over the longest run time seen.
+	highMargin = 1.1
 	// paceGain is the weight of a new interval between starts.
 	paceGain = 0.02
 )
@@ -22,6 +26,8 @@
 	mean float64
 	// ratio is the mean of observed over declared run time.
 	ratio float64
+	// high is the longest recent run time without a declared one, in seconds.
+	high float64
 }
 
 type estimates struct {
@@ -44,6 +50,19 @@
 	return time.Duration(float64(it.Declared) * known.ratio)
 }
 
+// reserve returns the time to keep for a run out of what is left at arrival: the
+// longest recent one if it takes no more than most of it, so that a long run
+// that nobody declared still meets its deadline.
+func (e *estimates) reserve(it Item, left time.Duration) time.Duration {
+	run := e.run(it)
+	known, ok := e.byTeam[it.Team]
+	if !ok || it.Declared > 0 {
+		return run
+	}
+	high := time.Duration(known.high * highMargin * float64(time.Second))
+	return max(run, min(high, left*2/3))
+}
+
 func (e *estimates) learn(team string, declared, ran time.Duration) {
 	known, ok := e.byTeam[team]
 	if !ok && len(e.byTeam) >= maxTeams {
@@ -54,6 +73,7 @@
 		e.byTeam[team] = known
 	}
 	if declared <= 0 {
+		known.high = max(ran.Seconds(), known.high*(1-highDecay))
 		known.mean = average(known.mean, ran.Seconds(), learnGain)
 		return
 	}
--- a/internal/decide/admit/queue.go
+++ b/internal/decide/admit/queue.go
@@ -155,9 +155,9 @@
 
 // late refuses a request whose expected wait and run time exceed its deadline.
 func (q *Queue) late(now time.Time, l *line, it Item) (Refusal, bool) {
-	run := q.estimates.run(it)
 	wait := q.wait(now, l, len(l.items))
 	left := it.Deadline.Sub(now)
+	run := q.estimates.reserve(it, left)
 	if wait == 0 || wait+run <= left {
 		return Refusal{}, false
 	}
@@ -247,9 +247,9 @@
 }
 
 func (q *Queue) expired(now time.Time, it Item) (Refusal, bool) {
-	run := q.estimates.run(it)
+	run := q.estimates.reserve(it, it.Deadline.Sub(it.Arrived))
 	left := it.Deadline.Sub(now)
-	if run < left && left > 0 {
+	if run <= left && left > 0 {
 		return Refusal{}, false
 	}
 	err := errkind.New(errkind.DeadlinePassed, "waited %v, %v to the deadline, expected run %v",
--- a/internal/decide/route/least.go
+++ b/internal/decide/route/least.go
@@ -1,28 +1,46 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
 
+const (
+	// capDown and capUp change the bound on this host's requests on a server
+	// after an answer that tells of a queue there, and after one that does not.
+	capDown = 0.5
+	capUp   = 0.25
+)
+
 // Least takes the server with the fewest requests of this entry host in
-// relation to its slots, its own zone first among equals, ties at random.
+// relation to its slots, its own zone first among equals, ties at random. When
+// answers tell that requests queue at a server, it sends fewer there, so that
+// under overload requests wait at the entry host.
 type Least struct {
 	zone  string
 	rng   *rand.Rand
 	table table
+	// caps bound this host's requests on a server, by name. A server without
+	// one has its full limit.
+	caps map[string]float64
 }
 
 // NewLeast returns a Least selector for an entry host in zone.
 func NewLeast(zone string, rng *rand.Rand) *Least {
-	return &Least{zone: zone, rng: rng}
+	return &Least{zone: zone, rng: rng, caps: map[string]float64{}}
 }
 
 // SetBackends implements Selector.
 func (l *Least) SetBackends(_ time.Time, backends []Backend) {
-	if l.table.update(backends) {
-		l.table.rank(l.rank)
+	if !l.table.update(backends) {
+		return
 	}
+	maps.DeleteFunc(l.caps, func(name string, _ float64) bool {
+		_, ok := l.table.byName[name]
+		return !ok
+	})
+	l.table.rank(l.rank)
 }
 
 // Acquire implements Selector.
@@ -52,6 +70,30 @@
 // Rule implements Selector.
 func (l *Least) Rule() string { return "least loaded by local counts" }
 
+// Observe implements Observer.
+func (l *Least) Observe(_ time.Time, backend string, load int) {
+	i, ok := l.table.byName[backend]
+	if !ok {
+		return
+	}
+	s := &l.table.servers[i]
+	limit := float64(s.connections())
+	bound, bounded := l.caps[backend]
+	switch {
+	case load > s.Slots && !bounded:
+		l.caps[backend] = max(1, min(limit, float64(s.used+1))-capDown)
+	case load > s.Slots:
+		l.caps[backend] = max(1, bound-capDown)
+	case bounded && bound+capUp >= limit:
+		delete(l.caps, backend)
+	case bounded:
+		l.caps[backend] = bound + capUp
+	default:
+		return
+	}
+	l.table.index.set(i, l.rank(i))
+}
+
 func (l *Least) add(i, n int) {
 	l.table.servers[i].used += n
 	l.table.index.set(i, l.rank(i))
@@ -59,8 +101,9 @@
 
 func (l *Least) rank(i int) rank {
 	s := &l.table.servers[i]
+	bound, bounded := l.caps[s.Name]
 	return rank{
-		full: s.gone || s.used >= s.limit(),
+		full: s.gone || s.used >= s.limit() || (bounded && s.used >= int(bound)),
 		load: float64(s.used) / (float64(s.Slots) * s.Weight),
 		far:  s.Zone != l.zone,
 		tie:  l.rng.Uint32(),
--- a/internal/decide/routebench/bench_test.go
+++ b/internal/decide/routebench/bench_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 )
 
 const (
@@ -43,3 +45,25 @@
 		})
 	}
 }
+
+// TestOverload bounds goodput and late answers at 1.3 times the capacity.
+func TestOverload(t *testing.T) {
+	for _, way := range []Way{Shares(), Least()} {
+		for _, skew := range []float64{1, 3} {
+			for _, deadline := range []time.Duration{standing.DefaultDeadlineMs * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, callers %v to 1, deadline %v", way.Policy, skew, deadline), func(t *testing.T) {
+					t.Parallel()
+					scenario := func(seed uint64) Scenario {
+						s := Tamarind(1.3, skew, seed)
+						s.Measure, s.Deadline, s.QueueLimit = measure, deadline, standing.DefaultQueueLimit
+						return s
+					}
+					got := Total(way, seeds, scenario)
+					t.Logf("goodput %.3f late %d of %d refused %d messages %.3f", got.Goodput(scenario(0), seeds), got.Late, got.Requests, got.Refused, got.PerRequest())
+					require.GreaterOrEqual(t, got.Goodput(scenario(0), seeds), 0.95)
+					require.Zero(t, got.Late, "late of %d", got.Requests)
+				})
+			}
+		}
+	}
+}
