--- /dev/null
+++ b/internal/decide/routebench/baselines.go
@@ -0,0 +1,91 @@
+package routebench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/route"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+// twoChoices takes the less loaded of two random servers.
+type twoChoices struct {
+	rng      *rand.Rand
+	backends []route.Backend
+	used     map[string]int
+	// reported is the load that the last answer told of, nil if answers are
+	// not heeded.
+	reported map[string]int
+}
+
+// TwoChoices is power of two choices on local counts.
+func TwoChoices() Way {
+	return Way{
+		Name: "two choices, local counts", Policy: standing.PolicyLeast,
+		New: func(_, _ string, rng *rand.Rand) route.Selector {
+			return &twoChoices{rng: rng, used: map[string]int{}}
+		},
+	}
+}
+
+// TwoChoicesReported is power of two choices on the load that answers report.
+func TwoChoicesReported() Way {
+	return Way{
+		Name: "two choices, load on answers", Policy: standing.PolicyLeast,
+		New: func(_, _ string, rng *rand.Rand) route.Selector {
+			return &twoChoices{rng: rng, used: map[string]int{}, reported: map[string]int{}}
+		},
+	}
+}
+
+func (c *twoChoices) SetBackends(_ time.Time, backends []route.Backend) { c.backends = backends }
+
+func (c *twoChoices) Acquire(time.Time, map[string]bool) (string, bool) {
+	a := c.backends[c.rng.IntN(len(c.backends))].Name
+	b := c.backends[c.rng.IntN(len(c.backends))].Name
+	if c.load(b) < c.load(a) {
+		a = b
+	}
+	c.Adopt(a)
+	return a, true
+}
+
+// load returns the load as known here; a report counts what was sent since.
+func (c *twoChoices) load(name string) int {
+	if c.reported == nil {
+		return c.used[name]
+	}
+	return max(c.used[name], c.reported[name])
+}
+
+func (c *twoChoices) Release(_ time.Time, backend string) { c.used[backend]-- }
+
+func (c *twoChoices) Adopt(backend string) {
+	c.used[backend]++
+	if c.reported != nil {
+		c.reported[backend]++
+	}
+}
+
+func (c *twoChoices) Observe(_ time.Time, backend string, load int) {
+	if c.reported != nil {
+		c.reported[backend] = load - 1
+	}
+}
+
+func (c *twoChoices) Rule() string { return "less loaded of two" }
+
+// fixedShares never borrows.
+type fixedShares struct{ *route.Shares }
+
+func (fixedShares) Asks(time.Time, int, time.Time) []route.Ask { return nil }
+
+// FixedShares is slot shares without borrowing.
+func FixedShares() Way {
+	return Way{
+		Name: "fixed slot shares", Policy: standing.PolicyShares,
+		New: func(host, zone string, rng *rand.Rand) route.Selector {
+			return fixedShares{route.NewShares(route.Host{Name: host, Zone: zone}, host+"~1", rng)}
+		},
+	}
+}
--- a/internal/decide/routebench/ways.go
+++ b/internal/decide/routebench/ways.go
@@ -9,7 +9,7 @@
 
 // Ways returns the ways that are compared.
 func Ways() []Way {
-	return []Way{Least(), Shares()}
+	return []Way{TwoChoices(), TwoChoicesReported(), Least(), FixedShares(), Shares()}
 }
 
 // Least is the least loaded server by local counts.
