Count the asks for slots among the extra messages

Ruled out: a counter of its own alone; callers compare settings by the header. The next result of the customer is charged with the messages since the last. Failing first: TestAsksForSlotsAreCounted, 8 messages sent and 0 counted; after: 8 counted.

--- a/internal/daemon/fences/fences_test.go
+++ b/internal/daemon/fences/fences_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
@@ -232,3 +233,14 @@
 		require.Equal(t, 2, w.send("entry-2", minted[1], 1, 50).wait().messages)
 	})
 }
+
+func TestAsksForSlotsAreCounted(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.policy = standing.PolicyShares
+		<-time.After(time.Second)
+		first, second := w.send("entry-1", "a", 1, 300), w.send("entry-1", "b", 1, 300)
+		counted := first.wait().messages + second.wait().messages + w.send("entry-1", "c", 1, 50).wait().messages
+		require.NotZero(t, w.asks.Load(), "the second request waits for a slot of the other host")
+		require.EqualValues(t, 2*w.asks.Load(), counted)
+	})
+}
--- a/internal/daemon/fences/fleet_test.go
+++ b/internal/daemon/fences/fleet_test.go
@@ -7,12 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +26,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/peers"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/pool"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/requests"
+	"github.com/parsleyhill/parsleyhill/internal/decide/route"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -51,6 +54,10 @@
 	servers []*http.Server
 	cancel  context.CancelFunc
 	ctx     context.Context
+	// policy is the customer's, and asks counts the asks for slots, which all
+	// fail.
+	policy standing.Policy
+	asks   atomic.Int32
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -96,15 +103,27 @@
 
 // State implements standing.View.
 func (w *world) State() *standing.State {
-	rules := standing.Customer{HorizonMs: testHorizon.Milliseconds()}
+	rules := standing.Customer{Policy: w.policy, HorizonMs: testHorizon.Milliseconds()}
 	return &standing.State{Version: 1, Customers: map[string]standing.Customer{customer: rules}}
 }
 
 // Hosts implements requests.Hosts.
 func (w *world) Hosts() []platform.Host {
-	return []platform.Host{{
+	listed := []platform.Host{{
 		Name: "backend-1", Role: platform.RoleBackend, Address: backendName, State: platform.HostLive, Customer: customer, Slots: 2,
 	}}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
+		listed = append(listed, platform.Host{Name: name, Role: platform.RoleEntry, State: platform.HostLive})
+	}
+	return listed
+}
+
+// Borrow implements requests.Lenders.
+func (w *world) Borrow(context.Context, string, route.Ask) (route.Offer, error) {
+	w.asks.Add(1)
+	return route.Offer{}, errCut
 }
 
 // Record implements decision.Recorder.
@@ -164,7 +183,7 @@
 	h.service = requests.New(requests.Deps{
 		Settings:    settings.Settings{Host: name}.WithDefaults(),
 		Incarnation: h.inc, View: w, Hosts: w, Recorder: w, Pool: pool.NewWithDial(w.network.Dial),
-		Fleet: fleet, Remote: NewClient(d, client),
+		Fleet: fleet, Remote: NewClient(d, client), Lenders: w,
 	})
 	mux := http.NewServeMux()
 	h.service.Routes(mux)
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -78,6 +78,9 @@
 	rng       *rand.Rand
 	// lends are the asks of other hosts that wait for an answer.
 	lends map[lendKey]chan route.Offer
+	// askMessages counts the messages of asks for slots since the last result.
+	// They serve no single request; the next result is charged with them.
+	askMessages int
 }
 
 // Service serves requests. It is safe for concurrent use.
@@ -263,6 +266,7 @@
 		case dispatch.Finish:
 			s.finish(c, a.ID, identity.Result{Err: a.Err, RetryAfter: a.RetryAfter})
 		case dispatch.Borrow:
+			c.askMessages += messagesPerCall
 			go s.borrow(c, a.Ask)
 		case dispatch.Lend:
 			c.answer(a.Offer)
--- a/internal/daemon/requests/work.go
+++ b/internal/daemon/requests/work.go
@@ -129,7 +129,8 @@
 	if !ok {
 		return
 	}
-	r.Messages = w.messages
+	r.Messages = w.messages + c.askMessages
+	c.askMessages = 0
 	for me := range w.waiters {
 		me.done <- r
 	}
