--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
@@ -19,6 +20,18 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// WriteTagged answers v as JSON with an entity tag, or 304 without a body if
+// the caller has that version already.
+func WriteTagged(w http.ResponseWriter, r *http.Request, tag string, v any) {
+	tag = strconv.Quote(tag)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	Write(w, http.StatusOK, v)
+}
+
 // Read decodes the body into v. It answers 400 and returns false if it
 // cannot.
 func Read(w http.ResponseWriter, r *http.Request, v any) bool {
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -159,3 +159,38 @@
 		})
 	}
 }
+
+// countingWriter counts the bytes of bodies.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *int
+}
+
+func (w countingWriter) Write(b []byte) (int, error) {
+	*w.bytes += len(b)
+	return w.ResponseWriter.Write(b)
+}
+
+func TestUnchangedHostListIsNotSentAgain(t *testing.T) {
+	server := standinplatform.NewServer([]platform.Host{{Name: "entry-1", State: platform.HostLive}})
+	inner, sent := server.Handler(), 0
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { inner.ServeHTTP(countingWriter{w, &sent}, r) })
+	url := serve(t, counted)
+	list := platform.NewHTTPHostList(url, &http.Client{})
+	first, err := list.Hosts(t.Context())
+	require.NoError(t, err)
+	sent = 0
+	again, err := list.Hosts(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+	require.Zero(t, sent, "bytes of an unchanged list")
+
+	server.Log.SetFaults(standinplatform.Faults{HostsEmpty: true})
+	empty, err := list.Hosts(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, empty.Hosts, "an outage is not hidden by the tag")
+	server.Log.SetFaults(standinplatform.Faults{})
+	back, err := list.Hosts(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, first, back)
+}
--- a/internal/platform/httphosts.go
+++ b/internal/platform/httphosts.go
@@ -4,12 +4,24 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 )
 
-// HTTPHostList is the adapter to the host list over HTTP.
+// HTTPHostList is the adapter to the host list over HTTP. It asks for the list
+// only if it has changed since the last reading, by its entity tag. It is safe
+// for concurrent use.
 type HTTPHostList struct {
 	base   string
 	client *http.Client
+
+	mu   sync.Mutex
+	last taggedHosts
+}
+
+// taggedHosts is a reading with the entity tag that the platform gave it.
+type taggedHosts struct {
+	tag   string
+	hosts Hosts
 }
 
 // NewHTTPHostList returns an adapter to the host list at the base URL.
@@ -23,17 +35,29 @@
 	if err != nil {
 		return Hosts{}, fmt.Errorf("build host list call: %w", err)
 	}
+	l.mu.Lock()
+	last := l.last
+	l.mu.Unlock()
+	if last.tag != "" {
+		req.Header.Set("If-None-Match", last.tag)
+	}
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return Hosts{}, fmt.Errorf("read host list: %w", err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode == http.StatusNotModified && last.tag != "":
+		return last.hosts, nil
+	case resp.StatusCode != http.StatusOK:
 		return Hosts{}, fmt.Errorf("read host list: status %d", resp.StatusCode)
 	}
 	var hosts Hosts
 	if err := decode(resp.Body, &hosts); err != nil {
 		return Hosts{}, fmt.Errorf("decode host list: %w", err)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = taggedHosts{tag: resp.Header.Get("ETag"), hosts: hosts}
 	return hosts, nil
 }
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/httpjson"
 	"github.com/parsleyhill/parsleyhill/internal/platform"
+	standinplatform "github.com/parsleyhill/parsleyhill/internal/standin/platform"
 )
 
 // PathLinks is where links are cut and healed.
@@ -130,7 +131,7 @@
 		http.StripPrefix("/zones/"+r.PathValue("zone"), inner).ServeHTTP(w, r)
 	})
 	mux.HandleFunc("GET /zones/{zone}/v1/hosts", func(w http.ResponseWriter, r *http.Request) {
-		n.serveHosts(w, r.PathValue("zone"), p)
+		n.serveHosts(w, r, p)
 	})
 	return mux
 }
@@ -148,12 +149,13 @@
 }
 
 // serveHosts answers the host list as one zone sees it.
-func (n *Network) serveHosts(w http.ResponseWriter, zone string, p Platform) {
+func (n *Network) serveHosts(w http.ResponseWriter, r *http.Request, p Platform) {
 	hosts, ok := p.Hosts()
 	if !ok {
 		http.Error(w, "host list down", http.StatusServiceUnavailable)
 		return
 	}
+	zone := r.PathValue("zone")
 	view := make([]platform.Host, len(hosts.Hosts))
 	for i, h := range hosts.Hosts {
 		if address, ok := n.addresses[viewKey{zone, h.Name}]; ok {
@@ -162,5 +164,5 @@
 		view[i] = h
 	}
 	hosts.Hosts = view
-	httpjson.Write(w, http.StatusOK, hosts)
+	httpjson.WriteTagged(w, r, standinplatform.Tag(hosts), hosts)
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -108,15 +109,18 @@
 	return hosts, !faults.HostsDown
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) listHosts(w http.ResponseWriter, r *http.Request) {
 	hosts, ok := s.Hosts()
 	if !ok {
 		http.Error(w, "host list down", http.StatusServiceUnavailable)
 		return
 	}
-	httpjson.Write(w, http.StatusOK, hosts)
+	httpjson.WriteTagged(w, r, Tag(hosts), hosts)
 }
 
+// Tag returns the entity tag of a reading.
+func Tag(h platform.Hosts) string { return fmt.Sprintf("%d-%d", h.Version, len(h.Hosts)) }
+
 // putHost adds, replaces or, with an empty state, removes one host.
 func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
 	var host platform.Host
