--- a/internal/daemon/fences/fences_test.go
+++ b/internal/daemon/fences/fences_test.go
@@ -236,7 +236,7 @@
 
 func TestAsksForSlotsAreCounted(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
-		w.policy = standing.PolicyShares
+		w.setPolicy(standing.PolicyShares)
 		<-time.After(time.Second)
 		first, second := w.send("entry-1", "a", 1, 300), w.send("entry-1", "b", 1, 300)
 		counted := first.wait().messages + second.wait().messages + w.send("entry-1", "c", 1, 50).wait().messages
--- a/internal/daemon/fences/fleet_test.go
+++ b/internal/daemon/fences/fleet_test.go
@@ -54,15 +54,15 @@
 	servers []*http.Server
 	cancel  context.CancelFunc
 	ctx     context.Context
-	// policy is the customer's, and asks counts the asks for slots, which all
-	// fail.
-	policy standing.Policy
-	asks   atomic.Int32
+	// asks counts the asks for slots, which all fail.
+	asks atomic.Int32
 
 	mu    sync.Mutex
 	hosts map[string]*host
 	cut   map[string]bool
 	notes []decision.Record
+	// policy is the customer's.
+	policy standing.Policy
 }
 
 type host struct {
@@ -103,6 +103,8 @@
 
 // State implements standing.View.
 func (w *world) State() *standing.State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	rules := standing.Customer{Policy: w.policy, HorizonMs: testHorizon.Milliseconds()}
 	return &standing.State{Version: 1, Customers: map[string]standing.Customer{customer: rules}}
 }
@@ -211,6 +213,12 @@
 	w.cut[name] = cut
 }
 
+func (w *world) setPolicy(p standing.Policy) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.policy = p
+}
+
 // reply is what a caller got.
 type reply struct {
 	status   int
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -67,7 +67,7 @@
 step "format and lint"
 build_linter
 "$linter" fmt --diff
-"$linter" run ./...
+"$linter" run --build-tags e2e ./...
 
 step "generated code"
 check_generated
@@ -90,6 +90,9 @@
 others=$(go list -f '.{{slice .ImportPath (len .Module.Path)}}' ./... | grep -vxF -e "${red_packages:-none}")
 go test $race $others
 
+step "process tests"
+go test -tags e2e -count=1 -parallel 4 ./internal/e2e
+
 step "benchmarks, once each"
 go test -run '^$' -bench . -benchtime 1x ./... >/dev/null
 
