Tick removed customers too, and read the host list five times a second

Cause: each customer's servers were listed anew every 20 ms; and a customer that was taken out of the configuration got no ticks, so that its waiting requests ended as timeout, unknown, though they never ran. Ruled out: ending what a removed customer has; it was accepted. Failing first: TestQueueOfRemovedCustomerIsRefusedInTime got timeout; after: deadline_passed, not_run.

--- a/internal/daemon/fences/fences_test.go
+++ b/internal/daemon/fences/fences_test.go
@@ -244,3 +244,23 @@
 		require.EqualValues(t, 2*w.asks.Load(), counted)
 	})
 }
+
+func TestQueueOfRemovedCustomerIsRefusedInTime(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		const deadline = 3 * time.Second
+		running := []*sent{w.send("entry-1", "a", 1, 20_000), w.send("entry-1", "b", 1, 20_000)}
+		<-time.After(time.Second)
+		waiting := w.sendDeadline("entry-1", "c", 50, deadline)
+		begun := time.Now()
+		<-time.After(time.Second)
+		w.removeCustomer()
+		r := waiting.wait()
+		require.Equal(t, errkind.DeadlinePassed, r.doc.Kind, r.body)
+		require.Equal(t, errkind.NotRun, r.doc.Run)
+		require.LessOrEqual(t, time.Since(begun), deadline)
+		require.Equal(t, errkind.UnknownCustomer, w.send("entry-1", "d", 1, 50).wait().doc.Kind)
+		for _, s := range running {
+			require.Equal(t, errkind.Unknown, s.wait().doc.Run)
+		}
+	})
+}
--- a/internal/daemon/fences/fleet_test.go
+++ b/internal/daemon/fences/fleet_test.go
@@ -61,8 +61,9 @@
 	hosts map[string]*host
 	cut   map[string]bool
 	notes []decision.Record
-	// policy is the customer's.
-	policy standing.Policy
+	// policy is the customer's; removed takes it out of the configuration.
+	policy  standing.Policy
+	removed bool
 }
 
 type host struct {
@@ -105,6 +106,9 @@
 func (w *world) State() *standing.State {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.removed {
+		return &standing.State{Version: 2}
+	}
 	rules := standing.Customer{Policy: w.policy, HorizonMs: testHorizon.Milliseconds()}
 	return &standing.State{Version: 1, Customers: map[string]standing.Customer{customer: rules}}
 }
@@ -213,6 +217,12 @@
 	w.cut[name] = cut
 }
 
+func (w *world) removeCustomer() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removed = true
+}
+
 func (w *world) setPolicy(p standing.Policy) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -233,17 +243,31 @@
 	hangUp context.CancelFunc
 }
 
+// sendDeadline sends a first attempt that waits for its answer that long.
+func (w *world) sendDeadline(host, id string, runMs int64, deadline time.Duration) *sent {
+	return w.sendHeader(host, id, runMs, http.Header{
+		callerapi.HeaderAttempt:  {"1"},
+		callerapi.HeaderDeadline: {strconv.FormatInt(deadline.Milliseconds(), 10)},
+	})
+}
+
 // send sends an attempt; attempt 0 is unmarked.
 func (w *world) send(host, id string, attempt int, runMs int64) *sent {
+	header := http.Header{}
+	if attempt > 0 {
+		header.Set(callerapi.HeaderAttempt, strconv.Itoa(attempt))
+	}
+	return w.sendHeader(host, id, runMs, header)
+}
+
+func (w *world) sendHeader(host, id string, runMs int64, header http.Header) *sent {
 	ctx, cancel := context.WithCancel(w.ctx)
 	body, _ := json.Marshal(backend.Work{RunMs: runMs})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+callerapi.PathRequests, bytes.NewReader(body))
 	require.NoError(w.t, err)
+	req.Header = header
 	req.Header.Set(callerapi.HeaderCustomer, customer)
 	req.Header.Set(callerapi.HeaderRequestID, id)
-	if attempt > 0 {
-		req.Header.Set(callerapi.HeaderAttempt, strconv.Itoa(attempt))
-	}
 	s := &sent{done: make(chan reply, 1), hangUp: cancel}
 	go func() { s.done <- w.do(req) }()
 	return s
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -29,9 +29,11 @@
 }
 
 const (
-	// tickInterval is the time between checks of waiting requests' deadlines
-	// and of the configuration.
+	// tickInterval is the time between checks of waiting requests' deadlines.
 	tickInterval = 20 * time.Millisecond
+	// refreshInterval is the time between readings of the configuration, the
+	// host list and the peers' hints.
+	refreshInterval = 200 * time.Millisecond
 	// maxIDs bounds the request ids remembered for one customer.
 	maxIDs = 200_000
 	// maxAnswerBytes bounds the answers remembered for one customer.
@@ -91,6 +93,8 @@
 	mu        sync.Mutex
 	customers map[string]*customer
 	stopping  bool
+	// refreshed is when the configuration and the host list were last taken.
+	refreshed time.Time
 	// learning and learned are set when the peers are and were asked for the
 	// claims made before this host started.
 	learning bool
@@ -128,8 +132,15 @@
 		s.learning = true
 		go s.learn()
 	}
-	for name, rules := range state.Customers {
-		s.refresh(now, name, rules, state, hosts)
+	if now.Sub(s.refreshed) >= refreshInterval {
+		s.refreshed = now
+		for name, rules := range state.Customers {
+			s.refresh(now, name, rules, state, hosts)
+		}
+	}
+	// Customers that were removed are served to the end of what they have.
+	for _, c := range s.customers {
+		s.apply(c, c.core.Tick(now))
 	}
 }
 
@@ -145,7 +156,6 @@
 	if s.deps.Hints != nil {
 		s.apply(c, c.core.Hint(now, s.deps.Hints.LeavingBackends()))
 	}
-	s.apply(c, c.core.Tick(now))
 	return c
 }
 
