Measure one owner a server with forwarding

Cause: the last of the ways to route that were to be weighed had been argued and not run. It runs on the benchmark's workload with exact knowledge of every slot, which flatters it.

--- a/internal/decide/routebench/table.go
+++ b/internal/decide/routebench/table.go
@@ -12,6 +12,10 @@
 	if err := ideal.row(w, &ideal); err != nil {
 		return err
 	}
+	forwarding := totalOf(seeds, func(seed uint64) Result { return scenario(seed).Forwarding() })
+	if err := forwarding.row(w, &ideal); err != nil {
+		return err
+	}
 	for _, way := range ways {
 		total := Total(way, seeds, scenario)
 		if err := total.row(w, &ideal); err != nil {
@@ -23,20 +27,23 @@
 
 // TotalIdeal runs the ideal over several seeds.
 func TotalIdeal(seeds int, scenario func(seed uint64) Scenario) Result {
-	total := Result{Name: "ideal"}
+	return totalOf(seeds, func(seed uint64) Result { return scenario(seed).Ideal() })
+}
+
+// totalOf adds up the runs of seeds 1 and up.
+func totalOf(seeds int, run func(seed uint64) Result) Result {
+	var total Result
 	for seed := range seeds {
-		total.Merge(scenario(uint64(seed + 1)).Ideal())
+		one := run(uint64(seed + 1))
+		total.Name = one.Name
+		total.Merge(one)
 	}
 	return total
 }
 
 // Total runs one way over several seeds.
 func Total(way Way, seeds int, scenario func(seed uint64) Scenario) Result {
-	total := Result{Name: way.Name}
-	for seed := range seeds {
-		total.Merge(scenario(uint64(seed + 1)).Run(way))
-	}
-	return total
+	return totalOf(seeds, func(seed uint64) Result { return scenario(seed).Run(way) })
 }
 
 func (r *Result) row(w io.Writer, ideal *Result) error {
