Share the slots of a silent entry host before the host list drops it

Cause: shares followed the host list alone, which lags; a dead host's eighth of all slots stayed idle until it was taken off the list, and borrowing could not help, since a dead host lends nothing. Ruled out: taking a host out at its first failed call; shares would flap. It is out after 10 s of silence, and back with its first word. Hosts that differ give a slot out twice for a short time; the server queues that. Failing first: TestSlotsOfSilentHostAreShared, 4 asks for the slots of the dead host; after: none.

--- a/internal/daemon/fences/fences_test.go
+++ b/internal/daemon/fences/fences_test.go
@@ -264,3 +264,15 @@
 		}
 	})
 }
+
+func TestSlotsOfSilentHostAreShared(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.setPolicy(standing.PolicyShares)
+		w.kill("entry-2")
+		<-time.After(2 * lostAfter)
+		first, second := w.send("entry-1", "a", 1, 300), w.send("entry-1", "b", 1, 300)
+		w.requireAnswer(first.wait(), "a")
+		w.requireAnswer(second.wait(), "b")
+		require.Zero(t, w.asks.Load(), "the host list still names the dead host")
+	})
+}
--- a/internal/daemon/fences/fleet.go
+++ b/internal/daemon/fences/fleet.go
@@ -13,6 +13,9 @@
 // watchInterval is the time between looks at the directory.
 const watchInterval = 250 * time.Millisecond
 
+// lostAfter is the silence after which a host counts as lost.
+const lostAfter = 10 * time.Second
+
 // Fleet watches the directory for lost incarnations: a host that was replaced
 // or is no longer listed. It is a requests.Fleet and safe for concurrent use.
 type Fleet struct {
@@ -99,6 +102,14 @@
 	return loss
 }
 
+// Lost implements requests.Fleet. The host list lags; a host that died is lost
+// by its silence long before it is taken off the list, and a host across a cut
+// cannot use the slots on this side.
+func (f *Fleet) Lost(host string) bool {
+	p, ok := f.directory.Lookup(host)
+	return ok && !p.Reachable && p.Silent >= lostAfter
+}
+
 // Takers implements requests.Fleet.
 func (f *Fleet) Takers() []ids.Incarnation {
 	var takers []ids.Incarnation
--- a/internal/daemon/fences/fleet_test.go
+++ b/internal/daemon/fences/fleet_test.go
@@ -72,6 +72,7 @@
 	service *requests.Service
 	server  *http.Server
 	stop    context.CancelFunc
+	died    time.Time
 }
 
 // directory is a peers.Directory of the world as one host sees it.
@@ -86,7 +87,11 @@
 	var found []peers.Peer
 	for name, h := range d.w.hosts {
 		if name != d.self {
-			found = append(found, peers.Peer{Host: name, Incarnation: h.inc, URL: "http://" + name, Reachable: !d.w.cut[name]})
+			p := peers.Peer{Host: name, Incarnation: h.inc, URL: "http://" + name, Reachable: !d.w.cut[name]}
+			if !h.died.IsZero() {
+				p.Reachable, p.Silent = false, time.Since(h.died)
+			}
+			found = append(found, p)
 		}
 	}
 	slices.SortFunc(found, func(a, b peers.Peer) int { return strings.Compare(a.Host, b.Host) })
@@ -209,6 +214,9 @@
 func (w *world) kill(name string) {
 	_ = w.hosts[name].server.Close()
 	w.hosts[name].stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts[name].died = time.Now()
 }
 
 func (w *world) setCut(name string, cut bool) {
--- a/internal/daemon/requests/remote.go
+++ b/internal/daemon/requests/remote.go
@@ -65,6 +65,9 @@
 	// Takers returns peers that may take over queued requests: reachable, not
 	// leaving.
 	Takers() []ids.Incarnation
+	// Lost returns whether the entry host has been silent for so long that its
+	// slots are shared among the others.
+	Lost(host string) bool
 }
 
 // ask sends a fence to every peer of a claim.
