Check on processes that ejections are explained

Cause: the promise to explain every action was shown by the demonstration alone, whose output nobody checks. The process test asks one entry host about a leaving and a failing server and looks for a decision with rule, reason, version and the operator's intent. Two sleeps in virtual time in the load tests are waits on a timer now, as in the other tests.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -19,6 +20,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/standin/backend"
 	"github.com/parsleyhill/parsleyhill/internal/standin/network"
@@ -186,12 +188,28 @@
 		}
 		pause(ctx, 8*time.Second)
 		assert.Zero(f.t, f.ledger().afterLeaving, "work reached a backend server that had been leaving for 5 s")
+		f.explained("backend-karen-1", decision.PartEject)
+		f.explained("backend-westlands-1", decision.PartEject)
 		for _, name := range []string{"backend-westlands-1", "backend-embakasi-1", "backend-karen-2", "backend-westlands-2"} {
 			f.post("http://"+f.host(name).Address+"/v1/faults", backend.Faults{})
 		}
 	})
 }
 
+// explained checks that some decision of the part about the subject names its
+// rule, its reason and the operator's intent that it rests on.
+func (f *fleet) explained(subject string, part decision.Part) {
+	data, err := get("http://" + f.entries[0].operators + operator.PathExplain + "/" + subject)
+	require.NoError(f.t, err)
+	var e operator.Explanation
+	require.NoError(f.t, json.Unmarshal(data, &e))
+	assert.Empty(f.t, e.Unreached)
+	found := slices.ContainsFunc(e.Records, func(r decision.Record) bool {
+		return r.Part == part && r.Rule != "" && r.Why != "" && r.Version > 0 && r.Intent != ""
+	})
+	assert.True(f.t, found, "nothing explains what was done about %s: %+v", subject, e.Records)
+}
+
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	t.Parallel()
 	underLoad(t, 6, func(ctx context.Context, f *fleet) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -77,7 +77,7 @@
 func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := sendFunc(func(context.Context, Attempt) Outcome {
-			time.Sleep(20 * time.Second)
+			<-time.After(20 * time.Second)
 			return Outcome{}
 		})
 		r := Run(t.Context(), testPlan, testOptions, slow)
@@ -92,7 +92,7 @@
 func TestIdealAnswersHaveSlowdownOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ideal := sendFunc(func(_ context.Context, a Attempt) Outcome {
-			time.Sleep(a.RunTime + time.Millisecond)
+			<-time.After(a.RunTime + time.Millisecond)
 			return Outcome{ExtraMessages: 2}
 		})
 		r := Run(t.Context(), testPlan, testOptions, ideal)
