--- /dev/null
+++ b/internal/decide/dispatch/cost_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/route"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
+)
+
+// allocsPerRequest bounds the allocations of a request's whole way through the
+// core, its decision records included.
+const allocsPerRequest = 25
+
+// mill puts requests through a core of one entry host, each to its end.
+type mill struct {
+	core *Core
+	now  time.Time
+	n    int
+}
+
+func newMill(policy standing.Policy, servers int) *mill {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var selector route.Selector = route.NewLeast("zone-0", rng)
+	if policy == standing.PolicyShares {
+		selector = route.NewShares(route.Host{Name: "entry-0", Zone: "zone-0"}, "entry-0~a", rng)
+	}
+	m := &mill{core: New("tamarind", standing.Customer{Policy: policy}, selector), now: time.Unix(0, 0)}
+	var listed []route.Backend
+	for i := range servers {
+		listed = append(listed, route.Backend{
+			Name: fmt.Sprint("backend-", i), Zone: fmt.Sprint("zone-", i%3), Slots: slots, Limit: connLimit, Weight: 1,
+		})
+	}
+	m.core.SetHosts(m.now, []route.Host{{Name: "entry-0", Zone: "zone-0"}, {Name: "entry-1", Zone: "zone-1"}})
+	m.core.SetBackends(m.now, listed)
+	return m
+}
+
+// request sends one request and gives back its outcome.
+func (m *mill) request() {
+	m.n++
+	m.now = m.now.Add(time.Millisecond)
+	id := fmt.Sprint("request-", m.n)
+	for _, a := range m.core.Arrive(m.now, Request{ID: id, Deadline: m.now.Add(deadline)}) {
+		if send, ok := a.(Send); ok {
+			m.core.Done(m.now.Add(time.Millisecond), Outcome{ID: send.ID, Backend: send.Backend})
+		}
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	for _, policy := range []standing.Policy{standing.PolicyLeast, standing.PolicyShares} {
+		for _, servers := range []int{50, 220, 880} {
+			b.Run(fmt.Sprintf("%s/%d-servers", policy, servers), func(b *testing.B) {
+				m := newMill(policy, servers)
+				b.ReportAllocs()
+				for b.Loop() {
+					m.request()
+				}
+			})
+		}
+	}
+}
+
+func TestAllocationsPerRequestAreBounded(t *testing.T) {
+	for _, policy := range []standing.Policy{standing.PolicyLeast, standing.PolicyShares} {
+		for _, servers := range []int{50, 880} {
+			m := newMill(policy, servers)
+			require.LessOrEqual(t, testing.AllocsPerRun(200, m.request), float64(allocsPerRequest), "%s, %d servers", policy, servers)
+			require.Zero(t, m.core.Waiting())
+		}
+	}
+}
--- a/internal/decide/eject/eject.go
+++ b/internal/decide/eject/eject.go
@@ -87,7 +87,9 @@
 	customer string
 	rules    standing.Eject
 	servers  map[string]*server
-	times    times
+	// probing holds the servers that have to prove themselves.
+	probing map[string]*server
+	times   times
 	// median is the median server's mean of the logarithm of answer times, if
 	// compared is set.
 	median     float64
@@ -99,7 +101,7 @@
 
 // New returns a watch that knows no servers.
 func New(customer string, rules standing.Eject) *Watch {
-	return &Watch{customer: customer, rules: rules, servers: map[string]*server{}}
+	return &Watch{customer: customer, rules: rules, servers: map[string]*server{}, probing: map[string]*server{}}
 }
 
 // SetRules replaces the ejection rules.
@@ -117,6 +119,7 @@
 	for name, s := range w.servers {
 		if !s.listed && len(s.sent) == 0 {
 			delete(w.servers, name)
+			delete(w.probing, name)
 		}
 	}
 }
@@ -140,8 +143,8 @@
 // none, unless it is in skip.
 func (w *Watch) Probe(skip map[string]bool) (string, bool) {
 	best := ""
-	for name, s := range w.servers {
-		due := s.mode == probing && s.listed && !s.leaving && len(s.sent) == 0 && !skip[name]
+	for name, s := range w.probing {
+		due := s.listed && !s.leaving && len(s.sent) == 0 && !skip[name]
 		if due && (best == "" || name < best) {
 			best = name
 		}
--- a/internal/decide/eject/tick.go
+++ b/internal/decide/eject/tick.go
@@ -139,6 +139,10 @@
 func (w *Watch) set(now time.Time, s *server, m mode, rule, why string) {
 	actions := map[mode]string{serving: "return", ejected: "eject", probing: "probe"}
 	s.mode, s.since, s.rule, s.why = m, now, rule, why
+	delete(w.probing, s.name)
+	if m == probing {
+		w.probing[s.name] = s
+	}
 	s.probes, s.slowProbes, s.expired = 0, 0, nil
 	s.withheld = time.Time{}
 	w.changed = true
