Fill defaults by cmp.Or, and drop peer fields that nobody reads

Cause: the last reading of the change found setDefault written three times, which the standard library has as cmp.Or, and two fields of peers.Peer, Uptime and LastLoss, that are set and never read. Ruled out: a package of our own for defaults. Behaviour is as it was.

--- a/internal/daemon/peers/directory.go
+++ b/internal/daemon/peers/directory.go
@@ -23,11 +23,6 @@
 	Leaving bool
 	// Reachable is set while the peer is heard of and answers.
 	Reachable bool
-	// Uptime is the age of the incarnation.
-	Uptime time.Duration
-	// LastLoss is the time since the peer lost sight of a peer incarnation;
-	// negative if it never did.
-	LastLoss time.Duration
 	// Silent is the time since the peer was heard of; negative if it never
 	// was.
 	Silent time.Duration
--- a/internal/daemon/peers/members.go
+++ b/internal/daemon/peers/members.go
@@ -205,17 +205,13 @@
 func asPeer(p members.Peer, now time.Time) Peer {
 	out := Peer{
 		Host: p.Name, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving,
-		Reachable: p.Reachable, Version: p.Version, LastLoss: -1, Silent: -1,
+		Reachable: p.Reachable, Version: p.Version, Silent: -1,
 	}
 	if p.Address != "" {
 		out.URL = "http://" + p.Address
 	}
 	if !p.Heard.IsZero() {
 		out.Silent = now.Sub(p.Heard)
-		out.Uptime = p.Uptime + out.Silent
-	}
-	if !p.LastLoss.IsZero() {
-		out.LastLoss = now.Sub(p.LastLoss)
 	}
 	return out
 }
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -47,27 +48,20 @@
 
 // WithDefaults returns a copy of c with its unset times filled in.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.Policy, place.PolicyHome)
-	setDefault(&c.Horizon, 2*time.Minute)
-	setDefault(&c.ClaimWait, 5*time.Second)
-	setDefault(&c.CloseMargin, 5*time.Second)
-	setDefault(&c.AnswerWait, 250*time.Millisecond)
-	setDefault(&c.LeaseTTL, 4*time.Second)
-	setDefault(&c.LeaseMargin, time.Second)
-	setDefault(&c.StopWait, 2*time.Second)
-	setDefault(&c.ReserveAfter, 300*time.Millisecond)
-	setDefault(&c.RetryInterval, time.Second)
-	setDefault(&c.ResultBytes, 64<<20)
+	c.Policy = cmp.Or(c.Policy, place.PolicyHome)
+	c.Horizon = cmp.Or(c.Horizon, 2*time.Minute)
+	c.ClaimWait = cmp.Or(c.ClaimWait, 5*time.Second)
+	c.CloseMargin = cmp.Or(c.CloseMargin, 5*time.Second)
+	c.AnswerWait = cmp.Or(c.AnswerWait, 250*time.Millisecond)
+	c.LeaseTTL = cmp.Or(c.LeaseTTL, 4*time.Second)
+	c.LeaseMargin = cmp.Or(c.LeaseMargin, time.Second)
+	c.StopWait = cmp.Or(c.StopWait, 2*time.Second)
+	c.ReserveAfter = cmp.Or(c.ReserveAfter, 300*time.Millisecond)
+	c.RetryInterval = cmp.Or(c.RetryInterval, time.Second)
+	c.ResultBytes = cmp.Or(c.ResultBytes, 64<<20)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // pending is a submission whose claim has not been seen in the log.
 type pending struct {
 	job    callerapi.Job
--- a/internal/decide/standing/standing.go
+++ b/internal/decide/standing/standing.go
@@ -3,6 +3,8 @@
 // plain data, the packages that decide read them as an immutable snapshot.
 package standing
 
+import "cmp"
+
 // Policy names a way to choose a backend server.
 type Policy string
 
@@ -100,23 +102,16 @@
 
 // WithDefaults returns a copy of c with its unset rules filled in.
 func (c Customer) WithDefaults() Customer {
-	setDefault(&c.Policy, PolicyLeast)
-	setDefault(&c.QueueLimit, DefaultQueueLimit)
-	setDefault(&c.DeadlineMs, DefaultDeadlineMs)
-	setDefault(&c.MaxDeadlineMs, DefaultMaxDeadlineMs)
-	setDefault(&c.RetryRatio, DefaultRetryRatio)
-	setDefault(&c.Unmarked, UnmarkedAsk)
-	setDefault(&c.HorizonMs, DefaultHorizonMs)
-	setDefault(&c.Eject.Failures, DefaultEjectFailures)
-	setDefault(&c.Eject.MaxShare, DefaultEjectMaxShare)
-	setDefault(&c.Eject.BaseMs, DefaultEjectBaseMs)
-	setDefault(&c.Eject.MaxMs, DefaultEjectMaxMs)
+	c.Policy = cmp.Or(c.Policy, PolicyLeast)
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.DeadlineMs = cmp.Or(c.DeadlineMs, DefaultDeadlineMs)
+	c.MaxDeadlineMs = cmp.Or(c.MaxDeadlineMs, DefaultMaxDeadlineMs)
+	c.RetryRatio = cmp.Or(c.RetryRatio, DefaultRetryRatio)
+	c.Unmarked = cmp.Or(c.Unmarked, UnmarkedAsk)
+	c.HorizonMs = cmp.Or(c.HorizonMs, DefaultHorizonMs)
+	c.Eject.Failures = cmp.Or(c.Eject.Failures, DefaultEjectFailures)
+	c.Eject.MaxShare = cmp.Or(c.Eject.MaxShare, DefaultEjectMaxShare)
+	c.Eject.BaseMs = cmp.Or(c.Eject.BaseMs, DefaultEjectBaseMs)
+	c.Eject.MaxMs = cmp.Or(c.Eject.MaxMs, DefaultEjectMaxMs)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,8 @@
 // whole before anything starts.
 package settings
 
+import "cmp"
+
 // Settings is everything that one entry host is told at start.
 type Settings struct {
 	// Host is the entry host's name, unique in the fleet. Letters, digits and
@@ -90,20 +92,13 @@
 
 // WithDefaults returns a copy of s with unset fields filled in.
 func (s Settings) WithDefaults() Settings {
-	setDefault(&s.Platform.PollMs, DefaultPollMs)
-	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
-	setDefault(&s.Limits.JobBytes, DefaultJobBytes)
-	setDefault(&s.Limits.TasksPerJob, DefaultTasksPerJob)
-	setDefault(&s.Stop.DrainMs, DefaultDrainMs)
-	setDefault(&s.Stop.GraceMs, DefaultGraceMs)
-	setDefault(&s.Log.Level, DefaultLogLevel)
-	setDefault(&s.Log.Format, DefaultLogFormat)
+	s.Platform.PollMs = cmp.Or(s.Platform.PollMs, DefaultPollMs)
+	s.Limits.BodyBytes = cmp.Or(s.Limits.BodyBytes, DefaultBodyBytes)
+	s.Limits.JobBytes = cmp.Or(s.Limits.JobBytes, DefaultJobBytes)
+	s.Limits.TasksPerJob = cmp.Or(s.Limits.TasksPerJob, DefaultTasksPerJob)
+	s.Stop.DrainMs = cmp.Or(s.Stop.DrainMs, DefaultDrainMs)
+	s.Stop.GraceMs = cmp.Or(s.Stop.GraceMs, DefaultGraceMs)
+	s.Log.Level = cmp.Or(s.Log.Level, DefaultLogLevel)
+	s.Log.Format = cmp.Or(s.Log.Format, DefaultLogFormat)
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
