Listen before the borrow test dials

Cause: TestBorrow opened its listener inside the goroutine that serves it, so that a dial could come first and was refused: the verdict was not the same every run. Ruled out: a fault of the client; the refused dial is what it should report. go test -count=300 ./internal/daemon/slots, before: failed; after: passes, also -race -count=50. No assertion is touched.

--- a/internal/daemon/slots/slots_test.go
+++ b/internal/daemon/slots/slots_test.go
@@ -73,7 +73,8 @@
 				mux := http.NewServeMux()
 				mux.Handle(peerv1connect.NewSlotServiceHandler(Handler{Host: "entry-2", Lender: tt.lend}))
 				server := &http.Server{Handler: mux}
-				go func() { _ = server.Serve(network.Listen("entry-2:1")) }()
+				listener := network.Listen("entry-2:1")
+				go func() { _ = server.Serve(listener) }()
 				transport := &http.Transport{DialContext: network.Dial}
 				d := directory{"entry-2": {URL: "http://entry-2:1"}, "entry-3": {URL: "http://entry-3:1"}}
 				a := ask
