--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -9,13 +10,17 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/charmbracelet/log"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/dispatch"
 	"github.com/parsleyhill/parsleyhill/internal/logging"
 	"github.com/parsleyhill/parsleyhill/internal/settings"
+	"github.com/parsleyhill/parsleyhill/platform"
 )
 
 // The exit statuses.
@@ -30,6 +35,10 @@
 
   parsleyhilld -settings entry-1.json
   parsleyhilld -settings entry-1.json -check
+  parsleyhilld -platform
+
+With -platform the host dispatches jobs on the users' platform, by the settings
+file that the platform names in the environment.
 
 Exit status: 0 after a planned stop or a good check, 1 if the entry host
 failed, 2 if a flag or the settings are wrong. Nothing listens before the
@@ -45,6 +54,7 @@
 type options struct {
 	path      string
 	check     bool
+	platform  bool
 	overrides settings.Overrides
 }
 
@@ -61,6 +71,9 @@
 		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
 		return exitSettings
 	}
+	if o.platform {
+		return dispatchOn(o, out, errOut)
+	}
 	s, err := settings.Load(o.path, o.overrides)
 	if err != nil {
 		printFaults(errOut, err)
@@ -79,6 +92,7 @@
 	flags.SetOutput(errOut)
 	flags.StringVar(&o.path, "settings", "parsleyhilld.json", "settings `file`, JSON with comments")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
+	flags.BoolVar(&o.platform, "platform", false, "run on the users' platform, by its own settings file")
 	flags.StringVar(&o.overrides.LogLevel, "log-level", "", "replace log.level: debug, info, warn or error")
 	flags.StringVar(&o.overrides.LogFormat, "log-format", "", "replace log.format: logfmt, json or text")
 	flags.Usage = func() {
@@ -108,13 +122,52 @@
 
 func serve(s settings.Settings, errOut io.Writer) int {
 	logger := logging.New(errOut, s.Log)
+	return runUntilSignal(logger, daemon.New(s, logger).Run)
+}
+
+// runUntilSignal runs a daemon until SIGTERM or SIGINT.
+func runUntilSignal(logger *log.Logger, run func(context.Context) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
-	if err := daemon.New(s, logger).Run(ctx); err != nil {
+	if err := run(ctx); err != nil {
 		logger.Error("entry host failed", "error", err)
 		return exitFailed
 	}
 	return exitDone
 }
+
+const (
+	// memoryShare is the part of the host's memory at which the collector works
+	// harder; the rest is for stacks and bytes not yet read.
+	memoryShare = 0.7
+	bytesPerMB  = 1 << 20
+)
+
+// dispatchOn runs the dispatcher on the users' platform. Its log goes to
+// standard output and never blocks.
+func dispatchOn(o options, out, errOut io.Writer) int {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
+		return exitSettings
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
+		return exitSettings
+	}
+	if o.check {
+		_, _ = fmt.Fprintf(out, "%s: settings of host %s in zone %s are good\n", path, s.Host, s.Zone)
+		return exitDone
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryShare))
+	}
+	lines := logging.NewRing(out, logging.DefaultLines)
+	defer lines.Close()
+	level := cmp.Or(o.overrides.LogLevel, "info")
+	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
+	return runUntilSignal(logger, dispatch.New(s, logger).Run)
+}
--- /dev/null
+++ b/internal/daemon/dispatch/convert.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"time"
+
+	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+func sizeTo(s fleet.Size) *dispatchv1.Size {
+	return &dispatchv1.Size{MilliCpu: int32(s.MilliCPU), MemoryMb: int32(s.MemoryMB), Gpus: int32(s.GPUs)}
+}
+
+func sizeFrom(s *dispatchv1.Size) fleet.Size {
+	return fleet.Size{MilliCPU: int(s.GetMilliCpu()), MemoryMB: int(s.GetMemoryMb()), GPUs: int(s.GetGpus())}
+}
+
+func remaining(now, t time.Time) int32 { return int32(t.Sub(now).Milliseconds()) }
+
+func after(now time.Time, ms int32) time.Time {
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// offersTo groups tasks by job and step.
+func offersTo(now time.Time, tasks []offer.Task) []*dispatchv1.Offer {
+	var offers []*dispatchv1.Offer
+	var last *dispatchv1.Offer
+	for _, t := range tasks {
+		if last == nil || last.GetJob() != t.Name.Job || int(last.GetStep()) != t.Name.Step {
+			last = &dispatchv1.Offer{
+				Job: t.Name.Job, Step: int32(t.Name.Step), Spec: t.Spec, Service: t.Service, Size: sizeTo(t.Size),
+				EstimateMs: int32(t.Estimate.Milliseconds()), RequiredLabel: t.RequiredLabel, Affinity: t.Affinity,
+				MaxPerWorker: int32(t.MaxPerWorker), Priority: int32(t.Priority),
+				StartInMs: remaining(now, t.StartBy), UsefulMs: remaining(now, t.UsefulUntil),
+				Begun: t.Begun, MaxAttempts: int32(t.MaxAttempts),
+			}
+			offers = append(offers, last)
+		}
+		last.Tasks = append(last.Tasks, &dispatchv1.OfferedTask{
+			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(t.Failed),
+		})
+	}
+	return offers
+}
+
+func offerFrom(now time.Time, host string, o *dispatchv1.Offer) []offer.Task {
+	tasks := make([]offer.Task, 0, len(o.GetTasks()))
+	for _, t := range o.GetTasks() {
+		tasks = append(tasks, offer.Task{
+			Host: host, Name: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
+			Spec: o.GetSpec(), Service: o.GetService(), Size: sizeFrom(o.GetSize()),
+			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
+			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
+			Priority: int(o.GetPriority()), StartBy: after(now, o.GetStartInMs()), UsefulUntil: after(now, o.GetUsefulMs()),
+			Begun: o.GetBegun(), NextRun: int(t.GetNextRun()), Failed: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
+		})
+	}
+	return tasks
+}
+
+func outcomeTo(o offer.Outcome) *dispatchv1.Outcome {
+	return &dispatchv1.Outcome{
+		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.Failed),
+		Result: int32(o.Result), Worker: o.Worker, Why: o.Why, OverInMs: int32(o.OverIn.Milliseconds()),
+	}
+}
+
+func outcomeFrom(self string, o *dispatchv1.Outcome) offer.Outcome {
+	return offer.Outcome{
+		Host: self, Task: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(o.GetIndex())},
+		Run: int(o.GetRun()), Failed: int(o.GetFailed()), Result: offer.Result(o.GetResult()),
+		Worker: o.GetWorker(), Why: o.GetWhy(), OverIn: time.Duration(o.GetOverInMs()) * time.Millisecond,
+	}
+}
+
+func runTo(r fleet.RunID, how fleet.Ending) *dispatchv1.Run {
+	return &dispatchv1.Run{
+		Job: r.Task.Job, Step: int32(r.Task.Step), Index: int32(r.Task.Index), Run: int32(r.Run), Ending: int32(how),
+	}
+}
+
+func runFrom(r *dispatchv1.Run) fleet.RunID {
+	return fleet.RunID{
+		Task: fleet.TaskName{Job: r.GetJob(), Step: int(r.GetStep()), Index: int(r.GetIndex())}, Run: int(r.GetRun()),
+	}
+}
+
+func sightingTo(s offer.Sighting) *dispatchv1.Sighting {
+	out := &dispatchv1.Sighting{Worker: s.Worker}
+	for _, r := range s.Running {
+		out.Running = append(out.Running, runTo(r, 0))
+	}
+	for _, e := range s.Ended {
+		out.Ended = append(out.Ended, runTo(e.RunID, e.How))
+	}
+	return out
+}
+
+func sightingFrom(s *dispatchv1.Sighting) offer.Sighting {
+	out := offer.Sighting{Worker: s.GetWorker()}
+	for _, r := range s.GetRunning() {
+		out.Running = append(out.Running, runFrom(r))
+	}
+	for _, r := range s.GetEnded() {
+		out.Ended = append(out.Ended, fleet.RunEnd{RunID: runFrom(r), How: fleet.Ending(r.GetEnding())})
+	}
+	return out
+}
+
+func roomTo(r offer.Report) *dispatchv1.Room {
+	room := &dispatchv1.Room{Capacity: int32(r.Capacity), RunningWork: r.RunningWork, Leaving: r.Leaving}
+	for _, w := range r.Workers {
+		room.Workers = append(room.Workers, &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeTo(w.Free)})
+	}
+	if len(r.QueuedWork) > 0 {
+		room.QueuedWork = make(map[int32]int64, len(r.QueuedWork))
+		for priority, work := range r.QueuedWork {
+			room.QueuedWork[int32(priority)] = work
+		}
+	}
+	return room
+}
+
+func roomFrom(r *dispatchv1.Room) offer.Report {
+	report := offer.Report{
+		Capacity: int(r.GetCapacity()), RunningWork: r.GetRunningWork(), Leaving: r.GetLeaving(),
+		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
+	}
+	for _, w := range r.GetWorkers() {
+		report.Workers = append(report.Workers, offer.WorkerRoom{ID: w.GetId(), Service: w.GetService(), Free: sizeFrom(w.GetFree())})
+	}
+	for priority, work := range r.GetQueuedWork() {
+		report.QueuedWork[int(priority)] = work
+	}
+	return report
+}
--- /dev/null
+++ b/internal/daemon/dispatch/dispatch.go
@@ -0,0 +1,307 @@
+// Package dispatch runs jobs of short tasks on the platform's workers. One
+// loop owns the pure decisions (who owns a worker, what runs there, where a
+// job's tasks are offered); everything around it is I/O.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
+	"github.com/parsleyhill/parsleyhill/internal/decide/room"
+	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
+	"github.com/parsleyhill/parsleyhill/internal/decide/tenure"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/internal/ids"
+	"github.com/parsleyhill/parsleyhill/platform"
+)
+
+const (
+	// tickInterval is the granularity of renewals and time limits.
+	tickInterval = 20 * time.Millisecond
+	// eventBuffer holds events while the loop is busy.
+	eventBuffer = 1024
+	// headerBytes bounds the header of a caller's request until a configuration
+	// says otherwise; it is the operators' usual limit.
+	headerBytes = 16384
+	// readHeaderTimeout and idleTimeout are the operators' usual limits too.
+	readHeaderTimeout = 3 * time.Second
+	idleTimeout       = 15 * time.Second
+)
+
+// Dispatch is the dispatcher of one entry host.
+type Dispatch struct {
+	settings platform.Settings
+	self     fleet.Host
+	logger   *log.Logger
+	store    *platform.Store
+	workers  *platform.Workers
+	peers    *peers
+	metrics  *metrics
+
+	events  chan func(time.Time)
+	leaving atomic.Bool
+	config  atomic.Pointer[fleet.Config]
+	// ready is the reason why this host takes no work, or nil.
+	ready atomic.Pointer[errkind.Error]
+
+	// The fields below belong to the loop.
+	pool    *room.Pool
+	spread  *spread.Spread
+	tenure  *tenure.Tenure
+	waiters map[string]waiter
+	listed  bool
+	looks   map[int64]context.CancelFunc
+	reports reporter
+}
+
+// waiter is a caller that waits for its job.
+type waiter struct {
+	route  string
+	result chan platform.Result
+	// begun is set once a task has started.
+	begun bool
+}
+
+// New returns a dispatcher that does nothing until Run.
+func New(s platform.Settings, logger *log.Logger) *Dispatch {
+	self := fleet.Host{
+		Name: s.Host, Zone: s.Zone, Address: s.PeersAddress,
+		Incarnation: string(ids.NewIncarnation(s.Host)),
+	}
+	d := &Dispatch{
+		settings: s, self: self, logger: logger,
+		store: platform.NewStore(s.StoreAddress), workers: platform.NewWorkers(), metrics: newMetrics(),
+		events: make(chan func(time.Time), eventBuffer),
+		pool:   room.NewPool(room.DefaultConfig(s.MaxLease)),
+		spread: spread.New(spread.Config{Self: s.Host, Zone: s.Zone, MaxLease: s.MaxLease}),
+		tenure: tenure.New(s.Partitions, rand.Int64()),
+
+		waiters: map[string]waiter{}, looks: map[int64]context.CancelFunc{},
+	}
+	d.peers = newPeers(self, logger.WithPrefix("peers"), d)
+	d.ready.Store(errkind.New(errkind.NotReady, "starting"))
+	return d
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (d *Dispatch) Run(ctx context.Context) error {
+	d.logger.Info("host starts", "host", d.self.Name, "zone", d.self.Zone, "incarnation", d.self.Incarnation)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		d.drain()
+		stop()
+	}()
+	err := supervise.Run(serving, d.logger, d.parts()...)
+	d.logger.Info("host stops", "host", d.self.Name, "error", err)
+	return err
+}
+
+func (d *Dispatch) parts() []supervise.Part {
+	return []supervise.Part{
+		{Name: "decisions", Run: d.loop, Restart: supervise.Never},
+		{Name: "configuration", Run: func(ctx context.Context) error { return d.store.FollowConfig(ctx, d) }},
+		{Name: "worker list", Run: func(ctx context.Context) error { return d.store.FollowWorkers(ctx, d) }},
+		{Name: "host list", Run: func(ctx context.Context) error { return d.store.FollowHosts(ctx, d) }},
+		{Name: "announcement", Run: d.announce},
+		{Name: "membership", Run: d.keepMembership},
+		{Name: "peers", Run: d.peers.run},
+		{Name: "peers port", Run: serve(d.settings.PeersAddress, d.peerRoutes(), true), Restart: supervise.Never},
+		{Name: "metrics port", Run: serve(d.settings.MetricsAddress, d.metrics.handler(), false)},
+		{Name: "ready port", Run: serve(d.settings.ReadyAddress, platform.ReadyHandler(d), false), Restart: supervise.Never},
+		{Name: "callers port", Run: serve(d.settings.CallersAddress, platform.Callers{Dispatcher: d}, false), Restart: supervise.Never},
+	}
+}
+
+func (d *Dispatch) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(dispatchv1connect.NewDispatchServiceHandler(d.peers))
+	return mux
+}
+
+// loop carries out events one after the other.
+func (d *Dispatch) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-d.events:
+			event(time.Now())
+			d.drainEvents()
+		case <-ticker.C:
+			now := time.Now()
+			d.pool.Tick(now)
+			d.spread.Tick(now)
+			d.peers.tick(now)
+		}
+		d.settle(ctx, time.Now())
+	}
+}
+
+// drainEvents takes the events that are already there, so that one decision
+// covers them all.
+func (d *Dispatch) drainEvents() {
+	for {
+		select {
+		case event := <-d.events:
+			event(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// post hands an event to the loop.
+func (d *Dispatch) post(event func(now time.Time)) { d.events <- event }
+
+// ask hands an event to the loop and waits until it is carried out.
+func (d *Dispatch) ask(event func(now time.Time)) {
+	done := make(chan struct{})
+	d.post(func(now time.Time) {
+		event(now)
+		close(done)
+	})
+	<-done
+}
+
+// Config implements platform.Dispatcher.
+func (d *Dispatch) Config() *fleet.Config { return d.config.Load() }
+
+// Leaving implements platform.Dispatcher.
+func (d *Dispatch) Leaving() bool { return d.leaving.Load() }
+
+// Ready implements platform.Dispatcher.
+func (d *Dispatch) Ready() *errkind.Error {
+	if d.leaving.Load() {
+		return errkind.New(errkind.Stopping, "a planned stop goes on")
+	}
+	return d.ready.Load()
+}
+
+// Submit implements platform.Dispatcher.
+func (d *Dispatch) Submit(ctx context.Context, job fleet.Job, route fleet.Route, patience time.Duration) platform.Result {
+	if !job.BestEffort {
+		return platform.Result{Err: errkind.New(errkind.NotReady, "stored jobs are not served")}
+	}
+	result := make(chan platform.Result, 1)
+	d.post(func(now time.Time) { d.submit(now, job, route, patience, result) })
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		d.post(func(now time.Time) { d.cancel(now, job.ID, result) })
+		return <-result
+	}
+}
+
+func (d *Dispatch) submit(now time.Time, job fleet.Job, route fleet.Route, patience time.Duration, result chan platform.Result) {
+	if old, ok := d.waiters[job.ID]; ok {
+		// The caller sent the job again: its former request is over.
+		old.result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the job was sent again")}
+		old.result = result
+		d.waiters[job.ID] = old
+		return
+	}
+	if err := d.ready.Load(); err != nil {
+		d.logger.Warn("job refused", "job", job.ID, "route", route.Name, "why", err.Detail)
+		result <- platform.Result{Err: err, RetryAfter: time.Second}
+		return
+	}
+	d.waiters[job.ID] = waiter{route: route.Name, result: result}
+	d.metrics.jobs.WithLabelValues(route.Name).Inc()
+	d.spread.Submit(now, job, route, patience)
+}
+
+// cancel ends a job whose caller has gone, unless another request waits for it.
+func (d *Dispatch) cancel(now time.Time, job string, result chan platform.Result) {
+	if w, ok := d.waiters[job]; ok && w.result == result {
+		d.spread.Cancel(now, job)
+		return
+	}
+	select {
+	case result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the caller has gone")}:
+	default:
+	}
+}
+
+// Cancel implements platform.Dispatcher.
+func (d *Dispatch) Cancel(job string) bool {
+	found := false
+	d.ask(func(now time.Time) {
+		_, found = d.waiters[job]
+		if found {
+			d.spread.Cancel(now, job)
+		}
+	})
+	return found
+}
+
+// Running implements platform.Dispatcher.
+func (d *Dispatch) Running(job string) bool {
+	found := false
+	d.ask(func(time.Time) { _, found = d.waiters[job] })
+	return found
+}
+
+// Waiting implements platform.Dispatcher.
+func (d *Dispatch) Waiting(route string) int {
+	n := 0
+	d.ask(func(time.Time) {
+		for _, w := range d.waiters {
+			if w.route == route && !w.begun {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// The pauses of a planned stop. The balancer notices after two probes, one a
+// second; requests that arrive until then are served.
+const (
+	stopAccepting = 2200 * time.Millisecond
+	stopMargin    = 400 * time.Millisecond
+	stopPoll      = 20 * time.Millisecond
+)
+
+// drain prepares a planned stop: this host reports not ready, gives its
+// workers to others and waits for the jobs in flight.
+func (d *Dispatch) drain() {
+	begun := time.Now()
+	d.logger.Info("planned stop begins", "grace", d.settings.Grace)
+	d.leaving.Store(true)
+	d.post(func(now time.Time) {
+		d.pool.ReturnQueue("planned stop")
+		for _, id := range d.pool.Owned() {
+			d.pool.HandOver(now, id)
+		}
+	})
+	for time.Since(begun) < d.settings.Grace-stopMargin {
+		idle := false
+		d.ask(func(time.Time) { idle = len(d.waiters) == 0 && d.pool.Idle() })
+		if idle && time.Since(begun) > stopAccepting {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := d.store.Retract(ctx, d.self.Name); err != nil {
+		d.logger.Warn("entry not removed", "host", d.self.Name, "error", err)
+	}
+	d.logger.Info("planned stop ends", "took", time.Since(begun))
+}
+
+func (d *Dispatch) String() string { return fmt.Sprintf("dispatcher of host %s", d.self.Name) }
--- /dev/null
+++ b/internal/daemon/dispatch/metrics.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// pathMetrics is where the metrics are served.
+const pathMetrics = "/metrics"
+
+type metrics struct {
+	registry     *prometheus.Registry
+	jobs         *prometheus.CounterVec
+	answers      *prometheus.HistogramVec
+	starts       *prometheus.CounterVec
+	startSeconds prometheus.Histogram
+	looks        prometheus.Counter
+}
+
+// latencyBuckets span tasks of 50 ms to callers' limits, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .5, .75, 1, 1.5, 2.5, 5}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_jobs_total", Help: "Jobs taken from callers.",
+		}, []string{"route"}),
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "parsleyhill_answer_seconds", Help: "Time from a job's arrival to its answer.", Buckets: latencyBuckets,
+		}, []string{"route", "outcome"}),
+		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_starts_total", Help: "Starts ordered, by the worker's verdict.",
+		}, []string{"verdict"}),
+		startSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "parsleyhill_start_seconds", Help: "Time a worker takes to answer a start.", Buckets: latencyBuckets,
+		}),
+		looks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "parsleyhill_looks_total", Help: "Looks at workers.",
+		}),
+	}
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.looks)
+	return m
+}
+
+func (m *metrics) answered(route, outcome string, took time.Duration) {
+	m.answers.WithLabelValues(route, outcome).Observe(took.Seconds())
+}
+
+func (m *metrics) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/dispatch/peers.go
@@ -0,0 +1,389 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+
+	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const (
+	// peerSilence is how long a stream may be silent before it is given up:
+	// four heartbeats.
+	peerSilence = 4 * heartbeatInterval
+	// peerDialTimeout and helloTimeout bound the opening of a stream.
+	peerDialTimeout = 300 * time.Millisecond
+	helloTimeout    = 500 * time.Millisecond
+	// redial is the first pause before a stream is opened again, redialMax the
+	// longest.
+	redial    = 50 * time.Millisecond
+	redialMax = time.Second
+	// farReportInterval bounds the reports to other zones, whose links cost more.
+	farReportInterval = 40 * time.Millisecond
+)
+
+// peers holds the streams to the other entry hosts. Its methods, but for put,
+// remove and Exchange, belong to the loop.
+type peers struct {
+	self   fleet.Host
+	logger *log.Logger
+	d      *Dispatch
+
+	mu sync.Mutex
+	// dials cancels the dialling of each known host.
+	dials map[string]dial
+	ctx   context.Context
+
+	links map[string]*link
+}
+
+type dial struct {
+	host   fleet.Host
+	cancel context.CancelFunc
+}
+
+// link is one open stream.
+type link struct {
+	host   fleet.Host
+	cancel context.CancelFunc
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	pending *dispatchv1.Frame
+
+	// The fields below belong to the loop.
+	dirty    bool
+	heard    time.Time
+	reported time.Time
+}
+
+func newPeers(self fleet.Host, logger *log.Logger, d *Dispatch) *peers {
+	return &peers{self: self, logger: logger, d: d, dials: map[string]dial{}, links: map[string]*link{}}
+}
+
+// run dials the hosts that put names until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	for name, known := range p.dials {
+		p.dial(name, known.host)
+	}
+	p.mu.Unlock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// put takes a host's entry. Of two hosts, the one with the smaller name dials.
+func (p *peers) put(h fleet.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.dials[h.Name]; ok {
+		if old.host == h {
+			return
+		}
+		if old.cancel != nil {
+			old.cancel()
+		}
+	}
+	p.dials[h.Name] = dial{host: h}
+	if p.ctx != nil {
+		p.dial(h.Name, h)
+	}
+}
+
+// remove forgets a host that has left for good.
+func (p *peers) remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.dials[name]; ok {
+		if old.cancel != nil {
+			old.cancel()
+		}
+		delete(p.dials, name)
+	}
+}
+
+func (p *peers) dial(name string, h fleet.Host) {
+	if p.self.Name >= name {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	p.dials[name] = dial{host: h, cancel: cancel}
+	go p.keepDialling(ctx, h)
+}
+
+// keepDialling keeps one stream to a host open.
+func (p *peers) keepDialling(ctx context.Context, h fleet.Host) {
+	pause := redial
+	for ctx.Err() == nil {
+		opened := time.Now()
+		err := p.connect(ctx, h)
+		if time.Since(opened) > peerSilence {
+			pause = redial
+		}
+		p.logger.Debug("stream ended", "host", h.Name, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, redialMax)
+	}
+}
+
+// connect opens a stream and serves it until it ends.
+func (p *peers) connect(ctx context.Context, h fleet.Host) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Each stream has a connection of its own: a connection that went silent is
+	// never used again.
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	client := dispatchv1connect.NewDispatchServiceClient(&http.Client{Transport: transport}, "http://"+h.Address)
+	stream := client.Exchange(ctx)
+	defer stream.CloseResponse()
+	defer stream.CloseRequest()
+	greeting := time.AfterFunc(peerDialTimeout+helloTimeout, cancel)
+	if err := stream.Send(p.hello()); err != nil {
+		return err
+	}
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	greeting.Stop()
+	return p.serve(ctx, cancel, first, stream.Send, stream.Receive)
+}
+
+// Exchange implements the service for hosts that dial this one.
+func (p *peers) Exchange(ctx context.Context, stream *connect.BidiStream[dispatchv1.Frame, dispatchv1.Frame]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	if err := stream.Send(p.hello()); err != nil {
+		return err
+	}
+	return p.serve(ctx, cancel, first, stream.Send, stream.Receive)
+}
+
+func (p *peers) hello() *dispatchv1.Frame {
+	return &dispatchv1.Frame{Hello: &dispatchv1.Hello{
+		Host: p.self.Name, Zone: p.self.Zone, Incarnation: p.self.Incarnation,
+	}}
+}
+
+var errNoHello = errors.New("the first frame of a stream has no hello")
+
+// serve exchanges frames until the stream ends or ctx does.
+func (p *peers) serve(ctx context.Context, cancel context.CancelFunc, first *dispatchv1.Frame,
+	send func(*dispatchv1.Frame) error, receive func() (*dispatchv1.Frame, error),
+) error {
+	hello := first.GetHello()
+	if hello.GetHost() == "" {
+		return errNoHello
+	}
+	l := &link{
+		host:   fleet.Host{Name: hello.GetHost(), Zone: hello.GetZone(), Incarnation: hello.GetIncarnation()},
+		cancel: cancel, wake: make(chan struct{}, 1), pending: &dispatchv1.Frame{},
+	}
+	p.d.post(func(now time.Time) { p.up(now, l) })
+	defer p.d.post(func(now time.Time) { p.down(now, l, "stream ended") })
+	received := make(chan error, 1)
+	go func() {
+		for {
+			frame, err := receive()
+			if err != nil {
+				received <- err
+				return
+			}
+			p.d.post(func(now time.Time) { p.received(now, l, frame) })
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-received:
+			return err
+		case <-l.wake:
+			if err := send(l.take()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// take returns what is to be sent.
+func (l *link) take() *dispatchv1.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frame := l.pending
+	l.pending = &dispatchv1.Frame{}
+	return frame
+}
+
+// add puts something into the next frame.
+func (l *link) add(put func(*dispatchv1.Frame)) {
+	l.mu.Lock()
+	put(l.pending)
+	l.mu.Unlock()
+	l.dirty = true
+}
+
+// up takes a new stream. An older one to the same host is given up.
+func (p *peers) up(now time.Time, l *link) {
+	if old, ok := p.links[l.host.Name]; ok {
+		p.down(now, old, "replaced by a newer stream")
+	}
+	l.heard = now
+	p.links[l.host.Name] = l
+	p.logger.Info("host reached", "host", l.host.Name, "zone", l.host.Zone, "incarnation", l.host.Incarnation)
+}
+
+// down takes the end of a stream.
+func (p *peers) down(now time.Time, l *link, why string) {
+	l.cancel()
+	if p.links[l.host.Name] != l {
+		return
+	}
+	delete(p.links, l.host.Name)
+	p.logger.Info("host lost", "host", l.host.Name, "why", why, "heard_ago", now.Sub(l.heard))
+	p.d.pool.HostLost(now, l.host.Name)
+	p.d.spread.HostLost(now, l.host.Name)
+}
+
+// tick gives up silent streams.
+func (p *peers) tick(now time.Time) {
+	for _, l := range p.links {
+		if now.Sub(l.heard) > peerSilence {
+			p.down(now, l, "silent")
+		}
+	}
+}
+
+// flush sends what was added since the last call.
+func (p *peers) flush() {
+	for _, l := range p.links {
+		if !l.dirty {
+			continue
+		}
+		l.dirty = false
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *peers) received(now time.Time, l *link, f *dispatchv1.Frame) {
+	if p.links[l.host.Name] != l {
+		return
+	}
+	l.heard = now
+	from := l.host.Name
+	for _, job := range f.GetWithdrawals() {
+		p.d.pool.Withdraw(now, from, job)
+	}
+	for _, o := range f.GetOffers() {
+		for _, t := range offerFrom(now, from, o) {
+			p.d.pool.Offer(now, t)
+		}
+	}
+	for _, c := range f.GetClaims() {
+		for _, t := range offerFrom(now, from, c.GetOffer()) {
+			p.d.pool.Claimed(now, offer.Claim{Worker: c.GetWorker(), Task: t})
+		}
+	}
+	for _, o := range f.GetOutcomes() {
+		p.d.outcome(now, from, outcomeFrom(p.self.Name, o))
+	}
+	for _, s := range f.GetSightings() {
+		p.d.spread.Sighted(now, from, sightingFrom(s))
+	}
+	if r := f.GetRoom(); r != nil {
+		p.d.spread.Reported(now, from, l.host.Zone, roomFrom(r))
+	}
+}
+
+// offer sends tasks to a host. If its stream has gone, the spread hears so.
+func (p *peers) offer(now time.Time, host string, tasks []offer.Task) {
+	l, ok := p.links[host]
+	if !ok {
+		p.d.spread.HostLost(now, host)
+		return
+	}
+	offers := offersTo(now, tasks)
+	l.add(func(f *dispatchv1.Frame) { f.Offers = append(f.Offers, offers...) })
+}
+
+func (p *peers) withdraw(host, job string) {
+	if l, ok := p.links[host]; ok {
+		l.add(func(f *dispatchv1.Frame) {
+			f.Withdrawals = append(f.Withdrawals, job)
+			// An offer that has not left yet would arrive after its withdrawal.
+			f.Offers = without(f.Offers, job)
+		})
+	}
+}
+
+func without(offers []*dispatchv1.Offer, job string) []*dispatchv1.Offer {
+	rest := offers[:0]
+	for _, o := range offers {
+		if o.GetJob() != job {
+			rest = append(rest, o)
+		}
+	}
+	return rest
+}
+
+func (p *peers) claim(now time.Time, host string, c offer.Claim) {
+	if l, ok := p.links[host]; ok {
+		claim := &dispatchv1.Claim{Worker: c.Worker, Offer: offersTo(now, []offer.Task{c.Task})[0]}
+		l.add(func(f *dispatchv1.Frame) { f.Claims = append(f.Claims, claim) })
+	}
+}
+
+func (p *peers) outcome(o offer.Outcome) {
+	if l, ok := p.links[o.Host]; ok {
+		l.add(func(f *dispatchv1.Frame) { f.Outcomes = append(f.Outcomes, outcomeTo(o)) })
+	}
+}
+
+func (p *peers) sighting(s offer.Sighting) {
+	for _, l := range p.links {
+		l.add(func(f *dispatchv1.Frame) { f.Sightings = append(f.Sightings, sightingTo(s)) })
+	}
+}
+
+// report tells the peers of this host's room, those of other zones less often.
+func (p *peers) report(now time.Time, r offer.Report) {
+	var room *dispatchv1.Room
+	for _, l := range p.links {
+		interval := reportInterval
+		if l.host.Zone != p.self.Zone {
+			interval = farReportInterval
+		}
+		if now.Sub(l.reported) < interval {
+			continue
+		}
+		if room == nil {
+			room = roomTo(r)
+		}
+		l.reported = now
+		l.add(func(f *dispatchv1.Frame) { f.Room = room })
+	}
+}
--- /dev/null
+++ b/internal/daemon/dispatch/report.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// reportInterval bounds how often peers are told of a change of the room.
+	reportInterval = 15 * time.Millisecond
+	// heartbeatInterval is how often peers are told at the least.
+	heartbeatInterval = 150 * time.Millisecond
+)
+
+// reporter remembers when the room was last reported.
+type reporter struct {
+	sent time.Time
+}
+
+// report tells this host's spread, and at times the peers, of the room.
+func (d *Dispatch) report(now time.Time) {
+	r := d.pool.Report(now)
+	r.Leaving = d.leaving.Load()
+	d.spread.Reported(now, d.self.Name, d.self.Zone, r)
+	if now.Sub(d.reports.sent) >= reportInterval {
+		d.reports.sent = now
+		d.peers.report(now, r)
+	}
+}
--- /dev/null
+++ b/internal/decide/room/events.go
@@ -0,0 +1,381 @@
+package room
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// look sends a look; wait zero asks for an answer at once.
+func (p *Pool) look(now time.Time, w *worker, wait time.Duration) {
+	p.looks++
+	l := Look{Worker: w.info, Number: p.looks, Fence: w.fence, Noted: w.noted, Wait: wait}
+	if !w.adopting && len(w.unclaimed) == 0 && len(w.runs) > 0 {
+		l.LeaseUntil = w.lease(now, p.cfg.MaxLease)
+	}
+	if wait > 0 {
+		w.looking = l.Number
+	} else {
+		w.renewing = l.Number
+	}
+	p.emit(l)
+}
+
+// Listed takes the answer to a look.
+func (p *Pool) Listed(now time.Time, id string, number int64, l fleet.Listing) {
+	w, ok := p.workers[id]
+	if !ok || !w.answered(number) {
+		return
+	}
+	w.unreachable = 0
+	if w.born != 0 && l.Born != w.born {
+		p.reborn(w)
+	}
+	w.born = l.Born
+	w.sync(now, l.Clock)
+	if w.adopting {
+		p.inherit(now, w, l)
+		return
+	}
+	for _, e := range l.Ended {
+		if e.Seq > w.noted {
+			w.noted = e.Seq
+			p.ended(now, w, e)
+		}
+	}
+	p.compare(now, w, number, l.Running)
+	p.settle(now, w)
+}
+
+// answered reports whether a look is one that is awaited, and ends its wait.
+func (w *worker) answered(number int64) bool {
+	switch number {
+	case w.looking:
+		w.looking = 0
+	case w.renewing:
+		w.renewing = 0
+	default:
+		return false
+	}
+	return true
+}
+
+// reborn forgets what a former lifetime of the worker ran.
+func (p *Pool) reborn(w *worker) {
+	for _, r := range w.runs {
+		p.over(w, r, "worker restarted")
+	}
+	w.unclaimed = nil
+	w.noted, w.granted = 0, 0
+	p.emit(Note{What: "worker-restarted", Worker: w.info.ID, Why: "born differs"})
+}
+
+// inherit takes the first listing of a worker: what runs there belongs to jobs
+// whose hosts are asked for it.
+func (p *Pool) inherit(now time.Time, w *worker, l fleet.Listing) {
+	w.adopting = false
+	w.granted = l.Clock + p.cfg.MaxLease
+	for _, e := range l.Ended {
+		w.noted = max(w.noted, e.Seq)
+	}
+	if len(l.Running) == 0 && len(l.Ended) == 0 {
+		return
+	}
+	w.unclaimed = map[fleet.RunID]bool{}
+	for _, id := range l.Running {
+		w.unclaimed[id] = true
+		w.add(&run{id: id, state: runRunning, began: now, settledAt: p.looks})
+	}
+	w.claimUntil = now.Add(p.cfg.ClaimWait)
+	p.emit(Sight{offer.Sighting{Worker: w.info.ID, Running: l.Running, Ended: l.Ended}})
+}
+
+// Claimed takes a host's claim of a run found on a worker.
+func (p *Pool) Claimed(_ time.Time, c offer.Claim) {
+	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
+	w, ok := p.workers[c.Worker]
+	if !ok || !w.unclaimed[id] {
+		return
+	}
+	delete(w.unclaimed, id)
+	r, ok := w.runs[id]
+	if !ok {
+		return
+	}
+	w.remove(r)
+	task := c.Task
+	r.task, r.size = &task, task.Size
+	w.add(r)
+}
+
+// ended takes one end that the worker lists.
+func (p *Pool) ended(now time.Time, w *worker, e fleet.RunEnd) {
+	delete(w.unclaimed, e.RunID)
+	r, ok := w.runs[e.RunID]
+	if !ok {
+		return
+	}
+	switch e.How {
+	case fleet.EndedDone:
+		w.remove(r)
+		w.health.done()
+		if r.task == nil {
+			return
+		}
+		if p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
+			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f against %.1f", w.health.pace, p.paces.pace)})
+		}
+		p.tell(*r.task, w.info.ID, r.id.Run, offer.Done, "")
+	case fleet.EndedFailed:
+		w.remove(r)
+		if w.health.failed(now) {
+			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("%d runs failed in a row", w.health.failures)})
+		}
+		p.failed(w, r)
+	case fleet.EndedStopped, fleet.EndedLapsed:
+		p.over(w, r, e.How.String())
+	}
+}
+
+// failed counts a failed run and queues the task again while its queue allows.
+func (p *Pool) failed(w *worker, r *run) {
+	if r.task == nil {
+		return
+	}
+	r.task.Failed++
+	if r.task.Failed >= r.task.MaxAttempts {
+		p.tell(*r.task, w.info.ID, r.id.Run, offer.Failed, "failed as often as the queue allows")
+		return
+	}
+	p.requeue(w, r)
+}
+
+// over ends a run that has ended without a result; nothing of it is left.
+func (p *Pool) over(w *worker, r *run, why string) {
+	w.remove(r)
+	if r.task == nil {
+		return
+	}
+	if r.requeue {
+		p.requeue(w, r)
+		return
+	}
+	r.task.NextRun = r.id.Run + 1
+	p.tell(*r.task, w.info.ID, r.id.Run, offer.Returned, why)
+}
+
+// requeue puts a task before the others: its job has begun.
+func (p *Pool) requeue(w *worker, r *run) {
+	t := *r.task
+	t.NextRun = r.id.Run + 1
+	t.Begun = true
+	p.queue = append(p.queue, &waiting{Task: t, offered: r.began, avoid: w.info.ID})
+}
+
+// compare looks for runs that the worker should list and does not. Only a
+// look sent after the last order on a run was answered speaks about it.
+func (p *Pool) compare(now time.Time, w *worker, number int64, running []fleet.RunID) {
+	listed := make(map[fleet.RunID]bool, len(running))
+	for _, id := range running {
+		listed[id] = true
+	}
+	for id, r := range w.runs {
+		settled := r.state == runRunning || r.stopAnswered
+		if listed[id] || !settled || number <= r.settledAt {
+			continue
+		}
+		delete(w.unclaimed, id)
+		r.requeue = r.requeue || r.state == runRunning
+		p.over(w, r, "not listed")
+	}
+	for _, id := range running {
+		if w.runs[id] != nil {
+			continue
+		}
+		// An order of a former owner was carried out late.
+		r := &run{id: id, size: w.free(), state: runRunning, began: now, settledAt: p.looks}
+		w.add(r)
+		p.stop(now, w, r)
+	}
+}
+
+// LookFailed takes a look without an answer.
+func (p *Pool) LookFailed(now time.Time, id string, number int64) {
+	w, ok := p.workers[id]
+	if !ok || !w.answered(number) {
+		return
+	}
+	p.missed(now, w)
+}
+
+// missed counts a call without an answer.
+func (p *Pool) missed(now time.Time, w *worker) {
+	w.unreachable++
+	w.nextLook = now.Add(p.cfg.RetryLook * time.Duration(min(w.unreachable, 8)))
+	if w.unreachable == 1 {
+		p.emit(Note{What: "worker-unreachable", Worker: w.info.ID, Why: "no answer"})
+	}
+}
+
+// Fenced takes a worker's word that another host owns it.
+func (p *Pool) Fenced(now time.Time, id string, fence int64) {
+	if w, ok := p.workers[id]; ok && fence >= w.fence {
+		p.drop(now, w, "fenced")
+	}
+}
+
+// Gone takes the answer of another worker at the address: what this one ran
+// is over.
+func (p *Pool) Gone(_ time.Time, id string) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	for _, r := range w.runs {
+		p.over(w, r, "worker gone")
+	}
+	p.forget(w, "another worker answers at its address")
+}
+
+// StartAnswered takes the verdict on a start. The clock is zero if unknown.
+func (p *Pool) StartAnswered(now time.Time, id string, runID fleet.RunID, fence int64, verdict fleet.StartVerdict, clock time.Duration) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	if clock > 0 {
+		w.sync(now, clock)
+	}
+	r, ok := w.runs[runID]
+	if !ok || r.state != runStarting {
+		// Its end was listed first, or it is being stopped.
+		if ok && verdict == fleet.StartFenced {
+			p.Fenced(now, id, fence)
+		}
+		return
+	}
+	r.settledAt = p.looks
+	switch verdict {
+	case fleet.StartAccepted:
+		r.state = runRunning
+		w.unreachable = 0
+		if r.task != nil {
+			p.tell(*r.task, id, runID.Run, offer.Started, "")
+		}
+	case fleet.StartFenced:
+		// The order did nothing.
+		r.requeue = true
+		p.over(w, r, "fenced")
+		p.Fenced(now, id, fence)
+	case fleet.StartGone:
+		r.requeue = true
+		p.over(w, r, "worker gone")
+		p.Gone(now, id)
+	case fleet.StartOld, fleet.StartLate:
+		r.requeue = true
+		p.over(w, r, verdict.String())
+	case fleet.StartNoRoom, fleet.StartUnhealthy, fleet.StartInvalid:
+		r.requeue = true
+		if w.health.failed(now) {
+			p.emit(Note{What: "probation", Worker: id, Why: "start rejected: " + verdict.String()})
+		}
+		p.over(w, r, verdict.String())
+	case fleet.StartUnknown:
+		p.missed(now, w)
+		r.requeue = true
+		r.why = "start not answered"
+		p.stop(now, w, r)
+	}
+}
+
+// stop orders the end of a run.
+func (p *Pool) stop(now time.Time, w *worker, r *run) {
+	r.state = runStopping
+	if r.stopInFlight || r.stopAnswered {
+		return
+	}
+	r.stopInFlight = true
+	r.nextStop = now.Add(p.cfg.RetryStop)
+	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence})
+}
+
+// StopAnswered takes the answer to a stop; ok means that the worker ended or
+// barred the run.
+func (p *Pool) StopAnswered(now time.Time, id string, runID fleet.RunID, ok bool) {
+	w, found := p.workers[id]
+	if !found {
+		return
+	}
+	r, found := w.runs[runID]
+	if !found {
+		return
+	}
+	r.stopInFlight = false
+	r.nextStop = now.Add(p.cfg.RetryStop)
+	if !ok {
+		return
+	}
+	r.stopAnswered = true
+	r.settledAt = p.looks
+	w.unreachable = 0
+	if w.renewing == 0 {
+		p.look(now, w, 0)
+	}
+}
+
+// Tick does what is due: looks, renewals, stops, expired claims and leases.
+func (p *Pool) Tick(now time.Time) {
+	for _, w := range p.order {
+		p.tickWorker(now, w)
+	}
+	p.dropStale(now)
+}
+
+func (p *Pool) tickWorker(now time.Time, w *worker) {
+	if len(w.unclaimed) > 0 && now.After(w.claimUntil) {
+		for id := range w.unclaimed {
+			if r := w.runs[id]; r != nil {
+				p.stop(now, w, r)
+			}
+		}
+		w.unclaimed = nil
+	}
+	if w.unreachable > 0 && len(w.runs) > 0 && now.After(w.leasesOver()) {
+		for _, r := range w.runs {
+			r.requeue = true
+			p.over(w, r, "lease expired")
+		}
+	}
+	for _, r := range w.runs {
+		if r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop) {
+			p.stop(now, w, r)
+		}
+	}
+	p.tickLooks(now, w)
+	p.settle(now, w)
+}
+
+// tickLooks keeps one waiting look at the worker, and renews leases.
+func (p *Pool) tickLooks(now time.Time, w *worker) {
+	if w.unreachable > 0 || w.adopting {
+		if w.looking == 0 && w.renewing == 0 && !now.Before(w.nextLook) {
+			p.look(now, w, 0)
+		}
+		return
+	}
+	if len(w.runs) > 0 && len(w.unclaimed) == 0 && w.renewing == 0 && w.granted-w.now(now) < p.cfg.Renew {
+		p.look(now, w, 0)
+	}
+	if w.looking == 0 {
+		p.look(now, w, p.cfg.IdleWait)
+	}
+}
+
+// settle finishes a hand-over.
+func (p *Pool) settle(_ time.Time, w *worker) {
+	if w.handing && len(w.runs) == 0 && p.workers[w.info.ID] == w {
+		p.forget(w, "handed over")
+	}
+}
--- /dev/null
+++ b/internal/decide/room/room.go
@@ -0,0 +1,297 @@
+// Package room decides what runs on the workers that this host owns. It is
+// pure: events and the time go in, actions come out.
+//
+// A worker has one owner at a time, and the worker is the arbiter: it refuses
+// orders with a lower fence than it has seen. The owner counts exactly what
+// occupies a worker: a start without an answer occupies room until it is barred
+// there or its lease has expired on the worker's clock.
+package room
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Config holds the times of the pool.
+type Config struct {
+	// MaxLease is the longest lease that a worker grants; the platform sets it.
+	MaxLease time.Duration
+	// ClaimWait is how long jobs' hosts have to claim runs found on a worker
+	// that was taken over: two round trips between zones and a freeze of a
+	// scheduler, well below MaxLease, so that claimed runs are renewed in time.
+	ClaimWait time.Duration
+	// Renew is the rest of a lease at which it is renewed.
+	Renew time.Duration
+	// IdleWait is the longest wait of a look at an idle worker; the workers'
+	// interface bounds it.
+	IdleWait time.Duration
+	// RetryLook is the pause after a look that failed.
+	RetryLook time.Duration
+	// RetryStop is the pause after a stop that failed.
+	RetryStop time.Duration
+}
+
+// DefaultConfig returns the times for a lease of maxLease.
+func DefaultConfig(maxLease time.Duration) Config {
+	return Config{
+		MaxLease:  maxLease,
+		ClaimWait: 150 * time.Millisecond,
+		Renew:     maxLease * 55 / 100,
+		IdleWait:  2 * time.Second,
+		RetryLook: 50 * time.Millisecond,
+		RetryStop: 50 * time.Millisecond,
+	}
+}
+
+const (
+	// slowClock bounds how much slower a worker's clock may run than ours.
+	slowClock = 0.03
+	// leaseMargin covers the granularity of clocks around a lease's end.
+	leaseMargin = 30 * time.Millisecond
+)
+
+// Action is something for the shell to do.
+type Action interface{ action() }
+
+// Start orders a run at a worker. Its verdict comes back by StartAnswered.
+type Start struct {
+	Worker     fleet.Worker
+	Run        fleet.RunID
+	Spec       string
+	Fence      int64
+	LeaseUntil time.Duration
+}
+
+// Stop orders the end of a run. The answer comes back by StopAnswered.
+type Stop struct {
+	Worker fleet.Worker
+	Run    fleet.RunID
+	Fence  int64
+}
+
+// Look asks for a worker's lists. The answer comes back by Listed or
+// LookFailed with the same number.
+type Look struct {
+	Worker     fleet.Worker
+	Number     int64
+	Fence      int64
+	Noted      int64
+	LeaseUntil time.Duration
+	Wait       time.Duration
+}
+
+// Tell sends an outcome to the host of the task's job.
+type Tell struct{ Outcome offer.Outcome }
+
+// Sight sends a sighting to all hosts.
+type Sight struct{ Sighting offer.Sighting }
+
+// Dropped says that this host has let go of a worker.
+type Dropped struct {
+	Worker string
+	Why    string
+}
+
+// Note is a decision for the log.
+type Note struct {
+	What   string
+	Worker string
+	Why    string
+}
+
+func (Start) action()   {}
+func (Stop) action()    {}
+func (Look) action()    {}
+func (Tell) action()    {}
+func (Sight) action()   {}
+func (Dropped) action() {}
+func (Note) action()    {}
+
+// waiting is an offered task that waits for room.
+type waiting struct {
+	offer.Task
+	offered time.Time
+	// avoid is the worker of the run before, or empty.
+	avoid string
+}
+
+// Pool is the set of workers that this host owns. It is not safe for
+// concurrent use.
+type Pool struct {
+	cfg     Config
+	workers map[string]*worker
+	// order lists the workers by id, for repeatable decisions.
+	order   []*worker
+	queue   []*waiting
+	actions []Action
+	looks   int64
+	paces   paceBook
+}
+
+// NewPool returns a pool without workers.
+func NewPool(cfg Config) *Pool {
+	return &Pool{cfg: cfg, workers: map[string]*worker{}}
+}
+
+// Take returns the actions since the last call.
+func (p *Pool) Take(now time.Time) []Action {
+	p.schedule(now)
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+func (p *Pool) emit(a Action) { p.actions = append(p.actions, a) }
+
+func (p *Pool) tell(t offer.Task, w string, run int, result offer.Result, why string) {
+	p.emit(Tell{offer.Outcome{
+		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: result, Worker: w, Why: why,
+	}})
+}
+
+// Adopt takes a worker over with a fence. What it runs is found out first.
+func (p *Pool) Adopt(now time.Time, info fleet.Worker, fence int64) {
+	if w, ok := p.workers[info.ID]; ok {
+		// The same worker under a newer fence: later orders carry it.
+		w.fence = max(w.fence, fence)
+		w.info = info
+		w.handing = false
+		return
+	}
+	w := &worker{info: info, fence: fence, runs: map[fleet.RunID]*run{}, adopting: true}
+	p.workers[info.ID] = w
+	p.order = append(p.order, w)
+	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	p.emit(Note{What: "adopt", Worker: info.ID, Why: "ownership"})
+	p.look(now, w, 0)
+}
+
+// Update takes a worker's newer entry.
+func (p *Pool) Update(info fleet.Worker) {
+	if w, ok := p.workers[info.ID]; ok {
+		w.info = info
+	}
+}
+
+// HandOver ends the placing of tasks on a worker; Dropped follows when it is
+// empty.
+func (p *Pool) HandOver(now time.Time, id string) {
+	w, ok := p.workers[id]
+	if !ok {
+		p.emit(Dropped{Worker: id, Why: "not owned"})
+		return
+	}
+	w.handing = true
+	p.settle(now, w)
+}
+
+// Drop lets go of a worker at once.
+func (p *Pool) Drop(now time.Time, id, why string) {
+	if w, ok := p.workers[id]; ok {
+		p.drop(now, w, why)
+	}
+}
+
+// drop forgets a worker. Its runs are orphaned: another owner may find them.
+func (p *Pool) drop(now time.Time, w *worker, why string) {
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		p.emit(Tell{offer.Outcome{
+			Host: r.task.Host, Task: r.id.Task, Run: r.id.Run, Failed: r.task.Failed, Result: offer.Orphaned,
+			Worker: w.info.ID, Why: why, OverIn: max(0, w.leasesOver().Sub(now)),
+		}})
+	}
+	p.forget(w, why)
+}
+
+func (p *Pool) forget(w *worker, why string) {
+	delete(p.workers, w.info.ID)
+	p.order = slices.DeleteFunc(p.order, func(o *worker) bool { return o == w })
+	p.emit(Dropped{Worker: w.info.ID, Why: why})
+}
+
+// Offer queues a task.
+func (p *Pool) Offer(now time.Time, t offer.Task) {
+	t.NextRun = max(1, t.NextRun)
+	p.queue = append(p.queue, &waiting{Task: t, offered: now})
+}
+
+// Withdraw drops a job's waiting tasks and stops its runs. Nothing is told.
+func (p *Pool) Withdraw(now time.Time, host, job string) {
+	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name.Job == job })
+}
+
+// HostLost withdraws everything that a host asked for: its callers will send
+// their jobs again elsewhere, and nothing of them may then still run.
+func (p *Pool) HostLost(now time.Time, host string) {
+	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host })
+}
+
+func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool { return match(&q.Task) })
+	for _, w := range p.order {
+		for _, r := range w.runs {
+			if r.task != nil && match(r.task) {
+				r.task = nil
+				p.stop(now, w, r)
+			}
+		}
+	}
+}
+
+// ReturnQueue gives every waiting task back, for a planned stop.
+func (p *Pool) ReturnQueue(why string) {
+	for _, q := range p.queue {
+		p.tell(q.Task, "", q.NextRun-1, offer.Returned, why)
+	}
+	p.queue = nil
+}
+
+// Idle reports whether nothing waits or runs.
+func (p *Pool) Idle() bool {
+	for _, w := range p.order {
+		if len(w.runs) > 0 {
+			return false
+		}
+	}
+	return len(p.queue) == 0
+}
+
+// Owned returns the ids of the workers, in order.
+func (p *Pool) Owned() []string {
+	ids := make([]string, len(p.order))
+	for i, w := range p.order {
+		ids[i] = w.info.ID
+	}
+	return ids
+}
+
+// Report says what room there is.
+func (p *Pool) Report(now time.Time) offer.Report {
+	r := offer.Report{QueuedWork: map[int]int64{}}
+	for _, w := range p.order {
+		if !w.usable(now) {
+			continue
+		}
+		r.Capacity += w.info.Capacity.MilliCPU
+		r.Workers = append(r.Workers, offer.WorkerRoom{ID: w.info.ID, Service: w.info.Service, Free: w.free()})
+		for _, run := range w.runs {
+			if run.task != nil {
+				left := max(0, p.paces.expect(w, run.task.Estimate)-now.Sub(run.began))
+				r.RunningWork += work(run.size, left)
+			}
+		}
+	}
+	for _, q := range p.queue {
+		r.QueuedWork[q.Priority] += work(q.Size, q.Estimate)
+	}
+	return r
+}
+
+func work(s fleet.Size, d time.Duration) int64 { return int64(s.MilliCPU) * d.Milliseconds() }
--- /dev/null
+++ b/internal/decide/room/schedule.go
@@ -0,0 +1,130 @@
+package room
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// schedule starts waiting tasks where there is room.
+func (p *Pool) schedule(now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(p.queue, func(a, b *waiting) int { return compareWaiting(now, a, b) })
+	rest := p.queue[:0]
+	for _, q := range p.queue {
+		if w := p.pick(now, q); w != nil {
+			p.start(now, w, q)
+		} else {
+			rest = append(rest, q)
+		}
+	}
+	clear(p.queue[len(rest):])
+	p.queue = rest
+}
+
+// compareWaiting orders the queue: what belongs to a job that has begun first,
+// then what can still meet its objective by priority, then the late ones; the
+// most urgent first in each.
+func compareWaiting(now time.Time, a, b *waiting) int {
+	if c := compareBool(a.Begun, b.Begun); c != 0 {
+		return c
+	}
+	if c := compareBool(!now.After(a.StartBy), !now.After(b.StartBy)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	return a.StartBy.Compare(b.StartBy)
+}
+
+// compareBool orders true first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// pick returns the worker for a task, or nil. It takes the tightest fit, so
+// that large tasks find room, and among equals the fastest.
+func (p *Pool) pick(now time.Time, q *waiting) *worker {
+	var best *worker
+	for _, w := range p.order {
+		if !w.takes(now, &q.Task) {
+			continue
+		}
+		if best == nil || p.better(q, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// takes reports whether a task may start on the worker now.
+func (w *worker) takes(now time.Time, t *offer.Task) bool {
+	switch {
+	case w.info.Service != t.Service || !w.usable(now) || !t.Size.Fits(w.free()):
+		return false
+	case w.health.trial && len(w.runs) > 0:
+		return false
+	case t.RequiredLabel != "" && !slices.Contains(w.info.Labels, t.RequiredLabel):
+		return false
+	case t.MaxPerWorker > 0 && w.tasksOf(t.Name) >= t.MaxPerWorker:
+		return false
+	}
+	return true
+}
+
+func (p *Pool) better(q *waiting, a, b *worker) bool {
+	if a.info.ID == q.avoid || b.info.ID == q.avoid {
+		return b.info.ID == q.avoid
+	}
+	if q.Affinity != "" {
+		near, other := slices.Contains(a.info.Labels, q.Affinity), slices.Contains(b.info.Labels, q.Affinity)
+		if near != other {
+			return near
+		}
+	}
+	if a.health.trial != b.health.trial {
+		return b.health.trial
+	}
+	left, right := a.free().Minus(q.Size).MilliCPU, b.free().Minus(q.Size).MilliCPU
+	if left != right {
+		return left < right
+	}
+	return a.health.pace < b.health.pace
+}
+
+// start orders a run.
+func (p *Pool) start(now time.Time, w *worker, q *waiting) {
+	task := q.Task
+	r := &run{
+		id: fleet.RunID{Task: task.Name, Run: task.NextRun}, size: task.Size, state: runStarting,
+		task: &task, began: now, settledAt: p.looks,
+	}
+	task.NextRun++
+	w.add(r)
+	p.emit(Start{
+		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.lease(now, p.cfg.MaxLease),
+	})
+}
+
+// dropStale gives back tasks that nobody waits for any more.
+func (p *Pool) dropStale(now time.Time) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool {
+		if now.Before(q.UsefulUntil) {
+			return false
+		}
+		p.tell(q.Task, "", q.NextRun-1, offer.Returned, "nobody waits any more")
+		return true
+	})
+}
--- /dev/null
+++ b/internal/decide/room/worker.go
@@ -0,0 +1,130 @@
+package room
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// runState is where a run stands at its worker.
+type runState int
+
+const (
+	// runStarting was ordered; the verdict is awaited.
+	runStarting runState = iota
+	// runRunning is at the worker.
+	runRunning
+	// runStopping is being stopped or barred.
+	runStopping
+)
+
+// run is one run that occupies, or may occupy, room on a worker.
+type run struct {
+	id    fleet.RunID
+	size  fleet.Size
+	state runState
+	// task is nil if no host waits for the run.
+	task *offer.Task
+	// began is when the start was ordered.
+	began time.Time
+	// settledAt is the number of the last look sent before the start or stop
+	// was answered: a listing of a later look is sure to reflect it.
+	settledAt int64
+	// stopAnswered is set once the worker has confirmed the stop.
+	stopAnswered bool
+	stopInFlight bool
+	nextStop     time.Time
+	// requeue is set if the task goes back to the queue when the run is over.
+	requeue bool
+	// why explains the stop.
+	why string
+}
+
+// worker is one worker that this host owns.
+type worker struct {
+	info  fleet.Worker
+	fence int64
+	runs  map[fleet.RunID]*run
+	used  fleet.Size
+	// adopting is set until the first listing.
+	adopting bool
+	// claimUntil is when runs found there are stopped if nobody claims them.
+	claimUntil time.Time
+	// unclaimed are the runs found there, without a known size.
+	unclaimed map[fleet.RunID]bool
+	// handing is set while the worker is given to another owner.
+	handing bool
+
+	// clock is the worker's clock at clockAt of ours.
+	clock   time.Duration
+	clockAt time.Time
+	// granted is the latest lease end that an order named, on its clock.
+	granted time.Duration
+	born    int64
+	// noted is the highest end that was taken note of.
+	noted int64
+
+	// looking numbers the look that waits for an end; zero if there is none.
+	looking int64
+	// renewing numbers the look that answers at once; zero if there is none.
+	renewing int64
+	// unreachable counts looks and starts without an answer in a row.
+	unreachable int
+	nextLook    time.Time
+
+	health health
+}
+
+// sync takes a reading of the worker's clock.
+func (w *worker) sync(now time.Time, clock time.Duration) {
+	w.clock, w.clockAt = clock, now
+}
+
+// now estimates the worker's clock.
+func (w *worker) now(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
+
+// lease returns the end of a lease granted now, and remembers it.
+func (w *worker) lease(now time.Time, length time.Duration) time.Duration {
+	until := w.now(now) + length
+	w.granted = max(w.granted, until)
+	return until
+}
+
+// leasesOver returns when every lease granted has surely expired.
+func (w *worker) leasesOver() time.Time {
+	left := w.granted - w.clock
+	return w.clockAt.Add(left + time.Duration(float64(left)*slowClock) + leaseMargin)
+}
+
+// free returns the room that is left.
+func (w *worker) free() fleet.Size { return w.info.Capacity.Minus(w.used) }
+
+// usable reports whether the worker takes tasks at all.
+func (w *worker) usable(now time.Time) bool {
+	return !w.adopting && len(w.unclaimed) == 0 && !w.handing && !w.info.Draining &&
+		w.unreachable == 0 && !w.health.out(now)
+}
+
+// add counts a run in.
+func (w *worker) add(r *run) {
+	w.runs[r.id] = r
+	w.used = w.used.Plus(r.size)
+}
+
+// remove counts a run out.
+func (w *worker) remove(r *run) {
+	delete(w.runs, r.id)
+	w.used = w.used.Minus(r.size)
+}
+
+// tasksOf counts the runs of a job's step.
+func (w *worker) tasksOf(name fleet.TaskName) int {
+	n := 0
+	for id := range w.runs {
+		if id.Task.Job == name.Job && id.Task.Step == name.Step {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/decide/spread/choose.go
@@ -0,0 +1,204 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// offerIdle offers the tasks that no host has.
+func (s *Spread) offerIdle(now time.Time) {
+	for _, j := range s.sorted() {
+		s.offerJob(now, j)
+	}
+}
+
+// offerJob offers each task of a job that is idle and whose turn has come.
+func (s *Spread) offerJob(now time.Time, j *job) {
+	for _, t := range j.tasks {
+		if t.state != taskIdle || !j.ready(t.name.Step) {
+			continue
+		}
+		h := s.choose(now, j, t)
+		if h == nil {
+			continue
+		}
+		t.state, t.host = taskOffered, h.name
+		s.batch[h.name] = append(s.batch[h.name], s.task(j, t))
+	}
+}
+
+// task returns what an owner is told of a task.
+func (s *Spread) task(j *job, t *task) offer.Task {
+	step := j.spec.Steps[t.name.Step]
+	return offer.Task{
+		Host: s.cfg.Self, Name: t.name, Spec: j.spec.Spec, Service: j.route.Service,
+		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
+		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
+		StartBy: j.arrived.Add(j.objective - j.chain), UsefulUntil: j.deadline,
+		Begun: j.begun, NextRun: t.runs + 1, Failed: t.failed, MaxAttempts: j.route.MaxAttempts,
+	}
+}
+
+// choose returns the host to offer a task to, or nil if none is known: one
+// with room first, this host and its zone before others; without room the one
+// with the shortest expected wait. It counts the task in.
+func (s *Spread) choose(now time.Time, j *job, t *task) *host {
+	step := j.spec.Steps[t.name.Step]
+	var best *host
+	var bestRoom *offer.WorkerRoom
+	var bestWait time.Duration
+	for _, h := range s.order {
+		if !h.known || h.report.Leaving || now.Before(t.refusedBy[h.name]) {
+			continue
+		}
+		room := s.roomFor(h, j.route.Service, step)
+		wait := s.distance(h)
+		if room == nil {
+			queued, ok := s.queueWait(h, j.route)
+			if !ok {
+				continue
+			}
+			wait += queued
+		}
+		if best == nil || s.nearer(room != nil, wait, h, bestRoom != nil, bestWait, best) {
+			best, bestRoom, bestWait = h, room, wait
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if bestRoom != nil {
+		bestRoom.Free = bestRoom.Free.Minus(step.Size)
+		j.offered = true
+	} else {
+		best.count(j.route.Priority, work(step.Size, step.Estimate))
+	}
+	return best
+}
+
+func (s *Spread) nearer(room bool, wait time.Duration, h *host, bestRoom bool, bestWait time.Duration, best *host) bool {
+	if room != bestRoom {
+		return room
+	}
+	if wait != bestWait {
+		return wait < bestWait
+	}
+	return h.freeCPU() > best.freeCPU()
+}
+
+// distance is the cost of reaching a host, as a wait: nothing here, little in
+// the zone, and between zones the time of an offer, a start and an end.
+func (s *Spread) distance(h *host) time.Duration {
+	switch {
+	case h.name == s.cfg.Self:
+		return 0
+	case h.zone == s.cfg.Zone:
+		return time.Millisecond
+	default:
+		return hop
+	}
+}
+
+// roomFor returns the worker with the tightest room for a step, or nil.
+func (s *Spread) roomFor(h *host, service string, step fleet.Step) *offer.WorkerRoom {
+	var best *offer.WorkerRoom
+	for i := range h.report.Workers {
+		w := &h.report.Workers[i]
+		if w.Service != service || !step.Size.Fits(w.Free) || !s.labelled(w.ID, step.RequiredLabel) {
+			continue
+		}
+		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
+			best = w
+		}
+	}
+	return best
+}
+
+func (s *Spread) labelled(worker, label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range s.workers[worker].Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// queueWait estimates how long a new task waits at a host without room. It
+// reports false if the host has no capacity.
+func (s *Spread) queueWait(h *host, route fleet.Route) (time.Duration, bool) {
+	if h.report.Capacity == 0 {
+		return 0, false
+	}
+	ahead := h.report.RunningWork / 2
+	for priority, work := range h.report.QueuedWork {
+		if priority <= route.Priority {
+			ahead += work
+		}
+	}
+	for priority, work := range h.queued {
+		if priority <= route.Priority {
+			ahead += work
+		}
+	}
+	return time.Duration(ahead/int64(h.report.Capacity)) * time.Millisecond, true
+}
+
+func (h *host) count(priority int, work int64) {
+	if h.queued == nil {
+		h.queued = map[int]int64{}
+	}
+	h.queued[priority] += work
+}
+
+func (h *host) freeCPU() int {
+	total := 0
+	for _, w := range h.report.Workers {
+		total += w.Free.MilliCPU
+	}
+	return total
+}
+
+// expectedWait estimates how long a new job waits for its last task to start,
+// with all hosts' queues as one.
+func (s *Spread) expectedWait(now time.Time, j *job) time.Duration {
+	var ahead, capacity int64
+	slots := 0
+	first := j.spec.Steps[0]
+	for _, h := range s.order {
+		if !h.known || h.report.Leaving {
+			continue
+		}
+		capacity += int64(h.report.Capacity)
+		ahead += h.report.RunningWork / 2
+		for priority, queued := range h.report.QueuedWork {
+			if priority <= j.route.Priority {
+				ahead += queued
+			}
+		}
+		for priority, queued := range h.queued {
+			if priority <= j.route.Priority {
+				ahead += queued
+			}
+		}
+		for _, w := range h.report.Workers {
+			if w.Service == j.route.Service && first.Size.MilliCPU > 0 {
+				slots += max(0, w.Free.MilliCPU) / first.Size.MilliCPU
+			}
+		}
+	}
+	if slots >= first.Count {
+		return 0
+	}
+	if capacity == 0 {
+		return time.Hour
+	}
+	ahead += work(first.Size, first.Estimate) * int64(first.Count-slots) / 2
+	return time.Duration(ahead/capacity) * time.Millisecond
+}
+
+func work(size fleet.Size, d time.Duration) int64 { return int64(size.MilliCPU) * d.Milliseconds() }
--- /dev/null
+++ b/internal/decide/spread/events.go
@@ -0,0 +1,247 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Submit takes a job. Patience is how long the caller waits; zero means that
+// it did not say, and the queue's timeout holds. It reports false if the job is
+// already here.
+func (s *Spread) Submit(now time.Time, spec fleet.Job, route fleet.Route, patience time.Duration) bool {
+	if _, ok := s.jobs[spec.ID]; ok {
+		return false
+	}
+	limit := defaultPatience
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	if patience > 0 {
+		limit = patience
+	}
+	s.seq++
+	j := newJob(now, s.seq, spec, route, now.Add(limit))
+	s.jobs[spec.ID] = j
+	if err := s.fits(j); err != nil {
+		s.answer(now, j, err, 0)
+		return true
+	}
+	j.wait = s.expectedWait(now, j)
+	if j.wait > s.tolerance(j, limit) {
+		s.refuse(now, j, "no room in time")
+		return true
+	}
+	s.offerJob(now, j)
+	return true
+}
+
+// tolerance is the longest expected wait with which a job is taken.
+func (s *Spread) tolerance(j *job, limit time.Duration) time.Duration {
+	return min(j.objective-j.chain, limit-j.chain) - hop
+}
+
+// fits reports why no worker could ever run the job, or nil.
+func (s *Spread) fits(j *job) *errkind.Error {
+	if len(s.workers) == 0 {
+		return errkind.New(errkind.NotReady, "no worker is known")
+	}
+	for i, step := range j.spec.Steps {
+		if step.Unsupported != "" {
+			return errkind.New(errkind.TaskUnplaceable, "step %d asks for %s, which is not supported", i, step.Unsupported)
+		}
+	}
+	return nil
+}
+
+// refuse answers a job of which nothing has run.
+func (s *Spread) refuse(now time.Time, j *job, why string) {
+	s.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), max(j.wait, time.Second))
+}
+
+// answer ends a job and withdraws what is left of it.
+func (s *Spread) answer(now time.Time, j *job, err *errkind.Error, retryAfter time.Duration) {
+	delete(s.jobs, j.spec.ID)
+	why := ""
+	if err != nil {
+		why = err.Detail
+	}
+	for name := range j.atHosts() {
+		s.dropBatch(name, j.spec.ID)
+		s.emit(Withdraw{Host: name, Job: j.spec.ID})
+	}
+	s.emit(Answer{
+		Job: j.spec.ID, Err: err, RetryAfter: retryAfter,
+		Failed: err != nil && err.Kind == errkind.TaskFailed,
+		Facts: Facts{
+			Route: j.route.Name, Tasks: len(j.tasks), Runs: j.runs(), Waited: now.Sub(j.arrived),
+			Objective: j.objective, Wait: j.wait, Why: why,
+		},
+	})
+}
+
+// dropBatch takes a job's tasks out of the offers being made.
+func (s *Spread) dropBatch(host, job string) {
+	s.batch[host] = slices.DeleteFunc(s.batch[host], func(t offer.Task) bool { return t.Name.Job == job })
+}
+
+// Cancel ends a job whose caller has gone.
+func (s *Spread) Cancel(now time.Time, id string) {
+	if j, ok := s.jobs[id]; ok {
+		s.answer(now, j, errkind.New(errkind.Cancelled, "the caller has gone"), 0)
+	}
+}
+
+// Outcome takes an owner's word about a task.
+func (s *Spread) Outcome(now time.Time, from string, o offer.Outcome) {
+	j, t := s.find(o.Task)
+	if t == nil || t.state == taskDone {
+		return
+	}
+	// A word from an owner that no longer has the task counts only if it ends it.
+	if t.host != from && o.Result != offer.Done {
+		return
+	}
+	t.runs = max(t.runs, o.Run)
+	t.failed = max(t.failed, o.Failed)
+	switch o.Result {
+	case offer.Started:
+		t.state = taskStarted
+		s.begin(j)
+	case offer.Done:
+		s.taskDone(now, j, t)
+	case offer.Failed:
+		s.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s",
+			o.Task, o.Failed, o.Worker), 0)
+	case offer.Returned:
+		t.state, t.host = taskIdle, ""
+		if o.Worker == "" {
+			t.pass(from, now)
+		}
+		s.review(now, j)
+	case offer.Orphaned:
+		t.state, t.host, t.overAt = taskOrphaned, "", now.Add(min(o.OverIn+orphanMargin, s.leaseOver()))
+		s.review(now, j)
+	}
+}
+
+// passTime is how long a host that gave a task back is not asked again for it.
+const passTime = 100 * time.Millisecond
+
+func (t *task) pass(host string, now time.Time) {
+	if t.refusedBy == nil {
+		t.refusedBy = map[string]time.Time{}
+	}
+	t.refusedBy[host] = now.Add(passTime)
+}
+
+func (s *Spread) find(name fleet.TaskName) (*job, *task) {
+	j, ok := s.jobs[name.Job]
+	if !ok || name.Step < 0 || name.Step >= len(j.spec.Steps) || name.Index < 0 || name.Index >= j.spec.Steps[name.Step].Count {
+		return nil, nil
+	}
+	return j, j.tasks[j.first[name.Step]+name.Index]
+}
+
+// begin notes that a task of a job has started.
+func (s *Spread) begin(j *job) { j.begun = true }
+
+func (s *Spread) taskDone(now time.Time, j *job, t *task) {
+	t.state = taskDone
+	j.begun = true
+	step := t.name.Step
+	j.left[step]--
+	if j.done() {
+		s.answer(now, j, nil, 0)
+		return
+	}
+	if j.left[step] == 0 {
+		s.offerJob(now, j)
+	}
+}
+
+// Sighted takes what a new owner found on a worker. It claims the runs of
+// tasks that are waited for, and takes note of the ends.
+func (s *Spread) Sighted(now time.Time, from string, sight offer.Sighting) {
+	for _, e := range sight.Ended {
+		j, t := s.find(e.Task)
+		if t == nil || t.state == taskDone || t.runs > e.Run {
+			continue
+		}
+		switch {
+		case e.How == fleet.EndedDone:
+			s.taskDone(now, j, t)
+		case t.state == taskOrphaned:
+			t.runs = max(t.runs, e.Run)
+			if e.How == fleet.EndedFailed {
+				t.failed++
+			}
+			t.state = taskIdle
+			s.review(now, j)
+		}
+	}
+	for _, r := range sight.Running {
+		j, t := s.find(r.Task)
+		if t == nil || t.state != taskOrphaned || t.runs > r.Run {
+			continue
+		}
+		t.runs, t.state, t.host = r.Run, taskStarted, from
+		s.emit(Claim{Host: from, Claim: offer.Claim{Worker: sight.Worker, Task: s.task(j, t)}})
+	}
+}
+
+// review decides what becomes of a job that has lost tasks.
+func (s *Spread) review(now time.Time, j *job) {
+	if s.jobs[j.spec.ID] != j {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state == taskOrphaned && !now.Before(t.overAt) {
+			t.state = taskIdle
+			t.runs++
+		}
+	}
+	if s.hopeless(now, j) {
+		s.giveUp(now, j)
+		return
+	}
+	s.offerJob(now, j)
+}
+
+// hopeless reports whether a job can no longer end while its caller waits.
+func (s *Spread) hopeless(now time.Time, j *job) bool {
+	for _, t := range j.tasks {
+		step := j.spec.Steps[t.name.Step]
+		if t.state == taskOrphaned && t.overAt.Add(step.Estimate+hop).After(j.deadline) {
+			// Only a claim could save it, and one comes soon or not at all.
+			return t.runs == 0 || now.Add(step.Estimate).After(j.deadline)
+		}
+	}
+	return false
+}
+
+// giveUp answers a job that cannot be done. Only a job of which nothing can
+// have run is said not to have run.
+func (s *Spread) giveUp(now time.Time, j *job) {
+	if j.notRun() {
+		s.refuse(now, j, "no room in time")
+		return
+	}
+	s.answer(now, j, errkind.New(errkind.Timeout, "tasks were lost with their owner or worker"), 0)
+}
+
+// Tick offers what is idle and gives up what is hopeless.
+func (s *Spread) Tick(now time.Time) {
+	for _, j := range s.sorted() {
+		switch {
+		case now.After(j.deadline):
+			s.answer(now, j, errkind.New(errkind.Timeout, "%s", fmt.Sprintf("not done after %v", now.Sub(j.arrived))), 0)
+		default:
+			s.review(now, j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/spread/job.go
@@ -0,0 +1,137 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// taskState is where a task of a waiting job stands.
+type taskState int
+
+const (
+	// taskIdle is nowhere and may be offered once its step's turn has come.
+	taskIdle taskState = iota
+	// taskOffered waits at a host.
+	taskOffered
+	// taskStarted runs at a worker of a host.
+	taskStarted
+	// taskOrphaned may run at a worker that its owner has lost.
+	taskOrphaned
+	// taskDone has completed.
+	taskDone
+)
+
+type task struct {
+	name  fleet.TaskName
+	state taskState
+	host  string
+	// runs is the number of the last run that is known of.
+	runs   int
+	failed int
+	// overAt is when an orphaned run has surely ended.
+	overAt time.Time
+	// refusedBy are hosts that gave the task back, and until when they are
+	// passed over.
+	refusedBy map[string]time.Time
+}
+
+type job struct {
+	seq   int64
+	spec  fleet.Job
+	route fleet.Route
+	tasks []*task
+	// first is the index of each step's first task.
+	first    []int
+	left     []int
+	arrived  time.Time
+	deadline time.Time
+	// objective is how long the job may take to be in time.
+	objective time.Duration
+	// chain is the estimated time of the longest chain of steps.
+	chain time.Duration
+	begun bool
+	// offered is set once a task was offered to a host that had room.
+	offered bool
+	// wait is the wait that was expected on arrival.
+	wait time.Duration
+}
+
+func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
+	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline}
+	for i, step := range spec.Steps {
+		j.first = append(j.first, len(j.tasks))
+		j.left = append(j.left, step.Count)
+		for k := range step.Count {
+			j.tasks = append(j.tasks, &task{name: fleet.TaskName{Job: spec.ID, Step: i, Index: k}})
+		}
+	}
+	j.chain = j.longest()
+	j.objective = time.Duration(float64(j.chain)*route.Stretch) + route.LatencySlack
+	return j
+}
+
+// longest returns the estimated time of the longest chain of steps.
+func (j *job) longest() time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	var longest time.Duration
+	for i, step := range j.spec.Steps {
+		var begin time.Duration
+		for _, a := range step.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + step.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ready reports whether a step's turn has come.
+func (j *job) ready(step int) bool {
+	for _, a := range j.spec.Steps[step].After {
+		if j.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// done reports whether all tasks are done.
+func (j *job) done() bool {
+	for _, left := range j.left {
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// notRun reports whether no task can have run.
+func (j *job) notRun() bool {
+	for _, t := range j.tasks {
+		if t.runs > 0 || t.state == taskOffered || t.state == taskOrphaned {
+			return false
+		}
+	}
+	return true
+}
+
+// runs counts the runs that are known of.
+func (j *job) runs() int {
+	n := 0
+	for _, t := range j.tasks {
+		n += t.runs
+	}
+	return n
+}
+
+// atHosts returns the hosts that hold tasks of the job.
+func (j *job) atHosts() map[string]bool {
+	hosts := map[string]bool{}
+	for _, t := range j.tasks {
+		if t.state == taskOffered || t.state == taskStarted {
+			hosts[t.host] = true
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/decide/spread/spread.go
@@ -0,0 +1,196 @@
+// Package spread decides, for the jobs whose callers wait at this host, where
+// their tasks are offered and when a job is given up. It is pure: events and
+// the time go in, actions come out.
+package spread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Config holds the identity and the times of a host.
+type Config struct {
+	Self string
+	Zone string
+	// MaxLease bounds how long a run lives that nobody renews.
+	MaxLease time.Duration
+}
+
+const (
+	// hop is the expected time from an offer to its start and from its end to
+	// the answer, between zones.
+	hop = 5 * time.Millisecond
+	// admissionShare is the part of a job's objective after which it is no
+	// longer refused for want of room: callers would have waited for nothing.
+	admissionShare = 0.25
+	// orphanMargin is added to a lease for the clocks of host and worker.
+	orphanMargin = 60 * time.Millisecond
+	// defaultPatience bounds a job whose caller and queue name no limit.
+	defaultPatience = 30 * time.Second
+)
+
+// Action is something for the shell to do.
+type Action interface{ action() }
+
+// Offer asks a host to run tasks of one step.
+type Offer struct {
+	Host  string
+	Tasks []offer.Task
+}
+
+// Withdraw tells a host that a job's tasks are not wanted any more.
+type Withdraw struct {
+	Host string
+	Job  string
+}
+
+// Claim tells a worker's new owner that a run found there is wanted.
+type Claim struct {
+	Host  string
+	Claim offer.Claim
+}
+
+// Answer ends a job.
+type Answer struct {
+	Job string
+	// Err is nil if all tasks are done.
+	Err *errkind.Error
+	// Failed is set if the job failed by its own fault.
+	Failed bool
+	// RetryAfter is when the caller may come back; zero says nothing.
+	RetryAfter time.Duration
+	Facts      Facts
+}
+
+// Facts are the inputs of an answer, for the log.
+type Facts struct {
+	Route     string
+	Tasks     int
+	Runs      int
+	Waited    time.Duration
+	Objective time.Duration
+	Wait      time.Duration
+	Why       string
+}
+
+func (Offer) action()    {}
+func (Withdraw) action() {}
+func (Claim) action()    {}
+func (Answer) action()   {}
+
+// Host is what is known of an owner of workers.
+type host struct {
+	name   string
+	zone   string
+	report offer.Report
+	heard  time.Time
+	known  bool
+	// queued is work offered since the last report, by priority.
+	queued map[int]int64
+}
+
+// Spread holds the jobs whose callers wait here. It is not safe for
+// concurrent use.
+type Spread struct {
+	cfg     Config
+	hosts   map[string]*host
+	order   []*host
+	jobs    map[string]*job
+	workers map[string]fleet.Worker
+	actions []Action
+	// holds collects the tasks per host of the offers being made.
+	batch map[string][]offer.Task
+	seq   int64
+}
+
+// New returns a spread without jobs.
+func New(cfg Config) *Spread {
+	return &Spread{
+		cfg: cfg, hosts: map[string]*host{}, jobs: map[string]*job{},
+		workers: map[string]fleet.Worker{}, batch: map[string][]offer.Task{},
+	}
+}
+
+// Take returns the actions since the last call.
+func (s *Spread) Take() []Action {
+	for _, h := range s.order {
+		if tasks := s.batch[h.name]; len(tasks) > 0 {
+			s.emit(Offer{Host: h.name, Tasks: tasks})
+			delete(s.batch, h.name)
+		}
+	}
+	actions := s.actions
+	s.actions = nil
+	return actions
+}
+
+func (s *Spread) emit(a Action) { s.actions = append(s.actions, a) }
+
+// Len returns the number of jobs whose callers wait.
+func (s *Spread) Len() int { return len(s.jobs) }
+
+// Worker takes a worker's entry.
+func (s *Spread) Worker(w fleet.Worker) { s.workers[w.ID] = w }
+
+// WorkerGone takes the removal of a worker's entry.
+func (s *Spread) WorkerGone(id string) { delete(s.workers, id) }
+
+// Reported takes what a host says of its room.
+func (s *Spread) Reported(now time.Time, name, zone string, r offer.Report) {
+	h, ok := s.hosts[name]
+	if !ok {
+		h = &host{name: name, zone: zone}
+		s.hosts[name] = h
+		s.order = append(s.order, h)
+		slices.SortFunc(s.order, func(a, b *host) int { return cmp.Compare(a.name, b.name) })
+	}
+	h.report, h.heard, h.known = r, now, true
+	h.queued = nil
+	s.offerIdle(now)
+}
+
+// HostLost takes the loss of contact with a host. What it was asked to run is
+// orphaned: a run may live until its lease ends.
+func (s *Spread) HostLost(now time.Time, name string) {
+	if h, ok := s.hosts[name]; ok {
+		h.known = false
+	}
+	over := now.Add(s.leaseOver())
+	for _, j := range s.sorted() {
+		for _, t := range j.tasks {
+			if t.host == name && (t.state == taskOffered || t.state == taskStarted) {
+				t.state, t.overAt, t.host = taskOrphaned, over, ""
+			}
+		}
+		s.review(now, j)
+	}
+}
+
+func (s *Spread) leaseOver() time.Duration {
+	return s.cfg.MaxLease + s.cfg.MaxLease*3/100 + orphanMargin
+}
+
+// sorted lists the jobs by arrival, for repeatable decisions.
+func (s *Spread) sorted() []*job {
+	list := make([]*job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
+// HasCapacity reports whether some known host has workers.
+func (s *Spread) HasCapacity() bool {
+	for _, h := range s.order {
+		if h.known && h.report.Capacity > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/tenure/tenure.go
@@ -0,0 +1,231 @@
+// Package tenure decides which workers this host owns, and under which fence.
+// It is pure.
+//
+// Each availability zone has a group in the platform's store that deals
+// partitions to its members. A worker belongs to the partition of its id in
+// the group of its zone. A group's generation rises with every change, so a
+// later owner's fence is higher than an earlier one's, and the worker itself
+// refuses the earlier owner. While the store is away, members keep what they
+// own.
+package tenure
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const (
+	// nonceBits make the fences of two hosts differ under one generation.
+	nonceBits = 20
+	// attemptBits count the times that a host takes a worker anew under one
+	// generation. A fence stays below 2^53, which every codec keeps exact.
+	attemptBits = 10
+	// maxAttempt is the last attempt under one generation.
+	maxAttempt = 1<<attemptBits - 1
+)
+
+// Action is something for the pool of workers.
+type Action interface{ action() }
+
+// Adopt takes a worker over.
+type Adopt struct {
+	Worker fleet.Worker
+	Fence  int64
+}
+
+// HandOver lets a worker's tasks end and then drops it.
+type HandOver struct{ Worker string }
+
+// Update passes on a worker's newer entry.
+type Update struct{ Worker fleet.Worker }
+
+func (Adopt) action()    {}
+func (HandOver) action() {}
+func (Update) action()   {}
+
+// group is this host's membership in one zone's group.
+type group struct {
+	generation int64
+	// conceded is the last generation whose deal has been carried out.
+	conceded   int64
+	partitions map[int]bool
+}
+
+// holding is a worker that this host owns or takes.
+type holding struct {
+	zone    string
+	handing bool
+}
+
+// Tenure follows the memberships and the list of workers. It is not safe for
+// concurrent use.
+type Tenure struct {
+	partitions int
+	nonce      int64
+	groups     map[string]*group
+	workers    map[string]fleet.Worker
+	held       map[string]*holding
+	attempts   map[string]int64
+	actions    []Action
+}
+
+// New returns a tenure over groups of so many partitions. The nonce has to
+// differ between hosts.
+func New(partitions int, nonce int64) *Tenure {
+	return &Tenure{
+		partitions: partitions, nonce: nonce & (1<<nonceBits - 1),
+		groups: map[string]*group{}, workers: map[string]fleet.Worker{},
+		held: map[string]*holding{}, attempts: map[string]int64{},
+	}
+}
+
+// Take returns the actions since the last call.
+func (t *Tenure) Take() []Action {
+	actions := t.actions
+	t.actions = nil
+	return actions
+}
+
+// Partition returns the partition of a worker.
+func (t *Tenure) Partition(worker string) int {
+	return int(xxhash.Sum64String(worker) % uint64(t.partitions))
+}
+
+// Joined takes the store's answer to a join of a zone's group.
+func (t *Tenure) Joined(zone string, generation int64, partitions []int) {
+	g := t.groups[zone]
+	if g == nil {
+		g = &group{}
+		t.groups[zone] = g
+	}
+	if generation > g.generation {
+		clear(t.attempts)
+	}
+	g.generation = generation
+	g.partitions = make(map[int]bool, len(partitions))
+	for _, p := range partitions {
+		g.partitions[p] = true
+	}
+	t.settleZone(zone)
+}
+
+// Left takes the end of a membership.
+func (t *Tenure) Left(zone string) {
+	if g := t.groups[zone]; g != nil {
+		g.partitions = nil
+		t.settleZone(zone)
+	}
+}
+
+// Generation returns the generation to join a zone's group with: the newest
+// one once all workers that belong to others by it are handed over.
+func (t *Tenure) Generation(zone string) int64 {
+	g := t.groups[zone]
+	if g == nil {
+		return 0
+	}
+	for _, h := range t.held {
+		if h.zone == zone && h.handing {
+			return g.conceded
+		}
+	}
+	g.conceded = g.generation
+	return g.conceded
+}
+
+// Holds reports whether workers of a zone are still held.
+func (t *Tenure) Holds(zone string) bool {
+	for _, h := range t.held {
+		if h.zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Worker takes a worker's entry.
+func (t *Tenure) Worker(w fleet.Worker) {
+	old, known := t.workers[w.ID]
+	t.workers[w.ID] = w
+	if known && old.Zone != w.Zone {
+		t.settle(old)
+	}
+	if t.held[w.ID] != nil {
+		t.actions = append(t.actions, Update{Worker: w})
+	}
+	t.settle(w)
+}
+
+// WorkerGone takes the removal of a worker's entry.
+func (t *Tenure) WorkerGone(id string) {
+	delete(t.workers, id)
+	if h := t.held[id]; h != nil && !h.handing {
+		h.handing = true
+		t.actions = append(t.actions, HandOver{Worker: id})
+	}
+}
+
+// Workers returns how many workers are known.
+func (t *Tenure) Workers() int { return len(t.workers) }
+
+// Dropped takes the pool's word that it has let go of a worker. A worker that
+// is still ours by the store's last word is taken again with the next join.
+func (t *Tenure) Dropped(id string) { delete(t.held, id) }
+
+func (t *Tenure) settleZone(zone string) {
+	for _, w := range t.sorted() {
+		if w.Zone == zone {
+			t.settle(w)
+		}
+	}
+}
+
+// sorted lists the workers by id, for repeatable decisions.
+func (t *Tenure) sorted() []fleet.Worker {
+	list := make([]fleet.Worker, 0, len(t.workers))
+	for _, w := range t.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b fleet.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// settle compares what is held with what the store has dealt.
+func (t *Tenure) settle(w fleet.Worker) {
+	g := t.groups[w.Zone]
+	ours := g != nil && g.partitions[t.Partition(w.ID)]
+	h := t.held[w.ID]
+	switch {
+	case ours && h == nil:
+		t.held[w.ID] = &holding{zone: w.Zone}
+		t.adopt(w, g)
+	case ours && h.handing:
+		h.handing = false
+		t.adopt(w, g)
+	case !ours && h != nil && !h.handing:
+		h.handing = true
+		t.actions = append(t.actions, HandOver{Worker: w.ID})
+	}
+}
+
+func (t *Tenure) adopt(w fleet.Worker, g *group) {
+	attempt := min(t.attempts[w.ID], maxAttempt)
+	t.attempts[w.ID] = attempt + 1
+	fence := (g.generation<<attemptBits|attempt)<<nonceBits | t.nonce
+	t.actions = append(t.actions, Adopt{Worker: w, Fence: fence})
+}
+
+// Missing returns the known workers that a full reading does not hold.
+func (t *Tenure) Missing(present map[string]bool) []string {
+	var missing []string
+	for _, w := range t.sorted() {
+		if !present[w.ID] {
+			missing = append(missing, w.ID)
+		}
+	}
+	return missing
+}
