Keep a worker closed while it runs something of unknown size

Ruled out: a late start of the former owner, which the fence keeps out. The worker now stays closed until the end of each such run is listed.

TestUnclaimedRunKeepsTheWorkerClosedUntilItsEnd fails without the change.

--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/room"
 	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
@@ -148,10 +150,12 @@
 	})
 	d.metrics.starts.WithLabelValues(verdict.String()).Inc()
 	d.metrics.startSeconds.Observe(time.Since(sent).Seconds())
+	level := log.InfoLevel
 	if verdict != fleet.StartAccepted {
-		d.logger.Warn("start not accepted", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
-			"verdict", verdict, "fence", a.Fence, "error", err)
+		level = log.WarnLevel
 	}
+	d.logger.Log(level, "start answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
+		"verdict", verdict, "fence", a.Fence, "took", time.Since(sent), "error", err)
 	d.post(func(now time.Time) { d.pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock) })
 }
 
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -12,7 +12,7 @@
 func (p *Pool) look(now time.Time, w *worker, wait time.Duration) {
 	p.looks++
 	l := Look{Worker: w.info, Number: p.looks, Fence: w.fence, Noted: w.noted, Wait: wait}
-	if !w.adopting && len(w.unclaimed) == 0 && len(w.runs) > 0 {
+	if w.renews(now) {
 		l.LeaseUntil = w.lease(now, p.cfg.MaxLease)
 	}
 	if wait > 0 {
@@ -67,7 +67,6 @@
 	for _, r := range w.runs {
 		p.over(w, r, "worker restarted")
 	}
-	w.unclaimed = nil
 	w.noted, w.granted = 0, 0
 	p.emit(Note{What: "worker-restarted", Worker: w.info.ID, Why: "born differs"})
 }
@@ -112,7 +111,6 @@
 
 // ended takes one end that the worker lists.
 func (p *Pool) ended(now time.Time, w *worker, e fleet.RunEnd) {
-	delete(w.unclaimed, e.RunID)
 	r, ok := w.runs[e.RunID]
 	if !ok {
 		return
@@ -186,7 +184,6 @@
 		if listed[id] || !settled || number <= r.settledAt {
 			continue
 		}
-		delete(w.unclaimed, id)
 		r.requeue = r.requeue || r.state == runRunning
 		p.over(w, r, "not listed")
 	}
@@ -334,13 +331,12 @@
 }
 
 func (p *Pool) tickWorker(now time.Time, w *worker) {
-	if len(w.unclaimed) > 0 && now.After(w.claimUntil) {
+	if now.After(w.claimUntil) {
 		for id := range w.unclaimed {
-			if r := w.runs[id]; r != nil {
+			if r := w.runs[id]; r.state == runRunning {
 				p.stop(now, w, r)
 			}
 		}
-		w.unclaimed = nil
 	}
 	if w.unreachable > 0 && len(w.runs) > 0 && now.After(w.leasesOver()) {
 		for _, r := range w.runs {
@@ -365,7 +361,7 @@
 		}
 		return
 	}
-	if len(w.runs) > 0 && len(w.unclaimed) == 0 && w.renewing == 0 && w.granted-w.now(now) < p.cfg.Renew {
+	if w.renews(now) && w.renewing == 0 && w.granted-w.now(now) < p.cfg.Renew {
 		p.look(now, w, 0)
 	}
 	if w.looking == 0 {
--- /dev/null
+++ b/internal/decide/room/room_test.go
@@ -0,0 +1,135 @@
+package room
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const testLease = time.Second
+
+var epoch = time.Unix(1000, 0)
+
+func testWorker(id string, cores int) fleet.Worker {
+	return fleet.Worker{
+		ID: id, Address: id, Zone: "z", Service: "s", Born: 1,
+		Capacity: fleet.Size{MilliCPU: cores * 1000, MemoryMB: 1 << 17},
+	}
+}
+
+func testTask(job, index, cores int, now time.Time) offer.Task {
+	return offer.Task{
+		Host: "front", Name: fleet.TaskName{Job: fmt.Sprintf("%016x", job), Index: index}, Service: "s",
+		Size: fleet.Size{MilliCPU: cores * 1000, MemoryMB: 64}, Estimate: 100 * time.Millisecond,
+		StartBy: now.Add(100 * time.Millisecond), UsefulUntil: now.Add(2 * time.Second), MaxAttempts: 3,
+	}
+}
+
+// of returns the actions of one type.
+func of[T Action](actions []Action) []T {
+	var found []T
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// adopted returns a pool that owns one worker, which listed what it runs.
+func adopted(t *testing.T, cores int, l fleet.Listing) *Pool {
+	t.Helper()
+	p := NewPool(DefaultConfig(testLease))
+	p.Adopt(epoch, testWorker("w", cores), 7)
+	looks := of[Look](p.Take(epoch))
+	require.Len(t, looks, 1)
+	require.Zero(t, looks[0].LeaseUntil, "the first look renews nothing")
+	p.Listed(epoch, "w", looks[0].Number, l)
+	return p
+}
+
+func idle() fleet.Listing { return fleet.Listing{Clock: time.Minute, Born: 1} }
+
+func runOf(job, index, number int) fleet.RunID {
+	return fleet.RunID{Task: fleet.TaskName{Job: fmt.Sprintf("%016x", job), Index: index}, Run: number}
+}
+
+func TestTasksStartOnlyWhereTheyFit(t *testing.T) {
+	p := adopted(t, 32, idle())
+	for i := range 3 {
+		p.Offer(epoch, testTask(1, i, 14, epoch))
+	}
+	starts := of[Start](p.Take(epoch))
+	require.Len(t, starts, 2)
+	assert.Equal(t, time.Minute+testLease, starts[0].LeaseUntil)
+
+	// The end of one makes room for the third.
+	p.StartAnswered(epoch, "w", starts[0].Run, 7, fleet.StartAccepted, time.Minute)
+	p.Tick(epoch)
+	looks := of[Look](p.Take(epoch))
+	require.Len(t, looks, 1)
+	p.Listed(epoch, "w", looks[0].Number, fleet.Listing{
+		Clock: time.Minute, Born: 1, Running: []fleet.RunID{starts[1].Run},
+		Ended: []fleet.RunEnd{{Seq: 1, RunID: starts[0].Run, How: fleet.EndedDone}},
+	})
+	actions := p.Take(epoch)
+	assert.Len(t, of[Start](actions), 1)
+	tells := of[Tell](actions)
+	require.NotEmpty(t, tells)
+	assert.Equal(t, offer.Done, tells[len(tells)-1].Outcome.Result)
+}
+
+// A run found on an adopted worker that nobody claims is of unknown size: the
+// worker takes nothing before its end is listed, not even while it is stopped.
+func TestUnclaimedRunKeepsTheWorkerClosedUntilItsEnd(t *testing.T) {
+	found := runOf(9, 0, 1)
+	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: []fleet.RunID{found}})
+	require.Len(t, of[Sight](p.Take(epoch)), 1)
+
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	now := epoch.Add(p.cfg.ClaimWait + time.Millisecond)
+	p.Tick(now)
+	actions := p.Take(now)
+	assert.Empty(t, of[Start](actions))
+	stops := of[Stop](actions)
+	require.Len(t, stops, 1)
+	assert.Equal(t, found, stops[0].Run)
+
+	p.StopAnswered(now, "w", found, true)
+	actions = p.Take(now)
+	assert.Empty(t, of[Start](actions), "a stopped run occupies room until it is no longer listed")
+	looks := of[Look](actions)
+	require.NotEmpty(t, looks)
+	p.Listed(now, "w", looks[len(looks)-1].Number, fleet.Listing{
+		Clock: time.Minute, Born: 1, Ended: []fleet.RunEnd{{Seq: 1, RunID: found, How: fleet.EndedStopped}},
+	})
+	assert.Len(t, of[Start](p.Take(now)), 1)
+}
+
+func TestClaimedRunGoesOnAndIsReported(t *testing.T) {
+	found := runOf(9, 0, 1)
+	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: []fleet.RunID{found}})
+	p.Take(epoch)
+	task := testTask(9, 0, 14, epoch)
+	task.NextRun = 2
+	p.Claimed(epoch, offer.Claim{Worker: "w", Task: task})
+	now := epoch.Add(p.cfg.Renew)
+	p.Tick(now)
+	actions := p.Take(now)
+	assert.Empty(t, of[Stop](actions))
+	looks := of[Look](actions)
+	require.NotEmpty(t, looks)
+	assert.NotZero(t, looks[0].LeaseUntil, "a claimed run is renewed")
+	p.Listed(now, "w", looks[0].Number, fleet.Listing{
+		Clock: time.Minute, Born: 1, Ended: []fleet.RunEnd{{Seq: 1, RunID: found, How: fleet.EndedDone}},
+	})
+	tells := of[Tell](p.Take(now))
+	require.Len(t, tells, 1)
+	assert.Equal(t, offer.Done, tells[0].Outcome.Result)
+}
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -51,7 +51,8 @@
 	adopting bool
 	// claimUntil is when runs found there are stopped if nobody claims them.
 	claimUntil time.Time
-	// unclaimed are the runs found there, without a known size.
+	// unclaimed are the runs found there whose size is not known. They may fill
+	// the worker, so that it takes no task until they have ended or are claimed.
 	unclaimed map[fleet.RunID]bool
 	// handing is set while the worker is given to another owner.
 	handing bool
@@ -106,6 +107,12 @@
 		w.unreachable == 0 && !w.health.out(now)
 }
 
+// renews reports whether looks renew the leases. Runs that nobody has claimed
+// are not renewed before they are being stopped.
+func (w *worker) renews(now time.Time) bool {
+	return !w.adopting && len(w.runs) > 0 && (len(w.unclaimed) == 0 || now.After(w.claimUntil))
+}
+
 // add counts a run in.
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
@@ -115,6 +122,7 @@
 // remove counts a run out.
 func (w *worker) remove(r *run) {
 	delete(w.runs, r.id)
+	delete(w.unclaimed, r.id)
 	w.used = w.used.Minus(r.size)
 }
 
