Hand workers over live, serve zones without a host, finish callers' requests in a stop

Changes: an owner drops a worker at once and leaves its runs to the next owner, whose sighting the jobs' hosts answer with claims; hosts of other zones join a zone's group while it has no host; waiting tasks go back when nobody here could take them or another host has room; groups are joined at once when a host leaves or is lost; the callers' port finishes requests within the grace.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -109,7 +109,7 @@
 }
 
 func roomTo(r offer.Report) *dispatchv1.Room {
-	room := &dispatchv1.Room{Capacity: int32(r.Capacity), RunningWork: r.RunningWork, Leaving: r.Leaving}
+	room := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving}
 	for _, w := range r.Workers {
 		room.Workers = append(room.Workers, &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeTo(w.Free)})
 	}
@@ -124,7 +124,7 @@
 
 func roomFrom(r *dispatchv1.Room) offer.Report {
 	report := offer.Report{
-		Capacity: int(r.GetCapacity()), RunningWork: r.GetRunningWork(), Leaving: r.GetLeaving(),
+		Capacity: int(r.GetCapacity()), FreeingRate: r.GetFreeingRate(), Leaving: r.GetLeaving(),
 		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
 	}
 	for _, w := range r.GetWorkers() {
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -59,8 +59,10 @@
 	tenure  *tenure.Tenure
 	waiters map[string]waiter
 	listed  bool
-	looks   map[int64]context.CancelFunc
 	reports reporter
+
+	// kicks wake the membership of each zone.
+	kicks map[string]chan struct{}
 }
 
 // waiter is a caller that waits for its job.
@@ -85,7 +87,10 @@
 		spread: spread.New(spread.Config{Self: s.Host, Zone: s.Zone, MaxLease: s.MaxLease}),
 		tenure: tenure.New(s.Partitions, rand.Int64()),
 
-		waiters: map[string]waiter{}, looks: map[int64]context.CancelFunc{},
+		waiters: map[string]waiter{}, kicks: map[string]chan struct{}{},
+	}
+	for _, zone := range s.Zones {
+		d.kicks[zone] = make(chan struct{}, 1)
 	}
 	d.peers = newPeers(self, logger.WithPrefix("peers"), d)
 	d.ready.Store(errkind.New(errkind.NotReady, "starting"))
@@ -114,12 +119,14 @@
 		{Name: "worker list", Run: func(ctx context.Context) error { return d.store.FollowWorkers(ctx, d) }},
 		{Name: "host list", Run: func(ctx context.Context) error { return d.store.FollowHosts(ctx, d) }},
 		{Name: "announcement", Run: d.announce},
-		{Name: "membership", Run: d.keepMembership},
+		{Name: "membership", Run: d.keepMemberships},
 		{Name: "peers", Run: d.peers.run},
-		{Name: "peers port", Run: serve(d.settings.PeersAddress, d.peerRoutes(), true), Restart: supervise.Never},
-		{Name: "metrics port", Run: serve(d.settings.MetricsAddress, d.metrics.handler(), false)},
-		{Name: "ready port", Run: serve(d.settings.ReadyAddress, platform.ReadyHandler(d), false), Restart: supervise.Never},
-		{Name: "callers port", Run: serve(d.settings.CallersAddress, platform.Callers{Dispatcher: d}, false), Restart: supervise.Never},
+		{Name: "peers port", Run: serve(port{d.settings.PeersAddress, d.peerRoutes(), true, closeTimeout}), Restart: supervise.Never},
+		{Name: "metrics port", Run: serve(port{d.settings.MetricsAddress, d.metrics.handler(), false, closeTimeout})},
+		{Name: "ready port", Run: serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), false, closeTimeout}), Restart: supervise.Never},
+		{Name: "callers port", Run: serve(port{
+			d.settings.CallersAddress, platform.Callers{Dispatcher: d}, false, d.settings.Grace - stopAccepting - stopMargin,
+		}), Restart: supervise.Never},
 	}
 }
 
@@ -268,40 +275,23 @@
 	return n
 }
 
-// The pauses of a planned stop. The balancer notices after two probes, one a
-// second; requests that arrive until then are served.
 const (
+	// stopAccepting is how long a leaving host serves as before: the balancer
+	// notices after two probes, one a second.
 	stopAccepting = 2200 * time.Millisecond
-	stopMargin    = 400 * time.Millisecond
-	stopPoll      = 20 * time.Millisecond
+	// stopMargin is kept for closing what is left within the grace.
+	stopMargin = 500 * time.Millisecond
 )
 
 // drain prepares a planned stop: this host reports not ready, gives its
-// workers to others and waits for the jobs in flight.
+// workers and its queue to others, and serves what still arrives until the
+// balancer has noticed. The callers' port then finishes what is in flight.
 func (d *Dispatch) drain() {
-	begun := time.Now()
 	d.logger.Info("planned stop begins", "grace", d.settings.Grace)
 	d.leaving.Store(true)
-	d.post(func(now time.Time) {
-		d.pool.ReturnQueue("planned stop")
-		for _, id := range d.pool.Owned() {
-			d.pool.HandOver(now, id)
-		}
-	})
-	for time.Since(begun) < d.settings.Grace-stopMargin {
-		idle := false
-		d.ask(func(time.Time) { idle = len(d.waiters) == 0 && d.pool.Idle() })
-		if idle && time.Since(begun) > stopAccepting {
-			break
-		}
-		time.Sleep(stopPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
-	defer cancel()
-	if err := d.store.Retract(ctx, d.self.Name); err != nil {
-		d.logger.Warn("entry not removed", "host", d.self.Name, "error", err)
-	}
-	d.logger.Info("planned stop ends", "took", time.Since(begun))
+	d.post(func(time.Time) { d.pool.ReturnQueue("planned stop") })
+	d.kickMemberships()
+	time.Sleep(stopAccepting)
 }
 
 func (d *Dispatch) String() string { return fmt.Sprintf("dispatcher of host %s", d.self.Name) }
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -63,6 +63,7 @@
 
 	// The fields below belong to the loop.
 	dirty    bool
+	leaving  bool
 	heard    time.Time
 	reported time.Time
 }
@@ -264,6 +265,7 @@
 	p.logger.Info("host lost", "host", l.host.Name, "why", why, "heard_ago", now.Sub(l.heard))
 	p.d.pool.HostLost(now, l.host.Name)
 	p.d.spread.HostLost(now, l.host.Name)
+	p.d.kickMemberships()
 }
 
 // tick gives up silent streams.
@@ -315,6 +317,10 @@
 		p.d.spread.Sighted(now, from, sightingFrom(s))
 	}
 	if r := f.GetRoom(); r != nil {
+		if r.GetLeaving() != l.leaving {
+			l.leaving = r.GetLeaving()
+			p.d.kickMemberships()
+		}
 		p.d.spread.Reported(now, from, l.host.Zone, roomFrom(r))
 	}
 }
--- a/internal/daemon/dispatch/serve.go
+++ b/internal/daemon/dispatch/serve.go
@@ -9,22 +9,31 @@
 	"time"
 )
 
-// closeTimeout bounds the closing of a port in a stop.
-const closeTimeout = 300 * time.Millisecond
+// closeTimeout bounds the closing of a port on which no caller waits.
+const closeTimeout = 50 * time.Millisecond
 
-// serve returns the run of a part that serves HTTP at an address. With streams
-// set it also takes HTTP/2 without TLS, for streams between hosts.
-func serve(address string, handler http.Handler, streams bool) func(context.Context) error {
+// port is a served address.
+type port struct {
+	address string
+	handler http.Handler
+	// streams allows HTTP/2 without TLS, for streams between hosts.
+	streams bool
+	// finish is how long requests in flight may take when the port closes.
+	finish time.Duration
+}
+
+// serve returns the run of a part that serves a port.
+func serve(p port) func(context.Context) error {
 	return func(ctx context.Context) error {
 		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", address)
+		listener, err := config.Listen(ctx, "tcp", p.address)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", address, err)
+			return fmt.Errorf("listen on %s: %w", p.address, err)
 		}
 		server := &http.Server{
-			Handler: handler, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			Handler: p.handler, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		}
-		if streams {
+		if p.streams {
 			server.Protocols = streamProtocols()
 		}
 		failed := make(chan error, 1)
@@ -34,7 +43,7 @@
 			return err
 		case <-ctx.Done():
 		}
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.finish)
 		defer cancel()
 		if err := server.Shutdown(stop); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			return err
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -25,6 +25,9 @@
 
 // settle carries out what the decisions ask for until nothing is left.
 func (d *Dispatch) settle(ctx context.Context, now time.Time) {
+	if d.pool.Waiting() > 0 {
+		d.pool.Shed(now, d.spread.RoomElsewhere())
+	}
 	for {
 		ownership, orders := d.tenure.Take(), d.pool.Take(now)
 		d.report(now)
@@ -51,9 +54,8 @@
 	case tenure.Adopt:
 		d.logger.Info("worker adopted", "worker", a.Worker.ID, "zone", a.Worker.Zone, "fence", a.Fence)
 		d.pool.Adopt(now, a.Worker, a.Fence)
-	case tenure.HandOver:
-		d.logger.Info("worker handed over", "worker", a.Worker)
-		d.pool.HandOver(now, a.Worker)
+	case tenure.Drop:
+		d.pool.Drop(now, a.Worker, a.Why)
 	case tenure.Update:
 		d.pool.Update(a.Worker)
 	}
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -14,6 +16,13 @@
 	// joinInterval allows for three joins in a member's time to live.
 	joinInterval = 300 * time.Millisecond
 	joinTimeout  = 500 * time.Millisecond
+	// unsettledInterval is the pause between joins after a group has changed,
+	// for unsettledTime: others give partitions up with their next joins.
+	unsettledInterval = 60 * time.Millisecond
+	unsettledTime     = 500 * time.Millisecond
+	// guestDelay is how long a starting host waits before it takes the workers
+	// of a zone without a host: hosts start within a few tenths of a second.
+	guestDelay = 1500 * time.Millisecond
 	// announceInterval is how often a host's entry is written again, so that it
 	// outlasts a store that lost it.
 	announceInterval = 20 * time.Second
@@ -24,65 +33,117 @@
 // group names the group, and the topic, of a zone's workers.
 func group(zone string) string { return "workers." + zone }
 
-// keepMembership keeps this host in its zone's group until ctx ends.
-func (d *Dispatch) keepMembership(ctx context.Context) error {
-	zone := d.settings.Zone
-	ttl := max(memberTTL, d.settings.MinMemberTTL)
-	failed := false
+// keepMemberships keeps this host in its zone's group, and in the groups of
+// zones without a host, until ctx ends.
+func (d *Dispatch) keepMemberships(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, zone := range d.settings.Zones {
+		group.Go(func() error { return d.keepMembership(ctx, zone) })
+	}
+	return group.Wait()
+}
+
+// kickMemberships has every group joined or left at once.
+func (d *Dispatch) kickMemberships() {
+	for _, kick := range d.kicks {
+		select {
+		case kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// membership is this host's place in one zone's group.
+type membership struct {
+	zone       string
+	generation int64
+	// changed is when the generation last changed.
+	changed time.Time
+	joined  bool
+	failed  bool
+}
+
+// keepMembership keeps this host in a zone's group as long as it should be.
+func (d *Dispatch) keepMembership(ctx context.Context, zone string) error {
+	m := &membership{zone: zone}
+	started := time.Now()
 	for {
-		if d.leaving.Load() {
-			d.leaveGroup(zone)
-		} else {
-			err := d.join(ctx, zone, ttl)
-			if (err != nil) != failed {
-				failed = err != nil
-				d.logger.Info("membership", "zone", zone, "lost", failed, "error", err)
-			}
+		switch {
+		case d.wanted(zone, time.Since(started)):
+			d.join(ctx, m)
+		case m.joined:
+			d.leave(m)
+		}
+		interval := joinInterval
+		if m.joined && time.Since(m.changed) < unsettledTime {
+			interval = unsettledInterval
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(joinInterval):
+		case <-d.kicks[zone]:
+		case <-time.After(interval):
 		}
 	}
 }
 
-func (d *Dispatch) join(ctx context.Context, zone string, ttl time.Duration) error {
-	var generation int64
-	d.ask(func(time.Time) { generation = d.tenure.Generation(zone) })
+// wanted reports whether this host belongs into a zone's group: into that of
+// its own zone, and into those that no other host serves.
+func (d *Dispatch) wanted(zone string, uptime time.Duration) bool {
+	switch {
+	case d.leaving.Load():
+		return false
+	case zone == d.settings.Zone:
+		return true
+	case uptime < guestDelay:
+		return false
+	}
+	served := true
+	d.ask(func(time.Time) { served = d.spread.ZoneServed(zone) })
+	return !served
+}
+
+func (d *Dispatch) join(ctx context.Context, m *membership) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	m, err := d.store.Join(ctx, group(zone), d.self.Name, ttl, generation)
+	ttl := max(memberTTL, d.settings.MinMemberTTL)
+	reply, err := d.store.Join(ctx, group(m.zone), d.self.Name, ttl, m.generation)
+	if (err != nil) != m.failed {
+		m.failed = err != nil
+		d.logger.Info("membership", "zone", m.zone, "lost", m.failed, "error", err)
+	}
 	if err != nil {
-		return err
+		return
 	}
-	d.post(func(time.Time) {
+	m.joined = true
+	if reply.Generation != m.generation {
+		m.generation, m.changed = reply.Generation, time.Now()
+	}
+	d.ask(func(time.Time) {
 		if !d.leaving.Load() {
-			d.tenure.Joined(zone, m.Generation, m.Partitions)
+			d.tenure.Joined(m.zone, reply.Generation, reply.Partitions)
 		}
 	})
-	return nil
 }
 
-// leaveGroup gives the membership up once no worker is held.
-func (d *Dispatch) leaveGroup(zone string) {
-	holds := false
-	d.ask(func(time.Time) {
-		d.tenure.Left(zone)
-		holds = d.tenure.Holds(zone)
-	})
-	if holds {
-		return
-	}
+// leave drops the zone's workers and gives the membership up, so that another
+// member has them within one join.
+func (d *Dispatch) leave(m *membership) {
+	d.ask(func(time.Time) { d.tenure.Left(m.zone) })
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := d.store.Leave(ctx, group(zone), d.self.Name); err != nil {
-		d.logger.Warn("group not left", "zone", zone, "error", err)
+	if err := d.store.Leave(ctx, group(m.zone), d.self.Name); err != nil {
+		d.logger.Warn("group not left", "zone", m.zone, "error", err)
+		return
 	}
+	d.logger.Info("group left", "zone", m.zone)
+	m.joined, m.generation = false, 0
 }
 
-// announce keeps this host's entry in the store.
+// announce keeps this host's entry in the store until ctx ends, and then
+// removes it.
 func (d *Dispatch) announce(ctx context.Context) error {
+	defer d.retract()
 	for {
 		delay := announceInterval
 		if !d.leaving.Load() {
@@ -100,6 +161,14 @@
 	}
 }
 
+func (d *Dispatch) retract() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.store.Retract(ctx, d.self.Name); err != nil {
+		d.logger.Warn("entry not removed", "host", d.self.Name, "error", err)
+	}
+}
+
 // ConfigChanged implements platform.Events. An older version than the one in
 // force is ignored.
 func (d *Dispatch) ConfigChanged(c *fleet.Config) {
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -118,8 +118,9 @@
 	// QueuedWork is the work waiting by priority: thousandths of a core times
 	// milliseconds, over Capacity gives milliseconds.
 	QueuedWork map[int]int64
-	// RunningWork is what remains of the running tasks, in the same unit.
-	RunningWork int64
+	// FreeingRate is how much room the running tasks' ends free, in thousandths
+	// of a core a second.
+	FreeingRate int64
 	// Leaving is set while the host prepares to stop.
 	Leaving bool
 }
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -46,7 +46,6 @@
 		}
 	}
 	p.compare(now, w, number, l.Running)
-	p.settle(now, w)
 }
 
 // answered reports whether a look is one that is awaited, and ends its wait.
@@ -98,11 +97,7 @@
 	if !ok || !w.unclaimed[id] {
 		return
 	}
-	delete(w.unclaimed, id)
-	r, ok := w.runs[id]
-	if !ok {
-		return
-	}
+	r := w.runs[id]
 	w.remove(r)
 	task := c.Task
 	r.task, r.size = &task, task.Size
@@ -327,7 +322,7 @@
 	for _, w := range p.order {
 		p.tickWorker(now, w)
 	}
-	p.dropStale(now)
+	p.giveBack(now)
 }
 
 func (p *Pool) tickWorker(now time.Time, w *worker) {
@@ -350,7 +345,6 @@
 		}
 	}
 	p.tickLooks(now, w)
-	p.settle(now, w)
 }
 
 // tickLooks keeps one waiting look at the worker, and renews leases.
@@ -368,10 +362,3 @@
 		p.look(now, w, p.cfg.IdleWait)
 	}
 }
-
-// settle finishes a hand-over.
-func (p *Pool) settle(_ time.Time, w *worker) {
-	if w.handing && len(w.runs) == 0 && p.workers[w.info.ID] == w {
-		p.forget(w, "handed over")
-	}
-}
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -48,6 +48,11 @@
 }
 
 const (
+	// shedAfter is how long a task waits here before it may go to a host that
+	// has room: the time of a hop there and back, which it would cost.
+	shedAfter = 8 * time.Millisecond
+	// shortestRun bounds the rate at which one run is expected to free its room.
+	shortestRun = 10 * time.Millisecond
 	// slowClock bounds how much slower a worker's clock may run than ours.
 	slowClock = 0.03
 	// leaseMargin covers the granularity of clocks around a lease's end.
@@ -159,7 +164,6 @@
 		// The same worker under a newer fence: later orders carry it.
 		w.fence = max(w.fence, fence)
 		w.info = info
-		w.handing = false
 		return
 	}
 	w := &worker{info: info, fence: fence, runs: map[fleet.RunID]*run{}, adopting: true}
@@ -177,19 +181,8 @@
 	}
 }
 
-// HandOver ends the placing of tasks on a worker; Dropped follows when it is
-// empty.
-func (p *Pool) HandOver(now time.Time, id string) {
-	w, ok := p.workers[id]
-	if !ok {
-		p.emit(Dropped{Worker: id, Why: "not owned"})
-		return
-	}
-	w.handing = true
-	p.settle(now, w)
-}
-
-// Drop lets go of a worker at once.
+// Drop lets go of a worker at once. What it runs goes on under its lease, so
+// that the next owner finds it and the jobs' hosts claim it there.
 func (p *Pool) Drop(now time.Time, id, why string) {
 	if w, ok := p.workers[id]; ok {
 		p.drop(now, w, why)
@@ -253,6 +246,26 @@
 	p.queue = nil
 }
 
+// Shed gives tasks back that wait although others have room for them.
+func (p *Pool) Shed(now time.Time, rooms []offer.WorkerRoom) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool {
+		if now.Sub(q.offered) < shedAfter {
+			return false
+		}
+		for i := range rooms {
+			if rooms[i].Service == q.Service && q.Size.Fits(rooms[i].Free) {
+				rooms[i].Free = rooms[i].Free.Minus(q.Size)
+				p.tell(q.Task, "", q.NextRun-1, offer.Returned, "another host has room")
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Waiting returns how many tasks wait.
+func (p *Pool) Waiting() int { return len(p.queue) }
+
 // Idle reports whether nothing waits or runs.
 func (p *Pool) Idle() bool {
 	for _, w := range p.order {
@@ -283,8 +296,8 @@
 		r.Workers = append(r.Workers, offer.WorkerRoom{ID: w.info.ID, Service: w.info.Service, Free: w.free()})
 		for _, run := range w.runs {
 			if run.task != nil {
-				left := max(0, p.paces.expect(w, run.task.Estimate)-now.Sub(run.began))
-				r.RunningWork += work(run.size, left)
+				length := max(shortestRun, p.paces.expect(w, run.task.Estimate))
+				r.FreeingRate += int64(run.size.MilliCPU) * int64(time.Second) / int64(length)
 			}
 		}
 	}
--- a/internal/decide/room/schedule.go
+++ b/internal/decide/room/schedule.go
@@ -76,7 +76,7 @@
 		return false
 	case w.health.trial && len(w.runs) > 0:
 		return false
-	case t.RequiredLabel != "" && !slices.Contains(w.info.Labels, t.RequiredLabel):
+	case !w.hasLabel(t.RequiredLabel):
 		return false
 	case t.MaxPerWorker > 0 && w.tasksOf(t.Name) >= t.MaxPerWorker:
 		return false
@@ -84,6 +84,11 @@
 	return true
 }
 
+// hasLabel reports whether the worker has a label; the empty one always.
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.info.Labels, label)
+}
+
 func (p *Pool) better(q *waiting, a, b *worker) bool {
 	if a.info.ID == q.avoid || b.info.ID == q.avoid {
 		return b.info.ID == q.avoid
@@ -118,13 +123,28 @@
 	})
 }
 
-// dropStale gives back tasks that nobody waits for any more.
-func (p *Pool) dropStale(now time.Time) {
+// giveBack returns tasks that nobody waits for any more, and those that no
+// worker here could take even when idle.
+func (p *Pool) giveBack(now time.Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool {
-		if now.Before(q.UsefulUntil) {
-			return false
+		switch {
+		case !now.Before(q.UsefulUntil):
+			p.tell(q.Task, "", q.NextRun-1, offer.Returned, "nobody waits any more")
+			return true
+		case !p.couldTake(now, &q.Task):
+			p.tell(q.Task, "", q.NextRun-1, offer.Returned, "no worker here could take it")
+			return true
 		}
-		p.tell(q.Task, "", q.NextRun-1, offer.Returned, "nobody waits any more")
-		return true
+		return false
 	})
 }
+
+// couldTake reports whether some worker could soon take the task when idle.
+func (p *Pool) couldTake(now time.Time, t *offer.Task) bool {
+	for _, w := range p.order {
+		if w.info.Service == t.Service && w.soonUsable(now) && t.Size.Fits(w.info.Capacity) && w.hasLabel(t.RequiredLabel) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -7,6 +7,10 @@
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
+// lostLooks is how many calls in a row may go without an answer before a
+// worker counts as lost.
+const lostLooks = 2
+
 // runState is where a run stands at its worker.
 type runState int
 
@@ -54,8 +58,6 @@
 	// unclaimed are the runs found there whose size is not known. They may fill
 	// the worker, so that it takes no task until they have ended or are claimed.
 	unclaimed map[fleet.RunID]bool
-	// handing is set while the worker is given to another owner.
-	handing bool
 
 	// clock is the worker's clock at clockAt of ours.
 	clock   time.Duration
@@ -103,10 +105,16 @@
 
 // usable reports whether the worker takes tasks at all.
 func (w *worker) usable(now time.Time) bool {
-	return !w.adopting && len(w.unclaimed) == 0 && !w.handing && !w.info.Draining &&
+	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining &&
 		w.unreachable == 0 && !w.health.out(now)
 }
 
+// soonUsable reports whether the worker takes tasks now or is expected to
+// within a few round trips.
+func (w *worker) soonUsable(now time.Time) bool {
+	return !w.info.Draining && w.unreachable < lostLooks && !w.health.out(now)
+}
+
 // renews reports whether looks renew the leases. Runs that nobody has claimed
 // are not renewed before they are being stopped.
 func (w *worker) renews(now time.Time) bool {
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -56,7 +56,7 @@
 		room := s.roomFor(h, j.route.Service, step)
 		wait := s.distance(h)
 		if room == nil {
-			queued, ok := s.queueWait(h, j.route)
+			queued, ok := s.queueWait(h, j.route, step)
 			if !ok {
 				continue
 			}
@@ -130,22 +130,37 @@
 
 // queueWait estimates how long a new task waits at a host without room. It
 // reports false if the host has no capacity.
-func (s *Spread) queueWait(h *host, route fleet.Route) (time.Duration, bool) {
+func (s *Spread) queueWait(h *host, route fleet.Route, step fleet.Step) (time.Duration, bool) {
 	if h.report.Capacity == 0 {
 		return 0, false
 	}
-	ahead := h.report.RunningWork / 2
-	for priority, work := range h.report.QueuedWork {
-		if priority <= route.Priority {
+	return waitFor(h.ahead(route.Priority), int64(h.report.Capacity), int64(step.Size.MilliCPU), h.report.FreeingRate), true
+}
+
+// ahead returns the work that waits at a host and goes first.
+func (h *host) ahead(priority int) int64 {
+	var ahead int64
+	for p, work := range h.report.QueuedWork {
+		if p <= priority {
 			ahead += work
 		}
 	}
-	for priority, work := range h.queued {
-		if priority <= route.Priority {
+	for p, work := range h.queued {
+		if p <= priority {
 			ahead += work
 		}
 	}
-	return time.Duration(ahead/int64(h.report.Capacity)) * time.Millisecond, true
+	return ahead
+}
+
+// waitFor estimates the wait until the work ahead has been taken up and room
+// of the missing size has become free.
+func waitFor(ahead, capacity, missing, rate int64) time.Duration {
+	wait := time.Duration(ahead) * time.Millisecond / time.Duration(capacity)
+	if missing > 0 && rate > 0 {
+		wait += time.Duration(missing) * time.Second / time.Duration(rate)
+	}
+	return wait
 }
 
 func (h *host) count(priority int, work int64) {
@@ -165,8 +180,8 @@
 
 // expectedWait estimates how long a new job waits for its last task to start,
 // with all hosts' queues as one.
-func (s *Spread) expectedWait(now time.Time, j *job) time.Duration {
-	var ahead, capacity int64
+func (s *Spread) expectedWait(j *job) time.Duration {
+	var ahead, capacity, rate int64
 	slots := 0
 	first := j.spec.Steps[0]
 	for _, h := range s.order {
@@ -174,31 +189,52 @@
 			continue
 		}
 		capacity += int64(h.report.Capacity)
-		ahead += h.report.RunningWork / 2
-		for priority, queued := range h.report.QueuedWork {
-			if priority <= j.route.Priority {
-				ahead += queued
-			}
-		}
-		for priority, queued := range h.queued {
-			if priority <= j.route.Priority {
-				ahead += queued
-			}
-		}
-		for _, w := range h.report.Workers {
-			if w.Service == j.route.Service && first.Size.MilliCPU > 0 {
-				slots += max(0, w.Free.MilliCPU) / first.Size.MilliCPU
-			}
-		}
+		rate += h.report.FreeingRate
+		ahead += h.ahead(j.route.Priority)
+		slots += h.slots(j.route.Service, first.Size)
 	}
 	if slots >= first.Count {
 		return 0
 	}
 	if capacity == 0 {
-		return time.Hour
+		return noCapacityWait
+	}
+	return waitFor(ahead, capacity, int64((first.Count-slots)*first.Size.MilliCPU), rate)
+}
+
+// noCapacityWait stands for a wait without end.
+const noCapacityWait = time.Hour
+
+// slots counts the tasks of a size that a host's workers could start now.
+func (h *host) slots(service string, size fleet.Size) int {
+	n := 0
+	for _, w := range h.report.Workers {
+		if w.Service == service && size.MilliCPU > 0 {
+			n += max(0, w.Free.MilliCPU) / size.MilliCPU
+		}
 	}
-	ahead += work(first.Size, first.Estimate) * int64(first.Count-slots) / 2
-	return time.Duration(ahead/capacity) * time.Millisecond
+	return n
 }
 
 func work(size fleet.Size, d time.Duration) int64 { return int64(size.MilliCPU) * d.Milliseconds() }
+
+// RoomElsewhere returns the free room of the other hosts.
+func (s *Spread) RoomElsewhere() []offer.WorkerRoom {
+	var rooms []offer.WorkerRoom
+	for _, h := range s.order {
+		if h.known && !h.report.Leaving && h.name != s.cfg.Self {
+			rooms = append(rooms, h.report.Workers...)
+		}
+	}
+	return rooms
+}
+
+// ZoneServed reports whether a host of the zone that is not leaving is known.
+func (s *Spread) ZoneServed(zone string) bool {
+	for _, h := range s.order {
+		if h.known && !h.report.Leaving && h.zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -31,7 +31,7 @@
 		s.answer(now, j, err, 0)
 		return true
 	}
-	j.wait = s.expectedWait(now, j)
+	j.wait = s.expectedWait(j)
 	if j.wait > s.tolerance(j, limit) {
 		s.refuse(now, j, "no room in time")
 		return true
@@ -42,7 +42,7 @@
 
 // tolerance is the longest expected wait with which a job is taken.
 func (s *Spread) tolerance(j *job, limit time.Duration) time.Duration {
-	return min(j.objective-j.chain, limit-j.chain) - hop
+	return min(lateFactor*j.objective, limit) - j.chain - hop
 }
 
 // fits reports why no worker could ever run the job, or nil.
@@ -107,6 +107,9 @@
 		return
 	}
 	t.runs = max(t.runs, o.Run)
+	if o.Worker != "" {
+		t.worker = o.Worker
+	}
 	t.failed = max(t.failed, o.Failed)
 	switch o.Result {
 	case offer.Started:
@@ -165,33 +168,50 @@
 }
 
 // Sighted takes what a new owner found on a worker. It claims the runs of
-// tasks that are waited for, and takes note of the ends.
+// tasks that are waited for, takes note of the ends, and knows that what is not
+// listed is over: the former owner's orders no longer reach the worker.
 func (s *Spread) Sighted(now time.Time, from string, sight offer.Sighting) {
+	listed := make(map[fleet.TaskName]bool, len(sight.Running))
+	for _, r := range sight.Running {
+		listed[r.Task] = true
+		s.claim(from, sight.Worker, r)
+	}
 	for _, e := range sight.Ended {
 		j, t := s.find(e.Task)
 		if t == nil || t.state == taskDone || t.runs > e.Run {
 			continue
 		}
-		switch {
-		case e.How == fleet.EndedDone:
+		if e.How == fleet.EndedDone {
 			s.taskDone(now, j, t)
-		case t.state == taskOrphaned:
-			t.runs = max(t.runs, e.Run)
-			if e.How == fleet.EndedFailed {
-				t.failed++
+			continue
+		}
+		if e.How == fleet.EndedFailed && t.worker == sight.Worker && !listed[e.Task] {
+			t.failed++
+		}
+		t.runs = max(t.runs, e.Run)
+	}
+	for _, j := range s.sorted() {
+		lost := false
+		for _, t := range j.tasks {
+			if t.atWorker() && t.worker == sight.Worker && t.host != from && !listed[t.name] {
+				t.state, t.host = taskIdle, ""
+				lost = true
 			}
-			t.state = taskIdle
+		}
+		if lost {
 			s.review(now, j)
 		}
 	}
-	for _, r := range sight.Running {
-		j, t := s.find(r.Task)
-		if t == nil || t.state != taskOrphaned || t.runs > r.Run {
-			continue
-		}
-		t.runs, t.state, t.host = r.Run, taskStarted, from
-		s.emit(Claim{Host: from, Claim: offer.Claim{Worker: sight.Worker, Task: s.task(j, t)}})
+}
+
+// claim claims a run found on a worker if its task is still waited for.
+func (s *Spread) claim(from, worker string, r fleet.RunID) {
+	j, t := s.find(r.Task)
+	if t == nil || !(t.atWorker() || t.state == taskOffered) || t.runs > r.Run {
+		return
 	}
+	t.runs, t.state, t.host, t.worker = r.Run, taskStarted, from, worker
+	s.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: s.task(j, t)}})
 }
 
 // review decides what becomes of a job that has lost tasks.
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -26,6 +26,8 @@
 	name  fleet.TaskName
 	state taskState
 	host  string
+	// worker is the last worker that is known to have had a run.
+	worker string
 	// runs is the number of the last run that is known of.
 	runs   int
 	failed int
@@ -57,6 +59,9 @@
 	wait time.Duration
 }
 
+// atWorker reports whether a run of the task is, or may be, at a worker.
+func (t *task) atWorker() bool { return t.state == taskStarted || t.state == taskOrphaned }
+
 func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
 	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline}
 	for i, step := range spec.Steps {
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -25,9 +25,9 @@
 	// hop is the expected time from an offer to its start and from its end to
 	// the answer, between zones.
 	hop = 5 * time.Millisecond
-	// admissionShare is the part of a job's objective after which it is no
-	// longer refused for want of room: callers would have waited for nothing.
-	admissionShare = 0.25
+	// lateFactor is how many times its objective a job may be expected to take
+	// and still be taken: a late answer is worth more to its caller than none.
+	lateFactor = 2
 	// orphanMargin is added to a lease for the clocks of host and worker.
 	orphanMargin = 60 * time.Millisecond
 	// defaultPatience bounds a job whose caller and queue name no limit.
--- a/internal/decide/tenure/tenure.go
+++ b/internal/decide/tenure/tenure.go
@@ -37,30 +37,25 @@
 	Fence  int64
 }
 
-// HandOver lets a worker's tasks end and then drops it.
-type HandOver struct{ Worker string }
+// Drop lets go of a worker.
+type Drop struct {
+	Worker string
+	Why    string
+}
 
 // Update passes on a worker's newer entry.
 type Update struct{ Worker fleet.Worker }
 
-func (Adopt) action()    {}
-func (HandOver) action() {}
-func (Update) action()   {}
+func (Adopt) action()  {}
+func (Drop) action()   {}
+func (Update) action() {}
 
 // group is this host's membership in one zone's group.
 type group struct {
 	generation int64
-	// conceded is the last generation whose deal has been carried out.
-	conceded   int64
 	partitions map[int]bool
 }
 
-// holding is a worker that this host owns or takes.
-type holding struct {
-	zone    string
-	handing bool
-}
-
 // Tenure follows the memberships and the list of workers. It is not safe for
 // concurrent use.
 type Tenure struct {
@@ -68,9 +63,10 @@
 	nonce      int64
 	groups     map[string]*group
 	workers    map[string]fleet.Worker
-	held       map[string]*holding
-	attempts   map[string]int64
-	actions    []Action
+	// held are the workers that this host owns or takes over.
+	held     map[string]bool
+	attempts map[string]int64
+	actions  []Action
 }
 
 // New returns a tenure over groups of so many partitions. The nonce has to
@@ -79,7 +75,7 @@
 	return &Tenure{
 		partitions: partitions, nonce: nonce & (1<<nonceBits - 1),
 		groups: map[string]*group{}, workers: map[string]fleet.Worker{},
-		held: map[string]*holding{}, attempts: map[string]int64{},
+		held: map[string]bool{}, attempts: map[string]int64{},
 	}
 }
 
@@ -110,41 +106,24 @@
 	for _, p := range partitions {
 		g.partitions[p] = true
 	}
-	t.settleZone(zone)
+	t.settleZone(zone, "dealt to another host")
 }
 
 // Left takes the end of a membership.
 func (t *Tenure) Left(zone string) {
 	if g := t.groups[zone]; g != nil {
 		g.partitions = nil
-		t.settleZone(zone)
+		t.settleZone(zone, "membership given up")
 	}
 }
 
-// Generation returns the generation to join a zone's group with: the newest
-// one once all workers that belong to others by it are handed over.
+// Generation returns the generation to join a zone's group with. Workers that
+// belong to others by it have been dropped.
 func (t *Tenure) Generation(zone string) int64 {
-	g := t.groups[zone]
-	if g == nil {
-		return 0
-	}
-	for _, h := range t.held {
-		if h.zone == zone && h.handing {
-			return g.conceded
-		}
-	}
-	g.conceded = g.generation
-	return g.conceded
-}
-
-// Holds reports whether workers of a zone are still held.
-func (t *Tenure) Holds(zone string) bool {
-	for _, h := range t.held {
-		if h.zone == zone {
-			return true
-		}
+	if g := t.groups[zone]; g != nil {
+		return g.generation
 	}
-	return false
+	return 0
 }
 
 // Worker takes a worker's entry.
@@ -152,20 +131,24 @@
 	old, known := t.workers[w.ID]
 	t.workers[w.ID] = w
 	if known && old.Zone != w.Zone {
-		t.settle(old)
+		t.drop(w.ID, "worker moved to another zone")
 	}
-	if t.held[w.ID] != nil {
+	if t.held[w.ID] {
 		t.actions = append(t.actions, Update{Worker: w})
 	}
-	t.settle(w)
+	t.settle(w, "dealt to another host")
 }
 
 // WorkerGone takes the removal of a worker's entry.
 func (t *Tenure) WorkerGone(id string) {
 	delete(t.workers, id)
-	if h := t.held[id]; h != nil && !h.handing {
-		h.handing = true
-		t.actions = append(t.actions, HandOver{Worker: id})
+	t.drop(id, "entry removed")
+}
+
+func (t *Tenure) drop(id, why string) {
+	if t.held[id] {
+		delete(t.held, id)
+		t.actions = append(t.actions, Drop{Worker: id, Why: why})
 	}
 }
 
@@ -176,10 +159,10 @@
 // is still ours by the store's last word is taken again with the next join.
 func (t *Tenure) Dropped(id string) { delete(t.held, id) }
 
-func (t *Tenure) settleZone(zone string) {
+func (t *Tenure) settleZone(zone, why string) {
 	for _, w := range t.sorted() {
 		if w.Zone == zone {
-			t.settle(w)
+			t.settle(w, why)
 		}
 	}
 }
@@ -195,20 +178,15 @@
 }
 
 // settle compares what is held with what the store has dealt.
-func (t *Tenure) settle(w fleet.Worker) {
+func (t *Tenure) settle(w fleet.Worker, why string) {
 	g := t.groups[w.Zone]
 	ours := g != nil && g.partitions[t.Partition(w.ID)]
-	h := t.held[w.ID]
 	switch {
-	case ours && h == nil:
-		t.held[w.ID] = &holding{zone: w.Zone}
-		t.adopt(w, g)
-	case ours && h.handing:
-		h.handing = false
+	case ours && !t.held[w.ID]:
+		t.held[w.ID] = true
 		t.adopt(w, g)
-	case !ours && h != nil && !h.handing:
-		h.handing = true
-		t.actions = append(t.actions, HandOver{Worker: w.ID})
+	case !ours:
+		t.drop(w.ID, why)
 	}
 }
 
