Recall jobs that will be late, and let the rest of a begun job go first

Change: a job that has not begun is judged again after a quarter of its objective and at 0.45 of its caller's patience; its waiting tasks are asked back and it is refused as not run. Waiting tasks of begun jobs get a lead, and priorities are leads too rather than classes.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -305,6 +305,12 @@
 			p.d.pool.Offer(now, t)
 		}
 	}
+	for _, job := range f.GetRecalls() {
+		p.d.pool.Recall(from, job)
+	}
+	for _, job := range f.GetBegun() {
+		p.d.pool.Begun(from, job)
+	}
 	for _, c := range f.GetClaims() {
 		for _, t := range offerFrom(now, from, c.GetOffer()) {
 			p.d.pool.Claimed(now, offer.Claim{Worker: c.GetWorker(), Task: t})
@@ -346,6 +352,18 @@
 	}
 }
 
+func (p *peers) recall(host, job string) {
+	if l, ok := p.links[host]; ok {
+		l.add(func(f *dispatchv1.Frame) { f.Recalls = append(f.Recalls, job) })
+	}
+}
+
+func (p *peers) begun(host, job string) {
+	if l, ok := p.links[host]; ok {
+		l.add(func(f *dispatchv1.Frame) { f.Begun = append(f.Begun, job) })
+	}
+}
+
 func without(offers []*dispatchv1.Offer, job string) []*dispatchv1.Offer {
 	rest := offers[:0]
 	for _, o := range offers {
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -105,6 +105,18 @@
 		} else {
 			d.peers.withdraw(a.Host, a.Job)
 		}
+	case spread.Recall:
+		if a.Host == d.self.Name {
+			d.pool.Recall(d.self.Name, a.Job)
+		} else {
+			d.peers.recall(a.Host, a.Job)
+		}
+	case spread.Begun:
+		if a.Host == d.self.Name {
+			d.pool.Begun(d.self.Name, a.Job)
+		} else {
+			d.peers.begun(a.Host, a.Job)
+		}
 	case spread.Claim:
 		if a.Host == d.self.Name {
 			d.pool.Claimed(now, a.Claim)
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -220,6 +220,27 @@
 	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name.Job == job })
 }
 
+// Recall gives back the tasks of a job that wait here.
+func (p *Pool) Recall(host, job string) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool {
+		if q.Host != host || q.Name.Job != job {
+			return false
+		}
+		p.tell(q.Task, "", q.NextRun-1, offer.Returned, "recalled")
+		return true
+	})
+}
+
+// Begun notes that a task of a job has started, here or elsewhere: the others
+// are worth more now.
+func (p *Pool) Begun(host, job string) {
+	for _, q := range p.queue {
+		if q.Host == host && q.Name.Job == job {
+			q.Task.Begun = true
+		}
+	}
+}
+
 // HostLost withdraws everything that a host asked for: its callers will send
 // their jobs again elsewhere, and nothing of them may then still run.
 func (p *Pool) HostLost(now time.Time, host string) {
--- a/internal/decide/room/schedule.go
+++ b/internal/decide/room/schedule.go
@@ -1,7 +1,6 @@
 package room
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -15,32 +14,43 @@
 		return
 	}
 	slices.SortStableFunc(p.queue, func(a, b *waiting) int { return compareWaiting(now, a, b) })
-	rest := p.queue[:0]
+	rest := make([]*waiting, 0, len(p.queue))
 	for _, q := range p.queue {
 		if w := p.pick(now, q); w != nil {
 			p.start(now, w, q)
+			p.Begun(q.Host, q.Name.Job)
 		} else {
 			rest = append(rest, q)
 		}
 	}
-	clear(p.queue[len(rest):])
 	p.queue = rest
 }
 
-// compareWaiting orders the queue: what belongs to a job that has begun first,
-// then what can still meet its objective by priority, then the late ones; the
-// most urgent first in each.
+const (
+	// priorityLead is how much later a task of the next lower priority counts
+	// as urgent: about the length of the shortest tasks.
+	priorityLead = 40 * time.Millisecond
+	// begunLead is how much earlier a task counts as urgent whose job has
+	// begun: work done for it is lost if it comes too late.
+	begunLead = 60 * time.Millisecond
+)
+
+// compareWaiting orders the queue: what can still be in time or belongs to a
+// job that has begun before what is late, the most urgent first in each.
 func compareWaiting(now time.Time, a, b *waiting) int {
-	if c := compareBool(a.Begun, b.Begun); c != 0 {
-		return c
-	}
-	if c := compareBool(!now.After(a.StartBy), !now.After(b.StartBy)); c != 0 {
+	if c := compareBool(a.Begun || !now.After(a.StartBy), b.Begun || !now.After(b.StartBy)); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
-		return c
+	return a.urgency().Compare(b.urgency())
+}
+
+// urgency is the time by which the task should start.
+func (q *waiting) urgency() time.Time {
+	at := q.StartBy.Add(time.Duration(q.Priority) * priorityLead)
+	if q.Begun {
+		at = at.Add(-begunLead)
 	}
-	return a.StartBy.Compare(b.StartBy)
+	return at
 }
 
 // compareBool orders true first.
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -16,6 +16,9 @@
 
 // offerJob offers each task of a job that is idle and whose turn has come.
 func (s *Spread) offerJob(now time.Time, j *job) {
+	if !j.recalled.IsZero() {
+		return
+	}
 	for _, t := range j.tasks {
 		if t.state != taskIdle || !j.ready(t.name.Step) {
 			continue
@@ -71,7 +74,6 @@
 	}
 	if bestRoom != nil {
 		bestRoom.Free = bestRoom.Free.Minus(step.Size)
-		j.offered = true
 	} else {
 		best.count(j.route.Priority, work(step.Size, step.Estimate))
 	}
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -114,7 +114,7 @@
 	switch o.Result {
 	case offer.Started:
 		t.state = taskStarted
-		s.begin(j)
+		s.begin(now, j, from)
 	case offer.Done:
 		s.taskDone(now, j, t)
 	case offer.Failed:
@@ -150,8 +150,23 @@
 	return j, j.tasks[j.first[name.Step]+name.Index]
 }
 
-// begin notes that a task of a job has started.
-func (s *Spread) begin(j *job) { j.begun = true }
+// begin notes that a task of a job has started: where others wait, they go
+// first from now on, and none is recalled.
+func (s *Spread) begin(now time.Time, j *job, from string) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	j.recalled = time.Time{}
+	told := map[string]bool{from: true}
+	for _, t := range j.tasks {
+		if t.state == taskOffered && !told[t.host] {
+			told[t.host] = true
+			s.emit(Begun{Host: t.host, Job: j.spec.ID})
+		}
+	}
+	s.offerJob(now, j)
+}
 
 func (s *Spread) taskDone(now time.Time, j *job, t *task) {
 	t.state = taskDone
@@ -225,7 +240,11 @@
 			t.runs++
 		}
 	}
-	if s.hopeless(now, j) {
+	switch {
+	case s.hopeless(now, j):
+		s.giveUp(now, j)
+		return
+	case !j.recalled.IsZero() && j.idle():
 		s.giveUp(now, j)
 		return
 	}
@@ -261,7 +280,30 @@
 		case now.After(j.deadline):
 			s.answer(now, j, errkind.New(errkind.Timeout, "%s", fmt.Sprintf("not done after %v", now.Sub(j.arrived))), 0)
 		default:
+			s.recall(now, j)
 			s.review(now, j)
 		}
 	}
 }
+
+// recall asks the tasks of a job back that has not begun and will not be of
+// use: while the caller has lost little, if it will be late, and once half of
+// the caller's patience is gone, in any case.
+func (s *Spread) recall(now time.Time, j *job) {
+	waited := now.Sub(j.arrived)
+	patience := j.deadline.Sub(j.arrived)
+	due := !j.recalled.IsZero() || waited > time.Duration(patienceShare*float64(patience))
+	if !due && !j.judged && waited >= time.Duration(recallShare*float64(j.objective))-hop {
+		j.judged = true
+		j.wait = s.expectedWait(j)
+		due = waited+j.wait+j.chain > lateFactor*j.objective
+	}
+	if !due || j.begun || now.Sub(j.recalled) < recallPause {
+		return
+	}
+	j.recalled = now
+	for name := range j.atHosts() {
+		s.dropBatch(name, j.spec.ID)
+		s.emit(Recall{Host: name, Job: j.spec.ID})
+	}
+}
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -53,8 +53,11 @@
 	// chain is the estimated time of the longest chain of steps.
 	chain time.Duration
 	begun bool
-	// offered is set once a task was offered to a host that had room.
-	offered bool
+	// judged is set once the job was looked at a second time.
+	judged bool
+	// recalled is when the waiting tasks were last asked back; zero if they are
+	// wanted where they are.
+	recalled time.Time
 	// wait is the wait that was expected on arrival.
 	wait time.Duration
 }
@@ -121,6 +124,16 @@
 	return true
 }
 
+// idle reports whether no host has a task of the job.
+func (j *job) idle() bool {
+	for _, t := range j.tasks {
+		if t.state != taskIdle && t.state != taskDone {
+			return false
+		}
+	}
+	return true
+}
+
 // runs counts the runs that are known of.
 func (j *job) runs() int {
 	n := 0
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -25,6 +25,15 @@
 	// hop is the expected time from an offer to its start and from its end to
 	// the answer, between zones.
 	hop = 5 * time.Millisecond
+	// recallShare is the part of its objective after which a job that has not
+	// begun and will be late is refused: until then the caller has lost little.
+	recallShare = 0.25
+	// patienceShare is the part of the caller's patience after which a job that
+	// has not begun is refused, so that the caller can still go elsewhere.
+	patienceShare = 0.45
+	// recallPause is the pause between two recalls of a job: a round trip
+	// between zones, and a start.
+	recallPause = 30 * time.Millisecond
 	// lateFactor is how many times its objective a job may be expected to take
 	// and still be taken: a late answer is worth more to its caller than none.
 	lateFactor = 2
@@ -49,6 +58,18 @@
 	Job  string
 }
 
+// Recall asks a host to give back the tasks of a job that wait there.
+type Recall struct {
+	Host string
+	Job  string
+}
+
+// Begun tells a host that a task of a job has started elsewhere.
+type Begun struct {
+	Host string
+	Job  string
+}
+
 // Claim tells a worker's new owner that a run found there is wanted.
 type Claim struct {
 	Host  string
@@ -80,6 +101,8 @@
 
 func (Offer) action()    {}
 func (Withdraw) action() {}
+func (Recall) action()   {}
+func (Begun) action()    {}
 func (Claim) action()    {}
 func (Answer) action()   {}
 
