--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -42,7 +42,7 @@
 
 // tolerance is the longest expected wait with which a job is taken.
 func (s *Spread) tolerance(j *job, limit time.Duration) time.Duration {
-	return min(lateFactor*j.objective, limit) - j.chain - hop
+	return min(time.Duration(admitFactor*float64(j.objective)), limit) - j.chain - hop
 }
 
 // fits reports why no worker could ever run the job, or nil.
@@ -296,7 +296,7 @@
 	if !due && !j.judged && waited >= time.Duration(recallShare*float64(j.objective))-hop {
 		j.judged = true
 		j.wait = s.expectedWait(j)
-		due = waited+j.wait+j.chain > lateFactor*j.objective
+		due = waited+j.wait+j.chain > time.Duration(lateFactor*float64(j.objective))
 	}
 	if !due || j.begun || now.Sub(j.recalled) < recallPause {
 		return
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -34,9 +34,11 @@
 	// recallPause is the pause between two recalls of a job: a round trip
 	// between zones, and a start.
 	recallPause = 30 * time.Millisecond
-	// lateFactor is how many times its objective a job may be expected to take
-	// and still be taken: a late answer is worth more to its caller than none.
-	lateFactor = 2
+	// admitFactor is how many times its objective a job may be expected to take
+	// and still be taken, and lateFactor the same for the second look: a late
+	// answer is worth more to its caller than none, as long as it delays no other.
+	admitFactor = 1.5
+	lateFactor  = 1.0
 	// orphanMargin is added to a lease for the clocks of host and worker.
 	orphanMargin = 60 * time.Millisecond
 	// defaultPatience bounds a job whose caller and queue name no limit.
