Move the glue of a host's decisions into the pure core

The loop of the daemon routed actions between ownership, workers and jobs; that routing now stands in internal/decide/host, so that histories of several hosts can be played without a network.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -1,13 +1,68 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
+// addMessage puts a message into a frame. A withdrawal takes out an offer that
+// has not left yet, which would arrive after it.
+func addMessage(f *dispatchv1.Frame, now time.Time, m host.Message) {
+	switch m := m.(type) {
+	case host.Offers:
+		f.Offers = append(f.Offers, offersTo(now, m.Tasks)...)
+	case host.Withdrawal:
+		f.Withdrawals = append(f.Withdrawals, m.Job)
+		f.Offers = slices.DeleteFunc(f.Offers, func(o *dispatchv1.Offer) bool { return o.GetJob() == m.Job })
+	case host.Recall:
+		f.Recalls = append(f.Recalls, m.Job)
+	case host.Begun:
+		f.Begun = append(f.Begun, m.Job)
+	case offer.Claim:
+		f.Claims = append(f.Claims, &dispatchv1.Claim{Worker: m.Worker, Offer: offersTo(now, []offer.Task{m.Task})[0]})
+	case offer.Outcome:
+		f.Outcomes = append(f.Outcomes, outcomeTo(m))
+	case offer.Sighting:
+		f.Sightings = append(f.Sightings, sightingTo(m))
+	}
+}
+
+// messagesFrom returns the messages of a frame in the order in which they are
+// to be taken: recalls after the offers they are about, withdrawals before
+// later offers of the same job.
+func messagesFrom(now time.Time, self string, f *dispatchv1.Frame) []host.Message {
+	var messages []host.Message
+	for _, job := range f.GetWithdrawals() {
+		messages = append(messages, host.Withdrawal{Job: job})
+	}
+	for _, o := range f.GetOffers() {
+		messages = append(messages, host.Offers{Tasks: offerFrom(now, o)})
+	}
+	for _, job := range f.GetRecalls() {
+		messages = append(messages, host.Recall{Job: job})
+	}
+	for _, job := range f.GetBegun() {
+		messages = append(messages, host.Begun{Job: job})
+	}
+	for _, c := range f.GetClaims() {
+		for _, t := range offerFrom(now, c.GetOffer()) {
+			messages = append(messages, offer.Claim{Worker: c.GetWorker(), Task: t})
+		}
+	}
+	for _, o := range f.GetOutcomes() {
+		messages = append(messages, outcomeFrom(self, o))
+	}
+	for _, s := range f.GetSightings() {
+		messages = append(messages, sightingFrom(s))
+	}
+	return messages
+}
+
 func sizeTo(s fleet.Size) *dispatchv1.Size {
 	return &dispatchv1.Size{MilliCpu: int32(s.MilliCPU), MemoryMb: int32(s.MemoryMB), Gpus: int32(s.GPUs)}
 }
@@ -44,11 +99,11 @@
 	return offers
 }
 
-func offerFrom(now time.Time, host string, o *dispatchv1.Offer) []offer.Task {
+func offerFrom(now time.Time, o *dispatchv1.Offer) []offer.Task {
 	tasks := make([]offer.Task, 0, len(o.GetTasks()))
 	for _, t := range o.GetTasks() {
 		tasks = append(tasks, offer.Task{
-			Host: host, Name: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
+			Name: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
 			Spec: o.GetSpec(), Service: o.GetService(), Size: sizeFrom(o.GetSize()),
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -15,9 +15,7 @@
 
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
-	"github.com/parsleyhill/parsleyhill/internal/decide/room"
-	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
-	"github.com/parsleyhill/parsleyhill/internal/decide/tenure"
+	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
@@ -54,9 +52,7 @@
 	ready atomic.Pointer[errkind.Error]
 
 	// The fields below belong to the loop.
-	pool    *room.Pool
-	spread  *spread.Spread
-	tenure  *tenure.Tenure
+	core    *host.Core
 	waiters map[string]waiter
 	listed  bool
 	reports reporter
@@ -67,10 +63,7 @@
 
 // waiter is a caller that waits for its job.
 type waiter struct {
-	route  string
 	result chan platform.Result
-	// begun is set once a task has started.
-	begun bool
 }
 
 // New returns a dispatcher that does nothing until Run.
@@ -83,10 +76,9 @@
 		settings: s, self: self, logger: logger,
 		store: platform.NewStore(s.StoreAddress), workers: platform.NewWorkers(), metrics: newMetrics(),
 		events: make(chan func(time.Time), eventBuffer),
-		pool:   room.NewPool(room.DefaultConfig(s.MaxLease)),
-		spread: spread.New(spread.Config{Self: s.Host, Zone: s.Zone, MaxLease: s.MaxLease}),
-		tenure: tenure.New(s.Partitions, rand.Int64()),
-
+		core: host.New(host.Config{
+			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
+		}),
 		waiters: map[string]waiter{}, kicks: map[string]chan struct{}{},
 	}
 	for _, zone := range s.Zones {
@@ -149,8 +141,7 @@
 			d.drainEvents()
 		case <-ticker.C:
 			now := time.Now()
-			d.pool.Tick(now)
-			d.spread.Tick(now)
+			d.core.Tick(now)
 			d.peers.tick(now)
 		}
 		d.settle(ctx, time.Now())
@@ -226,15 +217,15 @@
 		result <- platform.Result{Err: err, RetryAfter: time.Second}
 		return
 	}
-	d.waiters[job.ID] = waiter{route: route.Name, result: result}
+	d.waiters[job.ID] = waiter{result: result}
 	d.metrics.jobs.WithLabelValues(route.Name).Inc()
-	d.spread.Submit(now, job, route, patience)
+	d.core.Spread.Submit(now, job, route, patience)
 }
 
 // cancel ends a job whose caller has gone, unless another request waits for it.
 func (d *Dispatch) cancel(now time.Time, job string, result chan platform.Result) {
 	if w, ok := d.waiters[job]; ok && w.result == result {
-		d.spread.Cancel(now, job)
+		d.core.Spread.Cancel(now, job)
 		return
 	}
 	select {
@@ -249,7 +240,7 @@
 	d.ask(func(now time.Time) {
 		_, found = d.waiters[job]
 		if found {
-			d.spread.Cancel(now, job)
+			d.core.Spread.Cancel(now, job)
 		}
 	})
 	return found
@@ -266,11 +257,7 @@
 func (d *Dispatch) Waiting(route string) int {
 	n := 0
 	d.ask(func(time.Time) {
-		for _, w := range d.waiters {
-			if w.route == route && !w.begun {
-				n++
-			}
-		}
+		n = d.core.Spread.Waiting(route)
 	})
 	return n
 }
@@ -289,7 +276,7 @@
 func (d *Dispatch) drain() {
 	d.logger.Info("planned stop begins", "grace", d.settings.Grace)
 	d.leaving.Store(true)
-	d.post(func(time.Time) { d.pool.ReturnQueue("planned stop") })
+	d.post(func(time.Time) { d.core.Leave() })
 	d.kickMemberships()
 	time.Sleep(stopAccepting)
 }
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -13,6 +13,7 @@
 
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -263,8 +264,7 @@
 	}
 	delete(p.links, l.host.Name)
 	p.logger.Info("host lost", "host", l.host.Name, "why", why, "heard_ago", now.Sub(l.heard))
-	p.d.pool.HostLost(now, l.host.Name)
-	p.d.spread.HostLost(now, l.host.Name)
+	p.d.core.HostLost(now, l.host.Name)
 	p.d.kickMemberships()
 }
 
@@ -296,100 +296,32 @@
 		return
 	}
 	l.heard = now
-	from := l.host.Name
-	for _, job := range f.GetWithdrawals() {
-		p.d.pool.Withdraw(now, from, job)
-	}
-	for _, o := range f.GetOffers() {
-		for _, t := range offerFrom(now, from, o) {
-			p.d.pool.Offer(now, t)
-		}
-	}
-	for _, job := range f.GetRecalls() {
-		p.d.pool.Recall(from, job)
-	}
-	for _, job := range f.GetBegun() {
-		p.d.pool.Begun(from, job)
-	}
-	for _, c := range f.GetClaims() {
-		for _, t := range offerFrom(now, from, c.GetOffer()) {
-			p.d.pool.Claimed(now, offer.Claim{Worker: c.GetWorker(), Task: t})
-		}
-	}
-	for _, o := range f.GetOutcomes() {
-		p.d.outcome(now, from, outcomeFrom(p.self.Name, o))
-	}
-	for _, s := range f.GetSightings() {
-		p.d.spread.Sighted(now, from, sightingFrom(s))
+	for _, m := range messagesFrom(now, p.self.Name, f) {
+		p.d.core.Receive(now, l.host.Name, m)
 	}
 	if r := f.GetRoom(); r != nil {
 		if r.GetLeaving() != l.leaving {
 			l.leaving = r.GetLeaving()
 			p.d.kickMemberships()
 		}
-		p.d.spread.Reported(now, from, l.host.Zone, roomFrom(r))
+		p.d.core.Reported(now, l.host.Name, l.host.Zone, roomFrom(r))
 	}
 }
 
-// offer sends tasks to a host. If its stream has gone, the spread hears so.
-func (p *peers) offer(now time.Time, host string, tasks []offer.Task) {
-	l, ok := p.links[host]
+// send puts a message into the next frame to a host. If its stream has gone,
+// the decisions hear so.
+func (p *peers) send(now time.Time, name string, m host.Message) {
+	l, ok := p.links[name]
 	if !ok {
-		p.d.spread.HostLost(now, host)
+		p.d.core.Spread.HostLost(now, name)
 		return
 	}
-	offers := offersTo(now, tasks)
-	l.add(func(f *dispatchv1.Frame) { f.Offers = append(f.Offers, offers...) })
-}
-
-func (p *peers) withdraw(host, job string) {
-	if l, ok := p.links[host]; ok {
-		l.add(func(f *dispatchv1.Frame) {
-			f.Withdrawals = append(f.Withdrawals, job)
-			// An offer that has not left yet would arrive after its withdrawal.
-			f.Offers = without(f.Offers, job)
-		})
-	}
-}
-
-func (p *peers) recall(host, job string) {
-	if l, ok := p.links[host]; ok {
-		l.add(func(f *dispatchv1.Frame) { f.Recalls = append(f.Recalls, job) })
-	}
-}
-
-func (p *peers) begun(host, job string) {
-	if l, ok := p.links[host]; ok {
-		l.add(func(f *dispatchv1.Frame) { f.Begun = append(f.Begun, job) })
-	}
-}
-
-func without(offers []*dispatchv1.Offer, job string) []*dispatchv1.Offer {
-	rest := offers[:0]
-	for _, o := range offers {
-		if o.GetJob() != job {
-			rest = append(rest, o)
-		}
-	}
-	return rest
-}
-
-func (p *peers) claim(now time.Time, host string, c offer.Claim) {
-	if l, ok := p.links[host]; ok {
-		claim := &dispatchv1.Claim{Worker: c.Worker, Offer: offersTo(now, []offer.Task{c.Task})[0]}
-		l.add(func(f *dispatchv1.Frame) { f.Claims = append(f.Claims, claim) })
-	}
-}
-
-func (p *peers) outcome(o offer.Outcome) {
-	if l, ok := p.links[o.Host]; ok {
-		l.add(func(f *dispatchv1.Frame) { f.Outcomes = append(f.Outcomes, outcomeTo(o)) })
-	}
+	l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
 }
 
-func (p *peers) sighting(s offer.Sighting) {
+func (p *peers) broadcast(now time.Time, m host.Message) {
 	for _, l := range p.links {
-		l.add(func(f *dispatchv1.Frame) { f.Sightings = append(f.Sightings, sightingTo(s)) })
+		l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
 	}
 }
 
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -16,13 +16,10 @@
 	sent time.Time
 }
 
-// report tells this host's spread, and at times the peers, of the room.
+// report tells the peers, at times, of this host's room.
 func (d *Dispatch) report(now time.Time) {
-	r := d.pool.Report(now)
-	r.Leaving = d.leaving.Load()
-	d.spread.Reported(now, d.self.Name, d.self.Zone, r)
 	if now.Sub(d.reports.sent) >= reportInterval {
 		d.reports.sent = now
-		d.peers.report(now, r)
+		d.peers.report(now, d.core.Report(now))
 	}
 }
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -6,10 +6,9 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/room"
 	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
-	"github.com/parsleyhill/parsleyhill/internal/decide/tenure"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/platform"
@@ -23,45 +22,17 @@
 	lookSlack = 400 * time.Millisecond
 )
 
-// settle carries out what the decisions ask for until nothing is left.
+// settle carries out what the decisions ask for.
 func (d *Dispatch) settle(ctx context.Context, now time.Time) {
-	if d.pool.Waiting() > 0 {
-		d.pool.Shed(now, d.spread.RoomElsewhere())
-	}
-	for {
-		ownership, orders := d.tenure.Take(), d.pool.Take(now)
-		d.report(now)
-		offers := d.spread.Take()
-		if len(ownership)+len(orders)+len(offers) == 0 {
-			break
-		}
-		for _, a := range ownership {
-			d.carryOwnership(now, a)
-		}
-		for _, a := range orders {
-			d.carryOrder(ctx, now, a)
-		}
-		for _, a := range offers {
-			d.carryOffer(now, a)
-		}
+	for _, a := range d.core.Settle(now) {
+		d.carry(ctx, now, a)
 	}
+	d.report(now)
 	d.judgeReady()
 	d.peers.flush()
 }
 
-func (d *Dispatch) carryOwnership(now time.Time, a tenure.Action) {
-	switch a := a.(type) {
-	case tenure.Adopt:
-		d.logger.Info("worker adopted", "worker", a.Worker.ID, "zone", a.Worker.Zone, "fence", a.Fence)
-		d.pool.Adopt(now, a.Worker, a.Fence)
-	case tenure.Drop:
-		d.pool.Drop(now, a.Worker, a.Why)
-	case tenure.Update:
-		d.pool.Update(a.Worker)
-	}
-}
-
-func (d *Dispatch) carryOrder(ctx context.Context, now time.Time, a room.Action) {
+func (d *Dispatch) carry(ctx context.Context, now time.Time, a host.Action) {
 	switch a := a.(type) {
 	case room.Start:
 		go d.sendStart(ctx, a)
@@ -70,75 +41,21 @@
 		go d.sendStop(ctx, a)
 	case room.Look:
 		go d.sendLook(ctx, a)
-	case room.Tell:
-		if a.Outcome.Host == d.self.Name {
-			d.outcome(now, d.self.Name, a.Outcome)
-		} else {
-			d.peers.outcome(a.Outcome)
-		}
-	case room.Sight:
-		d.logger.Info("runs found on an adopted worker", "worker", a.Sighting.Worker,
-			"running", len(a.Sighting.Running), "ended", len(a.Sighting.Ended))
-		d.spread.Sighted(now, d.self.Name, a.Sighting)
-		d.peers.sighting(a.Sighting)
-	case room.Dropped:
-		d.logger.Info("worker dropped", "worker", a.Worker, "why", a.Why)
-		d.tenure.Dropped(a.Worker)
-	case room.Note:
-		d.logger.Info(a.What, "worker", a.Worker, "why", a.Why)
-	}
-}
-
-func (d *Dispatch) carryOffer(now time.Time, a spread.Action) {
-	switch a := a.(type) {
-	case spread.Offer:
-		if a.Host == d.self.Name {
-			for _, t := range a.Tasks {
-				d.pool.Offer(now, t)
-			}
-		} else {
-			d.peers.offer(now, a.Host, a.Tasks)
-		}
-	case spread.Withdraw:
-		if a.Host == d.self.Name {
-			d.pool.Withdraw(now, d.self.Name, a.Job)
-		} else {
-			d.peers.withdraw(a.Host, a.Job)
-		}
-	case spread.Recall:
-		if a.Host == d.self.Name {
-			d.pool.Recall(d.self.Name, a.Job)
-		} else {
-			d.peers.recall(a.Host, a.Job)
-		}
-	case spread.Begun:
-		if a.Host == d.self.Name {
-			d.pool.Begun(d.self.Name, a.Job)
-		} else {
-			d.peers.begun(a.Host, a.Job)
-		}
-	case spread.Claim:
-		if a.Host == d.self.Name {
-			d.pool.Claimed(now, a.Claim)
-		} else {
-			d.peers.claim(now, a.Host, a.Claim)
-		}
+	case host.Send:
+		d.peers.send(now, a.Host, a.Message)
+	case host.Broadcast:
+		d.peers.broadcast(now, a.Message)
+	case host.TaskNotDone:
+		o := a.Outcome
+		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
+			"worker", o.Worker, "failed", o.Failed, "why", o.Why)
+	case host.Note:
+		d.logger.Info(a.What, "worker", a.Worker, "why", a.Why, "fence", a.Fence)
 	case spread.Answer:
 		d.answer(a)
 	}
 }
 
-func (d *Dispatch) outcome(now time.Time, from string, o offer.Outcome) {
-	if o.Result != offer.Done && o.Result != offer.Started {
-		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", from, "worker", o.Worker, "why", o.Why)
-	}
-	if w, ok := d.waiters[o.Task.Job]; ok && !w.begun && o.Run > 0 {
-		w.begun = true
-		d.waiters[o.Task.Job] = w
-	}
-	d.spread.Outcome(now, from, o)
-}
-
 func (d *Dispatch) answer(a spread.Answer) {
 	w, ok := d.waiters[a.Job]
 	if !ok {
@@ -170,7 +87,7 @@
 	}
 	d.logger.Log(level, "start answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
 		"verdict", verdict, "fence", a.Fence, "took", time.Since(sent), "error", err)
-	d.post(func(now time.Time) { d.pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock) })
+	d.post(func(now time.Time) { d.core.Pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock) })
 }
 
 func (d *Dispatch) sendStop(ctx context.Context, a room.Stop) {
@@ -180,7 +97,7 @@
 	if err != nil {
 		d.logger.Warn("stop not answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID, "error", err)
 	}
-	d.post(func(now time.Time) { d.pool.StopAnswered(now, a.Worker.ID, a.Run, ok) })
+	d.post(func(now time.Time) { d.core.Pool.StopAnswered(now, a.Worker.ID, a.Run, ok) })
 }
 
 func (d *Dispatch) sendLook(ctx context.Context, a room.Look) {
@@ -196,13 +113,13 @@
 		if ctx.Err() == nil || a.Wait == 0 {
 			d.logger.Debug("look not answered", "worker", id, "error", err)
 		}
-		d.post(func(now time.Time) { d.pool.LookFailed(now, id, a.Number) })
+		d.post(func(now time.Time) { d.core.Pool.LookFailed(now, id, a.Number) })
 	case result == platform.LookFenced:
-		d.post(func(now time.Time) { d.pool.Fenced(now, id, a.Fence) })
+		d.post(func(now time.Time) { d.core.Pool.Fenced(now, id, a.Fence) })
 	case result == platform.LookGone:
-		d.post(func(now time.Time) { d.pool.Gone(now, id) })
+		d.post(func(now time.Time) { d.core.Pool.Gone(now, id) })
 	default:
-		d.post(func(now time.Time) { d.pool.Listed(now, id, a.Number, listing) })
+		d.post(func(now time.Time) { d.core.Pool.Listed(now, id, a.Number, listing) })
 	}
 }
 
@@ -215,7 +132,7 @@
 		why = errkind.New(errkind.NotReady, "no configuration yet")
 	case !d.listed:
 		why = errkind.New(errkind.NotReady, "no list of workers yet")
-	case !d.spread.HasCapacity():
+	case !d.core.Spread.HasCapacity():
 		why = errkind.New(errkind.NotReady, "no host has workers")
 	}
 	old := d.ready.Swap(why)
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -99,7 +99,7 @@
 		return false
 	}
 	served := true
-	d.ask(func(time.Time) { served = d.spread.ZoneServed(zone) })
+	d.ask(func(time.Time) { served = d.core.Spread.ZoneServed(zone) })
 	return !served
 }
 
@@ -121,7 +121,7 @@
 	}
 	d.ask(func(time.Time) {
 		if !d.leaving.Load() {
-			d.tenure.Joined(m.zone, reply.Generation, reply.Partitions)
+			d.core.Tenure.Joined(m.zone, reply.Generation, reply.Partitions)
 		}
 	})
 }
@@ -129,7 +129,7 @@
 // leave drops the zone's workers and gives the membership up, so that another
 // member has them within one join.
 func (d *Dispatch) leave(m *membership) {
-	d.ask(func(time.Time) { d.tenure.Left(m.zone) })
+	d.ask(func(time.Time) { d.core.Tenure.Left(m.zone) })
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.store.Leave(ctx, group(m.zone), d.self.Name); err != nil {
@@ -184,16 +184,14 @@
 // WorkerChanged implements platform.Events.
 func (d *Dispatch) WorkerChanged(w fleet.Worker) {
 	d.post(func(time.Time) {
-		d.tenure.Worker(w)
-		d.spread.Worker(w)
+		d.core.WorkerChanged(w)
 	})
 }
 
 // WorkerGone implements platform.Events.
 func (d *Dispatch) WorkerGone(id string) {
 	d.post(func(time.Time) {
-		d.tenure.WorkerGone(id)
-		d.spread.WorkerGone(id)
+		d.core.WorkerGone(id)
 	})
 }
 
@@ -201,10 +199,7 @@
 func (d *Dispatch) WorkersListed(ids map[string]bool) {
 	d.post(func(time.Time) {
 		d.listed = true
-		for _, id := range d.tenure.Missing(ids) {
-			d.tenure.WorkerGone(id)
-			d.spread.WorkerGone(id)
-		}
+		d.core.WorkersListed(ids)
 	})
 }
 
--- /dev/null
+++ b/internal/decide/host/host.go
@@ -0,0 +1,259 @@
+// Package host joins the decisions of one entry host: which workers it owns
+// (tenure), what runs on them (room), and where the tasks of its callers' jobs
+// are offered (spread). It is pure; what stays inside the host never leaves it.
+package host
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/room"
+	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
+	"github.com/parsleyhill/parsleyhill/internal/decide/tenure"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Config says who the host is.
+type Config struct {
+	Name string
+	Zone string
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// Partitions is how many partitions a zone's group deals.
+	Partitions int
+	// Nonce makes the host's fences differ from those of others.
+	Nonce int64
+}
+
+// Action is something for the shell to do: an order to a worker (room.Start,
+// room.Stop, room.Look), a message to other hosts (Send, Broadcast), an answer
+// to a caller (spread.Answer), or a decision for the log (Note).
+type Action any
+
+// Message is what one host says to another: Offers, Withdrawal, Recall, Begun,
+// offer.Claim, offer.Outcome or offer.Sighting.
+type Message any
+
+// Offers asks for runs of tasks.
+type Offers struct{ Tasks []offer.Task }
+
+// Withdrawal says that a job's tasks are not wanted any more.
+type Withdrawal struct{ Job string }
+
+// Recall asks for the tasks of a job that wait.
+type Recall struct{ Job string }
+
+// Begun says that a task of a job has started.
+type Begun struct{ Job string }
+
+// Send sends a message to one host.
+type Send struct {
+	Host    string
+	Message Message
+}
+
+// Broadcast sends a message to every other host.
+type Broadcast struct{ Message Message }
+
+// Note is a decision for the log.
+type Note struct {
+	What   string
+	Worker string
+	Why    string
+	Fence  int64
+}
+
+// Core holds the decisions of one host. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	Pool    *room.Pool
+	Spread  *spread.Spread
+	Tenure  *tenure.Tenure
+	leaving bool
+	actions []Action
+}
+
+// New returns a host that owns nothing.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:    cfg,
+		Pool:   room.NewPool(room.DefaultConfig(cfg.MaxLease)),
+		Spread: spread.New(spread.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease}),
+		Tenure: tenure.New(cfg.Partitions, cfg.Nonce),
+	}
+}
+
+// Leave gives the queue back; the workers go with the memberships.
+func (c *Core) Leave() {
+	c.leaving = true
+	c.Pool.ReturnQueue("planned stop")
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Time) {
+	c.Pool.Tick(now)
+	c.Spread.Tick(now)
+}
+
+// WorkerChanged takes a worker's entry.
+func (c *Core) WorkerChanged(w fleet.Worker) {
+	c.Tenure.Worker(w)
+	c.Spread.Worker(w)
+}
+
+// WorkerGone takes the removal of a worker's entry.
+func (c *Core) WorkerGone(id string) {
+	c.Tenure.WorkerGone(id)
+	c.Spread.WorkerGone(id)
+}
+
+// WorkersListed takes a full reading: workers not in it are gone.
+func (c *Core) WorkersListed(present map[string]bool) {
+	for _, id := range c.Tenure.Missing(present) {
+		c.WorkerGone(id)
+	}
+}
+
+// HostLost takes the loss of contact with another host.
+func (c *Core) HostLost(now time.Time, name string) {
+	c.Pool.HostLost(now, name)
+	c.Spread.HostLost(now, name)
+}
+
+// Reported takes another host's report.
+func (c *Core) Reported(now time.Time, name, zone string, r offer.Report) {
+	c.Spread.Reported(now, name, zone, r)
+}
+
+// Report returns what this host says of its workers.
+func (c *Core) Report(now time.Time) offer.Report {
+	r := c.Pool.Report(now)
+	r.Leaving = c.leaving
+	return r
+}
+
+// Receive takes a message from another host.
+func (c *Core) Receive(now time.Time, from string, m Message) {
+	switch m := m.(type) {
+	case Offers:
+		for _, t := range m.Tasks {
+			t.Host = from
+			c.Pool.Offer(now, t)
+		}
+	case Withdrawal:
+		c.Pool.Withdraw(now, from, m.Job)
+	case Recall:
+		c.Pool.Recall(from, m.Job)
+	case Begun:
+		c.Pool.Begun(from, m.Job)
+	case offer.Claim:
+		m.Task.Host = from
+		c.Pool.Claimed(now, m)
+	case offer.Outcome:
+		c.outcome(now, from, m)
+	case offer.Sighting:
+		c.Spread.Sighted(now, from, m)
+	}
+}
+
+// TaskNotDone is an outcome that ended nothing, for the log.
+type TaskNotDone struct {
+	Owner   string
+	Outcome offer.Outcome
+}
+
+func (c *Core) outcome(now time.Time, from string, o offer.Outcome) {
+	if o.Result != offer.Done && o.Result != offer.Started {
+		c.actions = append(c.actions, TaskNotDone{Owner: from, Outcome: o})
+	}
+	c.Spread.Outcome(now, from, o)
+}
+
+// Settle decides until nothing is left to decide, and returns what leaves the
+// host.
+func (c *Core) Settle(now time.Time) []Action {
+	if c.Pool.Waiting() > 0 {
+		c.Pool.Shed(now, c.Spread.RoomElsewhere())
+	}
+	for {
+		ownership, orders := c.Tenure.Take(), c.Pool.Take(now)
+		c.Spread.Reported(now, c.cfg.Name, c.cfg.Zone, c.Report(now))
+		offers := c.Spread.Take()
+		if len(ownership)+len(orders)+len(offers) == 0 {
+			break
+		}
+		for _, a := range ownership {
+			c.carryOwnership(now, a)
+		}
+		for _, a := range orders {
+			c.carryOrder(now, a)
+		}
+		for _, a := range offers {
+			c.carryOffer(now, a)
+		}
+	}
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) carryOwnership(now time.Time, a tenure.Action) {
+	switch a := a.(type) {
+	case tenure.Adopt:
+		c.emit(Note{What: "worker adopted", Worker: a.Worker.ID, Why: "zone " + a.Worker.Zone, Fence: a.Fence})
+		c.Pool.Adopt(now, a.Worker, a.Fence)
+	case tenure.Drop:
+		c.Pool.Drop(now, a.Worker, a.Why)
+	case tenure.Update:
+		c.Pool.Update(a.Worker)
+	}
+}
+
+func (c *Core) carryOrder(now time.Time, a room.Action) {
+	switch a := a.(type) {
+	case room.Tell:
+		if a.Outcome.Host == c.cfg.Name {
+			c.outcome(now, c.cfg.Name, a.Outcome)
+		} else {
+			c.emit(Send{Host: a.Outcome.Host, Message: a.Outcome})
+		}
+	case room.Sight:
+		c.Spread.Sighted(now, c.cfg.Name, a.Sighting)
+		c.emit(Broadcast{Message: a.Sighting})
+	case room.Dropped:
+		c.Tenure.Dropped(a.Worker)
+		c.emit(Note{What: "worker dropped", Worker: a.Worker, Why: a.Why})
+	case room.Note:
+		c.emit(Note{What: a.What, Worker: a.Worker, Why: a.Why})
+	default:
+		c.emit(a)
+	}
+}
+
+func (c *Core) carryOffer(now time.Time, a spread.Action) {
+	switch a := a.(type) {
+	case spread.Offer:
+		c.send(now, a.Host, Offers{Tasks: a.Tasks})
+	case spread.Withdraw:
+		c.send(now, a.Host, Withdrawal{Job: a.Job})
+	case spread.Recall:
+		c.send(now, a.Host, Recall{Job: a.Job})
+	case spread.Begun:
+		c.send(now, a.Host, Begun{Job: a.Job})
+	case spread.Claim:
+		c.send(now, a.Host, a.Claim)
+	default:
+		c.emit(a)
+	}
+}
+
+// send gives a message to a host; this one takes its own at once.
+func (c *Core) send(now time.Time, host string, m Message) {
+	if host == c.cfg.Name {
+		c.Receive(now, host, m)
+		return
+	}
+	c.emit(Send{Host: host, Message: m})
+}
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -170,7 +170,6 @@
 	p.workers[info.ID] = w
 	p.order = append(p.order, w)
 	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	p.emit(Note{What: "adopt", Worker: info.ID, Why: "ownership"})
 	p.look(now, w, 0)
 }
 
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -219,3 +219,14 @@
 	}
 	return false
 }
+
+// Waiting counts the jobs of a route of which no task has started.
+func (s *Spread) Waiting(route string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.route.Name == route && !j.begun {
+			n++
+		}
+	}
+	return n
+}
