Keep fewer streams between hosts and do less work per event

Change: all hosts of a zone are linked, and of each other zone three a host, by rendezvous hashing; reports are spaced by the number of links and sent on the tick; a host's own report is taken in when its workers changed; the collector runs less often. Zones without a linked host are looked up in the store before a guest takes their workers.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -142,7 +142,10 @@
 	// memoryShare is the part of the host's memory at which the collector works
 	// harder; the rest is for stacks and bytes not yet read.
 	memoryShare = 0.7
-	bytesPerMB  = 1 << 20
+	// collectorPercent lets the heap grow to three times what is live: some ten
+	// megabytes are, of the hundreds that a host has.
+	collectorPercent = 200
+	bytesPerMB       = 1 << 20
 )
 
 // dispatchOn runs the dispatcher on the users' platform. Its log goes to
@@ -163,6 +166,7 @@
 		return exitDone
 	}
 	if s.MemoryMB > 0 {
+		debug.SetGCPercent(collectorPercent)
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryShare))
 	}
 	lines := logging.NewRing(out, logging.DefaultLines)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -55,7 +55,6 @@
 	core    *host.Core
 	waiters map[string]waiter
 	listed  bool
-	reports reporter
 
 	// kicks wake the membership of each zone.
 	kicks map[string]chan struct{}
@@ -143,6 +142,7 @@
 			now := time.Now()
 			d.core.Tick(now)
 			d.peers.tick(now)
+			d.peers.report(now)
 		}
 		d.settle(ctx, time.Now())
 	}
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -14,7 +14,7 @@
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
-	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/links"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -29,19 +29,18 @@
 	// longest.
 	redial    = 50 * time.Millisecond
 	redialMax = time.Second
-	// farReportInterval bounds the reports to other zones, whose links cost more.
-	farReportInterval = 40 * time.Millisecond
 )
 
-// peers holds the streams to the other entry hosts. Its methods, but for put,
-// remove and Exchange, belong to the loop.
+// peers holds the streams to other entry hosts. Its methods, but for put,
+// remove, zoneOf and Exchange, belong to the loop.
 type peers struct {
 	self   fleet.Host
 	logger *log.Logger
 	d      *Dispatch
 
 	mu sync.Mutex
-	// dials cancels the dialling of each known host.
+	// hosts are the known hosts, dials those that are being dialled.
+	hosts map[string]fleet.Host
 	dials map[string]dial
 	ctx   context.Context
 
@@ -70,58 +69,66 @@
 }
 
 func newPeers(self fleet.Host, logger *log.Logger, d *Dispatch) *peers {
-	return &peers{self: self, logger: logger, d: d, dials: map[string]dial{}, links: map[string]*link{}}
+	return &peers{self: self, logger: logger, d: d, hosts: map[string]fleet.Host{}, dials: map[string]dial{}, links: map[string]*link{}}
 }
 
-// run dials the hosts that put names until ctx ends.
+// run keeps the streams that put and remove ask for until ctx ends.
 func (p *peers) run(ctx context.Context) error {
 	p.mu.Lock()
 	p.ctx = ctx
-	for name, known := range p.dials {
-		p.dial(name, known.host)
-	}
+	p.redialAll()
 	p.mu.Unlock()
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-// put takes a host's entry. Of two hosts, the one with the smaller name dials.
+// put takes a host's entry.
 func (p *peers) put(h fleet.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old, ok := p.dials[h.Name]; ok {
-		if old.host == h {
-			return
-		}
-		if old.cancel != nil {
-			old.cancel()
-		}
-	}
-	p.dials[h.Name] = dial{host: h}
-	if p.ctx != nil {
-		p.dial(h.Name, h)
+	if p.hosts[h.Name] == h {
+		return
 	}
+	p.hosts[h.Name] = h
+	p.redialAll()
 }
 
 // remove forgets a host that has left for good.
 func (p *peers) remove(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old, ok := p.dials[name]; ok {
-		if old.cancel != nil {
-			old.cancel()
-		}
-		delete(p.dials, name)
-	}
+	delete(p.hosts, name)
+	p.redialAll()
 }
 
-func (p *peers) dial(name string, h fleet.Host) {
-	if p.self.Name >= name {
+// redialAll begins and ends dialling as the known hosts ask for. Of two hosts,
+// the one with the smaller name dials.
+func (p *peers) redialAll() {
+	if p.ctx == nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(p.ctx)
-	p.dials[name] = dial{host: h, cancel: cancel}
-	go p.keepDialling(ctx, h)
+	wanted := links.To(p.self, p.hosts)
+	for name, d := range p.dials {
+		if h, ok := wanted[name]; !ok || h != d.host {
+			d.cancel()
+			delete(p.dials, name)
+		}
+	}
+	for name, h := range wanted {
+		if _, ok := p.dials[name]; ok || p.self.Name >= name {
+			continue
+		}
+		ctx, cancel := context.WithCancel(p.ctx)
+		p.dials[name] = dial{host: h, cancel: cancel}
+		go p.keepDialling(ctx, h)
+	}
+}
+
+// zoneOf returns the zone of a known host, or nothing.
+func (p *peers) zoneOf(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts[name].Zone
 }
 
 // keepDialling keeps one stream to a host open.
@@ -324,22 +331,3 @@
 		l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
 	}
 }
-
-// report tells the peers of this host's room, those of other zones less often.
-func (p *peers) report(now time.Time, r offer.Report) {
-	var room *dispatchv1.Room
-	for _, l := range p.links {
-		interval := reportInterval
-		if l.host.Zone != p.self.Zone {
-			interval = farReportInterval
-		}
-		if now.Sub(l.reported) < interval {
-			continue
-		}
-		if room == nil {
-			room = roomTo(r)
-		}
-		l.reported = now
-		l.add(func(f *dispatchv1.Frame) { f.Room = room })
-	}
-}
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -27,7 +27,6 @@
 	for _, a := range d.core.Settle(now) {
 		d.carry(ctx, now, a)
 	}
-	d.report(now)
 	d.judgeReady()
 	d.peers.flush()
 }
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -69,7 +69,7 @@
 	started := time.Now()
 	for {
 		switch {
-		case d.wanted(zone, time.Since(started)):
+		case d.wanted(ctx, zone, time.Since(started)):
 			d.join(ctx, m)
 		case m.joined:
 			d.leave(m)
@@ -89,7 +89,7 @@
 
 // wanted reports whether this host belongs into a zone's group: into that of
 // its own zone, and into those that no other host serves.
-func (d *Dispatch) wanted(zone string, uptime time.Duration) bool {
+func (d *Dispatch) wanted(ctx context.Context, zone string, uptime time.Duration) bool {
 	switch {
 	case d.leaving.Load():
 		return false
@@ -100,7 +100,25 @@
 	}
 	served := true
 	d.ask(func(time.Time) { served = d.core.Spread.ZoneServed(zone) })
-	return !served
+	return !served && !d.zoneHasOwner(ctx, zone)
+}
+
+// zoneHasOwner asks the store whether a host of a zone owns workers there:
+// this host may keep no stream to it. Without an answer it is taken to be so.
+func (d *Dispatch) zoneHasOwner(ctx context.Context, zone string) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := d.store.Owners(ctx, group(zone))
+	if err != nil {
+		d.logger.Warn("owners of a zone not known", "zone", zone, "error", err)
+		return true
+	}
+	for _, owner := range owners {
+		if d.peers.zoneOf(owner) == zone {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Dispatch) join(ctx context.Context, m *membership) {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -71,6 +71,8 @@
 	Tenure  *tenure.Tenure
 	leaving bool
 	actions []Action
+	// judged is when the pool's report was last taken in.
+	judged time.Time
 }
 
 // New returns a host that owns nothing.
@@ -93,8 +95,15 @@
 func (c *Core) Tick(now time.Time) {
 	c.Pool.Tick(now)
 	c.Spread.Tick(now)
+	if c.Pool.Waiting() > 0 {
+		c.Pool.Shed(now, c.Spread.RoomElsewhere())
+	}
 }
 
+// reportAge bounds the age of what the jobs know of the host's own workers
+// when nothing happens there.
+const reportAge = 20 * time.Millisecond
+
 // WorkerChanged takes a worker's entry.
 func (c *Core) WorkerChanged(w fleet.Worker) {
 	c.Tenure.Worker(w)
@@ -140,6 +149,7 @@
 			t.Host = from
 			c.Pool.Offer(now, t)
 		}
+		c.judged = time.Time{}
 	case Withdrawal:
 		c.Pool.Withdraw(now, from, m.Job)
 	case Recall:
@@ -172,12 +182,12 @@
 // Settle decides until nothing is left to decide, and returns what leaves the
 // host.
 func (c *Core) Settle(now time.Time) []Action {
-	if c.Pool.Waiting() > 0 {
-		c.Pool.Shed(now, c.Spread.RoomElsewhere())
-	}
 	for {
 		ownership, orders := c.Tenure.Take(), c.Pool.Take(now)
-		c.Spread.Reported(now, c.cfg.Name, c.cfg.Zone, c.Report(now))
+		if len(orders) > 0 || now.Sub(c.judged) >= reportAge {
+			c.judged = now
+			c.Spread.Reported(now, c.cfg.Name, c.cfg.Zone, c.Report(now))
+		}
 		offers := c.Spread.Take()
 		if len(ownership)+len(orders)+len(offers) == 0 {
 			break
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -9,6 +9,7 @@
 
 // offerIdle offers the tasks that no host has.
 func (s *Spread) offerIdle(now time.Time) {
+	s.stuck = false
 	for _, j := range s.sorted() {
 		s.offerJob(now, j)
 	}
@@ -25,6 +26,7 @@
 		}
 		h := s.choose(now, j, t)
 		if h == nil {
+			s.stuck = true
 			continue
 		}
 		t.state, t.host = taskOffered, h.name
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -128,8 +128,10 @@
 	jobs    map[string]*job
 	workers map[string]fleet.Worker
 	actions []Action
-	// holds collects the tasks per host of the offers being made.
+	// batch collects the tasks per host of the offers being made.
 	batch map[string][]offer.Task
+	// stuck is set while a task waits for a host to be offered to.
+	stuck bool
 	seq   int64
 }
 
@@ -176,7 +178,9 @@
 	}
 	h.report, h.heard, h.known = r, now, true
 	h.queued = nil
-	s.offerIdle(now)
+	if s.stuck {
+		s.offerIdle(now)
+	}
 }
 
 // HostLost takes the loss of contact with a host. What it was asked to run is
