Let the host of a job decide on retries, and stop stragglers by their progress

Changes: owners return failed and rejected runs, and say whether anything ran; sightings count only for the worker that is known to have the run; every host that was offered a job hears of its failure; runs that progress three times slower than the fleet are stopped and offered elsewhere; SIGHUP reloads.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -173,5 +173,22 @@
 	defer lines.Close()
 	level := cmp.Or(o.overrides.LogLevel, "info")
 	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
-	return runUntilSignal(logger, dispatch.New(s, logger).Run)
+	d := dispatch.New(s, logger)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go reloadOn(hangups, path, logger, d)
+	return runUntilSignal(logger, d.Run)
+}
+
+// reloadOn reads the settings again on each signal. Settings with a fault are
+// logged and leave the old ones in force.
+func reloadOn(hangups <-chan os.Signal, path string, logger *log.Logger, d *dispatch.Dispatch) {
+	for range hangups {
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			logger.Error("settings not reloaded", "path", path, "error", err)
+			continue
+		}
+		d.Reload(s)
+	}
 }
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -93,7 +93,7 @@
 			offers = append(offers, last)
 		}
 		last.Tasks = append(last.Tasks, &dispatchv1.OfferedTask{
-			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(t.Failed),
+			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(t.Failed), Avoid: t.Avoid,
 		})
 	}
 	return offers
@@ -108,7 +108,7 @@
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: after(now, o.GetStartInMs()), UsefulUntil: after(now, o.GetUsefulMs()),
-			Begun: o.GetBegun(), NextRun: int(t.GetNextRun()), Failed: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
+			Begun: o.GetBegun(), Avoid: t.GetAvoid(), NextRun: int(t.GetNextRun()), Failed: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
 		})
 	}
 	return tasks
@@ -117,14 +117,14 @@
 func outcomeTo(o offer.Outcome) *dispatchv1.Outcome {
 	return &dispatchv1.Outcome{
 		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.Failed),
-		Result: int32(o.Result), Worker: o.Worker, Why: o.Why, OverInMs: int32(o.OverIn.Milliseconds()),
+		Result: int32(o.Result), Ran: o.Ran, Worker: o.Worker, Why: o.Why, OverInMs: int32(o.OverIn.Milliseconds()),
 	}
 }
 
 func outcomeFrom(self string, o *dispatchv1.Outcome) offer.Outcome {
 	return offer.Outcome{
 		Host: self, Task: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(o.GetIndex())},
-		Run: int(o.GetRun()), Failed: int(o.GetFailed()), Result: offer.Result(o.GetResult()),
+		Run: int(o.GetRun()), Failed: int(o.GetFailed()), Result: offer.Result(o.GetResult()), Ran: o.GetRan(),
 		Worker: o.GetWorker(), Why: o.GetWhy(), OverIn: time.Duration(o.GetOverInMs()) * time.Millisecond,
 	}
 }
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -262,6 +263,15 @@
 	return n
 }
 
+// Reload takes changed settings. The store's address takes effect at once; the
+// rest, which the platform changes only with a new process, at the next start.
+func (d *Dispatch) Reload(s platform.Settings) {
+	d.store.SetAddress(s.StoreAddress)
+	rest := s
+	rest.StoreAddress = d.settings.StoreAddress
+	d.logger.Info("settings reloaded", "store", s.StoreAddress, "restart_needed", !reflect.DeepEqual(rest, d.settings))
+}
+
 const (
 	// stopAccepting is how long a leaving host serves as before: the balancer
 	// notices after two probes, one a second.
--- /dev/null
+++ b/internal/decide/host/world_test.go
@@ -0,0 +1,526 @@
+package host
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/room"
+	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const (
+	testLease     = time.Second
+	memberTTL     = time.Second
+	joinEvery     = 200 * time.Millisecond
+	tickEvery     = 20 * time.Millisecond
+	silence       = 600 * time.Millisecond
+	resendDelay   = 1300 * time.Millisecond
+	orderTimeout  = 200 * time.Millisecond
+	lookSlack     = 400 * time.Millisecond
+	zonePartition = 6
+)
+
+// event is something that happens in the world.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if c := q[i].at.Compare(q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simHost is an entry host of the world.
+type simHost struct {
+	name, zone string
+	core       *Core
+	// life numbers the starts of the host; what belongs to an earlier one is
+	// dropped.
+	life       int
+	up         bool
+	generation int64
+	storeless  bool
+}
+
+// simJob is a job with the caller that waits for it.
+type simJob struct {
+	id       string
+	spec     fleet.Job
+	works    []time.Duration
+	host     *simHost
+	arrived  time.Time
+	attempts int
+	outcome  string
+	took     time.Duration
+	done     map[fleet.TaskName]bool
+	started  time.Time
+}
+
+// world is a fleet of hosts and workers in virtual time.
+type world struct {
+	rng      *rand.Rand
+	now      time.Time
+	seq      int
+	queue    eventQueue
+	hosts    []*simHost
+	workers  []*simWorker
+	groups   map[string]*simGroup
+	jobs     map[string]*simJob
+	cut      map[string]bool
+	lost     float64
+	late     float64
+	problems []string
+}
+
+var (
+	testEpoch = time.Unix(1_700_000_000, 0)
+	testRoute = fleet.Route{Name: "r", Service: "s", LatencySlack: 60 * time.Millisecond, Stretch: 1.6, MaxAttempts: 4}
+)
+
+func newWorld(seed uint64, zones, hostsPerZone, workersPerZone int) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
+		jobs: map[string]*simJob{}, cut: map[string]bool{},
+	}
+	for z := range zones {
+		zone := fmt.Sprintf("z%d", z)
+		w.groups[zone] = newGroup(zonePartition)
+		for i := range workersPerZone {
+			sw := &simWorker{world: w, rate: 0.985 + 0.03*w.rng.Float64(), slowness: 1, info: fleet.Worker{
+				ID: fmt.Sprintf("w-%s-%d", zone, i), Zone: zone, Service: "s",
+				Capacity: fleet.Size{MilliCPU: 32000, MemoryMB: 1 << 17},
+			}}
+			sw.boot(w.now)
+			w.workers = append(w.workers, sw)
+		}
+	}
+	for z := range zones {
+		for i := range hostsPerZone {
+			h := &simHost{name: fmt.Sprintf("h-z%d-%d", z, i), zone: fmt.Sprintf("z%d", z)}
+			w.hosts = append(w.hosts, h)
+			w.boot(h)
+		}
+	}
+	w.after(tickEvery, w.tick)
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// run plays the world for a time.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.problems = append(w.problems, w.now.Sub(testEpoch).String()+": "+fmt.Sprintf(format, args...))
+}
+
+// boot starts a host's process.
+func (w *world) boot(h *simHost) {
+	h.life++
+	h.up, h.generation = true, 0
+	h.core = New(Config{Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartition, Nonce: w.rng.Int64()})
+	for _, sw := range w.workers {
+		h.core.WorkerChanged(sw.info)
+	}
+	w.join(h)
+}
+
+// kill ends a host's process; its callers send their jobs again.
+func (w *world) kill(h *simHost, down time.Duration) {
+	if !h.up {
+		return
+	}
+	h.up = false
+	for _, o := range w.hosts {
+		if o.up && o != h {
+			w.after(time.Millisecond, w.on(o, func() { o.core.HostLost(w.now, h.name) }))
+		}
+	}
+	for _, j := range w.sortedJobs() {
+		if j.host == h && j.outcome == "" {
+			w.resend(j)
+		}
+	}
+	w.after(down, func() { w.boot(h) })
+}
+
+func (w *world) sortedJobs() []*simJob {
+	list := make([]*simJob, 0, len(w.jobs))
+	for _, j := range w.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *simJob) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// on returns an event of a host's present life.
+func (w *world) on(h *simHost, do func()) func() {
+	life := h.life
+	return func() {
+		if h.up && h.life == life {
+			do()
+			w.settle(h)
+		}
+	}
+}
+
+func (w *world) tick() {
+	for _, sw := range w.workers {
+		if !sw.down {
+			sw.advance()
+		}
+	}
+	for _, h := range w.hosts {
+		if !h.up {
+			continue
+		}
+		h.core.Tick(w.now)
+		w.settle(h)
+		for _, o := range w.hosts {
+			if o != h && o.up && w.linked(h.name, o.name) {
+				report := h.core.Report(w.now)
+				w.after(w.delay(), w.on(o, func() { o.core.Reported(w.now, h.name, h.zone, report) }))
+			}
+		}
+	}
+	w.after(tickEvery, w.tick)
+}
+
+func (w *world) join(h *simHost) {
+	w.on(h, func() {
+		if !h.storeless {
+			generation, parts := w.groups[h.zone].join(w.now, h.name, h.generation)
+			h.generation = generation
+			h.core.Tenure.Joined(h.zone, generation, parts)
+		}
+		w.after(joinEvery, func() { w.join(h) })
+	})()
+}
+
+func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
+
+func (w *world) linked(a, b string) bool { return !w.cut[pair(a, b)] }
+
+// partition cuts two hosts off from each other for a time. A shorter one than
+// the streams' silence only delays their bytes and is not played.
+func (w *world) partition(a, b *simHost, d time.Duration) {
+	d = max(d, silence+tickEvery)
+	w.cut[pair(a.name, b.name)] = true
+	w.after(silence, func() {
+		if w.linked(a.name, b.name) {
+			return
+		}
+		if a.up {
+			w.on(a, func() { a.core.HostLost(w.now, b.name) })()
+		}
+		if b.up {
+			w.on(b, func() { b.core.HostLost(w.now, a.name) })()
+		}
+	})
+	w.after(d, func() { delete(w.cut, pair(a.name, b.name)) })
+}
+
+// isolate cuts a worker off from a host for a time.
+func (w *world) isolate(h *simHost, sw *simWorker, d time.Duration) {
+	w.cut[pair(h.name, sw.info.ID)] = true
+	w.after(d, func() { delete(w.cut, pair(h.name, sw.info.ID)) })
+}
+
+func (w *world) delay() time.Duration {
+	return 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(1500*time.Microsecond)))
+}
+
+// crash ends a worker; it starts again with everything forgotten.
+func (w *world) crash(sw *simWorker, down time.Duration) {
+	if sw.down {
+		return
+	}
+	sw.down = true
+	clear(sw.runs)
+	w.after(down, func() {
+		sw.boot(w.now)
+		for _, h := range w.hosts {
+			if h.up {
+				w.on(h, func() { h.core.WorkerChanged(sw.info) })()
+			}
+		}
+	})
+}
+
+func (w *world) worker(id string) *simWorker {
+	for _, sw := range w.workers {
+		if sw.info.ID == id {
+			return sw
+		}
+	}
+	return nil
+}
+
+func (w *world) settle(h *simHost) {
+	for _, a := range h.core.Settle(w.now) {
+		w.carry(h, a)
+	}
+}
+
+func (w *world) carry(h *simHost, a Action) {
+	switch a := a.(type) {
+	case room.Start:
+		sw := w.worker(a.Worker.ID)
+		w.order(h, sw, orderTimeout, func(answered bool) func() {
+			verdict, clock := fleet.StartUnknown, time.Duration(0)
+			if answered {
+				verdict, clock = sw.start(a), sw.now()
+			}
+			return func() { h.core.Pool.StartAnswered(w.now, sw.info.ID, a.Run, a.Fence, verdict, clock) }
+		}, func() { sw.start(a) })
+	case room.Stop:
+		sw := w.worker(a.Worker.ID)
+		w.order(h, sw, orderTimeout, func(answered bool) func() {
+			ok := answered && sw.stop(a)
+			return func() { h.core.Pool.StopAnswered(w.now, sw.info.ID, a.Run, ok) }
+		}, func() { sw.stop(a) })
+	case room.Look:
+		w.look(h, a)
+	case Send:
+		w.send(h, a.Host, a.Message)
+	case Broadcast:
+		for _, o := range w.hosts {
+			if o != h {
+				w.send(h, o.name, a.Message)
+			}
+		}
+	case spread.Answer:
+		w.answer(h, a)
+	}
+}
+
+// order carries an order to a worker. Its answer may be lost, and it may be
+// carried out late.
+func (w *world) order(h *simHost, sw *simWorker, timeout time.Duration, carry func(answered bool) func(), late func()) {
+	unanswered := func() { w.after(timeout, w.on(h, carry(false))) }
+	w.after(w.delay(), func() {
+		switch {
+		case sw.down || w.cut[pair(h.name, sw.info.ID)]:
+			unanswered()
+		case w.rng.Float64() < w.late:
+			born := sw.born
+			w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(4*time.Second))), func() {
+				if !sw.down && sw.born.Equal(born) {
+					late()
+				}
+			})
+			unanswered()
+		case w.rng.Float64() < w.lost:
+			late()
+			unanswered()
+		default:
+			w.after(w.delay(), w.on(h, carry(true)))
+		}
+	})
+}
+
+func (w *world) look(h *simHost, a room.Look) {
+	sw := w.worker(a.Worker.ID)
+	id := sw.info.ID
+	failed := func() {
+		w.after(a.Wait+lookSlack, w.on(h, func() { h.core.Pool.LookFailed(w.now, id, a.Number) }))
+	}
+	w.after(w.delay(), func() {
+		if sw.down || w.cut[pair(h.name, id)] {
+			failed()
+			return
+		}
+		if !sw.look(a) {
+			w.after(w.delay(), w.on(h, func() { h.core.Pool.Fenced(w.now, id, a.Fence) }))
+			return
+		}
+		answered := false
+		reply := func() {
+			if answered {
+				return
+			}
+			answered = true
+			if sw.down || w.cut[pair(h.name, id)] {
+				failed()
+				return
+			}
+			l := sw.listing()
+			w.after(w.delay(), w.on(h, func() { h.core.Pool.Listed(w.now, id, a.Number, l) }))
+		}
+		if a.Wait == 0 || len(sw.ended) > 0 {
+			reply()
+			return
+		}
+		sw.looks = append(sw.looks, reply)
+		w.after(a.Wait, reply)
+	})
+}
+
+func (w *world) send(h *simHost, to string, m Message) {
+	for _, o := range w.hosts {
+		if o.name != to {
+			continue
+		}
+		if !o.up {
+			w.after(time.Millisecond, w.on(h, func() { h.core.Spread.HostLost(w.now, to) }))
+			return
+		}
+		if w.linked(h.name, to) {
+			w.after(w.delay(), w.on(o, func() { o.core.Receive(w.now, h.name, m) }))
+		}
+	}
+}
+
+// submit hands a job in at a host.
+func (w *world) submit(j *simJob, h *simHost) {
+	if !h.up {
+		w.resend(j)
+		return
+	}
+	j.host, j.arrived = h, w.now
+	j.attempts++
+	w.on(h, func() { h.core.Spread.Submit(w.now, j.spec, testRoute, 2*time.Second) })()
+}
+
+// resend has a caller without an answer send its job again elsewhere.
+func (w *world) resend(j *simJob) {
+	j.host = nil
+	if j.attempts >= 3 {
+		j.outcome = "lost"
+		return
+	}
+	w.after(resendDelay, func() { w.submit(j, w.hosts[w.rng.IntN(len(w.hosts))]) })
+}
+
+func (w *world) answer(h *simHost, a spread.Answer) {
+	j := w.jobs[a.Job]
+	if j.host != h {
+		return
+	}
+	j.took = w.now.Sub(j.arrived)
+	switch {
+	case a.Err == nil:
+		j.outcome = "completed"
+		if len(j.done) != j.spec.Steps[0].Count {
+			w.fail("job %s is said to be complete with %d of %d tasks done", j.id, len(j.done), j.spec.Steps[0].Count)
+		}
+	case a.Err.Run == errkind.NotRun:
+		j.outcome = "not run"
+		if j.started.After(j.arrived) {
+			w.fail("job %s is said not to have run, and a task started %v after it came", j.id, j.started.Sub(j.arrived))
+		}
+	case a.Failed:
+		j.outcome = "failed"
+	default:
+		w.resend(j)
+	}
+}
+
+// started checks a start against the rules.
+func (w *world) started(sw *simWorker, id fleet.RunID) {
+	j := w.jobs[id.Task.Job]
+	step := j.spec.Steps[id.Task.Step]
+	if used := sw.used().Plus(step.Size); !used.Fits(sw.info.Capacity) {
+		w.fail("worker %s is given %d of %d thousandths of a core by %v", sw.info.ID, used.MilliCPU, sw.info.Capacity.MilliCPU, id)
+	}
+	for _, o := range w.workers {
+		for other := range o.runs {
+			if other.Task == id.Task && !o.down {
+				w.fail("task %s runs on %s (run %d) and starts on %s (run %d)", id.Task, o.info.ID, other.Run, sw.info.ID, id.Run)
+			}
+		}
+	}
+	j.started = w.now
+	length := time.Duration(float64(j.works[id.Task.Index]) * sw.slowness)
+	fate := fleet.EndedDone
+	switch {
+	case sw.hanging:
+		length = time.Hour
+	case sw.failing || w.rng.Float64() < 0.005:
+		fate = fleet.EndedFailed
+		length /= 2
+	}
+	sw.runs[id] = &simRun{size: step.Size, began: w.now, ends: w.now.Add(length), fate: fate}
+}
+
+func (w *world) ended(_ *simWorker, id fleet.RunID, how fleet.Ending) {
+	if how == fleet.EndedDone {
+		w.jobs[id.Task.Job].done[id.Task] = true
+	}
+}
+
+// load has jobs come at a rate for a time, evenly over the hosts.
+func (w *world) load(perSecond float64, d time.Duration) {
+	w.arrive(perSecond, w.now.Add(d))
+}
+
+func (w *world) arrive(perSecond float64, until time.Time) {
+	gap := time.Duration(w.rng.ExpFloat64() / perSecond * float64(time.Second))
+	w.after(gap, func() {
+		if w.now.After(until) {
+			return
+		}
+		w.submit(w.newJob(), w.hosts[w.rng.IntN(len(w.hosts))])
+		w.arrive(perSecond, until)
+	})
+}
+
+// newJob draws a job: most are short and wide, some long and narrow.
+func (w *world) newJob() *simJob {
+	width, estimate := 1+w.rng.IntN(3), 200*time.Millisecond
+	switch n := w.rng.IntN(10); {
+	case n < 3:
+		width, estimate = 4+w.rng.IntN(8), 60*time.Millisecond
+	case n == 9:
+		width, estimate = 2+w.rng.IntN(4), 900*time.Millisecond
+	}
+	j := &simJob{id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}}
+	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
+		Count: width, Size: fleet.Size{MilliCPU: 11000 + w.rng.IntN(5000), MemoryMB: 64}, Estimate: estimate,
+	}}}
+	for range width {
+		j.works = append(j.works, time.Duration((0.7+0.6*w.rng.Float64())*float64(estimate)))
+	}
+	w.jobs[j.id] = j
+	return j
+}
+
+// outcomes counts the jobs by their outcome.
+func (w *world) outcomes() map[string]int {
+	counts := map[string]int{}
+	for _, j := range w.jobs {
+		counts[cmp.Or(j.outcome, "open")]++
+	}
+	return counts
+}
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -32,6 +32,9 @@
 	StartBy time.Time
 	// UsefulUntil is when nobody waits for the job any more.
 	UsefulUntil time.Time
+	// Avoid names the worker of the run before, which is taken last; it may be
+	// empty.
+	Avoid string
 	// Begun is set if another task of the job has started.
 	Begun bool
 	// NextRun is the number of the next run.
@@ -80,6 +83,8 @@
 	// Failed counts the runs that failed.
 	Failed int
 	Result Result
+	// Ran is set unless it is known that no run has begun since the offer.
+	Ran    bool
 	Worker string
 	// Why is a short reason for logs.
 	Why string
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -63,7 +63,7 @@
 
 // reborn forgets what a former lifetime of the worker ran.
 func (p *Pool) reborn(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.listed() {
 		p.over(w, r, "worker restarted")
 	}
 	w.noted, w.granted = 0, 0
@@ -82,12 +82,14 @@
 		return
 	}
 	w.unclaimed = map[fleet.RunID]bool{}
-	for _, id := range l.Running {
-		w.unclaimed[id] = true
-		w.add(&run{id: id, state: runRunning, began: now, settledAt: p.looks})
+	sighting := offer.Sighting{Worker: w.info.ID, Ended: l.Ended}
+	for _, r := range l.Running {
+		w.unclaimed[r.RunID] = true
+		w.add(&run{id: r.RunID, state: runRunning, began: now, settledAt: p.looks})
+		sighting.Running = append(sighting.Running, r.RunID)
 	}
 	w.claimUntil = now.Add(p.cfg.ClaimWait)
-	p.emit(Sight{offer.Sighting{Worker: w.info.ID, Running: l.Running, Ended: l.Ended}})
+	p.emit(Sight{sighting})
 }
 
 // Claimed takes a host's claim of a run found on a worker.
@@ -100,7 +102,7 @@
 	r := w.runs[id]
 	w.remove(r)
 	task := c.Task
-	r.task, r.size = &task, task.Size
+	r.task, r.size, r.claimed = &task, task.Size, true
 	w.add(r)
 }
 
@@ -117,7 +119,7 @@
 		if r.task == nil {
 			return
 		}
-		if p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
+		if !r.claimed && p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f against %.1f", w.health.pace, p.paces.pace)})
 		}
 		p.tell(*r.task, w.info.ID, r.id.Run, offer.Done, "")
@@ -132,58 +134,47 @@
 	}
 }
 
-// failed counts a failed run and queues the task again while its queue allows.
+// failed counts a failed run. The host of the job decides whether the task is
+// offered again: a former owner may have seen the same end.
 func (p *Pool) failed(w *worker, r *run) {
 	if r.task == nil {
 		return
 	}
 	r.task.Failed++
+	result, why := offer.Returned, "run failed"
 	if r.task.Failed >= r.task.MaxAttempts {
-		p.tell(*r.task, w.info.ID, r.id.Run, offer.Failed, "failed as often as the queue allows")
-		return
+		result, why = offer.Failed, "failed as often as the queue allows"
 	}
-	p.requeue(w, r)
+	p.tell(*r.task, w.info.ID, r.id.Run, result, why)
 }
 
 // over ends a run that has ended without a result; nothing of it is left.
 func (p *Pool) over(w *worker, r *run, why string) {
 	w.remove(r)
-	if r.task == nil {
-		return
-	}
-	if r.requeue {
-		p.requeue(w, r)
-		return
+	if r.task != nil {
+		p.tell(*r.task, w.info.ID, r.id.Run, offer.Returned, why)
 	}
-	r.task.NextRun = r.id.Run + 1
-	p.tell(*r.task, w.info.ID, r.id.Run, offer.Returned, why)
-}
-
-// requeue puts a task before the others: its job has begun.
-func (p *Pool) requeue(w *worker, r *run) {
-	t := *r.task
-	t.NextRun = r.id.Run + 1
-	t.Begun = true
-	p.queue = append(p.queue, &waiting{Task: t, offered: r.began, avoid: w.info.ID})
 }
 
 // compare looks for runs that the worker should list and does not. Only a
 // look sent after the last order on a run was answered speaks about it.
-func (p *Pool) compare(now time.Time, w *worker, number int64, running []fleet.RunID) {
+func (p *Pool) compare(now time.Time, w *worker, number int64, running []fleet.Progress) {
 	listed := make(map[fleet.RunID]bool, len(running))
-	for _, id := range running {
-		listed[id] = true
+	for _, r := range running {
+		listed[r.RunID] = true
 	}
-	for id, r := range w.runs {
+	for _, r := range w.listed() {
+		id := r.id
 		settled := r.state == runRunning || r.stopAnswered
 		if listed[id] || !settled || number <= r.settledAt {
 			continue
 		}
-		r.requeue = r.requeue || r.state == runRunning
 		p.over(w, r, "not listed")
 	}
-	for _, id := range running {
-		if w.runs[id] != nil {
+	for _, progress := range running {
+		id := progress.RunID
+		if known := w.runs[id]; known != nil {
+			p.judge(now, w, known, progress.Percent)
 			continue
 		}
 		// An order of a former owner was carried out late.
@@ -193,6 +184,24 @@
 	}
 }
 
+// judge stops a run that is so slow that the task is done earlier elsewhere.
+func (p *Pool) judge(now time.Time, w *worker, r *run, percent int) {
+	if r.task == nil || r.state != runRunning || r.claimed || p.paces.runs < paceRuns {
+		return
+	}
+	normal := time.Duration(float64(r.task.Estimate) * p.paces.pace)
+	took := now.Sub(r.began)
+	total := time.Duration(float64(took) * 100 / float64(max(percent, 1)))
+	if took < judgeAfter || total < time.Duration(slowFactor*float64(normal)) || total-took < 2*normal {
+		return
+	}
+	if p.paces.record(&w.health, total, r.task.Estimate) && w.health.failed(now) {
+		p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("run at %d%% after %v", percent, took)})
+	}
+	p.emit(Note{What: "straggler stopped", Worker: w.info.ID, Why: fmt.Sprintf("%s at %d%% after %v", r.id.Task, percent, took)})
+	p.stop(now, w, r)
+}
+
 // LookFailed takes a look without an answer.
 func (p *Pool) LookFailed(now time.Time, id string, number int64) {
 	w, ok := p.workers[id]
@@ -225,7 +234,7 @@
 	if !ok {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.listed() {
 		p.over(w, r, "worker gone")
 	}
 	p.forget(w, "another worker answers at its address")
@@ -257,31 +266,32 @@
 			p.tell(*r.task, id, runID.Run, offer.Started, "")
 		}
 	case fleet.StartFenced:
-		// The order did nothing.
-		r.requeue = true
-		p.over(w, r, "fenced")
+		p.rejected(w, r, verdict)
 		p.Fenced(now, id, fence)
 	case fleet.StartGone:
-		r.requeue = true
-		p.over(w, r, "worker gone")
+		p.rejected(w, r, verdict)
 		p.Gone(now, id)
 	case fleet.StartOld, fleet.StartLate:
-		r.requeue = true
-		p.over(w, r, verdict.String())
+		p.rejected(w, r, verdict)
 	case fleet.StartNoRoom, fleet.StartUnhealthy, fleet.StartInvalid:
-		r.requeue = true
 		if w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: id, Why: "start rejected: " + verdict.String()})
 		}
-		p.over(w, r, verdict.String())
+		p.rejected(w, r, verdict)
 	case fleet.StartUnknown:
 		p.missed(now, w)
-		r.requeue = true
-		r.why = "start not answered"
 		p.stop(now, w, r)
 	}
 }
 
+// rejected counts a run out that the worker did not start.
+func (p *Pool) rejected(w *worker, r *run, verdict fleet.StartVerdict) {
+	w.remove(r)
+	if r.task != nil {
+		p.giveBack(*r.task, w.info.ID, r.id.Run, "start rejected: "+verdict.String())
+	}
+}
+
 // stop orders the end of a run.
 func (p *Pool) stop(now time.Time, w *worker, r *run) {
 	r.state = runStopping
@@ -322,24 +332,23 @@
 	for _, w := range p.order {
 		p.tickWorker(now, w)
 	}
-	p.giveBack(now)
+	p.returnUseless(now)
 }
 
 func (p *Pool) tickWorker(now time.Time, w *worker) {
 	if now.After(w.claimUntil) {
-		for id := range w.unclaimed {
-			if r := w.runs[id]; r.state == runRunning {
+		for _, r := range w.listed() {
+			if w.unclaimed[r.id] && r.state == runRunning {
 				p.stop(now, w, r)
 			}
 		}
 	}
 	if w.unreachable > 0 && len(w.runs) > 0 && now.After(w.leasesOver()) {
-		for _, r := range w.runs {
-			r.requeue = true
+		for _, r := range w.listed() {
 			p.over(w, r, "lease expired")
 		}
 	}
-	for _, r := range w.runs {
+	for _, r := range w.listed() {
 		if r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop) {
 			p.stop(now, w, r)
 		}
--- a/internal/decide/room/health.go
+++ b/internal/decide/room/health.go
@@ -12,6 +12,8 @@
 	// slowFactor is how many times slower than the fleet's mean a worker may be
 	// before it is put on probation. Sound workers differ by up to 1.6.
 	slowFactor = 3.0
+	// judgeAfter is how long a run goes on before its progress says something.
+	judgeAfter = 100 * time.Millisecond
 	// paceWeight is the weight of one run in a worker's mean pace.
 	paceWeight = 0.25
 	// paceRuns is how many runs a pace needs before it counts.
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -120,8 +120,6 @@
 type waiting struct {
 	offer.Task
 	offered time.Time
-	// avoid is the worker of the run before, or empty.
-	avoid string
 }
 
 // Pool is the set of workers that this host owns. It is not safe for
@@ -152,9 +150,17 @@
 
 func (p *Pool) emit(a Action) { p.actions = append(p.actions, a) }
 
+// tell reports a task that has, or may have, run.
 func (p *Pool) tell(t offer.Task, w string, run int, result offer.Result, why string) {
 	p.emit(Tell{offer.Outcome{
-		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: result, Worker: w, Why: why,
+		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: result, Ran: true, Worker: w, Why: why,
+	}})
+}
+
+// giveBack returns a task of which no run has begun here.
+func (p *Pool) giveBack(t offer.Task, w string, run int, why string) {
+	p.emit(Tell{offer.Outcome{
+		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: offer.Returned, Worker: w, Why: why,
 	}})
 }
 
@@ -190,12 +196,12 @@
 
 // drop forgets a worker. Its runs are orphaned: another owner may find them.
 func (p *Pool) drop(now time.Time, w *worker, why string) {
-	for _, r := range w.runs {
+	for _, r := range w.listed() {
 		if r.task == nil {
 			continue
 		}
 		p.emit(Tell{offer.Outcome{
-			Host: r.task.Host, Task: r.id.Task, Run: r.id.Run, Failed: r.task.Failed, Result: offer.Orphaned,
+			Host: r.task.Host, Task: r.id.Task, Run: r.id.Run, Failed: r.task.Failed, Result: offer.Orphaned, Ran: true,
 			Worker: w.info.ID, Why: why, OverIn: max(0, w.leasesOver().Sub(now)),
 		}})
 	}
@@ -225,7 +231,7 @@
 		if q.Host != host || q.Name.Job != job {
 			return false
 		}
-		p.tell(q.Task, "", q.NextRun-1, offer.Returned, "recalled")
+		p.giveBack(q.Task, "", q.NextRun-1, "recalled")
 		return true
 	})
 }
@@ -249,7 +255,7 @@
 func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool { return match(&q.Task) })
 	for _, w := range p.order {
-		for _, r := range w.runs {
+		for _, r := range w.listed() {
 			if r.task != nil && match(r.task) {
 				r.task = nil
 				p.stop(now, w, r)
@@ -261,7 +267,7 @@
 // ReturnQueue gives every waiting task back, for a planned stop.
 func (p *Pool) ReturnQueue(why string) {
 	for _, q := range p.queue {
-		p.tell(q.Task, "", q.NextRun-1, offer.Returned, why)
+		p.giveBack(q.Task, "", q.NextRun-1, why)
 	}
 	p.queue = nil
 }
@@ -275,7 +281,7 @@
 		for i := range rooms {
 			if rooms[i].Service == q.Service && q.Size.Fits(rooms[i].Free) {
 				rooms[i].Free = rooms[i].Free.Minus(q.Size)
-				p.tell(q.Task, "", q.NextRun-1, offer.Returned, "another host has room")
+				p.giveBack(q.Task, "", q.NextRun-1, "another host has room")
 				return true
 			}
 		}
@@ -314,7 +320,7 @@
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
 		r.Workers = append(r.Workers, offer.WorkerRoom{ID: w.info.ID, Service: w.info.Service, Free: w.free()})
-		for _, run := range w.runs {
+		for _, run := range w.listed() {
 			if run.task != nil {
 				length := max(shortestRun, p.paces.expect(w, run.task.Estimate))
 				r.FreeingRate += int64(run.size.MilliCPU) * int64(time.Second) / int64(length)
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -56,6 +56,14 @@
 
 func idle() fleet.Listing { return fleet.Listing{Clock: time.Minute, Born: 1} }
 
+func running(ids ...fleet.RunID) []fleet.Progress {
+	var list []fleet.Progress
+	for _, id := range ids {
+		list = append(list, fleet.Progress{RunID: id, Percent: 50})
+	}
+	return list
+}
+
 func runOf(job, index, number int) fleet.RunID {
 	return fleet.RunID{Task: fleet.TaskName{Job: fmt.Sprintf("%016x", job), Index: index}, Run: number}
 }
@@ -75,7 +83,7 @@
 	looks := of[Look](p.Take(epoch))
 	require.Len(t, looks, 1)
 	p.Listed(epoch, "w", looks[0].Number, fleet.Listing{
-		Clock: time.Minute, Born: 1, Running: []fleet.RunID{starts[1].Run},
+		Clock: time.Minute, Born: 1, Running: running(starts[1].Run),
 		Ended: []fleet.RunEnd{{Seq: 1, RunID: starts[0].Run, How: fleet.EndedDone}},
 	})
 	actions := p.Take(epoch)
@@ -89,7 +97,7 @@
 // worker takes nothing before its end is listed, not even while it is stopped.
 func TestUnclaimedRunKeepsTheWorkerClosedUntilItsEnd(t *testing.T) {
 	found := runOf(9, 0, 1)
-	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: []fleet.RunID{found}})
+	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: running(found)})
 	require.Len(t, of[Sight](p.Take(epoch)), 1)
 
 	p.Offer(epoch, testTask(1, 0, 14, epoch))
@@ -114,7 +122,7 @@
 
 func TestClaimedRunGoesOnAndIsReported(t *testing.T) {
 	found := runOf(9, 0, 1)
-	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: []fleet.RunID{found}})
+	p := adopted(t, 32, fleet.Listing{Clock: time.Minute, Born: 1, Running: running(found)})
 	p.Take(epoch)
 	task := testTask(9, 0, 14, epoch)
 	task.NextRun = 2
--- a/internal/decide/room/schedule.go
+++ b/internal/decide/room/schedule.go
@@ -100,8 +100,8 @@
 }
 
 func (p *Pool) better(q *waiting, a, b *worker) bool {
-	if a.info.ID == q.avoid || b.info.ID == q.avoid {
-		return b.info.ID == q.avoid
+	if a.info.ID == q.Avoid || b.info.ID == q.Avoid {
+		return b.info.ID == q.Avoid
 	}
 	if q.Affinity != "" {
 		near, other := slices.Contains(a.info.Labels, q.Affinity), slices.Contains(b.info.Labels, q.Affinity)
@@ -133,16 +133,16 @@
 	})
 }
 
-// giveBack returns tasks that nobody waits for any more, and those that no
+// returnUseless returns tasks that nobody waits for any more, and those that no
 // worker here could take even when idle.
-func (p *Pool) giveBack(now time.Time) {
+func (p *Pool) returnUseless(now time.Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *waiting) bool {
 		switch {
 		case !now.Before(q.UsefulUntil):
-			p.tell(q.Task, "", q.NextRun-1, offer.Returned, "nobody waits any more")
+			p.giveBack(q.Task, "", q.NextRun-1, "nobody waits any more")
 			return true
 		case !p.couldTake(now, &q.Task):
-			p.tell(q.Task, "", q.NextRun-1, offer.Returned, "no worker here could take it")
+			p.giveBack(q.Task, "", q.NextRun-1, "no worker here could take it")
 			return true
 		}
 		return false
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
@@ -39,10 +40,8 @@
 	stopAnswered bool
 	stopInFlight bool
 	nextStop     time.Time
-	// requeue is set if the task goes back to the queue when the run is over.
-	requeue bool
-	// why explains the stop.
-	why string
+	// claimed is set if a former owner started the run, at an unknown time.
+	claimed bool
 }
 
 // worker is one worker that this host owns.
@@ -134,6 +133,16 @@
 	w.used = w.used.Minus(r.size)
 }
 
+// listed returns the runs in a fixed order, so that decisions repeat.
+func (w *worker) listed() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return a.id.Compare(b.id) })
+	return runs
+}
+
 // tasksOf counts the runs of a job's step.
 func (w *worker) tasksOf(name fleet.TaskName) int {
 	n := 0
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -70,9 +70,13 @@
 	if err != nil {
 		why = err.Detail
 	}
-	for name := range j.atHosts() {
+	// Every host that was offered something hears of the end, also where a run
+	// is believed to be over.
+	for _, name := range j.hosts {
 		s.dropBatch(name, j.spec.ID)
-		s.emit(Withdraw{Host: name, Job: j.spec.ID})
+		if err != nil || slices.Contains(j.atHosts(), name) {
+			s.emit(Withdraw{Host: name, Job: j.spec.ID})
+		}
 	}
 	s.emit(Answer{
 		Job: j.spec.ID, Err: err, RetryAfter: retryAfter,
@@ -107,6 +111,7 @@
 		return
 	}
 	t.runs = max(t.runs, o.Run)
+	t.ran = t.ran || o.Ran
 	if o.Worker != "" {
 		t.worker = o.Worker
 	}
@@ -121,7 +126,7 @@
 		s.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s",
 			o.Task, o.Failed, o.Worker), 0)
 	case offer.Returned:
-		t.state, t.host = taskIdle, ""
+		t.state, t.host, t.over = taskIdle, "", t.runs
 		if o.Worker == "" {
 			t.pass(from, now)
 		}
@@ -170,7 +175,7 @@
 
 func (s *Spread) taskDone(now time.Time, j *job, t *task) {
 	t.state = taskDone
-	j.begun = true
+	j.begun, j.recalled = true, time.Time{}
 	step := t.name.Step
 	j.left[step]--
 	if j.done() {
@@ -193,9 +198,10 @@
 	}
 	for _, e := range sight.Ended {
 		j, t := s.find(e.Task)
-		if t == nil || t.state == taskDone || t.runs > e.Run {
+		if t == nil || t.state == taskDone || t.runs > e.Run || t.elsewhere(sight.Worker) {
 			continue
 		}
+		t.ran = true
 		if e.How == fleet.EndedDone {
 			s.taskDone(now, j, t)
 			continue
@@ -209,7 +215,7 @@
 		lost := false
 		for _, t := range j.tasks {
 			if t.atWorker() && t.worker == sight.Worker && t.host != from && !listed[t.name] {
-				t.state, t.host = taskIdle, ""
+				t.state, t.host, t.over = taskIdle, "", t.runs
 				lost = true
 			}
 		}
@@ -222,10 +228,11 @@
 // claim claims a run found on a worker if its task is still waited for.
 func (s *Spread) claim(from, worker string, r fleet.RunID) {
 	j, t := s.find(r.Task)
-	if t == nil || !(t.atWorker() || t.state == taskOffered) || t.runs > r.Run {
+	if t == nil || t.state == taskDone || t.state == taskIdle || t.runs > r.Run || t.over >= r.Run || t.elsewhere(worker) {
 		return
 	}
-	t.runs, t.state, t.host, t.worker = r.Run, taskStarted, from, worker
+	t.runs, t.state, t.host, t.worker, t.ran = r.Run, taskStarted, from, worker, true
+	j.offeredTo(from)
 	s.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: s.task(j, t)}})
 }
 
@@ -238,6 +245,7 @@
 		if t.state == taskOrphaned && !now.Before(t.overAt) {
 			t.state = taskIdle
 			t.runs++
+			t.over, t.ran = t.runs, true
 		}
 	}
 	switch {
@@ -302,7 +310,7 @@
 		return
 	}
 	j.recalled = now
-	for name := range j.atHosts() {
+	for _, name := range j.atHosts() {
 		s.dropBatch(name, j.spec.ID)
 		s.emit(Recall{Host: name, Job: j.spec.ID})
 	}
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -31,6 +32,10 @@
 	// runs is the number of the last run that is known of.
 	runs   int
 	failed int
+	// ran is set once a run has, or may have, begun.
+	ran bool
+	// over is the highest run that is known to have ended.
+	over int
 	// overAt is when an orphaned run has surely ended.
 	overAt time.Time
 	// refusedBy are hosts that gave the task back, and until when they are
@@ -53,6 +58,8 @@
 	// chain is the estimated time of the longest chain of steps.
 	chain time.Duration
 	begun bool
+	// hosts were offered tasks of the job.
+	hosts []string
 	// judged is set once the job was looked at a second time.
 	judged bool
 	// recalled is when the waiting tasks were last asked back; zero if they are
@@ -65,6 +72,19 @@
 // atWorker reports whether a run of the task is, or may be, at a worker.
 func (t *task) atWorker() bool { return t.state == taskStarted || t.state == taskOrphaned }
 
+// elsewhere reports whether the present run of the task is known to be at
+// another worker: what is found on this one belongs to an earlier submission.
+func (t *task) elsewhere(worker string) bool {
+	return t.atWorker() && t.worker != "" && t.worker != worker
+}
+
+// offeredTo notes that a host holds, or held, tasks of the job.
+func (j *job) offeredTo(host string) {
+	if !slices.Contains(j.hosts, host) {
+		j.hosts = append(j.hosts, host)
+	}
+}
+
 func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
 	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline}
 	for i, step := range spec.Steps {
@@ -117,7 +137,7 @@
 // notRun reports whether no task can have run.
 func (j *job) notRun() bool {
 	for _, t := range j.tasks {
-		if t.runs > 0 || t.state == taskOffered || t.state == taskOrphaned {
+		if t.ran || t.state == taskOffered || t.state == taskOrphaned || t.state == taskDone {
 			return false
 		}
 	}
@@ -143,12 +163,12 @@
 	return n
 }
 
-// atHosts returns the hosts that hold tasks of the job.
-func (j *job) atHosts() map[string]bool {
-	hosts := map[string]bool{}
+// atHosts returns the hosts that hold tasks of the job, each once.
+func (j *job) atHosts() []string {
+	var hosts []string
 	for _, t := range j.tasks {
-		if t.state == taskOffered || t.state == taskStarted {
-			hosts[t.host] = true
+		if (t.state == taskOffered || t.state == taskStarted) && !slices.Contains(hosts, t.host) {
+			hosts = append(hosts, t.host)
 		}
 	}
 	return hosts
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -193,6 +194,14 @@
 	Run  int
 }
 
+// Compare orders runs by task and number.
+func (r RunID) Compare(o RunID) int {
+	return cmp.Or(
+		cmp.Compare(r.Task.Job, o.Task.Job), cmp.Compare(r.Task.Step, o.Task.Step),
+		cmp.Compare(r.Task.Index, o.Task.Index), cmp.Compare(r.Run, o.Run),
+	)
+}
+
 // RunEnd is one entry of a worker's list of ends.
 type RunEnd struct {
 	// Seq numbers the ends of one lifetime of the worker, from 1.
@@ -201,12 +210,19 @@
 	How Ending
 }
 
+// Progress is one entry of a worker's list of runs.
+type Progress struct {
+	RunID
+	// Percent is how much of its work the run has done.
+	Percent int
+}
+
 // Listing is what a worker says about itself.
 type Listing struct {
 	// Clock is the worker's own clock.
 	Clock   time.Duration
 	Born    int64
-	Running []RunID
+	Running []Progress
 	Ended   []RunEnd
 }
 
