--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -192,7 +192,7 @@
 	normal := time.Duration(float64(r.task.Estimate) * p.paces.pace)
 	took := now.Sub(r.began)
 	total := time.Duration(float64(took) * 100 / float64(max(percent, 1)))
-	if took < judgeAfter || total < time.Duration(slowFactor*float64(normal)) || total-took < 2*normal {
+	if took < judgeAfter || total < time.Duration(slowFactor*float64(normal)) || total-took < max(2*normal, stragglerRest) {
 		return
 	}
 	if p.paces.record(&w.health, total, r.task.Estimate) && w.health.failed(now) {
--- a/internal/decide/room/health.go
+++ b/internal/decide/room/health.go
@@ -14,6 +14,9 @@
 	slowFactor = 3.0
 	// judgeAfter is how long a run goes on before its progress says something.
 	judgeAfter = 100 * time.Millisecond
+	// stragglerRest is the least that a run must have before it for its task to
+	// go elsewhere: offers, a start and the work thrown away cost as much.
+	stragglerRest = 300 * time.Millisecond
 	// paceWeight is the weight of one run in a worker's mean pace.
 	paceWeight = 0.25
 	// paceRuns is how many runs a pace needs before it counts.
