--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -173,7 +173,7 @@
 	defer lines.Close()
 	level := cmp.Or(o.overrides.LogLevel, "info")
 	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
-	d := dispatch.New(s, logger)
+	d := dispatch.New(s, logger, dispatch.SystemNetwork())
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go reloadOn(hangups, path, logger, d)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"reflect"
 	"sync/atomic"
@@ -36,9 +37,24 @@
 	idleTimeout       = 15 * time.Second
 )
 
+// Network opens and takes connections.
+type Network struct {
+	Dial   platform.Dial
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
+}
+
+// SystemNetwork returns the operating system's network. Connections are
+// watched by time limits of their own, so that none needs keep-alive probes.
+func SystemNetwork() Network {
+	dialer := &net.Dialer{KeepAlive: -1}
+	var listener net.ListenConfig
+	return Network{Dial: dialer.DialContext, Listen: listener.Listen}
+}
+
 // Dispatch is the dispatcher of one entry host.
 type Dispatch struct {
 	settings platform.Settings
+	network  Network
 	self     fleet.Host
 	logger   *log.Logger
 	store    *platform.Store
@@ -67,14 +83,14 @@
 }
 
 // New returns a dispatcher that does nothing until Run.
-func New(s platform.Settings, logger *log.Logger) *Dispatch {
+func New(s platform.Settings, logger *log.Logger, network Network) *Dispatch {
 	self := fleet.Host{
 		Name: s.Host, Zone: s.Zone, Address: s.PeersAddress,
 		Incarnation: string(ids.NewIncarnation(s.Host)),
 	}
 	d := &Dispatch{
-		settings: s, self: self, logger: logger,
-		store: platform.NewStore(s.StoreAddress), workers: platform.NewWorkers(), metrics: newMetrics(),
+		settings: s, network: network, self: self, logger: logger,
+		store: platform.NewStore(s.StoreAddress, network.Dial), workers: platform.NewWorkers(network.Dial), metrics: newMetrics(),
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
 			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
@@ -84,7 +100,7 @@
 	for _, zone := range s.Zones {
 		d.kicks[zone] = make(chan struct{}, 1)
 	}
-	d.peers = newPeers(self, logger.WithPrefix("peers"), d)
+	d.peers = newPeers(self, logger.WithPrefix("peers"), d, network.Dial)
 	d.ready.Store(errkind.New(errkind.NotReady, "starting"))
 	return d
 }
@@ -100,6 +116,8 @@
 		stop()
 	}()
 	err := supervise.Run(serving, d.logger, d.parts()...)
+	d.store.Close()
+	d.workers.Close()
 	d.logger.Info("host stops", "host", d.self.Name, "error", err)
 	return err
 }
@@ -113,10 +131,10 @@
 		{Name: "announcement", Run: d.announce},
 		{Name: "membership", Run: d.keepMemberships},
 		{Name: "peers", Run: d.peers.run},
-		{Name: "peers port", Run: serve(port{d.settings.PeersAddress, d.peerRoutes(), true, closeTimeout}), Restart: supervise.Never},
-		{Name: "metrics port", Run: serve(port{d.settings.MetricsAddress, d.metrics.handler(), false, closeTimeout})},
-		{Name: "ready port", Run: serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), false, closeTimeout}), Restart: supervise.Never},
-		{Name: "callers port", Run: serve(port{
+		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), true, closeTimeout}), Restart: supervise.Never},
+		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), false, closeTimeout})},
+		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), false, closeTimeout}), Restart: supervise.Never},
+		{Name: "callers port", Run: d.serve(port{
 			d.settings.CallersAddress, platform.Callers{Dispatcher: d}, false, d.settings.Grace - stopAccepting - stopMargin,
 		}), Restart: supervise.Never},
 	}
--- /dev/null
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -0,0 +1,288 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/standin/memnet"
+	"github.com/parsleyhill/parsleyhill/internal/standin/store"
+	"github.com/parsleyhill/parsleyhill/internal/standin/taskworker"
+	"github.com/parsleyhill/parsleyhill/platform"
+)
+
+const (
+	taskTime   = 100 * time.Millisecond
+	partitions = 4
+)
+
+// testFleet is a fleet of hosts, workers and a store on a network in memory.
+type testFleet struct {
+	t       *testing.T
+	net     *memnet.Network
+	store   *store.Store
+	workers []*taskworker.Worker
+	stops   map[string]func()
+	servers []*http.Server
+	client  *http.Client
+}
+
+func newFleet(t *testing.T, hosts, workers int) *testFleet {
+	f := &testFleet{t: t, net: memnet.New(), store: store.New(partitions), stops: map[string]func(){}}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.Dial, DisableKeepAlives: true}}
+	f.serve("store:1", f.store)
+	f.configure(1, "/jobs/")
+	for i := range workers {
+		id := fmt.Sprintf("worker-%d", i)
+		w := taskworker.New(id, taskTime)
+		f.workers = append(f.workers, w)
+		f.serve(id+":1", w)
+		f.store.Put("keyed.servers", store.Record{Key: id, Value: f.encode(map[string]any{
+			"service": "s", "addr": id + ":1", "zone": "z", "state": "ready",
+			"capacity": map[string]int{"cpu": 32000, "mem_mb": 1024}, "labels": []string{"a"},
+		})})
+	}
+	for i := range hosts {
+		f.start(fmt.Sprintf("host-%d", i))
+	}
+	time.Sleep(time.Second)
+	return f
+}
+
+func (f *testFleet) encode(v any) []byte {
+	data, err := json.Marshal(v)
+	require.NoError(f.t, err)
+	return data
+}
+
+func (f *testFleet) configure(version int, prefix string) {
+	f.store.Put("keyed.op", store.Record{Key: "config", Value: f.encode(map[string]any{
+		"version":  version,
+		"routes":   []any{map[string]any{"name": "r", "host": "jobs.example", "path_prefix": prefix, "service": "s", "slo_ms": 60, "stretch": 1.6, "max_attempts": 3, "timeout_ms": 1500}},
+		"services": []any{map[string]any{"name": "s"}},
+		"limits":   map[string]any{"max_body_bytes": 4096},
+	})})
+}
+
+func (f *testFleet) serve(address string, h http.Handler) {
+	server := &http.Server{Handler: h}
+	listener := f.net.Listen(address)
+	go func() { _ = server.Serve(listener) }()
+	f.servers = append(f.servers, server)
+}
+
+// start runs a host until its stop is called or the test ends.
+func (f *testFleet) start(name string) {
+	network := Network{Dial: f.net.Dial, Listen: func(_ context.Context, _, address string) (net.Listener, error) {
+		return f.net.Listen(address), nil
+	}}
+	s := platform.Settings{
+		Host: name, Zone: "z", Zones: []string{"z"}, CallersAddress: name + ":1", ReadyAddress: name + ":2",
+		PeersAddress: name + ":3", MetricsAddress: name + ":4", StoreAddress: "store:1",
+		MaxLease: time.Second, Grace: 6 * time.Second, Partitions: partitions,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	d := New(s, log.New(io.Discard), network)
+	go func() { done <- d.Run(ctx) }()
+	f.stops[name] = func() {
+		cancel()
+		require.NoError(f.t, <-done)
+		delete(f.stops, name)
+	}
+}
+
+func (f *testFleet) stopAll() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.client.CloseIdleConnections()
+	for _, s := range f.servers {
+		require.NoError(f.t, s.Close())
+	}
+	// Requests that were given up still end.
+	time.Sleep(5 * time.Second)
+}
+
+// submit hands a job of some tasks in and returns the answer.
+func (f *testFleet) submit(host, id string, tasks int) (int, string) {
+	body := f.encode(map[string]any{"best_effort": true, "spec": "x", "steps": []any{
+		map[string]any{"count": tasks, "cpu": 14000, "mem_mb": 64, "est_runtime_ms": taskTime.Milliseconds()},
+	}})
+	return f.call(http.MethodPost, host, "/jobs/"+id, body)
+}
+
+func (f *testFleet) call(method, host, path string, body []byte) (int, string) {
+	req, err := http.NewRequest(method, "http://"+host+":1"+path, bytes.NewReader(body))
+	require.NoError(f.t, err)
+	req.Host = "jobs.example"
+	req.Header.Set("X-Deadline-Ms", "2000")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return resp.StatusCode, string(answer)
+}
+
+func (f *testFleet) started() map[string]int {
+	counts := map[string]int{}
+	for _, w := range f.workers {
+		for task, n := range w.Started() {
+			counts[task] += n
+		}
+	}
+	return counts
+}
+
+func TestJobRunsOnceOverAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 6)
+		defer f.stopAll()
+		begun := time.Now()
+		status, answer := f.submit("host-0", "00000000000000a1", 10)
+		assert.Equal(t, http.StatusOK, status)
+		assert.JSONEq(t, `{"state":"completed"}`, answer)
+		assert.Less(t, time.Since(begun), 2*taskTime, "ten tasks fit beside each other")
+		assert.Len(t, f.started(), 10)
+		for task, n := range f.started() {
+			assert.Equal(t, 1, n, task)
+		}
+	})
+}
+
+func TestCallersAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		defer f.stopAll()
+		job := f.encode(map[string]any{"best_effort": true, "steps": []any{map[string]any{"count": 1, "cpu": 1}}})
+		stored := f.encode(map[string]any{"steps": []any{map[string]any{"count": 1, "cpu": 1}}})
+		for _, c := range []struct {
+			name, method, path string
+			body               []byte
+			status             int
+		}{
+			{"unknown queue", http.MethodPost, "/other/00000000000000a1", job, http.StatusNotFound},
+			{"id too short", http.MethodPost, "/jobs/a1", job, http.StatusBadRequest},
+			{"id not hexadecimal", http.MethodPost, "/jobs/zzzzzzzzzzzzzzzz", job, http.StatusBadRequest},
+			{"no job", http.MethodPost, "/jobs/00000000000000a1", []byte("{"), http.StatusBadRequest},
+			{"no steps", http.MethodPost, "/jobs/00000000000000a1", []byte("{}"), http.StatusBadRequest},
+			{"body too large", http.MethodPost, "/jobs/00000000000000a1", make([]byte, 5000), http.StatusRequestEntityTooLarge},
+			{"stored job", http.MethodPost, "/jobs/00000000000000a1", stored, http.StatusServiceUnavailable},
+			{"state of no job", http.MethodGet, "/jobs/00000000000000a1", nil, http.StatusGone},
+			{"cancel of no job", http.MethodDelete, "/jobs/00000000000000a1", nil, http.StatusGone},
+			{"waiting jobs", http.MethodGet, "/jobs/", nil, http.StatusOK},
+			{"other method", http.MethodPut, "/jobs/00000000000000a1", nil, http.StatusMethodNotAllowed},
+		} {
+			status, answer := f.call(c.method, "host-0", c.path, c.body)
+			assert.Equal(t, c.status, status, "%s: %s", c.name, answer)
+		}
+	})
+}
+
+// A planned stop in the middle of a job answers it, and the workers go on
+// under the other host.
+func TestPlannedStopAnswersWhatIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 6)
+		defer f.stopAll()
+		statuses := make(chan int, 20)
+		for i := range 20 {
+			go func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				status, _ := f.submit("host-0", fmt.Sprintf("%016x", i+1), 4)
+				statuses <- status
+			}()
+		}
+		time.Sleep(250 * time.Millisecond)
+		f.stops["host-0"]()
+		for range 20 {
+			assert.Equal(t, http.StatusOK, <-statuses)
+		}
+		for task, n := range f.started() {
+			assert.Equal(t, 1, n, task)
+		}
+		status, _ := f.submit("host-1", "00000000000000ff", 10)
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+func TestConfigurationComesInForceAlthoughAReadHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		defer f.stopAll()
+		f.store.HangReads(true)
+		time.Sleep(time.Second)
+		f.store.HangReads(false)
+		f.configure(2, "/later/")
+		time.Sleep(2 * time.Second)
+		status, answer := f.call(http.MethodGet, "host-0", "/later/", nil)
+		assert.Equal(t, http.StatusOK, status, answer)
+		status, _ = f.call(http.MethodGet, "host-0", "/jobs/", nil)
+		assert.Equal(t, http.StatusNotFound, status)
+	})
+}
+
+func TestStoreAwayHostsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		defer f.stopAll()
+		f.store.SetDown(true)
+		for i := range 10 {
+			status, answer := f.submit("host-1", fmt.Sprintf("%016x", i+1), 4)
+			assert.Equal(t, http.StatusOK, status, answer)
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.store.Compact("keyed.servers")
+		f.store.SetDown(false)
+		time.Sleep(time.Second)
+		status, _ := f.submit("host-0", "00000000000000ff", 4)
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+func TestTaskOfAFailingWorkerRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		defer f.stopAll()
+		f.workers[0].SetFailing(true)
+		for i := range 4 {
+			status, answer := f.submit("host-0", fmt.Sprintf("%016x", i+1), 2)
+			assert.Equal(t, http.StatusOK, status)
+			assert.JSONEq(t, `{"state":"completed"}`, answer)
+		}
+	})
+}
+
+// A caller that leaves takes its tasks along.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		defer f.stopAll()
+		ctx, cancel := context.WithCancel(context.Background())
+		body := f.encode(map[string]any{"best_effort": true, "steps": []any{map[string]any{"count": 4, "cpu": 14000, "est_runtime_ms": 100}}})
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://host-0:1/jobs/00000000000000a1", bytes.NewReader(body))
+		require.NoError(t, err)
+		req.Host = "jobs.example"
+		time.AfterFunc(taskTime/2, cancel)
+		_, err = f.client.Do(req)
+		require.ErrorIs(t, err, context.Canceled)
+		time.Sleep(20 * time.Millisecond)
+		for _, w := range f.workers {
+			assert.Zero(t, w.Running())
+		}
+	})
+}
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/links"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/platform"
 )
 
 const (
@@ -37,6 +37,7 @@
 	self   fleet.Host
 	logger *log.Logger
 	d      *Dispatch
+	open   platform.Dial
 
 	mu sync.Mutex
 	// hosts are the known hosts, dials those that are being dialled.
@@ -68,8 +69,8 @@
 	reported time.Time
 }
 
-func newPeers(self fleet.Host, logger *log.Logger, d *Dispatch) *peers {
-	return &peers{self: self, logger: logger, d: d, hosts: map[string]fleet.Host{}, dials: map[string]dial{}, links: map[string]*link{}}
+func newPeers(self fleet.Host, logger *log.Logger, d *Dispatch, open platform.Dial) *peers {
+	return &peers{open: open, self: self, logger: logger, d: d, hosts: map[string]fleet.Host{}, dials: map[string]dial{}, links: map[string]*link{}}
 }
 
 // run keeps the streams that put and remove ask for until ctx ends.
@@ -155,8 +156,7 @@
 	defer cancel()
 	// Each stream has a connection of its own: a connection that went silent is
 	// never used again.
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, Protocols: new(http.Protocols)}
+	transport := &http.Transport{DialContext: p.open, Protocols: new(http.Protocols)}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	defer transport.CloseIdleConnections()
 	client := dispatchv1connect.NewDispatchServiceClient(&http.Client{Transport: transport}, "http://"+h.Address)
--- a/internal/daemon/dispatch/serve.go
+++ b/internal/daemon/dispatch/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 )
@@ -23,10 +22,9 @@
 }
 
 // serve returns the run of a part that serves a port.
-func serve(p port) func(context.Context) error {
+func (d *Dispatch) serve(p port) func(context.Context) error {
 	return func(ctx context.Context) error {
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", p.address)
+		listener, err := d.network.Listen(ctx, "tcp", p.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", p.address, err)
 		}
@@ -45,8 +43,12 @@
 		}
 		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.finish)
 		defer cancel()
-		if err := server.Shutdown(stop); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			return err
+		err = server.Shutdown(stop)
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = server.Close()
+		}
+		if err != nil {
+			return fmt.Errorf("close %s: %w", p.address, err)
 		}
 		return ctx.Err()
 	}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,331 @@
+// Package store stands in for the platform's store: keyed topics, reads by
+// offset and groups of members, over HTTP as the platform's page describes.
+// It works in virtual time.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Record is one record of a keyed topic. A nil value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+type topic struct {
+	records []Record
+	// first is the first offset still held.
+	first   int
+	changed chan struct{}
+}
+
+type member struct {
+	generation int64
+	seen       time.Time
+	ttl        time.Duration
+}
+
+type group struct {
+	generation int64
+	members    map[string]*member
+	holders    map[int]string
+}
+
+// Store is a stand-in for the platform's store.
+type Store struct {
+	partitions int
+
+	mu     sync.Mutex
+	topics map[string]*topic
+	groups map[string]*group
+	down   bool
+	hang   bool
+}
+
+// New returns a store whose groups deal so many partitions.
+func New(partitions int) *Store {
+	return &Store{partitions: partitions, topics: map[string]*topic{}, groups: map[string]*group{}}
+}
+
+// SetDown has every call answered with 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// HangReads has the reads that wait never end, until it is called again.
+func (s *Store) HangReads(hang bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hang = hang
+}
+
+// Put appends a record, as an operator or a worker would.
+func (s *Store) Put(name string, r Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, r)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Compact drops the history of a topic; the newest of each key is kept.
+func (s *Store) Compact(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first = len(t.records)
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{changed: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Holder returns the member that holds a partition of a group.
+func (s *Store) Holder(name string, partition int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[name]; g != nil {
+		return g.holders[partition]
+	}
+	return ""
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/-/log-newest":
+		s.newest(w, r)
+	case "/-/log-read":
+		s.read(w, r)
+	case "/-/log-append":
+		s.append(w, r)
+	case "/-/log-join":
+		s.join(w, r)
+	case "/-/log-leave":
+		s.leave(w, r)
+	case "/-/log-owners":
+		s.owners(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	last := map[string]item{}
+	for offset, record := range t.records {
+		if record.Value == nil {
+			delete(last, record.Key)
+			continue
+		}
+		last[record.Key] = item{record.Key, record.Value, offset}
+	}
+	items := []item{}
+	for _, i := range last {
+		items = append(items, i)
+	}
+	slices.SortFunc(items, func(a, b item) int { return a.Offset - b.Offset })
+	reply(w, map[string]any{"items": items, "more": false, "end": len(t.records)})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.Atoi(query.Get("from"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var wait time.Duration
+	if ms := query.Get("wait_ms"); ms != "" {
+		n, err := strconv.Atoi(ms)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		wait = time.Duration(n) * time.Millisecond
+	}
+	if wait > 0 {
+		s.mu.Lock()
+		t, hang := s.topic(query.Get("topic")), s.hang
+		changed, behind := t.changed, from < len(t.records)
+		s.mu.Unlock()
+		if hang {
+			<-r.Context().Done()
+			return
+		}
+		if !behind {
+			select {
+			case <-changed:
+			case <-time.After(wait):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(query.Get("topic"))
+	if from < t.first {
+		w.WriteHeader(http.StatusGone)
+		reply(w, map[string]int{"first": t.first})
+		return
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
+	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
+	for _, record := range t.records[min(from, len(t.records)):] {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(record.Key)+len(record.Value)))
+		body = append(append(append(body, byte(len(record.Key))), record.Key...), record.Value...)
+	}
+	// A failed write means that the reader has gone.
+	_, _ = w.Write(body)
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	var header [5]byte
+	if _, err := r.Body.Read(header[:]); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	rest := make([]byte, int(binary.BigEndian.Uint32(header[:4]))-1)
+	for n := 0; n < len(rest); {
+		k, err := r.Body.Read(rest[n:])
+		n += k
+		if err != nil && n < len(rest) {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	record := Record{Key: string(rest[:header[4]])}
+	if len(rest) > int(header[4]) {
+		record.Value = rest[header[4]:]
+	}
+	s.Put(r.URL.Query().Get("topic"), record)
+	reply(w, struct{}{})
+}
+
+func (s *Store) join(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Group      string `json:"group"`
+		Member     string `json:"member"`
+		TTLMs      int64  `json:"ttl_ms"`
+		Generation int64  `json:"generation"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[body.Group]
+	if g == nil {
+		g = &group{members: map[string]*member{}, holders: map[int]string{}}
+		s.groups[body.Group] = g
+	}
+	g.expire()
+	if g.members[body.Member] == nil {
+		g.members[body.Member] = &member{}
+		g.generation++
+	}
+	*g.members[body.Member] = member{
+		generation: body.Generation, seen: time.Now(), ttl: time.Duration(body.TTLMs) * time.Millisecond,
+	}
+	reply(w, map[string]any{"generation": g.generation, "parts": g.parts(body.Group, body.Member, s.partitions)})
+}
+
+func (g *group) expire() {
+	for name, m := range g.members {
+		if time.Since(m.seen) > m.ttl {
+			delete(g.members, name)
+			g.generation++
+		}
+	}
+}
+
+// parts moves what may move, and returns the rows of a member.
+func (g *group) parts(topic, name string, partitions int) [][]any {
+	names := make([]string, 0, len(g.members))
+	for n := range g.members {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	rows := [][]any{}
+	for p := range partitions {
+		target := names[p%len(names)]
+		holder := g.members[g.holders[p]]
+		if holder == nil || holder.generation >= g.generation {
+			g.holders[p] = target
+		}
+		if g.holders[p] == name && target == name {
+			rows = append(rows, []any{topic, p, 0})
+		}
+	}
+	return rows
+}
+
+func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Group  string `json:"group"`
+		Member string `json:"member"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[body.Group]; g != nil && g.members[body.Member] != nil {
+		delete(g.members, body.Member)
+		g.generation++
+	}
+	reply(w, struct{}{})
+}
+
+func (s *Store) owners(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := [][]any{}
+	name := r.URL.Query().Get("group")
+	if g := s.groups[name]; g != nil {
+		g.expire()
+		for p, holder := range g.holders {
+			if g.members[holder] != nil {
+				rows = append(rows, []any{name, p, holder, 0})
+			}
+		}
+	}
+	reply(w, map[string]any{"parts": rows})
+}
+
+func reply(w http.ResponseWriter, body any) {
+	// A failed write means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
