Keep offers, recalls and withdrawals in order

Cause: a recall took an offer out that had not left yet and left its task marked as offered, so that nobody had it until the caller's limit.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -170,7 +170,8 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryShare))
 	}
 	lines := logging.NewRing(out, logging.DefaultLines)
-	defer lines.Close()
+	// Close cannot fail; it waits until the last line is written.
+	defer func() { _ = lines.Close() }()
 	level := cmp.Or(o.overrides.LogLevel, "info")
 	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
 	d := dispatch.New(s, logger, dispatch.SystemNetwork())
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -161,8 +161,11 @@
 	defer transport.CloseIdleConnections()
 	client := dispatchv1connect.NewDispatchServiceClient(&http.Client{Transport: transport}, "http://"+h.Address)
 	stream := client.Exchange(ctx)
-	defer stream.CloseResponse()
-	defer stream.CloseRequest()
+	defer func() {
+		// The stream is over either way; why it ended is returned below.
+		_ = stream.CloseRequest()
+		_ = stream.CloseResponse()
+	}()
 	greeting := time.AfterFunc(peerDialTimeout+helloTimeout, cancel)
 	if err := stream.Send(p.hello()); err != nil {
 		return err
--- a/internal/decide/host/group_test.go
+++ b/internal/decide/host/group_test.go
@@ -50,13 +50,6 @@
 	return g.generation, parts
 }
 
-func (g *simGroup) leave(member string) {
-	if _, ok := g.joined[member]; ok {
-		delete(g.joined, member)
-		g.deal()
-	}
-}
-
 // deal distributes the partitions evenly over the members.
 func (g *simGroup) deal() {
 	g.generation++
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -241,7 +241,7 @@
 func (p *Pool) Begun(host, job string) {
 	for _, q := range p.queue {
 		if q.Host == host && q.Name.Job == job {
-			q.Task.Begun = true
+			q.Begun = true
 		}
 	}
 }
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -73,7 +73,7 @@
 	// Every host that was offered something hears of the end, also where a run
 	// is believed to be over.
 	for _, name := range j.hosts {
-		s.dropBatch(name, j.spec.ID)
+		s.flush(name)
 		if err != nil || slices.Contains(j.atHosts(), name) {
 			s.emit(Withdraw{Host: name, Job: j.spec.ID})
 		}
@@ -88,11 +88,6 @@
 	})
 }
 
-// dropBatch takes a job's tasks out of the offers being made.
-func (s *Spread) dropBatch(host, job string) {
-	s.batch[host] = slices.DeleteFunc(s.batch[host], func(t offer.Task) bool { return t.Name.Job == job })
-}
-
 // Cancel ends a job whose caller has gone.
 func (s *Spread) Cancel(now time.Time, id string) {
 	if j, ok := s.jobs[id]; ok {
@@ -311,7 +306,7 @@
 	}
 	j.recalled = now
 	for _, name := range j.atHosts() {
-		s.dropBatch(name, j.spec.ID)
+		s.flush(name)
 		s.emit(Recall{Host: name, Job: j.spec.ID})
 	}
 }
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -146,16 +146,21 @@
 // Take returns the actions since the last call.
 func (s *Spread) Take() []Action {
 	for _, h := range s.order {
-		if tasks := s.batch[h.name]; len(tasks) > 0 {
-			s.emit(Offer{Host: h.name, Tasks: tasks})
-			delete(s.batch, h.name)
-		}
+		s.flush(h.name)
 	}
 	actions := s.actions
 	s.actions = nil
 	return actions
 }
 
+// flush emits the offers that are being made to a host.
+func (s *Spread) flush(host string) {
+	if tasks := s.batch[host]; len(tasks) > 0 {
+		s.emit(Offer{Host: host, Tasks: tasks})
+		delete(s.batch, host)
+	}
+}
+
 func (s *Spread) emit(a Action) { s.actions = append(s.actions, a) }
 
 // Len returns the number of jobs whose callers wait.
