Let sightings carry the owner's fence

Cause: a sighting of a former owner that arrived late could declare a run over that a later owner had started, or claim it back. TestLateSightingOfAFormerOwnerIsIgnored fails without the change. Also: a look that is refused under an outdated fence no longer blocks later looks.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -117,14 +117,14 @@
 func outcomeTo(o offer.Outcome) *dispatchv1.Outcome {
 	return &dispatchv1.Outcome{
 		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.Failed),
-		Result: int32(o.Result), Ran: o.Ran, Worker: o.Worker, Why: o.Why, OverInMs: int32(o.OverIn.Milliseconds()),
+		Result: int32(o.Result), Ran: o.Ran, Worker: o.Worker, Fence: o.Fence, Why: o.Why, OverInMs: int32(o.OverIn.Milliseconds()),
 	}
 }
 
 func outcomeFrom(self string, o *dispatchv1.Outcome) offer.Outcome {
 	return offer.Outcome{
 		Host: self, Task: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(o.GetIndex())},
-		Run: int(o.GetRun()), Failed: int(o.GetFailed()), Result: offer.Result(o.GetResult()), Ran: o.GetRan(),
+		Run: int(o.GetRun()), Failed: int(o.GetFailed()), Result: offer.Result(o.GetResult()), Ran: o.GetRan(), Fence: o.GetFence(),
 		Worker: o.GetWorker(), Why: o.GetWhy(), OverIn: time.Duration(o.GetOverInMs()) * time.Millisecond,
 	}
 }
@@ -142,7 +142,7 @@
 }
 
 func sightingTo(s offer.Sighting) *dispatchv1.Sighting {
-	out := &dispatchv1.Sighting{Worker: s.Worker}
+	out := &dispatchv1.Sighting{Worker: s.Worker, Fence: s.Fence}
 	for _, r := range s.Running {
 		out.Running = append(out.Running, runTo(r, 0))
 	}
@@ -153,7 +153,7 @@
 }
 
 func sightingFrom(s *dispatchv1.Sighting) offer.Sighting {
-	out := offer.Sighting{Worker: s.GetWorker()}
+	out := offer.Sighting{Worker: s.GetWorker(), Fence: s.GetFence()}
 	for _, r := range s.GetRunning() {
 		out.Running = append(out.Running, runFrom(r))
 	}
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -114,7 +114,7 @@
 		}
 		d.post(func(now time.Time) { d.core.Pool.LookFailed(now, id, a.Number) })
 	case result == platform.LookFenced:
-		d.post(func(now time.Time) { d.core.Pool.Fenced(now, id, a.Fence) })
+		d.post(func(now time.Time) { d.core.Pool.Fenced(now, id, a.Number, a.Fence) })
 	case result == platform.LookGone:
 		d.post(func(now time.Time) { d.core.Pool.Gone(now, id) })
 	default:
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -362,7 +362,7 @@
 			return
 		}
 		if !sw.look(a) {
-			w.after(w.delay(), w.on(h, func() { h.core.Pool.Fenced(w.now, id, a.Fence) }))
+			w.after(w.delay(), w.on(h, func() { h.core.Pool.Fenced(w.now, id, a.Number, a.Fence) }))
 			return
 		}
 		answered := false
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -86,6 +86,8 @@
 	// Ran is set unless it is known that no run has begun since the offer.
 	Ran    bool
 	Worker string
+	// Fence is the one that the owner holds the worker with.
+	Fence int64
 	// Why is a short reason for logs.
 	Why string
 	// OverIn is, with Orphaned, how long the run may still be there.
@@ -95,7 +97,10 @@
 // Sighting is what a new owner found on a worker that it took over. Hosts
 // claim the runs of their jobs; the others are stopped.
 type Sighting struct {
-	Worker  string
+	Worker string
+	// Fence is the new owner's. What an owner with a lower one started is
+	// listed or over; of a higher one the sighting says nothing.
+	Fence   int64
 	Running []fleet.RunID
 	Ended   []fleet.RunEnd
 }
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -48,9 +48,14 @@
 	p.compare(now, w, number, l.Running)
 }
 
+// noLook stands for an order that is no look.
+const noLook = 0
+
 // answered reports whether a look is one that is awaited, and ends its wait.
 func (w *worker) answered(number int64) bool {
 	switch number {
+	case noLook:
+		return false
 	case w.looking:
 		w.looking = 0
 	case w.renewing:
@@ -82,7 +87,7 @@
 		return
 	}
 	w.unclaimed = map[fleet.RunID]bool{}
-	sighting := offer.Sighting{Worker: w.info.ID, Ended: l.Ended}
+	sighting := offer.Sighting{Worker: w.info.ID, Fence: w.fence, Ended: l.Ended}
 	for _, r := range l.Running {
 		w.unclaimed[r.RunID] = true
 		w.add(&run{id: r.RunID, state: runRunning, began: now, settledAt: p.looks})
@@ -122,7 +127,7 @@
 		if !r.claimed && p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f against %.1f", w.health.pace, p.paces.pace)})
 		}
-		p.tell(*r.task, w.info.ID, r.id.Run, offer.Done, "")
+		p.tell(*r.task, w, r.id.Run, offer.Done, "")
 	case fleet.EndedFailed:
 		w.remove(r)
 		if w.health.failed(now) {
@@ -145,14 +150,14 @@
 	if r.task.Failed >= r.task.MaxAttempts {
 		result, why = offer.Failed, "failed as often as the queue allows"
 	}
-	p.tell(*r.task, w.info.ID, r.id.Run, result, why)
+	p.tell(*r.task, w, r.id.Run, result, why)
 }
 
 // over ends a run that has ended without a result; nothing of it is left.
 func (p *Pool) over(w *worker, r *run, why string) {
 	w.remove(r)
 	if r.task != nil {
-		p.tell(*r.task, w.info.ID, r.id.Run, offer.Returned, why)
+		p.tell(*r.task, w, r.id.Run, offer.Returned, why)
 	}
 }
 
@@ -220,9 +225,16 @@
 	}
 }
 
-// Fenced takes a worker's word that another host owns it.
-func (p *Pool) Fenced(now time.Time, id string, fence int64) {
-	if w, ok := p.workers[id]; ok && fence >= w.fence {
+// Fenced takes a worker's word that a higher fence than that of an order rules
+// there. An order that was sent before this host took the worker anew says
+// nothing. Number is that of a look, or zero.
+func (p *Pool) Fenced(now time.Time, id string, number, fence int64) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	w.answered(number)
+	if fence >= w.fence {
 		p.drop(now, w, "fenced")
 	}
 }
@@ -253,7 +265,7 @@
 	if !ok || r.state != runStarting {
 		// Its end was listed first, or it is being stopped.
 		if ok && verdict == fleet.StartFenced {
-			p.Fenced(now, id, fence)
+			p.Fenced(now, id, noLook, fence)
 		}
 		return
 	}
@@ -263,11 +275,11 @@
 		r.state = runRunning
 		w.unreachable = 0
 		if r.task != nil {
-			p.tell(*r.task, id, runID.Run, offer.Started, "")
+			p.tell(*r.task, w, runID.Run, offer.Started, "")
 		}
 	case fleet.StartFenced:
 		p.rejected(w, r, verdict)
-		p.Fenced(now, id, fence)
+		p.Fenced(now, id, noLook, fence)
 	case fleet.StartGone:
 		p.rejected(w, r, verdict)
 		p.Gone(now, id)
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -151,9 +151,10 @@
 func (p *Pool) emit(a Action) { p.actions = append(p.actions, a) }
 
 // tell reports a task that has, or may have, run.
-func (p *Pool) tell(t offer.Task, w string, run int, result offer.Result, why string) {
+func (p *Pool) tell(t offer.Task, w *worker, run int, result offer.Result, why string) {
 	p.emit(Tell{offer.Outcome{
-		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: result, Ran: true, Worker: w, Why: why,
+		Host: t.Host, Task: t.Name, Run: run, Failed: t.Failed, Result: result, Ran: true,
+		Worker: w.info.ID, Fence: w.fence, Why: why,
 	}})
 }
 
@@ -202,7 +203,7 @@
 		}
 		p.emit(Tell{offer.Outcome{
 			Host: r.task.Host, Task: r.id.Task, Run: r.id.Run, Failed: r.task.Failed, Result: offer.Orphaned, Ran: true,
-			Worker: w.info.ID, Why: why, OverIn: max(0, w.leasesOver().Sub(now)),
+			Worker: w.info.ID, Fence: w.fence, Why: why, OverIn: max(0, w.leasesOver().Sub(now)),
 		}})
 	}
 	p.forget(w, why)
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -108,7 +108,7 @@
 	t.runs = max(t.runs, o.Run)
 	t.ran = t.ran || o.Ran
 	if o.Worker != "" {
-		t.worker = o.Worker
+		t.worker, t.fence = o.Worker, o.Fence
 	}
 	t.failed = max(t.failed, o.Failed)
 	switch o.Result {
@@ -189,7 +189,7 @@
 	listed := make(map[fleet.TaskName]bool, len(sight.Running))
 	for _, r := range sight.Running {
 		listed[r.Task] = true
-		s.claim(from, sight.Worker, r)
+		s.claim(from, sight, r)
 	}
 	for _, e := range sight.Ended {
 		j, t := s.find(e.Task)
@@ -209,7 +209,7 @@
 	for _, j := range s.sorted() {
 		lost := false
 		for _, t := range j.tasks {
-			if t.atWorker() && t.worker == sight.Worker && t.host != from && !listed[t.name] {
+			if t.atWorker() && t.worker == sight.Worker && t.fence < sight.Fence && !listed[t.name] {
 				t.state, t.host, t.over = taskIdle, "", t.runs
 				lost = true
 			}
@@ -221,12 +221,16 @@
 }
 
 // claim claims a run found on a worker if its task is still waited for.
-func (s *Spread) claim(from, worker string, r fleet.RunID) {
+func (s *Spread) claim(from string, sight offer.Sighting, r fleet.RunID) {
+	worker := sight.Worker
 	j, t := s.find(r.Task)
 	if t == nil || t.state == taskDone || t.state == taskIdle || t.runs > r.Run || t.over >= r.Run || t.elsewhere(worker) {
 		return
 	}
-	t.runs, t.state, t.host, t.worker, t.ran = r.Run, taskStarted, from, worker, true
+	if t.atWorker() && t.fence >= sight.Fence {
+		return
+	}
+	t.runs, t.state, t.host, t.worker, t.fence, t.ran = r.Run, taskStarted, from, worker, sight.Fence, true
 	j.offeredTo(from)
 	s.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: s.task(j, t)}})
 }
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -29,6 +29,8 @@
 	host  string
 	// worker is the last worker that is known to have had a run.
 	worker string
+	// fence is the one that the owner held that worker with.
+	fence int64
 	// runs is the number of the last run that is known of.
 	runs   int
 	failed int
--- /dev/null
+++ b/internal/decide/spread/spread_test.go
@@ -0,0 +1,198 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const testJob = "00000000000000a1"
+
+var (
+	epoch     = time.Unix(1000, 0)
+	testRoute = fleet.Route{Name: "r", Service: "s", LatencySlack: 60 * time.Millisecond, Stretch: 1.6, MaxAttempts: 3}
+)
+
+// of returns the actions of one type.
+func of[T Action](actions []Action) []T {
+	var found []T
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// known returns a spread that knows two other hosts, each with one worker of
+// so many free cores.
+func known(cores int) *Spread {
+	s := New(Config{Self: "self", Zone: "z", MaxLease: time.Second})
+	for _, h := range []string{"h1", "h2"} {
+		w := "w-" + h
+		s.Worker(fleet.Worker{ID: w, Service: "s", Zone: "z"})
+		s.Reported(epoch, h, "z", reportOf(w, cores))
+	}
+	return s
+}
+
+func reportOf(worker string, cores int) offer.Report {
+	return offer.Report{
+		Capacity: 32000, FreeingRate: 100_000,
+		Workers: []offer.WorkerRoom{{ID: worker, Service: "s", Free: fleet.Size{MilliCPU: cores * 1000, MemoryMB: 1000}}},
+	}
+}
+
+func jobOf(tasks int, estimate time.Duration) fleet.Job {
+	return fleet.Job{ID: testJob, BestEffort: true, Steps: []fleet.Step{
+		{Count: tasks, Size: fleet.Size{MilliCPU: 14000}, Estimate: estimate},
+	}}
+}
+
+func outcome(index int, result offer.Result, worker string, fence int64) offer.Outcome {
+	return offer.Outcome{
+		Host: "self", Task: fleet.TaskName{Job: testJob, Index: index}, Run: 1, Result: result, Ran: true, Worker: worker, Fence: fence,
+	}
+}
+
+func TestJobIsSpreadOverHostsWithRoom(t *testing.T) {
+	s := known(32)
+	s.Submit(epoch, jobOf(4, 60*time.Millisecond), testRoute, 0)
+	offers := of[Offer](s.Take())
+	require.Len(t, offers, 2)
+	assert.Len(t, offers[0].Tasks, 2)
+	assert.Len(t, offers[1].Tasks, 2)
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	s := known(32)
+	job := jobOf(1, 60*time.Millisecond)
+	job.Steps = append(job.Steps, fleet.Step{Count: 1, Size: fleet.Size{MilliCPU: 1000}, Estimate: time.Millisecond, After: []int{0}})
+	s.Submit(epoch, job, testRoute, 0)
+	offers := of[Offer](s.Take())
+	require.Len(t, offers, 1)
+	assert.Zero(t, offers[0].Tasks[0].Name.Step)
+	s.Outcome(epoch, offers[0].Host, outcome(0, offer.Done, "w", 1))
+	offers = of[Offer](s.Take())
+	require.Len(t, offers, 1)
+	assert.Equal(t, 1, offers[0].Tasks[0].Name.Step)
+}
+
+// A burst: what cannot be done in time is refused at once, as not run, with
+// the time to come back.
+func TestBurstIsRefusedAtOnce(t *testing.T) {
+	s := known(0)
+	for _, h := range s.order {
+		h.report.QueuedWork = map[int]int64{0: 32000 * 1000}
+	}
+	s.Submit(epoch, jobOf(2, 60*time.Millisecond), testRoute, 2*time.Second)
+	answers := of[Answer](s.Take())
+	require.Len(t, answers, 1)
+	assert.Equal(t, errkind.NotRun, answers[0].Err.Run)
+	assert.GreaterOrEqual(t, answers[0].RetryAfter, time.Second)
+}
+
+// A queue that grows behind a job: after a quarter of its objective the job is
+// recalled, and refused only once every owner has given its tasks back.
+func TestRecalledJobIsRefusedOnlyWhenGivenBack(t *testing.T) {
+	s := known(0)
+	s.Submit(epoch, jobOf(2, 60*time.Millisecond), testRoute, 2*time.Second)
+	offers := of[Offer](s.Take())
+	require.NotEmpty(t, offers)
+	for _, h := range s.order {
+		h.report.QueuedWork = map[int]int64{0: 32000 * 1000}
+	}
+	now := epoch.Add(50 * time.Millisecond)
+	s.Tick(now)
+	actions := s.Take()
+	require.Len(t, of[Recall](actions), len(offers))
+	assert.Empty(t, of[Answer](actions))
+	for _, o := range offers {
+		for _, task := range o.Tasks {
+			s.Outcome(now, o.Host, offer.Outcome{Host: "self", Task: task.Name, Result: offer.Returned})
+		}
+	}
+	answers := of[Answer](s.Take())
+	require.Len(t, answers, 1)
+	assert.Equal(t, errkind.NotRun, answers[0].Err.Run)
+}
+
+// A recall that comes too late: a task has started, and the job goes on.
+func TestRecallOfABegunJobIsDropped(t *testing.T) {
+	s := known(0)
+	s.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 2*time.Second)
+	host := of[Offer](s.Take())[0].Host
+	for _, h := range s.order {
+		h.report.QueuedWork = map[int]int64{0: 32000 * 1000}
+	}
+	now := epoch.Add(50 * time.Millisecond)
+	s.Tick(now)
+	require.NotEmpty(t, of[Recall](s.Take()))
+	s.Outcome(now, host, outcome(0, offer.Started, "w", 1))
+	s.Tick(now.Add(50 * time.Millisecond))
+	actions := s.Take()
+	assert.Empty(t, of[Recall](actions))
+	assert.Empty(t, of[Answer](actions))
+}
+
+func TestRetryGoesElsewhereAndCountsAttempts(t *testing.T) {
+	s := known(32)
+	s.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 0)
+	host := of[Offer](s.Take())[0].Host
+	failed := outcome(0, offer.Returned, "w1", 1)
+	failed.Failed = 1
+	s.Outcome(epoch, host, failed)
+	again := of[Offer](s.Take())
+	require.Len(t, again, 1)
+	task := again[0].Tasks[0]
+	assert.Equal(t, 2, task.NextRun)
+	assert.Equal(t, 1, task.Failed)
+	assert.Equal(t, "w1", task.Avoid)
+}
+
+// An owner's loss orphans its runs: they are claimed where a new owner finds
+// them, and run again only once their leases have surely expired.
+func TestOrphanIsClaimedOrWaitedOut(t *testing.T) {
+	s := known(32)
+	s.Submit(epoch, jobOf(1, 900*time.Millisecond), testRoute, 5*time.Second)
+	host := of[Offer](s.Take())[0].Host
+	s.Outcome(epoch, host, outcome(0, offer.Started, "w1", 7))
+	s.HostLost(epoch, host)
+	run := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+
+	s.Tick(epoch.Add(900 * time.Millisecond))
+	require.Empty(t, of[Offer](s.Take()), "the lease may still run")
+	other := map[string]string{"h1": "h2", "h2": "h1"}[host]
+	s.Sighted(epoch, other, offer.Sighting{Worker: "w1", Fence: 8, Running: []fleet.RunID{run}})
+	claims := of[Claim](s.Take())
+	require.Len(t, claims, 1)
+	assert.Equal(t, other, claims[0].Host)
+
+	s.HostLost(epoch, other)
+	s.Reported(epoch, host, "z", reportOf("w-"+host, 32))
+	s.Tick(epoch.Add(1200 * time.Millisecond))
+	offers := of[Offer](s.Take())
+	require.Len(t, offers, 1)
+	assert.Equal(t, 3, offers[0].Tasks[0].NextRun, "a start that was not heard of may have used run 2")
+}
+
+// Sightings of a former owner that arrive late say nothing about runs that a
+// later owner has started, nor do they lose a run that they could not list.
+func TestLateSightingOfAFormerOwnerIsIgnored(t *testing.T) {
+	s := known(32)
+	s.Submit(epoch, jobOf(1, 900*time.Millisecond), testRoute, 5*time.Second)
+	host := of[Offer](s.Take())[0].Host
+	s.Outcome(epoch, host, outcome(0, offer.Started, "w1", 7))
+	s.Sighted(epoch, "guest", offer.Sighting{Worker: "w1", Fence: 6})
+	assert.Empty(t, s.Take())
+	s.Sighted(epoch, "guest", offer.Sighting{Worker: "w1", Fence: 6, Running: []fleet.RunID{{Task: fleet.TaskName{Job: testJob}, Run: 1}}})
+	assert.Empty(t, s.Take())
+	s.Sighted(epoch, "guest", offer.Sighting{Worker: "w1", Fence: 8})
+	assert.Len(t, of[Offer](s.Take()), 1, "a later owner that does not list the run proves that it is over")
+}
