Wait for answers by what they take, look at overdue runs, let lost leases end

A start waited 200 ms and closed its worker; the end of a run whose waiting look was lost was found up to 2.4 s later; looks at a silent worker went on renewing its leases.

Change: the wait for orders follows the answers, 40 to 250 ms; an unanswered start closes nothing; runs past their expected end are looked at; a worker that has answered other calls is not lost; silent workers' leases are not renewed; a task's worker is unknown from an offer to its start.

--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// orderTimeout is how long a start or stop may go without an answer. A
-	// worker answers in a few milliseconds; the rest is for a busy host.
-	orderTimeout = 200 * time.Millisecond
 	// lookSlack is how long an answer to a look may take beyond its wait.
 	lookSlack = 400 * time.Millisecond
 )
@@ -72,7 +69,7 @@
 }
 
 func (d *Dispatch) sendStart(ctx context.Context, a room.Start) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.Patience)
 	defer cancel()
 	sent := time.Now()
 	verdict, clock, err := d.workers.Start(ctx, a.Worker, platform.Start{
@@ -90,7 +87,7 @@
 }
 
 func (d *Dispatch) sendStop(ctx context.Context, a room.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.Patience)
 	defer cancel()
 	ok, err := d.workers.Stop(ctx, a.Worker, a.Run, a.Fence)
 	if err != nil {
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -21,7 +21,6 @@
 	tickEvery     = 20 * time.Millisecond
 	silence       = 600 * time.Millisecond
 	resendDelay   = 1300 * time.Millisecond
-	orderTimeout  = 200 * time.Millisecond
 	lookSlack     = 400 * time.Millisecond
 	zonePartition = 6
 )
@@ -297,7 +296,7 @@
 	switch a := a.(type) {
 	case room.Start:
 		sw := w.worker(a.Worker.ID)
-		w.order(h, sw, orderTimeout, func(answered bool) func() {
+		w.order(h, sw, a.Patience, func(answered bool) func() {
 			verdict, clock := fleet.StartUnknown, time.Duration(0)
 			if answered {
 				verdict, clock = sw.start(a), sw.now()
@@ -306,7 +305,7 @@
 		}, func() { sw.start(a) })
 	case room.Stop:
 		sw := w.worker(a.Worker.ID)
-		w.order(h, sw, orderTimeout, func(answered bool) func() {
+		w.order(h, sw, a.Patience, func(answered bool) func() {
 			ok := answered && sw.stop(a)
 			return func() { h.core.Pool.StopAnswered(w.now, sw.info.ID, a.Run, ok) }
 		}, func() { sw.stop(a) })
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -16,7 +16,7 @@
 		l.LeaseUntil = w.lease(now, p.cfg.MaxLease)
 	}
 	if wait > 0 {
-		w.looking = l.Number
+		w.looking, w.lookedAt = l.Number, now
 	} else {
 		w.renewing = l.Number
 	}
@@ -35,6 +35,7 @@
 	}
 	w.born = l.Born
 	w.sync(now, l.Clock)
+	w.listedAt = now
 	if w.adopting {
 		p.inherit(now, w, l)
 		return
@@ -210,7 +211,12 @@
 // LookFailed takes a look without an answer.
 func (p *Pool) LookFailed(now time.Time, id string, number int64) {
 	w, ok := p.workers[id]
-	if !ok || !w.answered(number) {
+	if !ok {
+		return
+	}
+	waiting := number == w.looking
+	if !w.answered(number) || waiting && w.heard.After(w.lookedAt) {
+		// The worker has answered other calls meanwhile.
 		return
 	}
 	p.missed(now, w)
@@ -258,10 +264,13 @@
 	if !ok {
 		return
 	}
+	r, ok := w.runs[runID]
 	if clock > 0 {
 		w.sync(now, clock)
+		if ok {
+			p.patience.Answered(now.Sub(r.began))
+		}
 	}
-	r, ok := w.runs[runID]
 	if !ok || r.state != runStarting {
 		// Its end was listed first, or it is being stopped.
 		if ok && verdict == fleet.StartFenced {
@@ -291,7 +300,7 @@
 		}
 		p.rejected(w, r, verdict)
 	case fleet.StartUnknown:
-		p.missed(now, w)
+		p.patience.Unanswered()
 		p.stop(now, w, r)
 	}
 }
@@ -312,7 +321,7 @@
 	}
 	r.stopInFlight = true
 	r.nextStop = now.Add(p.cfg.RetryStop)
-	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence})
+	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence, Patience: p.patience.Limit()})
 }
 
 // StopAnswered takes the answer to a stop; ok means that the worker ended or
@@ -379,7 +388,25 @@
 	if w.renews(now) && w.renewing == 0 && w.granted-w.now(now) < p.cfg.Renew {
 		p.look(now, w, 0)
 	}
+	if w.renewing == 0 && p.overdue(now, w) {
+		p.look(now, w, 0)
+	}
 	if w.looking == 0 {
 		p.look(now, w, p.cfg.IdleWait)
 	}
 }
+
+// overdue reports whether a run should have ended and no list came since: the
+// answer to the waiting look may be lost.
+func (p *Pool) overdue(now time.Time, w *worker) bool {
+	for _, r := range w.runs {
+		due := r.began.Add(overdueAfter)
+		if r.task != nil {
+			due = due.Add(p.paces.expect(w, r.task.Estimate))
+		}
+		if r.state == runRunning && now.After(due) && now.Sub(w.listedAt) > overdueAfter {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/room/patience.go
@@ -0,0 +1,42 @@
+package room
+
+import "time"
+
+const (
+	// minPatience allows for a busy host and a link between zones.
+	minPatience = 40 * time.Millisecond
+	// maxPatience bounds the wait for a worker that has become slow to answer.
+	maxPatience = 250 * time.Millisecond
+	// meanWeight and spreadWeight are those of TCP's retransmission timer, as
+	// is the factor of the spread.
+	meanWeight   = 1.0 / 8
+	spreadWeight = 1.0 / 4
+	spreadFactor = 4
+)
+
+// Patience estimates how long an answer to an order may take, as TCP does for
+// its retransmissions. The zero value is ready to use.
+type Patience struct {
+	mean, spread time.Duration
+}
+
+// Answered takes the time of one answer.
+func (p *Patience) Answered(took time.Duration) {
+	if p.mean == 0 {
+		p.mean, p.spread = took, took/2
+		return
+	}
+	p.spread += time.Duration(spreadWeight * float64((took-p.mean).Abs()-p.spread))
+	p.mean += time.Duration(meanWeight * float64(took-p.mean))
+}
+
+// Unanswered takes an order whose answer did not come in time.
+func (p *Patience) Unanswered() { p.spread += p.spread / 8 }
+
+// Limit returns how long to wait for an answer.
+func (p *Patience) Limit() time.Duration {
+	if p.mean == 0 {
+		return maxPatience
+	}
+	return min(max(p.mean+spreadFactor*p.spread, minPatience), maxPatience)
+}
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -51,6 +51,10 @@
 	// shedAfter is how long a task waits here before it may go to a host that
 	// has room: the time of a hop there and back, which it would cost.
 	shedAfter = 8 * time.Millisecond
+	// overdueAfter is how long after its expected end a run is looked at, and
+	// how far such looks are apart at the least: ends come one by one through
+	// the waiting look, whose answer may be lost.
+	overdueAfter = 50 * time.Millisecond
 	// shortestRun bounds the rate at which one run is expected to free its room.
 	shortestRun = 10 * time.Millisecond
 	// slowClock bounds how much slower a worker's clock may run than ours.
@@ -69,6 +73,8 @@
 	Spec       string
 	Fence      int64
 	LeaseUntil time.Duration
+	// Patience is how long to wait for the answer.
+	Patience time.Duration
 }
 
 // Stop orders the end of a run. The answer comes back by StopAnswered.
@@ -76,6 +82,8 @@
 	Worker fleet.Worker
 	Run    fleet.RunID
 	Fence  int64
+	// Patience is how long to wait for the answer.
+	Patience time.Duration
 }
 
 // Look asks for a worker's lists. The answer comes back by Listed or
@@ -133,6 +141,8 @@
 	actions []Action
 	looks   int64
 	paces   paceBook
+	// patience is how long orders may go without an answer.
+	patience Patience
 }
 
 // NewPool returns a pool without workers.
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -141,3 +141,90 @@
 	require.Len(t, tells, 1)
 	assert.Equal(t, offer.Done, tells[0].Outcome.Result)
 }
+
+// Workers that leave orders unanswered: the wait follows what answers take, so
+// that a short task is still done in time elsewhere.
+func TestPatienceFollowsTheAnswers(t *testing.T) {
+	var p Patience
+	assert.Equal(t, maxPatience, p.Limit())
+	for range 50 {
+		p.Answered(3 * time.Millisecond)
+	}
+	assert.Equal(t, minPatience, p.Limit())
+	for range 50 {
+		p.Answered(60 * time.Millisecond)
+		p.Answered(20 * time.Millisecond)
+	}
+	assert.Greater(t, p.Limit(), 60*time.Millisecond, "a busy host waits longer")
+	assert.LessOrEqual(t, p.Limit(), maxPatience)
+}
+
+func TestUnansweredStartIsBarredAndTheWorkerStaysOpen(t *testing.T) {
+	p := adopted(t, 48, idle())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, 7, fleet.StartUnknown, 0)
+	actions := p.Take(epoch)
+	require.Len(t, of[Stop](actions), 1)
+	assert.Empty(t, of[Tell](actions), "the run may be there")
+
+	p.Offer(epoch, testTask(2, 0, 14, epoch))
+	assert.Len(t, of[Start](p.Take(epoch)), 1)
+
+	p.StopAnswered(epoch, "w", start.Run, true)
+	look := of[Look](p.Take(epoch))[0]
+	p.Listed(epoch, "w", look.Number, idle())
+	tells := of[Tell](p.Take(epoch))
+	require.Len(t, tells, 1)
+	assert.Equal(t, offer.Returned, tells[0].Outcome.Result)
+	assert.True(t, tells[0].Outcome.Ran)
+}
+
+// A start without an answer at a worker that does not answer any more is over
+// once its lease has expired on the slowest clock.
+func TestLeaseOfALostWorkerIsWaitedOut(t *testing.T) {
+	p := adopted(t, 32, idle())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, 7, fleet.StartAccepted, time.Minute)
+	p.Take(epoch)
+	p.Tick(epoch)
+	for _, l := range of[Look](p.Take(epoch)) {
+		p.LookFailed(epoch.Add(400*time.Millisecond), "w", l.Number)
+	}
+	p.Tick(epoch.Add(testLease))
+	assert.Empty(t, of[Tell](p.Take(epoch.Add(testLease))))
+	later := epoch.Add(2 * testLease)
+	p.Tick(later)
+	tells := of[Tell](p.Take(later))
+	require.Len(t, tells, 1)
+	assert.Equal(t, offer.Returned, tells[0].Outcome.Result)
+}
+
+// Answers are lost: the end of a run is found soon after it was due, although
+// the waiting look has not been answered, and the worker counts as reachable.
+func TestOverdueRunIsLookedAt(t *testing.T) {
+	p := adopted(t, 32, idle())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch.Add(3*time.Millisecond), "w", start.Run, 7, fleet.StartAccepted, time.Minute)
+	p.Tick(epoch.Add(5 * time.Millisecond))
+	looks := of[Look](p.Take(epoch))
+	require.Len(t, looks, 1)
+	require.NotZero(t, looks[0].Wait)
+
+	now := epoch.Add(160 * time.Millisecond)
+	p.Tick(now)
+	again := of[Look](p.Take(now))
+	require.Len(t, again, 1)
+	assert.Zero(t, again[0].Wait)
+	p.Listed(now, "w", again[0].Number, fleet.Listing{
+		Clock: time.Minute + 160*time.Millisecond, Born: 1,
+		Ended: []fleet.RunEnd{{Seq: 1, RunID: start.Run, How: fleet.EndedDone}},
+	})
+	assert.Equal(t, offer.Done, of[Tell](p.Take(now))[0].Outcome.Result)
+
+	p.LookFailed(now.Add(time.Second), "w", looks[0].Number)
+	p.Offer(now, testTask(2, 0, 14, now))
+	assert.Len(t, of[Start](p.Take(now.Add(time.Second))), 1, "the worker has answered since")
+}
--- a/internal/decide/room/schedule.go
+++ b/internal/decide/room/schedule.go
@@ -130,6 +130,7 @@
 	w.add(r)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.lease(now, p.cfg.MaxLease),
+		Patience: p.patience.Limit(),
 	})
 }
 
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -71,6 +71,9 @@
 	looking int64
 	// renewing numbers the look that answers at once; zero if there is none.
 	renewing int64
+	// lookedAt is when the waiting look was sent, listedAt when lists last came
+	// and heard when anything did.
+	lookedAt, listedAt, heard time.Time
 	// unreachable counts looks and starts without an answer in a row.
 	unreachable int
 	nextLook    time.Time
@@ -80,7 +83,7 @@
 
 // sync takes a reading of the worker's clock.
 func (w *worker) sync(now time.Time, clock time.Duration) {
-	w.clock, w.clockAt = clock, now
+	w.clock, w.clockAt, w.heard = clock, now, now
 }
 
 // now estimates the worker's clock.
@@ -115,9 +118,10 @@
 }
 
 // renews reports whether looks renew the leases. Runs that nobody has claimed
-// are not renewed before they are being stopped.
+// are not renewed before they are being stopped, and those on a worker that
+// does not answer end with the lease that they have.
 func (w *worker) renews(now time.Time) bool {
-	return !w.adopting && len(w.runs) > 0 && (len(w.unclaimed) == 0 || now.After(w.claimUntil))
+	return !w.adopting && w.unreachable == 0 && len(w.runs) > 0 && (len(w.unclaimed) == 0 || now.After(w.claimUntil))
 }
 
 // add counts a run in.
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -29,7 +29,7 @@
 			s.stuck = true
 			continue
 		}
-		t.state, t.host = taskOffered, h.name
+		t.offered(h.name)
 		j.offeredTo(h.name)
 		s.batch[h.name] = append(s.batch[h.name], s.task(j, t))
 	}
@@ -43,7 +43,7 @@
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
 		StartBy: j.arrived.Add(j.objective - j.chain), UsefulUntil: j.deadline,
-		Begun: j.begun, Avoid: t.worker, NextRun: t.runs + 1, Failed: t.failed, MaxAttempts: j.route.MaxAttempts,
+		Begun: j.begun, Avoid: t.avoid, NextRun: t.runs + 1, Failed: t.failed, MaxAttempts: j.route.MaxAttempts,
 	}
 }
 
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -27,8 +27,10 @@
 	name  fleet.TaskName
 	state taskState
 	host  string
-	// worker is the last worker that is known to have had a run.
+	// worker is the one that is known to have the present run, or empty.
 	worker string
+	// avoid is the worker of the run before, or empty.
+	avoid string
 	// fence is the one that the owner held that worker with.
 	fence int64
 	// runs is the number of the last run that is known of.
@@ -80,6 +82,16 @@
 	return t.atWorker() && t.worker != "" && t.worker != worker
 }
 
+// offered notes that the task waits at a host. Where its next run will be is
+// not known until its start is reported.
+func (t *task) offered(host string) {
+	t.state, t.host = taskOffered, host
+	if t.worker != "" {
+		t.avoid = t.worker
+	}
+	t.worker, t.fence = "", 0
+}
+
 // offeredTo notes that a host holds, or held, tasks of the job.
 func (j *job) offeredTo(host string) {
 	if !slices.Contains(j.hosts, host) {
--- a/internal/decide/spread/spread_test.go
+++ b/internal/decide/spread/spread_test.go
@@ -196,3 +196,19 @@
 	s.Sighted(epoch, "guest", offer.Sighting{Worker: "w1", Fence: 8})
 	assert.Len(t, of[Offer](s.Take()), 1, "a later owner that does not list the run proves that it is over")
 }
+
+// A retry whose start was not heard of may be at any worker: a listing of the
+// worker of the first run does not prove it over.
+func TestUnheardRetryIsNotOverByTheFirstWorkersListing(t *testing.T) {
+	s := known(32)
+	s.Submit(epoch, jobOf(1, 900*time.Millisecond), testRoute, 5*time.Second)
+	host := of[Offer](s.Take())[0].Host
+	s.Outcome(epoch, host, outcome(0, offer.Returned, "w1", 7))
+	require.Len(t, of[Offer](s.Take()), 1)
+	s.HostLost(epoch, "h1")
+	s.HostLost(epoch, "h2")
+	s.Reported(epoch, "h2", "z", reportOf("w-h2", 32))
+	s.Take()
+	s.Sighted(epoch, "h2", offer.Sighting{Worker: "w1", Fence: 8})
+	assert.Empty(t, of[Offer](s.Take()))
+}
