--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -308,5 +307,3 @@
 	d.kickMemberships()
 	time.Sleep(stopAccepting)
 }
-
-func (d *Dispatch) String() string { return fmt.Sprintf("dispatcher of host %s", d.self.Name) }
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -58,9 +58,17 @@
 	return nil
 }
 
+const (
+	// minRetryAfter is the shortest time that the header can name.
+	minRetryAfter = time.Second
+	// maxRetryAfter bounds it when no room is known at all: hosts and workers
+	// come back within some seconds.
+	maxRetryAfter = 3 * time.Second
+)
+
 // refuse answers a job of which nothing has run.
 func (s *Spread) refuse(now time.Time, j *job, why string) {
-	s.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), max(j.wait, time.Second))
+	s.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), min(max(j.wait, minRetryAfter), maxRetryAfter))
 }
 
 // answer ends a job and withdraws what is left of it.
--- a/internal/decide/spread/spread_test.go
+++ b/internal/decide/spread/spread_test.go
@@ -212,3 +212,13 @@
 	s.Sighted(epoch, "h2", offer.Sighting{Worker: "w1", Fence: 8})
 	assert.Empty(t, of[Offer](s.Take()))
 }
+
+// Without any room the caller is told to come back soon, not in an hour.
+func TestRetryAfterStaysShortWithoutCapacity(t *testing.T) {
+	s := New(Config{Self: "self", Zone: "z", MaxLease: time.Second})
+	s.Worker(fleet.Worker{ID: "w", Service: "s"})
+	s.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 0)
+	answers := of[Answer](s.Take())
+	require.Len(t, answers, 1)
+	assert.Equal(t, maxRetryAfter, answers[0].RetryAfter)
+}
