--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -48,10 +48,10 @@
 		w := taskworker.New(id, taskTime)
 		f.workers = append(f.workers, w)
 		f.serve(id+":1", w)
-		f.store.Put("keyed.servers", store.Record{Key: id, Value: f.encode(map[string]any{
+		f.store.PutWorker(id, f.encode(map[string]any{
 			"service": "s", "addr": id + ":1", "zone": "z", "state": "ready",
 			"capacity": map[string]int{"cpu": 32000, "mem_mb": 1024}, "labels": []string{"a"},
-		})})
+		}))
 	}
 	for i := range hosts {
 		f.start(fmt.Sprintf("host-%d", i))
@@ -67,12 +67,15 @@
 }
 
 func (f *testFleet) configure(version int, prefix string) {
-	f.store.Put("keyed.op", store.Record{Key: "config", Value: f.encode(map[string]any{
-		"version":  version,
-		"routes":   []any{map[string]any{"name": "r", "host": "jobs.example", "path_prefix": prefix, "service": "s", "slo_ms": 60, "stretch": 1.6, "max_attempts": 3, "timeout_ms": 1500}},
+	f.store.PutConfig(f.encode(map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r", "host": "jobs.example", "path_prefix": prefix, "service": "s",
+			"slo_ms": 60, "stretch": 1.6, "max_attempts": 3, "timeout_ms": 1500,
+		}},
 		"services": []any{map[string]any{"name": "s"}},
 		"limits":   map[string]any{"max_body_bytes": 4096},
-	})})
+	}))
 }
 
 func (f *testFleet) serve(address string, h http.Handler) {
@@ -246,7 +249,7 @@
 			assert.Equal(t, http.StatusOK, status, answer)
 			time.Sleep(500 * time.Millisecond)
 		}
-		f.store.Compact("keyed.servers")
+		f.store.CompactWorkers()
 		f.store.SetDown(false)
 		time.Sleep(time.Second)
 		status, _ := f.submit("host-0", "00000000000000ff", 4)
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -78,6 +78,23 @@
 	t.changed = make(chan struct{})
 }
 
+// The topics of the operator and of the workers.
+const (
+	topicOperator = "keyed.op"
+	topicWorkers  = "keyed.servers"
+)
+
+// PutConfig publishes a configuration, as an operator would.
+func (s *Store) PutConfig(config []byte) { s.Put(topicOperator, Record{Key: "config", Value: config}) }
+
+// PutWorker publishes a worker's entry, as the worker would.
+func (s *Store) PutWorker(id string, entry []byte) {
+	s.Put(topicWorkers, Record{Key: id, Value: entry})
+}
+
+// CompactWorkers drops the history of the workers' entries.
+func (s *Store) CompactWorkers() { s.Compact(topicWorkers) }
+
 // Compact drops the history of a topic; the newest of each key is kept.
 func (s *Store) Compact(name string) {
 	s.mu.Lock()
