--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -194,6 +194,7 @@
 	if h, ok := s.hosts[name]; ok {
 		h.known = false
 	}
+	s.unsend(name)
 	over := now.Add(s.leaseOver())
 	for _, j := range s.sorted() {
 		for _, t := range j.tasks {
@@ -205,6 +206,18 @@
 	}
 }
 
+// unsend takes back the offers to a host that have not left. They must not
+// leave by a newer stream: their tasks would count as lost and run all the same.
+func (s *Spread) unsend(name string) {
+	for _, offered := range s.batch[name] {
+		if _, t := s.find(offered.Name); t != nil && t.state == taskOffered && t.host == name {
+			t.state, t.host = taskIdle, ""
+			s.stuck = true
+		}
+	}
+	delete(s.batch, name)
+}
+
 func (s *Spread) leaseOver() time.Duration {
 	return s.cfg.MaxLease + s.cfg.MaxLease*3/100 + orphanMargin
 }
--- a/internal/decide/spread/spread_test.go
+++ b/internal/decide/spread/spread_test.go
@@ -222,3 +222,18 @@
 	require.Len(t, answers, 1)
 	assert.Equal(t, maxRetryAfter, answers[0].RetryAfter)
 }
+
+// A stream is replaced while offers are being made: they are not sent over the
+// new one behind the back of the tasks, which would run twice.
+func TestOffersThatHaveNotLeftAreTakenBackWithTheirHost(t *testing.T) {
+	s := known(32)
+	s.HostLost(epoch, "h2")
+	s.Take()
+	s.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 0)
+	s.HostLost(epoch, "h1")
+	assert.Empty(t, of[Offer](s.Take()))
+	s.Reported(epoch, "h1", "z", reportOf("w-h1", 32))
+	offers := of[Offer](s.Take())
+	require.Len(t, offers, 1)
+	assert.Equal(t, 1, offers[0].Tasks[0].NextRun, "nothing was lost")
+}
