Ask a worker for its label in one place

The label check stood twice, in room and in spread, the second as a loop of its own. Both now call fleet.Worker.HasLabel. No change of behaviour; the tests of room, spread, host, dispatch and platform pass, the linter is clean.

--- a/internal/decide/room/schedule.go
+++ b/internal/decide/room/schedule.go
@@ -86,7 +86,7 @@
 		return false
 	case w.health.trial && len(w.runs) > 0:
 		return false
-	case !w.hasLabel(t.RequiredLabel):
+	case !w.info.HasLabel(t.RequiredLabel):
 		return false
 	case t.MaxPerWorker > 0 && w.tasksOf(t.Name) >= t.MaxPerWorker:
 		return false
@@ -94,11 +94,6 @@
 	return true
 }
 
-// hasLabel reports whether the worker has a label; the empty one always.
-func (w *worker) hasLabel(label string) bool {
-	return label == "" || slices.Contains(w.info.Labels, label)
-}
-
 func (p *Pool) better(q *waiting, a, b *worker) bool {
 	if a.info.ID == q.Avoid || b.info.ID == q.Avoid {
 		return b.info.ID == q.Avoid
@@ -153,7 +148,7 @@
 // couldTake reports whether some worker could soon take the task when idle.
 func (p *Pool) couldTake(now time.Time, t *offer.Task) bool {
 	for _, w := range p.order {
-		if w.info.Service == t.Service && w.soonUsable(now) && t.Size.Fits(w.info.Capacity) && w.hasLabel(t.RequiredLabel) {
+		if w.info.Service == t.Service && w.soonUsable(now) && t.Size.Fits(w.info.Capacity) && w.info.HasLabel(t.RequiredLabel) {
 			return true
 		}
 	}
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -111,7 +111,7 @@
 	var best *offer.WorkerRoom
 	for i := range h.report.Workers {
 		w := &h.report.Workers[i]
-		if w.Service != service || !step.Size.Fits(w.Free) || !s.labelled(w.ID, step.RequiredLabel) {
+		if w.Service != service || !step.Size.Fits(w.Free) || !s.workers[w.ID].HasLabel(step.RequiredLabel) {
 			continue
 		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
@@ -121,18 +121,6 @@
 	return best
 }
 
-func (s *Spread) labelled(worker, label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range s.workers[worker].Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
-}
-
 // queueWait estimates how long a new task waits at a host without room. It
 // reports false if the host has no capacity.
 func (s *Spread) queueWait(h *host, route fleet.Route, step fleet.Step) (time.Duration, bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -59,6 +60,9 @@
 	Born int64
 }
 
+// HasLabel reports whether the worker has a label; the empty one always.
+func (w Worker) HasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
 // Route is one queue of jobs.
 type Route struct {
 	Name   string
