--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -28,10 +28,12 @@
 	tickInterval = 20 * time.Millisecond
 	// eventBuffer holds events while the loop is busy.
 	eventBuffer = 1024
-	// headerBytes bounds the header of a caller's request until a configuration
-	// says otherwise; it is the operators' usual limit.
+	// headerBytes bounds what is read of a request's header; the configuration
+	// may name a lower limit. It is the operators' usual one.
 	headerBytes = 16384
-	// readHeaderTimeout and idleTimeout are the operators' usual limits too.
+	// readHeaderTimeout and idleTimeout are the operators' usual limits too. A
+	// server's time limits cannot change while it serves, so that those of a
+	// later configuration are not followed.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 15 * time.Second
 )
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,7 +75,7 @@
 			"slo_ms": 60, "stretch": 1.6, "max_attempts": 3, "timeout_ms": 1500,
 		}},
 		"services": []any{map[string]any{"name": "s"}},
-		"limits":   map[string]any{"max_body_bytes": 4096},
+		"limits":   map[string]any{"max_body_bytes": 4096, "max_header_bytes": 8192},
 	}))
 }
 
@@ -172,6 +173,7 @@
 		f := newFleet(t, 1, 2)
 		defer f.stopAll()
 		job := f.encode(map[string]any{"best_effort": true, "steps": []any{map[string]any{"count": 1, "cpu": 1}}})
+		gang := f.encode(map[string]any{"best_effort": true, "steps": []any{map[string]any{"count": 2, "cpu": 1, "gang": true}}})
 		stored := f.encode(map[string]any{"steps": []any{map[string]any{"count": 1, "cpu": 1}}})
 		for _, c := range []struct {
 			name, method, path string
@@ -184,6 +186,8 @@
 			{"no job", http.MethodPost, "/jobs/00000000000000a1", []byte("{"), http.StatusBadRequest},
 			{"no steps", http.MethodPost, "/jobs/00000000000000a1", []byte("{}"), http.StatusBadRequest},
 			{"body too large", http.MethodPost, "/jobs/00000000000000a1", make([]byte, 5000), http.StatusRequestEntityTooLarge},
+			{"header too large", http.MethodPost, "/jobs/00000000000000a1?" + strings.Repeat("x", 9000), job, http.StatusRequestHeaderFieldsTooLarge},
+			{"gang", http.MethodPost, "/jobs/00000000000000a1", gang, http.StatusServiceUnavailable},
 			{"stored job", http.MethodPost, "/jobs/00000000000000a1", stored, http.StatusServiceUnavailable},
 			{"state of no job", http.MethodGet, "/jobs/00000000000000a1", nil, http.StatusGone},
 			{"cancel of no job", http.MethodDelete, "/jobs/00000000000000a1", nil, http.StatusGone},
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -45,14 +45,14 @@
 	return min(time.Duration(admitFactor*float64(j.objective)), limit) - j.chain - hop
 }
 
-// fits reports why no worker could ever run the job, or nil.
+// fits reports why the job is refused whatever room there is, or nil.
 func (s *Spread) fits(j *job) *errkind.Error {
 	if len(s.workers) == 0 {
 		return errkind.New(errkind.NotReady, "no worker is known")
 	}
 	for i, step := range j.spec.Steps {
 		if step.Unsupported != "" {
-			return errkind.New(errkind.TaskUnplaceable, "step %d asks for %s, which is not supported", i, step.Unsupported)
+			return errkind.New(errkind.NotReady, "step %d asks for %s, which is not served", i, step.Unsupported)
 		}
 	}
 	return nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,29 +82,17 @@
 	MaxAttempts int
 }
 
-// Service is one pool of workers.
-type Service struct {
-	Name string
-	// MaxConns is how many connections one worker takes.
-	MaxConns int
-	// GuardsCapacity is set if workers reject what does not fit.
-	GuardsCapacity bool
-}
-
 // Limits bound what callers may send. Zero means no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Config is the configuration in force.
 type Config struct {
-	Version  int64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
+	Version int64
+	Routes  []Route
+	Limits  Limits
 }
 
 // Route returns the route for a host and path: the longest prefix wins.
