Stored jobs: accepted once they are in the log, driven by shards

Cause: jobs that are not best effort were refused as not run, so that a deployment with stored jobs was served nothing.

Change: internal/decide/ledger (pure) follows a keyed topic of the store that holds acceptances, cancels, ends of runs and closings, and decides which jobs this host drives: shards dealt by a group of the store, taken over only when the takeover is in the log, the former driver's runs are surely over and their ends have been read. room holds an end back from the worker's acknowledgement until it is recorded; spread drives stored jobs without patience or refusal; dispatch batches appends, follows the log and answers GET and DELETE. Steps with after, cancels and retries work; gangs, schedules, lasting and filling tasks are refused as not run.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -88,7 +88,7 @@
 				EstimateMs: int32(t.Estimate.Milliseconds()), RequiredLabel: t.RequiredLabel, Affinity: t.Affinity,
 				MaxPerWorker: int32(t.MaxPerWorker), Priority: int32(t.Priority),
 				StartInMs: remaining(now, t.StartBy), UsefulMs: remaining(now, t.UsefulUntil),
-				Begun: t.Begun, MaxAttempts: int32(t.MaxAttempts),
+				Begun: t.Begun, MaxAttempts: int32(t.MaxAttempts), Stored: t.Stored,
 			}
 			offers = append(offers, last)
 		}
@@ -103,8 +103,8 @@
 	tasks := make([]offer.Task, 0, len(o.GetTasks()))
 	for _, t := range o.GetTasks() {
 		tasks = append(tasks, offer.Task{
-			Name: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
-			Spec: o.GetSpec(), Service: o.GetService(), Size: sizeFrom(o.GetSize()),
+			Name:   fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
+			Stored: o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Size: sizeFrom(o.GetSize()),
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: after(now, o.GetStartInMs()), UsefulUntil: after(now, o.GetUsefulMs()),
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
@@ -66,6 +67,11 @@
 	events  chan func(time.Time)
 	leaving atomic.Bool
 	config  atomic.Pointer[fleet.Config]
+	// storing is set once a stored job is known of, and logRead once their log
+	// has been read to its end.
+	storing atomic.Bool
+	logRead atomic.Bool
+	journal *journal
 	// ready is the reason why this host takes no work, or nil.
 	ready atomic.Pointer[errkind.Error]
 
@@ -95,7 +101,9 @@
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
 			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
+			Ledger: ledgerConfig(s),
 		}),
+		journal: newJournal(),
 		waiters: map[string]waiter{}, kicks: map[string]chan struct{}{},
 	}
 	for _, zone := range s.Zones {
@@ -129,6 +137,9 @@
 		{Name: "configuration", Run: func(ctx context.Context) error { return d.store.FollowConfig(ctx, d) }},
 		{Name: "worker list", Run: func(ctx context.Context) error { return d.store.FollowWorkers(ctx, d) }},
 		{Name: "host list", Run: func(ctx context.Context) error { return d.store.FollowHosts(ctx, d) }},
+		{Name: "job log", Run: func(ctx context.Context) error { return d.store.FollowJobs(ctx, d) }},
+		{Name: "job records", Run: d.keepJournal},
+		{Name: "job shards", Run: d.keepDriving},
 		{Name: "announcement", Run: d.announce},
 		{Name: "membership", Run: d.keepMemberships},
 		{Name: "peers", Run: d.peers.run},
@@ -211,7 +222,7 @@
 // Submit implements platform.Dispatcher.
 func (d *Dispatch) Submit(ctx context.Context, job fleet.Job, route fleet.Route, patience time.Duration) platform.Result {
 	if !job.BestEffort {
-		return platform.Result{Err: errkind.New(errkind.NotReady, "stored jobs are not served")}
+		return d.submitStored(ctx, job, route)
 	}
 	result := make(chan platform.Result, 1)
 	d.post(func(now time.Time) { d.submit(now, job, route, patience, result) })
@@ -255,7 +266,7 @@
 }
 
 // Cancel implements platform.Dispatcher.
-func (d *Dispatch) Cancel(job string) bool {
+func (d *Dispatch) Cancel(ctx context.Context, job string) (bool, *errkind.Error) {
 	found := false
 	d.ask(func(now time.Time) {
 		_, found = d.waiters[job]
@@ -263,21 +274,36 @@
 			d.core.Spread.Cancel(now, job)
 		}
 	})
-	return found
+	if found || !d.storing.Load() {
+		return found, nil
+	}
+	return d.cancelStored(ctx, job)
 }
 
-// Running implements platform.Dispatcher.
-func (d *Dispatch) Running(job string) bool {
-	found := false
-	d.ask(func(time.Time) { _, found = d.waiters[job] })
-	return found
+// State implements platform.Dispatcher.
+func (d *Dispatch) State(job string) (ledger.State, *errkind.Error) {
+	var state ledger.State
+	known := true
+	d.ask(func(now time.Time) {
+		if _, ok := d.waiters[job]; ok {
+			state = ledger.Running
+			return
+		}
+		if d.storing.Load() {
+			state, known = d.core.Ledger.State(now, job)
+		}
+	})
+	if !known {
+		return "", errkind.New(errkind.LogUnavailable, "the job log has not been read lately")
+	}
+	return state, nil
 }
 
 // Waiting implements platform.Dispatcher.
 func (d *Dispatch) Waiting(route string) int {
 	n := 0
 	d.ask(func(time.Time) {
-		n = d.core.Spread.Waiting(route)
+		n = d.core.Spread.Waiting(route) + d.core.Ledger.Waiting(route)
 	})
 	return n
 }
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -32,7 +32,7 @@
 )
 
 // peers holds the streams to other entry hosts. Its methods, but for put,
-// remove, zoneOf and Exchange, belong to the loop.
+// remove, count, zoneOf and Exchange, belong to the loop.
 type peers struct {
 	self   fleet.Host
 	logger *log.Logger
@@ -125,6 +125,13 @@
 	}
 }
 
+// count returns how many other hosts are known.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.hosts)
+}
+
 // zoneOf returns the zone of a known host, or nothing.
 func (p *peers) zoneOf(name string) string {
 	p.mu.Lock()
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -45,6 +45,8 @@
 		o := a.Outcome
 		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
 			"worker", o.Worker, "failed", o.Failed, "why", o.Why)
+	case host.Append:
+		d.record(a, nil)
 	case host.Note:
 		d.logger.Info(a.What, "worker", a.Worker, "why", a.Why, "fence", a.Fence)
 	case spread.Answer:
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/platform"
 )
 
 const (
@@ -53,9 +54,13 @@
 	}
 }
 
-// membership is this host's place in one zone's group.
+// membership is this host's place in a group.
 type membership struct {
-	zone       string
+	group string
+	// dealt takes what a join that was sent at a time was answered.
+	dealt func(now, sent time.Time, reply platform.Membership)
+	// left lets go of everything.
+	left       func()
 	generation int64
 	// changed is when the generation last changed.
 	changed time.Time
@@ -65,7 +70,9 @@
 
 // keepMembership keeps this host in a zone's group as long as it should be.
 func (d *Dispatch) keepMembership(ctx context.Context, zone string) error {
-	m := &membership{zone: zone}
+	m := &membership{group: group(zone), dealt: func(_, _ time.Time, r platform.Membership) {
+		d.core.Tenure.Joined(zone, r.Generation, r.Partitions)
+	}, left: func() { d.core.Tenure.Left(zone) }}
 	started := time.Now()
 	for {
 		switch {
@@ -74,24 +81,29 @@
 		case m.joined:
 			d.leave(m)
 		}
-		interval := joinInterval
-		if m.joined && time.Since(m.changed) < unsettledTime {
-			interval = unsettledInterval
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-d.kicks[zone]:
-		case <-time.After(interval):
+		case <-time.After(m.interval()):
 		}
 	}
 }
 
+// interval is the pause before the next join.
+func (m *membership) interval() time.Duration {
+	if m.joined && time.Since(m.changed) < unsettledTime {
+		return unsettledInterval
+	}
+	return joinInterval
+}
+
 // wanted reports whether this host belongs into a zone's group: into that of
 // its own zone, and into those that no other host serves.
 func (d *Dispatch) wanted(ctx context.Context, zone string, uptime time.Duration) bool {
 	switch {
-	case d.leaving.Load():
+	case d.leaving.Load() || !d.logRead.Load():
+		// Ends found on workers must be told from those of best-effort jobs.
 		return false
 	case zone == d.settings.Zone:
 		return true
@@ -125,10 +137,11 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	ttl := max(memberTTL, d.settings.MinMemberTTL)
-	reply, err := d.store.Join(ctx, group(m.zone), d.self.Name, ttl, m.generation)
+	sent := time.Now()
+	reply, err := d.store.Join(ctx, m.group, d.self.Name, ttl, m.generation)
 	if (err != nil) != m.failed {
 		m.failed = err != nil
-		d.logger.Info("membership", "zone", m.zone, "lost", m.failed, "error", err)
+		d.logger.Info("membership", "group", m.group, "lost", m.failed, "error", err)
 	}
 	if err != nil {
 		return
@@ -137,24 +150,24 @@
 	if reply.Generation != m.generation {
 		m.generation, m.changed = reply.Generation, time.Now()
 	}
-	d.ask(func(time.Time) {
+	d.ask(func(now time.Time) {
 		if !d.leaving.Load() {
-			d.core.Tenure.Joined(m.zone, reply.Generation, reply.Partitions)
+			m.dealt(now, sent, reply)
 		}
 	})
 }
 
-// leave drops the zone's workers and gives the membership up, so that another
-// member has them within one join.
+// leave lets go of what the group dealt and gives the membership up, so that
+// another member has it within one join.
 func (d *Dispatch) leave(m *membership) {
-	d.ask(func(time.Time) { d.core.Tenure.Left(m.zone) })
+	d.ask(func(time.Time) { m.left() })
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := d.store.Leave(ctx, group(m.zone), d.self.Name); err != nil {
-		d.logger.Warn("group not left", "zone", m.zone, "error", err)
+	if err := d.store.Leave(ctx, m.group, d.self.Name); err != nil {
+		d.logger.Warn("group not left", "group", m.group, "error", err)
 		return
 	}
-	d.logger.Info("group left", "zone", m.zone)
+	d.logger.Info("group left", "group", m.group)
 	m.joined, m.generation = false, 0
 }
 
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -4,8 +4,10 @@
 package host
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/room"
 	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
@@ -23,11 +25,14 @@
 	Partitions int
 	// Nonce makes the host's fences differ from those of others.
 	Nonce int64
+	// Ledger holds the times of the stored jobs.
+	Ledger ledger.Config
 }
 
 // Action is something for the shell to do: an order to a worker (room.Start,
 // room.Stop, room.Look), a message to other hosts (Send, Broadcast), an answer
-// to a caller (spread.Answer), or a decision for the log (Note).
+// to a caller (spread.Answer), a record of stored jobs (Append), or a decision
+// for the log (Note).
 type Action any
 
 // Message is what one host says to another: Offers, Withdrawal, Recall, Begun,
@@ -63,12 +68,21 @@
 	Fence  int64
 }
 
+// Append asks for records of stored jobs to be appended to their log. Appended
+// takes the confirmation.
+type Append struct {
+	Entries []ledger.Entry
+	// Ends are the ends among the entries.
+	Ends []room.Record
+}
+
 // Core holds the decisions of one host. It is not safe for concurrent use.
 type Core struct {
 	cfg     Config
 	Pool    *room.Pool
 	Spread  *spread.Spread
 	Tenure  *tenure.Tenure
+	Ledger  *ledger.Ledger
 	leaving bool
 	actions []Action
 	// judged is when the pool's report was last taken in.
@@ -77,9 +91,13 @@
 
 // New returns a host that owns nothing.
 func New(cfg Config) *Core {
+	jobs := ledger.New(cfg.Ledger)
+	pool := room.DefaultConfig(cfg.MaxLease)
+	pool.Stored = jobs.Holds
 	return &Core{
 		cfg:    cfg,
-		Pool:   room.NewPool(room.DefaultConfig(cfg.MaxLease)),
+		Ledger: jobs,
+		Pool:   room.NewPool(pool),
 		Spread: spread.New(spread.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease}),
 		Tenure: tenure.New(cfg.Partitions, cfg.Nonce),
 	}
@@ -91,8 +109,25 @@
 	c.Pool.ReturnQueue("planned stop")
 }
 
+// LogRead takes the time at which a reading of the stored jobs' log was sent
+// that has been applied to its end.
+func (c *Core) LogRead(sent time.Time) {
+	c.Ledger.Read(sent)
+	c.Spread.LogRead(c.Ledger.AsOf())
+}
+
+// Appended takes the confirmation that records are in the log.
+func (c *Core) Appended(now time.Time, a Append) {
+	c.Ledger.Apply(now, a.Entries)
+	for _, end := range a.Ends {
+		c.Pool.Recorded(now, end)
+	}
+}
+
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
+	c.Ledger.Tick(now)
+	c.settleLedger(now)
 	c.Pool.Tick(now)
 	c.Spread.Tick(now)
 	if c.Pool.Waiting() > 0 {
@@ -173,6 +208,9 @@
 }
 
 func (c *Core) outcome(now time.Time, from string, o offer.Outcome) {
+	if o.Result == offer.Started {
+		c.Ledger.Begun(o.Task.Job)
+	}
 	if o.Result != offer.Done && o.Result != offer.Started {
 		c.actions = append(c.actions, TaskNotDone{Owner: from, Outcome: o})
 	}
@@ -182,7 +220,9 @@
 // Settle decides until nothing is left to decide, and returns what leaves the
 // host.
 func (c *Core) Settle(now time.Time) []Action {
+	c.Ledger.Expire(now)
 	for {
+		c.settleLedger(now)
 		ownership, orders := c.Tenure.Take(), c.Pool.Take(now)
 		if len(orders) > 0 || now.Sub(c.judged) >= reportAge {
 			c.judged = now
@@ -207,6 +247,24 @@
 	return actions
 }
 
+// settleLedger carries out which stored jobs this host drives.
+func (c *Core) settleLedger(now time.Time) {
+	for _, a := range c.Ledger.Take() {
+		switch a := a.(type) {
+		case ledger.Drive:
+			c.Spread.Drive(now, spread.Stored(a))
+		case ledger.Release:
+			c.Spread.Release(now, a.Job, a.Why)
+		case ledger.Done:
+			c.Spread.Recorded(now, a.Task)
+		case ledger.Write:
+			c.emit(Append{Entries: a.Entries})
+		case ledger.Note:
+			c.emit(Note{What: a.What, Worker: "", Why: fmt.Sprintf("shard %d: %s", a.Shard, a.Why)})
+		}
+	}
+}
+
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Core) carryOwnership(now time.Time, a tenure.Action) {
@@ -235,6 +293,8 @@
 	case room.Dropped:
 		c.Tenure.Dropped(a.Worker)
 		c.emit(Note{What: "worker dropped", Worker: a.Worker, Why: a.Why})
+	case room.Record:
+		c.emit(Append{Entries: []ledger.Entry{ledger.Ended{RunID: a.End.RunID, How: a.End.How}}, Ends: []room.Record{a}})
 	case room.Note:
 		c.emit(Note{What: a.What, Worker: a.Worker, Why: a.Why})
 	default:
@@ -254,6 +314,11 @@
 		c.send(now, a.Host, Begun{Job: a.Job})
 	case spread.Claim:
 		c.send(now, a.Host, a.Claim)
+	case spread.Answer:
+		if a.Stored && a.Failed {
+			c.Ledger.Fail(a.Job)
+		}
+		c.emit(a)
 	default:
 		c.emit(a)
 	}
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -14,7 +14,9 @@
 	// Host is the entry host that answers the job's caller.
 	Host string
 	Name fleet.TaskName
-	Spec string
+	// Stored is set if the run's end has to be recorded before it is taken note of.
+	Stored bool
+	Spec   string
 	// Service names the pool of workers.
 	Service string
 	Size    fleet.Size
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -41,11 +41,12 @@
 		return
 	}
 	for _, e := range l.Ended {
-		if e.Seq > w.noted {
-			w.noted = e.Seq
+		if e.Seq > w.seen {
+			w.seen = e.Seq
 			p.ended(now, w, e)
 		}
 	}
+	w.note()
 	p.compare(now, w, number, l.Running)
 }
 
@@ -72,7 +73,8 @@
 	for _, r := range w.listed() {
 		p.over(w, r, "worker restarted")
 	}
-	w.noted, w.granted = 0, 0
+	w.seen, w.noted, w.granted = 0, 0, 0
+	clear(w.unrecorded)
 	p.emit(Note{What: "worker-restarted", Worker: w.info.ID, Why: "born differs"})
 }
 
@@ -82,8 +84,12 @@
 	w.adopting = false
 	w.granted = l.Clock + p.cfg.MaxLease
 	for _, e := range l.Ended {
-		w.noted = max(w.noted, e.Seq)
+		w.seen = max(w.seen, e.Seq)
+		if p.recordable(e, nil) {
+			p.record(w, e, nil)
+		}
 	}
+	w.note()
 	if len(l.Running) == 0 && len(l.Ended) == 0 {
 		return
 	}
@@ -118,6 +124,10 @@
 	if !ok {
 		return
 	}
+	stored := p.recordable(e, r.task)
+	if stored {
+		p.record(w, e, r.task)
+	}
 	switch e.How {
 	case fleet.EndedDone:
 		w.remove(r)
@@ -128,30 +138,31 @@
 		if !r.claimed && p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f against %.1f", w.health.pace, p.paces.pace)})
 		}
-		p.tell(*r.task, w, r.id.Run, offer.Done, "")
+		if !stored {
+			p.tell(*r.task, w, r.id.Run, offer.Done, "")
+		}
 	case fleet.EndedFailed:
 		w.remove(r)
 		if w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("%d runs failed in a row", w.health.failures)})
 		}
-		p.failed(w, r)
+		if r.task != nil && !stored {
+			p.retryFailed(w, r.task, r.id.Run)
+		}
 	case fleet.EndedStopped, fleet.EndedLapsed:
 		p.over(w, r, e.How.String())
 	}
 }
 
-// failed counts a failed run. The host of the job decides whether the task is
-// offered again: a former owner may have seen the same end.
-func (p *Pool) failed(w *worker, r *run) {
-	if r.task == nil {
-		return
-	}
-	r.task.Failed++
+// retryFailed counts a failed run. The host of the job decides whether the task
+// is offered again: a former owner may have seen the same end.
+func (p *Pool) retryFailed(w *worker, task *offer.Task, run int) {
+	task.Failed++
 	result, why := offer.Returned, "run failed"
-	if r.task.Failed >= r.task.MaxAttempts {
+	if task.Failed >= task.MaxAttempts {
 		result, why = offer.Failed, "failed as often as the queue allows"
 	}
-	p.tell(*r.task, w, r.id.Run, result, why)
+	p.tell(*task, w, run, result, why)
 }
 
 // over ends a run that has ended without a result; nothing of it is left.
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -33,6 +33,8 @@
 	RetryLook time.Duration
 	// RetryStop is the pause after a stop that failed.
 	RetryStop time.Duration
+	// Stored reports whether a job is a stored one, as far as this host knows.
+	Stored func(job string) bool
 }
 
 // DefaultConfig returns the times for a lease of maxLease.
@@ -183,7 +185,9 @@
 		w.info = info
 		return
 	}
-	w := &worker{info: info, fence: fence, runs: map[fleet.RunID]*run{}, adopting: true}
+	w := &worker{
+		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]unrecorded{}, adopting: true,
+	}
 	p.workers[info.ID] = w
 	p.order = append(p.order, w)
 	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -64,8 +64,11 @@
 	// granted is the latest lease end that an order named, on its clock.
 	granted time.Duration
 	born    int64
-	// noted is the highest end that was taken note of.
-	noted int64
+	// seen is the highest end that was read, noted the highest that is taken
+	// note of: the worker forgets it.
+	seen, noted int64
+	// unrecorded are the ends, by number, that the log does not hold yet.
+	unrecorded map[int64]unrecorded
 
 	// looking numbers the look that waits for an end; zero if there is none.
 	looking int64
--- a/internal/decide/spread/choose.go
+++ b/internal/decide/spread/choose.go
@@ -39,7 +39,7 @@
 func (s *Spread) task(j *job, t *task) offer.Task {
 	step := j.spec.Steps[t.name.Step]
 	return offer.Task{
-		Host: s.cfg.Self, Name: t.name, Spec: j.spec.Spec, Service: j.route.Service,
+		Host: s.cfg.Self, Name: t.name, Stored: j.stored, Spec: j.spec.Spec, Service: j.route.Service,
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
 		StartBy: j.arrived.Add(j.objective - j.chain), UsefulUntil: j.deadline,
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -33,13 +33,16 @@
 	}
 	j.wait = s.expectedWait(j)
 	if j.wait > s.tolerance(j, limit) {
-		s.refuse(now, j, "no room in time")
+		s.refuse(now, j, noRoom)
 		return true
 	}
 	s.offerJob(now, j)
 	return true
 }
 
+// noRoom is why a job is refused for want of room.
+const noRoom = "no room in time"
+
 // tolerance is the longest expected wait with which a job is taken.
 func (s *Spread) tolerance(j *job, limit time.Duration) time.Duration {
 	return min(time.Duration(admitFactor*float64(j.objective)), limit) - j.chain - hop
@@ -50,10 +53,8 @@
 	if len(s.workers) == 0 {
 		return errkind.New(errkind.NotReady, "no worker is known")
 	}
-	for i, step := range j.spec.Steps {
-		if step.Unsupported != "" {
-			return errkind.New(errkind.NotReady, "step %d asks for %s, which is not served", i, step.Unsupported)
-		}
+	if j.spec.Unsupported != "" {
+		return errkind.New(errkind.NotReady, "the job asks for %s, which is not served", j.spec.Unsupported)
 	}
 	return nil
 }
@@ -87,7 +88,7 @@
 		}
 	}
 	s.emit(Answer{
-		Job: j.spec.ID, Err: err, RetryAfter: retryAfter,
+		Job: j.spec.ID, Stored: j.stored, Err: err, RetryAfter: retryAfter,
 		Failed: err != nil && err.Kind == errkind.TaskFailed,
 		Facts: Facts{
 			Route: j.route.Name, Tasks: len(j.tasks), Runs: j.runs(), Waited: now.Sub(j.arrived),
@@ -205,6 +206,12 @@
 			continue
 		}
 		t.ran = true
+		if e.How == fleet.EndedDone && j.stored {
+			// The new owner records it; until then it counts as at the worker.
+			listed[e.Task] = true
+			t.runs, t.state, t.host, t.worker, t.fence = e.Run, taskStarted, from, sight.Worker, sight.Fence
+			continue
+		}
 		if e.How == fleet.EndedDone {
 			s.taskDone(now, j, t)
 			continue
@@ -249,7 +256,7 @@
 		return
 	}
 	for _, t := range j.tasks {
-		if t.state == taskOrphaned && !now.Before(t.overAt) {
+		if t.state == taskOrphaned && s.orphanOver(now, j, t) {
 			t.state = taskIdle
 			t.runs++
 			t.over, t.ran = t.runs, true
@@ -282,7 +289,7 @@
 // have run is said not to have run.
 func (s *Spread) giveUp(now time.Time, j *job) {
 	if j.notRun() {
-		s.refuse(now, j, "no room in time")
+		s.refuse(now, j, noRoom)
 		return
 	}
 	s.answer(now, j, errkind.New(errkind.Timeout, "tasks were lost with their owner or worker"), 0)
@@ -306,6 +313,9 @@
 // the caller's patience is gone, in any case.
 func (s *Spread) recall(now time.Time, j *job) {
 	waited := now.Sub(j.arrived)
+	if j.stored {
+		return
+	}
 	patience := j.deadline.Sub(j.arrived)
 	due := !j.recalled.IsZero() || waited > time.Duration(patienceShare*float64(patience))
 	if !due && !j.judged && waited >= time.Duration(recallShare*float64(j.objective))-hop {
--- a/internal/decide/spread/job.go
+++ b/internal/decide/spread/job.go
@@ -51,7 +51,9 @@
 	seq   int64
 	spec  fleet.Job
 	route fleet.Route
-	tasks []*task
+	// stored jobs outlive their host: the log holds their ends.
+	stored bool
+	tasks  []*task
 	// first is the index of each step's first task.
 	first    []int
 	left     []int
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -81,6 +81,8 @@
 // Answer ends a job.
 type Answer struct {
 	Job string
+	// Stored is set if no caller waits for the answer.
+	Stored bool
 	// Err is nil if all tasks are done.
 	Err *errkind.Error
 	// Failed is set if the job failed by its own fault.
@@ -133,6 +135,8 @@
 	// stuck is set while a task waits for a host to be offered to.
 	stuck bool
 	seq   int64
+	// logRead is when the last reading of the log was sent.
+	logRead time.Time
 }
 
 // New returns a spread without jobs.
--- /dev/null
+++ b/internal/decide/spread/stored.go
@@ -0,0 +1,97 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Stored is a stored job as the log knows it.
+type Stored struct {
+	Job   fleet.Job
+	Route fleet.Route
+	// Done are the tasks that need no run.
+	Done []fleet.TaskName
+	// Failed counts the failed runs of a task.
+	Failed map[fleet.TaskName]int
+	// FirstRun numbers the first run that this host may start.
+	FirstRun int
+}
+
+const (
+	// storedPatience stands for no limit: a stored job is done whenever it can.
+	storedPatience = time.Hour
+	// takeoverTime is how long the next owner of a worker may take to list what
+	// ended there: a member's time to live, a join and a look.
+	takeoverTime = 1500 * time.Millisecond
+)
+
+// Drive takes a stored job. Nobody waits for its answer: it is never refused
+// or recalled, and ends when all its tasks are in the log as done.
+func (s *Spread) Drive(now time.Time, stored Stored) {
+	if _, ok := s.jobs[stored.Job.ID]; ok {
+		return
+	}
+	s.seq++
+	j := newJob(now, s.seq, stored.Job, stored.Route, now.Add(storedPatience))
+	j.stored = true
+	for _, t := range j.tasks {
+		t.runs, t.over, t.failed = stored.FirstRun-1, stored.FirstRun-1, stored.Failed[t.name]
+	}
+	s.jobs[stored.Job.ID] = j
+	for _, name := range stored.Done {
+		if _, t := s.find(name); t != nil {
+			t.state = taskDone
+			j.left[name.Step]--
+		}
+	}
+	s.offerJob(now, j)
+}
+
+// storedFactor is how many times its objective a stored job may be expected to
+// take and still be accepted: later it is of no use to its caller.
+const storedFactor = 3
+
+// Admit says why a stored job is not to be accepted, and when its caller may
+// come back, or nil.
+func (s *Spread) Admit(now time.Time, spec fleet.Job, route fleet.Route) (*errkind.Error, time.Duration) {
+	j := newJob(now, 0, spec, route, now.Add(storedPatience))
+	if err := s.fits(j); err != nil {
+		return err, minRetryAfter
+	}
+	j.wait = s.expectedWait(j)
+	if j.wait+j.chain > storedFactor*j.objective {
+		return errkind.New(errkind.Overloaded, noRoom), min(max(j.wait, minRetryAfter), maxRetryAfter)
+	}
+	return nil, 0
+}
+
+// Release lets go of a stored job: another host drives it, or it is over.
+func (s *Spread) Release(now time.Time, id, why string) {
+	if j, ok := s.jobs[id]; ok && j.stored {
+		s.answer(now, j, errkind.New(errkind.Cancelled, "%s", why), 0)
+	}
+}
+
+// Recorded takes the log's word that a task is done.
+func (s *Spread) Recorded(now time.Time, name fleet.TaskName) {
+	if j, t := s.find(name); t != nil && t.state != taskDone {
+		s.taskDone(now, j, t)
+	}
+}
+
+// LogRead takes the time at which the last reading of the log was sent: every
+// end that had been recorded by then is known.
+func (s *Spread) LogRead(sent time.Time) { s.logRead = sent }
+
+// orphanOver reports whether an orphaned run has ended without a result. The
+// end of a stored job's run may be in the log, or on its worker's list, which
+// the worker's next owner reads.
+func (s *Spread) orphanOver(now time.Time, j *job, t *task) bool {
+	if !j.stored {
+		return !now.Before(t.overAt)
+	}
+	over := t.overAt.Add(takeoverTime)
+	return !now.Before(over) && s.logRead.After(over)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,9 +126,6 @@
 	Affinity string
 	// MaxPerWorker bounds the tasks of the step on one worker; zero: no bound.
 	MaxPerWorker int
-	// Unsupported names a feature that this dispatcher does not run, or is
-	// empty.
-	Unsupported string
 }
 
 // Job is one submission.
@@ -138,6 +135,9 @@
 	Steps []Step
 	// BestEffort jobs are not stored; the caller waits for their end.
 	BestEffort bool
+	// Unsupported names a feature that this dispatcher does not run, or is
+	// empty.
+	Unsupported string `json:",omitempty"`
 }
 
 // TaskName names one task of a job.
