Hosts tell each other what they append to the job log

Cause: other hosts learnt of an acceptance or an end with their next paced reading of the log, some 30 to 60 ms later.

Change: appended records are told to linked hosts; readings are paced wider.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -8,6 +8,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/platform"
 )
 
 // addMessage puts a message into a frame. A withdrawal takes out an offer that
@@ -27,6 +28,8 @@
 		f.Claims = append(f.Claims, &dispatchv1.Claim{Worker: m.Worker, Offer: offersTo(now, []offer.Task{m.Task})[0]})
 	case offer.Outcome:
 		f.Outcomes = append(f.Outcomes, outcomeTo(m))
+	case host.Logged:
+		f.Logged = append(f.Logged, loggedTo(m)...)
 	case offer.Sighting:
 		f.Sightings = append(f.Sightings, sightingTo(m))
 	}
@@ -37,6 +40,9 @@
 // later offers of the same job.
 func messagesFrom(now time.Time, self string, f *dispatchv1.Frame) []host.Message {
 	var messages []host.Message
+	if len(f.GetLogged()) > 0 {
+		messages = append(messages, loggedFrom(f.GetLogged()))
+	}
 	for _, job := range f.GetWithdrawals() {
 		messages = append(messages, host.Withdrawal{Job: job})
 	}
@@ -63,6 +69,37 @@
 	return messages
 }
 
+// loggedTo leaves out what cannot be encoded: it was logged when it could not
+// be appended.
+func loggedTo(m host.Logged) []*dispatchv1.LogRecord {
+	var out []*dispatchv1.LogRecord
+	for _, e := range m.Entries {
+		records, err := recordsOf(e)
+		if err != nil {
+			continue
+		}
+		for _, r := range records {
+			out = append(out, &dispatchv1.LogRecord{Key: r.Key, Value: r.Value})
+		}
+	}
+	return out
+}
+
+// loggedFrom leaves out what cannot be decoded: the reading of the log says so.
+func loggedFrom(records []*dispatchv1.LogRecord) host.Logged {
+	var m host.Logged
+	for _, r := range records {
+		keyed := platform.Keyed{Key: r.GetKey()}
+		if len(r.GetValue()) > 0 {
+			keyed.Value = r.GetValue()
+		}
+		if e, err := entryOf(keyed); err == nil && e != nil {
+			m.Entries = append(m.Entries, e)
+		}
+	}
+	return m
+}
+
 func sizeTo(s fleet.Size) *dispatchv1.Size {
 	return &dispatchv1.Size{MilliCpu: int32(s.MilliCPU), MemoryMb: int32(s.MemoryMB), Gpus: int32(s.GPUs)}
 }
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -55,6 +55,11 @@
 }
 
 func (d *Dispatch) answer(a spread.Answer) {
+	if a.Stored {
+		d.logger.Info("stored job let go of", "job", a.Job, "route", a.Facts.Route, "done", a.Err == nil, "failed", a.Failed,
+			"tasks", a.Facts.Tasks, "runs", a.Facts.Runs, "driven_for", a.Facts.Waited, "objective", a.Facts.Objective, "why", a.Facts.Why)
+		return
+	}
 	w, ok := d.waiters[a.Job]
 	if !ok {
 		return
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -22,7 +22,7 @@
 	appendRetry = 100 * time.Millisecond
 	// appendPause and appendCost space a host's appends, so that all hosts
 	// together stay well below what one partition takes.
-	appendPause = 10 * time.Millisecond
+	appendPause = 15 * time.Millisecond
 	appendCost  = 3 * time.Millisecond
 	// maxAppendBytes bounds one append; the store takes two megabytes.
 	maxAppendBytes = 1 << 20
@@ -30,9 +30,9 @@
 	// that with some: what may be run again waits for a reading's end.
 	idleLogWait = 2 * time.Second
 	busyLogWait = 300 * time.Millisecond
-	// readPause and readCost space a host's readings as appends are.
-	readPause = 30 * time.Millisecond
-	readCost  = 5 * time.Millisecond
+	// readPause spaces a host's readings. Linked hosts tell each other what they
+	// append; of others it is heard with the next reading.
+	readPause = 100 * time.Millisecond
 )
 
 // ledgerConfig returns the times of the stored jobs' ledger.
@@ -188,7 +188,7 @@
 	case !d.storing.Load():
 		return platform.Pace{Wait: idleLogWait}
 	}
-	return platform.Pace{Wait: busyLogWait, Pause: max(readPause, time.Duration(d.peers.count())*readCost)}
+	return platform.Pace{Wait: busyLogWait, Pause: readPause}
 }
 
 // JobRecords implements platform.JobLog.
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -36,7 +36,7 @@
 type Action any
 
 // Message is what one host says to another: Offers, Withdrawal, Recall, Begun,
-// offer.Claim, offer.Outcome or offer.Sighting.
+// Logged, offer.Claim, offer.Outcome or offer.Sighting.
 type Message any
 
 // Offers asks for runs of tasks.
@@ -51,6 +51,10 @@
 // Begun says that a task of a job has started.
 type Begun struct{ Job string }
 
+// Logged says what has been appended to the log of stored jobs, so that others
+// need not wait for their next reading.
+type Logged struct{ Entries []ledger.Entry }
+
 // Send sends a message to one host.
 type Send struct {
 	Host    string
@@ -119,6 +123,7 @@
 // Appended takes the confirmation that records are in the log.
 func (c *Core) Appended(now time.Time, a Append) {
 	c.Ledger.Apply(now, a.Entries)
+	c.emit(Broadcast{Message: Logged{Entries: a.Entries}})
 	for _, end := range a.Ends {
 		c.Pool.Recorded(now, end)
 	}
@@ -191,6 +196,8 @@
 		c.Pool.Recall(from, m.Job)
 	case Begun:
 		c.Pool.Begun(from, m.Job)
+	case Logged:
+		c.Ledger.Apply(now, m.Entries)
 	case offer.Claim:
 		m.Task.Host = from
 		c.Pool.Claimed(now, m)
