A question about a running job waits a moment for its end

Cause: callers ask some milliseconds after the last task has ended at its worker, before the end is in the log and told, and then a quarter of a second later: completed jobs were shown as running.

Change: the answer about a running job waits up to 60 ms for its end.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -78,7 +78,9 @@
 	// The fields below belong to the loop.
 	core    *host.Core
 	waiters map[string]waiter
-	listed  bool
+	// watchers wait for the end of a stored job.
+	watchers map[string][]chan struct{}
+	listed   bool
 
 	// kicks wake the membership of each zone.
 	kicks map[string]chan struct{}
@@ -104,7 +106,7 @@
 			Ledger: ledgerConfig(s),
 		}),
 		journal: newJournal(),
-		waiters: map[string]waiter{}, kicks: map[string]chan struct{}{},
+		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, kicks: map[string]chan struct{}{},
 	}
 	for _, zone := range s.Zones {
 		d.kicks[zone] = make(chan struct{}, 1)
@@ -281,22 +283,16 @@
 }
 
 // State implements platform.Dispatcher.
-func (d *Dispatch) State(job string) (ledger.State, *errkind.Error) {
-	var state ledger.State
-	known := true
-	d.ask(func(now time.Time) {
-		if _, ok := d.waiters[job]; ok {
-			state = ledger.Running
-			return
-		}
-		if d.storing.Load() {
-			state, known = d.core.Ledger.State(now, job)
-		}
-	})
-	if !known {
-		return "", errkind.New(errkind.LogUnavailable, "the job log has not been read lately")
+func (d *Dispatch) State(ctx context.Context, job string) (ledger.State, *errkind.Error) {
+	best := false
+	d.ask(func(time.Time) { _, best = d.waiters[job] })
+	switch {
+	case best:
+		return ledger.Running, nil
+	case !d.storing.Load():
+		return "", nil
 	}
-	return state, nil
+	return d.storedState(ctx, job)
 }
 
 // Waiting implements platform.Dispatcher.
--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/room"
 	"github.com/parsleyhill/parsleyhill/internal/decide/spread"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -45,6 +46,8 @@
 		o := a.Outcome
 		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
 			"worker", o.Worker, "failed", o.Failed, "why", o.Why)
+	case ledger.Over:
+		d.jobOver(a)
 	case host.Append:
 		d.record(a, nil)
 	case host.Note:
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -299,6 +299,52 @@
 	}
 }
 
+// stateWait is how long a question about a job waits for its end: the time
+// that a record takes from the worker's list over the log to every host.
+const stateWait = 60 * time.Millisecond
+
+// storedState returns a job's state. That of a running one is given a moment
+// later: its end may be known to another host already.
+func (d *Dispatch) storedState(ctx context.Context, job string) (ledger.State, *errkind.Error) {
+	state, known, over := d.lookUp(job)
+	if state == ledger.Running {
+		select {
+		case <-over:
+		case <-time.After(stateWait):
+		case <-ctx.Done():
+		}
+		state, known, _ = d.lookUp(job)
+	}
+	if !known {
+		return "", errkind.New(errkind.LogUnavailable, "the job log has not been read lately")
+	}
+	return state, nil
+}
+
+// lookUp returns a job's state, whether it is known, and, of a running job,
+// what is closed when it ends.
+func (d *Dispatch) lookUp(job string) (state ledger.State, known bool, over chan struct{}) {
+	d.ask(func(now time.Time) {
+		state, known = d.core.Ledger.State(now, job)
+		if state == ledger.Running {
+			over = make(chan struct{})
+			d.watchers[job] = append(d.watchers[job], over)
+		}
+	})
+	return state, known, over
+}
+
+// jobOver takes the end of a stored job.
+func (d *Dispatch) jobOver(o ledger.Over) {
+	if o.Driven {
+		d.logger.Info("stored job ended", "job", o.Job, "route", o.Queue, "state", o.State, "ends", o.Runs)
+	}
+	for _, over := range d.watchers[o.Job] {
+		close(over)
+	}
+	delete(d.watchers, o.Job)
+}
+
 // keepDriving keeps this host in the group that deals the stored jobs' shards.
 func (d *Dispatch) keepDriving(ctx context.Context) error {
 	m := &membership{group: jobsGroup, dealt: func(now, sent time.Time, r platform.Membership) {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -31,8 +31,8 @@
 
 // Action is something for the shell to do: an order to a worker (room.Start,
 // room.Stop, room.Look), a message to other hosts (Send, Broadcast), an answer
-// to a caller (spread.Answer), a record of stored jobs (Append), or a decision
-// for the log (Note).
+// to a caller (spread.Answer), a record of stored jobs (Append), the end of one
+// (ledger.Over), or a decision for the log (Note).
 type Action any
 
 // Message is what one host says to another: Offers, Withdrawal, Recall, Begun,
@@ -264,6 +264,8 @@
 			c.Spread.Release(now, a.Job, a.Why)
 		case ledger.Done:
 			c.Spread.Recorded(now, a.Task)
+		case ledger.Over:
+			c.emit(a)
 		case ledger.Write:
 			c.emit(Append{Entries: a.Entries})
 		case ledger.Note:
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -56,6 +56,15 @@
 // Done says that the log holds a task's end.
 type Done struct{ Task fleet.TaskName }
 
+// Over says that a job has ended. Driven is set if this host drove it.
+type Over struct {
+	Job    string
+	Queue  string
+	State  State
+	Runs   int
+	Driven bool
+}
+
 // Write asks for entries to be appended to the log.
 type Write struct{ Entries []Entry }
 
@@ -69,6 +78,7 @@
 func (Drive) action()   {}
 func (Release) action() {}
 func (Done) action()    {}
+func (Over) action()    {}
 func (Write) action()   {}
 func (Note) action()    {}
 
@@ -271,7 +281,7 @@
 		l.emit(Done{Task: e.Task})
 	}
 	if j.left == 0 {
-		l.over(now, j, Completed)
+		l.over(now, j, Completed, j.driven)
 	}
 }
 
@@ -281,8 +291,9 @@
 	case j == nil:
 		l.cancelled[id] = true
 	case !j.state.Over():
+		driven := j.driven
 		l.release(j, "cancelled")
-		l.over(now, j, StateCancelled)
+		l.over(now, j, StateCancelled, driven)
 	}
 }
 
@@ -294,15 +305,17 @@
 		l.jobs[e.Job] = j
 	}
 	if !j.state.Over() {
+		driven := j.driven || j.closing
 		l.release(j, "closed as "+string(e.State))
-		l.over(now, j, e.State)
+		l.over(now, j, e.State, driven)
 	}
 	j.closing, j.runs = true, nil
 	delete(l.unclosed, e.Job)
 }
 
 // over ends a job: its state is all that is kept of it.
-func (l *Ledger) over(now time.Time, j *job, state State) {
+func (l *Ledger) over(now time.Time, j *job, state State, driven bool) {
+	l.emit(Over{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: len(j.runs), Driven: driven})
 	j.state, j.closedAt, j.driven = state, now, false
 	j.spec, j.done, j.failed = fleet.Job{ID: j.spec.ID}, nil, nil
 	l.unclosed[j.spec.ID] = j
