Questions about open jobs wait too; appends are spaced less

Cause: a host that does not drive a job calls it pending until its first end, and answered at once; appends were spaced by 15 ms, which every job pays twice.

--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,8 @@
 	appendRetry = 100 * time.Millisecond
 	// appendPause and appendCost space a host's appends, so that all hosts
 	// together stay well below what one partition takes.
-	appendPause = 15 * time.Millisecond
-	appendCost  = 3 * time.Millisecond
+	appendPause = 8 * time.Millisecond
+	appendCost  = 2 * time.Millisecond
 	// maxAppendBytes bounds one append; the store takes two megabytes.
 	maxAppendBytes = 1 << 20
 	// idleLogWait is the wait of a reading of a log without jobs, busyLogWait
@@ -303,17 +304,29 @@
 // that a record takes from the worker's list over the log to every host.
 const stateWait = 60 * time.Millisecond
 
-// storedState returns a job's state. That of a running one is given a moment
+// storedState returns a job's state. That of an open one is given a moment
 // later: its end may be known to another host already.
 func (d *Dispatch) storedState(ctx context.Context, job string) (ledger.State, *errkind.Error) {
-	state, known, over := d.lookUp(job)
-	if state == ledger.Running {
+	var state ledger.State
+	known := false
+	over := make(chan struct{})
+	look := func(now time.Time) { state, known = d.core.Ledger.State(now, job) }
+	d.ask(func(now time.Time) {
+		look(now)
+		if state != "" && !state.Over() {
+			d.watchers[job] = append(d.watchers[job], over)
+		}
+	})
+	if state != "" && !state.Over() {
 		select {
 		case <-over:
 		case <-time.After(stateWait):
 		case <-ctx.Done():
 		}
-		state, known, _ = d.lookUp(job)
+		d.ask(func(now time.Time) {
+			look(now)
+			d.unwatch(job, over)
+		})
 	}
 	if !known {
 		return "", errkind.New(errkind.LogUnavailable, "the job log has not been read lately")
@@ -321,17 +334,14 @@
 	return state, nil
 }
 
-// lookUp returns a job's state, whether it is known, and, of a running job,
-// what is closed when it ends.
-func (d *Dispatch) lookUp(job string) (state ledger.State, known bool, over chan struct{}) {
-	d.ask(func(now time.Time) {
-		state, known = d.core.Ledger.State(now, job)
-		if state == ledger.Running {
-			over = make(chan struct{})
-			d.watchers[job] = append(d.watchers[job], over)
-		}
-	})
-	return state, known, over
+// unwatch forgets one who waited for a job's end.
+func (d *Dispatch) unwatch(job string, over chan struct{}) {
+	rest := slices.DeleteFunc(d.watchers[job], func(o chan struct{}) bool { return o == over })
+	if len(rest) > 0 {
+		d.watchers[job] = rest
+	} else {
+		delete(d.watchers, job)
+	}
 }
 
 // jobOver takes the end of a stored job.
