Keep a worker closed while runs of unknown size are on it

Of several runs that a former owner's late orders had started, the first was counted as filling the worker and the others as nothing, so that the end of the first freed all.

Change: such runs count like those found when a worker is taken over: the worker takes nothing until they have ended. A test failed first.

--- a/internal/decide/host/callers_test.go
+++ b/internal/decide/host/callers_test.go
@@ -21,7 +21,9 @@
 	outcome  string
 	took     time.Duration
 	done     map[fleet.TaskName]bool
-	started  time.Time
+	// noted are the tasks whose end a worker was told to forget.
+	noted   map[fleet.TaskName]bool
+	started time.Time
 }
 
 // submit hands a job in at a host.
@@ -84,6 +86,9 @@
 		}
 	}
 	j.started = w.now
+	if !j.spec.BestEffort {
+		w.checkStored(j, id)
+	}
 	length := time.Duration(float64(j.works[id.Task.Index]) * sw.slowness)
 	fate := fleet.EndedDone
 	switch {
@@ -127,7 +132,7 @@
 	case n == 9:
 		width, estimate = 2+w.rng.IntN(4), 900*time.Millisecond
 	}
-	j := &simJob{id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}}
+	j := &simJob{id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, noted: map[fleet.TaskName]bool{}}
 	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
 		Count: width, Size: fleet.Size{MilliCPU: 11000 + w.rng.IntN(5000), MemoryMB: 64}, Estimate: estimate,
 	}}}
--- a/internal/decide/host/history_test.go
+++ b/internal/decide/host/history_test.go
@@ -45,7 +45,7 @@
 // fault schedules one fault, drawn from all kinds.
 func (w *world) fault(in time.Duration) {
 	length := 300*time.Millisecond + time.Duration(w.rng.Int64N(int64(3*time.Second)))
-	kind := w.rng.IntN(9)
+	kind := w.rng.IntN(10)
 	host, other := w.hosts[w.rng.IntN(len(w.hosts))], w.hosts[w.rng.IntN(len(w.hosts))]
 	worker := w.workers[w.rng.IntN(len(w.workers))]
 	w.after(in, func() {
@@ -75,6 +75,8 @@
 			for _, h := range w.hosts {
 				w.kill(h, length)
 			}
+		case 9:
+			w.cutOff(host, 2*length)
 		}
 	})
 }
--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -19,16 +19,20 @@
 // simWorker keeps the workers' contract: it refuses lower fences, bars stopped
 // runs, kills everything when its lease ends, and starts what it is told to.
 type simWorker struct {
-	world    *world
-	info     fleet.Worker
-	born     time.Time
-	clock    time.Duration
-	rate     float64
-	fence    int64
-	lease    time.Duration
-	runs     map[fleet.RunID]*simRun
-	barred   map[fleet.TaskName]int
-	ended    []fleet.RunEnd
+	world  *world
+	info   fleet.Worker
+	born   time.Time
+	clock  time.Duration
+	rate   float64
+	fence  int64
+	lease  time.Duration
+	runs   map[fleet.RunID]*simRun
+	barred map[fleet.TaskName]int
+	ended  []fleet.RunEnd
+	// endedAt is when each listed end came, and lapsed when the lease was last
+	// found to have expired, on the worker's clock.
+	endedAt  map[int64]time.Duration
+	lapsed   time.Duration
 	seq      int64
 	down     bool
 	failing  bool
@@ -41,6 +45,7 @@
 func (w *simWorker) boot(now time.Time) {
 	w.born, w.clock = now, time.Duration(w.world.rng.Int64N(int64(time.Hour)))
 	w.fence, w.lease, w.seq = 0, 0, 0
+	w.endedAt, w.lapsed = map[int64]time.Duration{}, 0
 	w.runs, w.barred, w.ended, w.looks = map[fleet.RunID]*simRun{}, map[fleet.TaskName]int{}, nil, nil
 	w.down = false
 	w.info.Born = now.UnixMilli()
@@ -94,12 +99,16 @@
 func (w *simWorker) end(id fleet.RunID, how fleet.Ending) {
 	delete(w.runs, id)
 	w.seq++
+	w.endedAt[w.seq] = w.now()
 	w.ended = append(w.ended, fleet.RunEnd{Seq: w.seq, RunID: id, How: how})
 	w.barred[id.Task] = max(w.barred[id.Task], id.Run)
 	w.world.ended(w, id, how)
 }
 
 func (w *simWorker) grant(until time.Duration) {
+	if w.now() >= w.lease {
+		w.lapsed = w.now()
+	}
 	w.lease = max(w.lease, min(until, w.now()+testLease))
 }
 
@@ -144,10 +153,20 @@
 	if a.LeaseUntil > 0 {
 		w.grant(a.LeaseUntil)
 	}
+	w.note(a.Noted)
 	w.ended = slices.DeleteFunc(w.ended, func(e fleet.RunEnd) bool { return e.Seq <= a.Noted })
 	return true
 }
 
+// note takes note of the ends that came as done under the present lease.
+func (w *simWorker) note(upTo int64) {
+	for _, e := range w.ended {
+		if e.Seq <= upTo && e.How == fleet.EndedDone && w.now() < w.lease && w.lapsed <= w.endedAt[e.Seq] {
+			w.world.jobs[e.Task.Job].noted[e.Task] = true
+		}
+	}
+}
+
 func (w *simWorker) listing() fleet.Listing {
 	w.advance()
 	l := fleet.Listing{Clock: w.now(), Born: w.info.Born, Ended: slices.Clone(w.ended)}
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -58,6 +58,10 @@
 	up         bool
 	generation int64
 	storeless  bool
+	// jobsGeneration and readTo are the host's place in the group of the stored
+	// jobs and in their log.
+	jobsGeneration int64
+	readTo         int
 }
 
 // world is a fleet of hosts and workers in virtual time.
@@ -70,6 +74,7 @@
 	workers  []*simWorker
 	groups   map[string]*simGroup
 	jobs     map[string]*simJob
+	log      *simLog
 	cut      map[string]bool
 	lost     float64
 	late     float64
@@ -85,6 +90,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
 		jobs: map[string]*simJob{}, cut: map[string]bool{},
+		log: &simLog{group: newGroup(testShards), accepted: map[string]bool{}},
 	}
 	for z := range zones {
 		zone := fmt.Sprintf("z%d", z)
@@ -132,12 +138,16 @@
 // boot starts a host's process.
 func (w *world) boot(h *simHost) {
 	h.life++
-	h.up, h.generation = true, 0
-	h.core = New(Config{Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartition, Nonce: w.rng.Int64()})
+	h.up, h.generation, h.jobsGeneration, h.readTo = true, 0, 0, 0
+	h.core = New(Config{
+		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartition, Nonce: w.rng.Int64(), Ledger: testLedger(),
+	})
 	for _, sw := range w.workers {
 		h.core.WorkerChanged(sw.info)
 	}
+	w.read(h)
 	w.join(h)
+	w.joinJobs(h)
 }
 
 // kill ends a host's process; its callers send their jobs again.
@@ -203,7 +213,7 @@
 
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
-		if !h.storeless {
+		if !h.storeless && h.core.Ledger.Loaded() {
 			generation, parts := w.groups[h.zone].join(w.now, h.name, h.generation)
 			h.generation = generation
 			h.core.Tenure.Joined(h.zone, generation, parts)
@@ -235,6 +245,17 @@
 	w.after(d, func() { delete(w.cut, pair(a.name, b.name)) })
 }
 
+// cutOff cuts a host off from all others and the store. It reaches workers.
+func (w *world) cutOff(h *simHost, d time.Duration) {
+	h.storeless = true
+	w.after(d, func() { h.storeless = false })
+	for _, o := range w.hosts {
+		if o != h {
+			w.partition(h, o, d)
+		}
+	}
+}
+
 // isolate cuts a worker off from a host for a time.
 func (w *world) isolate(h *simHost, sw *simWorker, d time.Duration) {
 	w.cut[pair(h.name, sw.info.ID)] = true
@@ -304,8 +325,12 @@
 				w.send(h, o.name, a.Message)
 			}
 		}
+	case Append:
+		w.append(h, a, func() {})
 	case spread.Answer:
-		w.answer(h, a)
+		if !a.Stored {
+			w.answer(h, a)
+		}
 	}
 }
 
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -93,17 +93,23 @@
 	if len(l.Running) == 0 && len(l.Ended) == 0 {
 		return
 	}
-	w.unclaimed = map[fleet.RunID]bool{}
 	sighting := offer.Sighting{Worker: w.info.ID, Fence: w.fence, Ended: l.Ended}
 	for _, r := range l.Running {
-		w.unclaimed[r.RunID] = true
-		w.add(&run{id: r.RunID, state: runRunning, began: now, settledAt: p.looks})
+		p.addUnknown(now, w, r.RunID)
 		sighting.Running = append(sighting.Running, r.RunID)
 	}
 	w.claimUntil = now.Add(p.cfg.ClaimWait)
 	p.emit(Sight{sighting})
 }
 
+// addUnknown counts a run in that this host did not start.
+func (p *Pool) addUnknown(now time.Time, w *worker, id fleet.RunID) *run {
+	r := &run{id: id, state: runRunning, began: now, settledAt: p.looks}
+	w.unclaimed[id] = true
+	w.add(r)
+	return r
+}
+
 // Claimed takes a host's claim of a run found on a worker.
 func (p *Pool) Claimed(_ time.Time, c offer.Claim) {
 	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
@@ -195,9 +201,7 @@
 			continue
 		}
 		// An order of a former owner was carried out late.
-		r := &run{id: id, size: w.free(), state: runRunning, began: now, settledAt: p.looks}
-		w.add(r)
-		p.stop(now, w, r)
+		p.stop(now, w, p.addUnknown(now, w, id))
 	}
 }
 
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -186,7 +186,8 @@
 		return
 	}
 	w := &worker{
-		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]unrecorded{}, adopting: true,
+		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]unrecorded{},
+		unclaimed: map[fleet.RunID]bool{}, adopting: true,
 	}
 	p.workers[info.ID] = w
 	p.order = append(p.order, w)
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -228,3 +228,28 @@
 	p.Offer(now, testTask(2, 0, 14, now))
 	assert.Len(t, of[Start](p.Take(now.Add(time.Second))), 1, "the worker has answered since")
 }
+
+// Two orders of a former owner are carried out late. Their sizes are not known:
+// the end of one says nothing about the room that the other takes.
+func TestRunsOfUnknownSizeKeepTheWorkerClosed(t *testing.T) {
+	p := adopted(t, 32, idle())
+	p.Tick(epoch)
+	look := of[Look](p.Take(epoch))[0]
+	first, second := runOf(9, 0, 1), runOf(9, 1, 1)
+	l := idle()
+	l.Running = running(first, second)
+	p.Listed(epoch, "w", look.Number, l)
+	require.Len(t, of[Stop](p.Take(epoch)), 2)
+	p.StopAnswered(epoch, "w", first, true)
+	look = of[Look](p.Take(epoch))[0]
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	l.Running, l.Ended = running(second), []fleet.RunEnd{{Seq: 1, RunID: first, How: fleet.EndedStopped}}
+	p.Listed(epoch, "w", look.Number, l)
+	assert.Empty(t, of[Start](p.Take(epoch)), "the second run may fill the worker")
+
+	p.StopAnswered(epoch, "w", second, true)
+	look = of[Look](p.Take(epoch))[0]
+	l.Running, l.Ended = nil, append(l.Ended, fleet.RunEnd{Seq: 2, RunID: second, How: fleet.EndedStopped})
+	p.Listed(epoch, "w", look.Number, l)
+	assert.Len(t, of[Start](p.Take(epoch)), 1)
+}
