Take note of a stored end only while nobody can have run the task again

Change: a start's answer with a clock that has begun anew, or an entry of a later lifetime, forgets the numbers; a list that shows another lifetime ends only what it does not hold and what has surely been there.

--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -43,7 +43,11 @@
 }
 
 func (w *simWorker) boot(now time.Time) {
-	w.born, w.clock = now, time.Duration(w.world.rng.Int64N(int64(time.Hour)))
+	w.clock = 0
+	if w.born.IsZero() {
+		w.clock = time.Duration(w.world.rng.Int64N(int64(time.Hour)))
+	}
+	w.born = now
 	w.fence, w.lease, w.seq = 0, 0, 0
 	w.endedAt, w.lapsed = map[int64]time.Duration{}, 0
 	w.runs, w.barred, w.ended, w.looks = map[fleet.RunID]*simRun{}, map[fleet.TaskName]int{}, nil, nil
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -31,7 +31,7 @@
 	}
 	w.unreachable = 0
 	if w.born != 0 && l.Born != w.born {
-		p.reborn(w)
+		p.reborn(w, l)
 	}
 	w.born = l.Born
 	w.sync(now, l.Clock)
@@ -68,13 +68,22 @@
 	return true
 }
 
-// reborn forgets what a former lifetime of the worker ran.
-func (p *Pool) reborn(w *worker) {
+// reborn forgets what a former lifetime of the worker ran: not what is listed,
+// and not what may have been started in the new one.
+func (p *Pool) reborn(w *worker, l fleet.Listing) {
+	present := map[fleet.RunID]bool{}
+	for _, r := range l.Running {
+		present[r.RunID] = true
+	}
+	for _, e := range l.Ended {
+		present[e.RunID] = true
+	}
 	for _, r := range w.listed() {
-		p.over(w, r, "worker restarted")
+		if !present[r.id] && r.state != runStarting {
+			p.over(w, r, "worker restarted")
+		}
 	}
-	w.seen, w.noted, w.granted = 0, 0, 0
-	clear(w.unrecorded)
+	w.renumber(0)
 	p.emit(Note{What: "worker-restarted", Worker: w.info.ID, Why: "born differs"})
 }
 
@@ -86,7 +95,7 @@
 	for _, e := range l.Ended {
 		w.seen = max(w.seen, e.Seq)
 		if p.recordable(e, nil) {
-			p.record(w, e, nil)
+			p.record(now, w, e, nil)
 		}
 	}
 	w.note()
@@ -132,7 +141,7 @@
 	}
 	stored := p.recordable(e, r.task)
 	if stored {
-		p.record(w, e, r.task)
+		p.record(now, w, e, r.task)
 	}
 	switch e.How {
 	case fleet.EndedDone:
@@ -281,6 +290,9 @@
 	}
 	r, ok := w.runs[runID]
 	if clock > 0 {
+		if clock < w.clock-clockStep {
+			w.renumber(clock + p.cfg.MaxLease)
+		}
 		w.sync(now, clock)
 		if ok {
 			p.patience.Answered(now.Sub(r.began))
@@ -389,6 +401,7 @@
 			p.stop(now, w, r)
 		}
 	}
+	p.expire(now, w)
 	p.tickLooks(now, w)
 }
 
--- a/internal/decide/room/record.go
+++ b/internal/decide/room/record.go
@@ -1,6 +1,8 @@
 package room
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
@@ -18,16 +20,27 @@
 
 func (Record) action() {}
 
+// staleAfter is how long an end may wait to be recorded. The host of its job may
+// have given the run up meanwhile, and run the task again after its lease and
+// the time of a takeover, 2.6 s: the end must then not be taken note of. It is
+// not if the worker's lease has expired since.
+const staleAfter = time.Second
+
 // unrecorded is the end of a stored job's run that is not in the log yet.
 type unrecorded struct {
 	end fleet.RunEnd
 	// task is nil if no host waits for the run.
 	task *offer.Task
+	// listed is when this host read the end.
+	listed time.Time
+	// recorded is set once the log has confirmed it, and expired once the
+	// worker's lease has expired since it was listed.
+	recorded, expired bool
 }
 
 // record has an end recorded. Its room is free already.
-func (p *Pool) record(w *worker, e fleet.RunEnd, task *offer.Task) {
-	w.unrecorded[e.Seq] = unrecorded{e, task}
+func (p *Pool) record(now time.Time, w *worker, e fleet.RunEnd, task *offer.Task) {
+	w.unrecorded[e.Seq] = &unrecorded{end: e, task: task, listed: now}
 	p.emit(Record{Worker: w.info.ID, Born: w.born, End: e})
 }
 
@@ -51,7 +64,15 @@
 	if !ok {
 		return
 	}
-	delete(w.unrecorded, r.End.Seq)
+	u.recorded = true
+	if !w.stale(now) {
+		p.takeNote(w, u)
+	}
+}
+
+// takeNote takes note of a recorded end.
+func (p *Pool) takeNote(w *worker, u *unrecorded) {
+	delete(w.unrecorded, u.end.Seq)
 	w.note()
 	if u.task == nil {
 		return
@@ -63,6 +84,32 @@
 	p.retryFailed(w, u.task, u.end.Run)
 }
 
+// stale reports whether the worker's lease has to expire before its ends are
+// taken note of: one of them has waited too long to be recorded.
+func (w *worker) stale(now time.Time) bool {
+	for _, u := range w.unrecorded {
+		if !u.expired && now.Sub(u.listed) > staleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// expire notes that the worker's lease has expired.
+func (p *Pool) expire(now time.Time, w *worker) {
+	if !w.stale(now) || now.Before(w.leasesOver()) {
+		return
+	}
+	for _, seq := range slices.Sorted(maps.Keys(w.unrecorded)) {
+		u := w.unrecorded[seq]
+		u.expired = true
+		if u.recorded {
+			p.takeNote(w, u)
+		}
+	}
+	p.emit(Note{What: "lease let go", Worker: w.info.ID, Why: "an end was not recorded in time"})
+}
+
 // note advances what is taken note of, up to the first end that is not
 // recorded.
 func (w *worker) note() {
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -186,7 +186,7 @@
 		return
 	}
 	w := &worker{
-		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]unrecorded{},
+		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]*unrecorded{},
 		unclaimed: map[fleet.RunID]bool{}, adopting: true,
 	}
 	p.workers[info.ID] = w
@@ -197,9 +197,14 @@
 
 // Update takes a worker's newer entry.
 func (p *Pool) Update(info fleet.Worker) {
-	if w, ok := p.workers[info.ID]; ok {
-		w.info = info
+	w, ok := p.workers[info.ID]
+	if !ok {
+		return
+	}
+	if w.born != 0 && info.Born > w.born {
+		w.renumber(w.granted)
 	}
+	w.info = info
 }
 
 // Drop lets go of a worker at once. What it runs goes on under its lease, so
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -253,3 +253,72 @@
 	p.Listed(epoch, "w", look.Number, l)
 	assert.Len(t, of[Start](p.Take(epoch)), 1)
 }
+
+// A worker starts again, and is given a run before its lists show that it is
+// another lifetime: the run is one of the new one.
+func TestRunStartedInANewLifetimeIsKept(t *testing.T) {
+	p := adopted(t, 32, idle())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, start.Fence, fleet.StartAccepted, time.Minute)
+	p.Tick(epoch)
+	look := of[Look](p.Take(epoch))[0]
+	l := idle()
+	l.Born, l.Ended = 2, []fleet.RunEnd{{Seq: 1, RunID: start.Run, How: fleet.EndedDone}}
+	p.Listed(epoch, "w", look.Number, l)
+	tells := of[Tell](p.Take(epoch))
+	require.Len(t, tells, 1)
+	assert.Equal(t, offer.Done, tells[0].Outcome.Result, "%s", tells[0].Outcome.Why)
+}
+
+// A start is answered with a clock that has begun anew: the next look must not
+// take note of the new lifetime's ends by the old one's numbers.
+func TestNumbersOfAFormerLifetimeAreForgotten(t *testing.T) {
+	l := idle()
+	l.Ended = []fleet.RunEnd{{Seq: 9, RunID: runOf(8, 0, 1), How: fleet.EndedStopped}}
+	p := adopted(t, 32, l)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, start.Fence, fleet.StartAccepted, time.Second)
+	p.Tick(epoch)
+	look := of[Look](p.Take(epoch))[0]
+	assert.Zero(t, look.Noted)
+}
+
+// An end that could not be recorded in time is taken note of only once the
+// worker's lease has expired: the task may be running again by then.
+func TestEndThatIsRecordedLateWaitsForTheLease(t *testing.T) {
+	p := adopted(t, 32, idle())
+	task := testTask(1, 0, 14, epoch)
+	task.Stored = true
+	p.Offer(epoch, task)
+	start := of[Start](p.Take(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, start.Fence, fleet.StartAccepted, time.Minute)
+	p.Tick(epoch)
+	look := of[Look](p.Take(epoch))[0]
+	l := idle()
+	l.Ended = []fleet.RunEnd{{Seq: 1, RunID: start.Run, How: fleet.EndedDone}}
+	p.Listed(epoch, "w", look.Number, l)
+	actions := p.Take(epoch)
+	require.Empty(t, of[Tell](actions), "the end is not in the log")
+	record := of[Record](actions)[0]
+
+	late := epoch.Add(staleAfter + 10*time.Millisecond)
+	p.Tick(late)
+	p.Recorded(late, record)
+	p.Offer(late, testTask(2, 0, 14, late))
+	actions = p.Take(late)
+	assert.Empty(t, of[Tell](actions))
+	assert.Empty(t, of[Start](actions), "a start would prolong the lease")
+	for _, look := range of[Look](actions) {
+		assert.Zero(t, look.Noted)
+		assert.Zero(t, look.LeaseUntil)
+	}
+
+	expired := late.Add(testLease + 100*time.Millisecond)
+	p.Tick(expired)
+	actions = p.Take(expired)
+	require.Len(t, of[Tell](actions), 1)
+	assert.Equal(t, offer.Done, of[Tell](actions)[0].Outcome.Result)
+	assert.Len(t, of[Start](actions), 1)
+}
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -68,7 +68,7 @@
 	// note of: the worker forgets it.
 	seen, noted int64
 	// unrecorded are the ends, by number, that the log does not hold yet.
-	unrecorded map[int64]unrecorded
+	unrecorded map[int64]*unrecorded
 
 	// looking numbers the look that waits for an end; zero if there is none.
 	looking int64
@@ -84,6 +84,17 @@
 	health health
 }
 
+// clockStep is how far a worker's clock may seem to go back: answers overtake
+// each other by less. Only another lifetime's clock goes back by more.
+const clockStep = time.Second
+
+// renumber forgets the numbers of a former lifetime's ends: to take note of them
+// would be to take note of others in the new one.
+func (w *worker) renumber(granted time.Duration) {
+	w.seen, w.noted, w.granted = 0, 0, granted
+	clear(w.unrecorded)
+}
+
 // sync takes a reading of the worker's clock.
 func (w *worker) sync(now time.Time, clock time.Duration) {
 	w.clock, w.clockAt, w.heard = clock, now, now
@@ -111,7 +122,7 @@
 // usable reports whether the worker takes tasks at all.
 func (w *worker) usable(now time.Time) bool {
 	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining &&
-		w.unreachable == 0 && !w.health.out(now)
+		w.unreachable == 0 && !w.health.out(now) && !w.stale(now)
 }
 
 // soonUsable reports whether the worker takes tasks now or is expected to
@@ -124,7 +135,7 @@
 // are not renewed before they are being stopped, and those on a worker that
 // does not answer end with the lease that they have.
 func (w *worker) renews(now time.Time) bool {
-	return !w.adopting && w.unreachable == 0 && len(w.runs) > 0 && (len(w.unclaimed) == 0 || now.After(w.claimUntil))
+	return !w.adopting && w.unreachable == 0 && !w.stale(now) && len(w.runs) > 0 && (len(w.unclaimed) == 0 || now.After(w.claimUntil))
 }
 
 // add counts a run in.
