A stored task that a new owner does not list waits for a reading of the log

Change: such a task is orphaned, and run again only if a reading of the log that was sent later does not hold its end. The histories count overlapping cuts, so that an earlier one does not heal a later one.

--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -66,16 +66,17 @@
 
 // world is a fleet of hosts and workers in virtual time.
 type world struct {
-	rng      *rand.Rand
-	now      time.Time
-	seq      int
-	queue    eventQueue
-	hosts    []*simHost
-	workers  []*simWorker
-	groups   map[string]*simGroup
-	jobs     map[string]*simJob
-	log      *simLog
-	cut      map[string]bool
+	rng     *rand.Rand
+	now     time.Time
+	seq     int
+	queue   eventQueue
+	hosts   []*simHost
+	workers []*simWorker
+	groups  map[string]*simGroup
+	jobs    map[string]*simJob
+	log     *simLog
+	// cut counts the cuts between two names.
+	cut      map[string]int
 	lost     float64
 	late     float64
 	problems []string
@@ -89,7 +90,7 @@
 func newWorld(seed uint64, zones, hostsPerZone, workersPerZone int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
-		jobs: map[string]*simJob{}, cut: map[string]bool{},
+		jobs: map[string]*simJob{}, cut: map[string]int{},
 		log: &simLog{group: newGroup(testShards), accepted: map[string]bool{}},
 	}
 	for z := range zones {
@@ -224,13 +225,13 @@
 
 func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
 
-func (w *world) linked(a, b string) bool { return !w.cut[pair(a, b)] }
+func (w *world) linked(a, b string) bool { return w.cut[pair(a, b)] == 0 }
 
 // partition cuts two hosts off from each other for a time. A shorter one than
 // the streams' silence only delays their bytes and is not played.
 func (w *world) partition(a, b *simHost, d time.Duration) {
 	d = max(d, silence+tickEvery)
-	w.cut[pair(a.name, b.name)] = true
+	w.cut[pair(a.name, b.name)]++
 	w.after(silence, func() {
 		if w.linked(a.name, b.name) {
 			return
@@ -242,7 +243,7 @@
 			w.on(b, func() { b.core.HostLost(w.now, a.name) })()
 		}
 	})
-	w.after(d, func() { delete(w.cut, pair(a.name, b.name)) })
+	w.after(d, func() { w.cut[pair(a.name, b.name)]-- })
 }
 
 // cutOff cuts a host off from all others and the store. It reaches workers.
@@ -258,8 +259,8 @@
 
 // isolate cuts a worker off from a host for a time.
 func (w *world) isolate(h *simHost, sw *simWorker, d time.Duration) {
-	w.cut[pair(h.name, sw.info.ID)] = true
-	w.after(d, func() { delete(w.cut, pair(h.name, sw.info.ID)) })
+	w.cut[pair(h.name, sw.info.ID)]++
+	w.after(d, func() { w.cut[pair(h.name, sw.info.ID)]-- })
 }
 
 func (w *world) delay() time.Duration {
@@ -340,7 +341,7 @@
 	unanswered := func() { w.after(timeout, w.on(h, carry(false))) }
 	w.after(w.delay(), func() {
 		switch {
-		case sw.down || w.cut[pair(h.name, sw.info.ID)]:
+		case sw.down || !w.linked(h.name, sw.info.ID):
 			unanswered()
 		case w.rng.Float64() < w.late:
 			born := sw.born
@@ -366,7 +367,7 @@
 		w.after(a.Wait+lookSlack, w.on(h, func() { h.core.Pool.LookFailed(w.now, id, a.Number) }))
 	}
 	w.after(w.delay(), func() {
-		if sw.down || w.cut[pair(h.name, id)] {
+		if sw.down || !w.linked(h.name, id) {
 			failed()
 			return
 		}
@@ -380,7 +381,7 @@
 				return
 			}
 			answered = true
-			if sw.down || w.cut[pair(h.name, id)] {
+			if sw.down || !w.linked(h.name, id) {
 				failed()
 				return
 			}
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -224,10 +224,16 @@
 	for _, j := range s.sorted() {
 		lost := false
 		for _, t := range j.tasks {
-			if t.atWorker() && t.worker == sight.Worker && t.fence < sight.Fence && !listed[t.name] {
-				t.state, t.host, t.over = taskIdle, "", t.runs
-				lost = true
+			if !t.atWorker() || t.worker != sight.Worker || t.fence >= sight.Fence || listed[t.name] {
+				continue
 			}
+			lost = true
+			if j.stored {
+				// It may have ended, been recorded and been forgotten there.
+				t.state, t.host, t.overAt = taskOrphaned, "", now.Add(-takeoverTime)
+				continue
+			}
+			t.state, t.host, t.over = taskIdle, "", t.runs
 		}
 		if lost {
 			s.review(now, j)
