A look without an answer says nothing if the worker has answered since

Cause: a quick look that got no answer closed its worker, although starts sent later had been answered. Change: as for waiting looks, any answer since it was sent counts.

--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -18,7 +18,7 @@
 	if wait > 0 {
 		w.looking, w.lookedAt = l.Number, now
 	} else {
-		w.renewing = l.Number
+		w.renewing, w.renewedAt = l.Number, now
 	}
 	p.emit(l)
 }
@@ -238,8 +238,11 @@
 	if !ok {
 		return
 	}
-	waiting := number == w.looking
-	if !w.answered(number) || waiting && w.heard.After(w.lookedAt) {
+	sent := w.renewedAt
+	if number == w.looking {
+		sent = w.lookedAt
+	}
+	if !w.answered(number) || w.heard.After(sent) {
 		// The worker has answered other calls meanwhile.
 		return
 	}
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -74,9 +74,9 @@
 	looking int64
 	// renewing numbers the look that answers at once; zero if there is none.
 	renewing int64
-	// lookedAt is when the waiting look was sent, listedAt when lists last came
-	// and heard when anything did.
-	lookedAt, listedAt, heard time.Time
+	// lookedAt and renewedAt are when these were sent, listedAt is when lists
+	// last came and heard when anything did.
+	lookedAt, renewedAt, listedAt, heard time.Time
 	// unreachable counts looks and starts without an answer in a row.
 	unreachable int
 	nextLook    time.Time
