--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -411,7 +411,7 @@
 // tickLooks keeps one waiting look at the worker, and renews leases.
 func (p *Pool) tickLooks(now time.Time, w *worker) {
 	if w.unreachable > 0 || w.adopting {
-		if w.looking == 0 && w.renewing == 0 && !now.Before(w.nextLook) {
+		if w.renewing == 0 && (w.looking == 0 || !w.adopting) && !now.Before(w.nextLook) {
 			p.look(now, w, 0)
 		}
 		return
