Quick looks wait no longer than orders, and stops are sent again at once

Cause: a quick look waited 400 ms for its answer, so that ends whose waiting look was lost were seen 0.6 s late, and a stop without an answer was sent again 50 ms after its time had passed. Change: the patience of orders holds for quick looks (twice), and a stop is paced from when it was sent.

--- a/internal/daemon/dispatch/settle.go
+++ b/internal/daemon/dispatch/settle.go
@@ -15,11 +15,6 @@
 	"github.com/parsleyhill/parsleyhill/platform"
 )
 
-const (
-	// lookSlack is how long an answer to a look may take beyond its wait.
-	lookSlack = 400 * time.Millisecond
-)
-
 // settle carries out what the decisions ask for.
 func (d *Dispatch) settle(ctx context.Context, now time.Time) {
 	for _, a := range d.core.Settle(now) {
@@ -107,7 +102,7 @@
 }
 
 func (d *Dispatch) sendLook(ctx context.Context, a room.Look) {
-	ctx, cancel := context.WithTimeout(ctx, a.Wait+lookSlack)
+	ctx, cancel := context.WithTimeout(ctx, a.Wait+a.Patience)
 	defer cancel()
 	result, listing, err := d.workers.Look(ctx, a.Worker, platform.Look{
 		Fence: a.Fence, Noted: a.Noted, LeaseUntil: a.LeaseUntil, Wait: a.Wait,
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -20,7 +20,6 @@
 	tickEvery     = 20 * time.Millisecond
 	silence       = 600 * time.Millisecond
 	resendDelay   = 1300 * time.Millisecond
-	lookSlack     = 400 * time.Millisecond
 	zonePartition = 6
 )
 
@@ -364,7 +363,7 @@
 	sw := w.worker(a.Worker.ID)
 	id := sw.info.ID
 	failed := func() {
-		w.after(a.Wait+lookSlack, w.on(h, func() { h.core.Pool.LookFailed(w.now, id, a.Number) }))
+		w.after(a.Wait+a.Patience, w.on(h, func() { h.core.Pool.LookFailed(w.now, id, a.Number) }))
 	}
 	w.after(w.delay(), func() {
 		if sw.down || !w.linked(h.name, id) {
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -11,7 +11,10 @@
 // look sends a look; wait zero asks for an answer at once.
 func (p *Pool) look(now time.Time, w *worker, wait time.Duration) {
 	p.looks++
-	l := Look{Worker: w.info, Number: p.looks, Fence: w.fence, Noted: w.noted, Wait: wait}
+	l := Look{Worker: w.info, Number: p.looks, Fence: w.fence, Noted: w.noted, Wait: wait, Patience: waitingPatience}
+	if wait == 0 {
+		l.Patience = 2 * p.patience.Limit()
+	}
 	if w.renews(now) {
 		l.LeaseUntil = w.lease(now, p.cfg.MaxLease)
 	}
@@ -366,7 +369,6 @@
 		return
 	}
 	r.stopInFlight = false
-	r.nextStop = now.Add(p.cfg.RetryStop)
 	if !ok {
 		return
 	}
--- a/internal/decide/room/patience.go
+++ b/internal/decide/room/patience.go
@@ -7,6 +7,9 @@
 	minPatience = 40 * time.Millisecond
 	// maxPatience bounds the wait for a worker that has become slow to answer.
 	maxPatience = 250 * time.Millisecond
+	// waitingPatience is for the answer of a look that waits for an end: others
+	// go on beside it, so that nothing depends on it.
+	waitingPatience = 400 * time.Millisecond
 	// meanWeight and spreadWeight are those of TCP's retransmission timer, as
 	// is the factor of the spread.
 	meanWeight   = 1.0 / 8
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -96,7 +96,10 @@
 	Fence      int64
 	Noted      int64
 	LeaseUntil time.Duration
-	Wait       time.Duration
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+	// Patience is how long to wait for the answer beyond that.
+	Patience time.Duration
 }
 
 // Tell sends an outcome to the host of the task's job.
