--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -332,11 +332,15 @@
 // Fail closes a job of which a task has failed as often as it may.
 func (l *Ledger) Fail(id string) {
 	if j := l.jobs[id]; j != nil && !j.state.Over() && !j.closing {
-		j.closing, j.driven = true, false
-		l.emit(Write{[]Entry{j.close(Failed)}})
+		l.fail(j)
 	}
 }
 
+func (l *Ledger) fail(j *job) {
+	j.closing, j.driven = true, false
+	l.emit(Write{[]Entry{j.close(Failed)}})
+}
+
 func (j *job) close(state State) Closed {
 	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.runs}
 }
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -103,6 +103,13 @@
 	if j.state.Over() || j.closing || j.driven {
 		return
 	}
+	for _, runs := range j.failed {
+		if len(runs) >= j.route.MaxAttempts {
+			// A former driver did not live to close it.
+			l.fail(j)
+			return
+		}
+	}
 	j.driven = true
 	s := l.shards[l.Shard(j.spec.ID)]
 	d := Drive{
--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,268 @@
+//go:build e2e
+
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/standin/store"
+	"github.com/parsleyhill/parsleyhill/internal/standin/taskworker"
+)
+
+const (
+	hostsPerZone   = 2
+	workersPerZone = 4
+	partitions     = 6
+	taskTime       = 120 * time.Millisecond
+	// grace is the time between SIGTERM and SIGKILL.
+	grace = 6 * time.Second
+	// restartDelay is how long the platform takes to start a host again.
+	restartDelay = 200 * time.Millisecond
+	// unplannedSlack is how long after a fault of a host its callers may still
+	// find their connections broken.
+	unplannedSlack = 2 * time.Second
+)
+
+var zones = []string{"east", "west"}
+
+// host is one process of the daemon.
+type host struct {
+	name, ip string
+	boot     string
+	log      *os.File
+	store    *proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// harmed is when the host was last harmed without a plan.
+	harmed time.Time
+	frozen bool
+	// stopped is when the last planned stop ended.
+	stopped time.Time
+}
+
+type worker struct {
+	id    string
+	zone  string
+	stand *taskworker.Worker
+	proxy *proxy
+}
+
+// fleet is a small deployment: hosts as processes, the store and the workers
+// in this one, all behind proxies.
+type fleet struct {
+	t       *testing.T
+	bin     string
+	dir     string
+	store   *store.Store
+	workers []*worker
+	hosts   []*host
+	ledger  *ledger
+	client  *http.Client
+	version int
+}
+
+// newFleet starts a fleet on loopback addresses of its own.
+func newFleet(t *testing.T, bin string, block int) *fleet {
+	dir, err := os.MkdirTemp("", "soak-")
+	require.NoError(t, err)
+	f := &fleet{
+		t: t, bin: bin, dir: dir, store: store.New(partitions), ledger: newLedger(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	storeAddress := f.serve(f.store)
+	f.configure()
+	for z, zone := range zones {
+		for i := range workersPerZone {
+			w := &worker{id: fmt.Sprintf("w-%s-%d", zone, i), zone: zone}
+			w.stand = taskworker.New(w.id, taskTime)
+			w.stand.Observe(f.ledger.observe)
+			// Clocks may be two hundredths slow.
+			w.stand.SetClockRate(1 - 0.005*float64(i))
+			w.proxy = newProxy(t, "127.0.0.1:0", f.serve(w.stand))
+			f.workers = append(f.workers, w)
+			f.register(w)
+		}
+		for i := range hostsPerZone {
+			h := &host{name: fmt.Sprintf("h-%s-%d", zone, i), ip: fmt.Sprintf("127.0.%d.%d", block, z*hostsPerZone+i+1)}
+			h.store = newProxy(t, "127.0.0.1:0", storeAddress)
+			h.boot = filepath.Join(dir, h.name+".yaml")
+			require.NoError(t, os.WriteFile(h.boot, []byte(f.settings(h, zone)), 0o600))
+			h.log, err = os.Create(filepath.Join(dir, h.name+".log"))
+			require.NoError(t, err)
+			f.hosts = append(f.hosts, h)
+			f.start(h)
+		}
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) serve(handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func (f *fleet) settings(h *host, zone string) string {
+	return fmt.Sprintf(`node: %q
+ip: %q
+zone: %q
+zones: {east: r, west: r}
+listen: {front: "%s:8161", ready_addr: "%s:8167"}
+port_range: [7720, 7735]
+limits: {memory_mb: 284}
+bounds: {max_hold_ms: 1000, grace_s: %v, status_s: 120}
+platform: {addr: %q, parts: %d, min_ttl_ms: 1000}
+`, h.name, h.ip, zone, h.ip, h.ip, grace.Seconds(), h.store.address(), partitions)
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// configure puts a newer configuration in force.
+func (f *fleet) configure() {
+	f.version++
+	f.store.PutConfig(encode(map[string]any{"version": f.version, "routes": []any{map[string]any{
+		"name": "r", "host": "jobs.example", "path_prefix": "/jobs/", "service": "s",
+		"slo_ms": 100, "stretch": 2, "max_attempts": 4, "timeout_ms": 3000,
+	}}}))
+}
+
+// register writes a worker's entry, as the worker would.
+func (f *fleet) register(w *worker) {
+	f.store.PutWorker(w.id, encode(map[string]any{
+		"service": "s", "addr": w.proxy.address(), "zone": w.zone, "state": "ready", "born": w.stand.Born(),
+		"capacity": map[string]int{"cpu": tasksPerWorker*10000 + 5000, "mem_mb": 4096}, "labels": []string{"a"},
+	}))
+}
+
+// start runs a host's process and starts it again whenever it ends.
+func (f *fleet) start(h *host) {
+	cmd := exec.Command(f.bin, "-platform")
+	cmd.Env = []string{"PARSLEYHILL_NODE_FILE=" + h.boot, "PATH=" + os.Getenv("PATH")}
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	require.NoError(f.t, cmd.Start())
+	h.mu.Lock()
+	h.cmd, h.frozen = cmd, false
+	h.mu.Unlock()
+}
+
+// signal sends a signal to a host's process.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		_ = h.cmd.Process.Signal(s)
+	}
+}
+
+// harm notes that callers of the host may find it gone.
+func (h *host) harm() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.harmed = time.Now()
+}
+
+// sound reports whether the host was not harmed since a while before a time.
+func (h *host) sound(since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.frozen && h.harmed.Before(since.Add(-unplannedSlack))
+}
+
+// listens reports whether the host's port should take connections all the time
+// since a while before a time.
+func (h *host) listens(since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd != nil && h.stopped.Before(since.Add(-unplannedSlack))
+}
+
+// end waits for a host's process to end, and starts it again.
+func (f *fleet) end(h *host, s syscall.Signal) {
+	h.mu.Lock()
+	cmd := h.cmd
+	h.cmd = nil
+	h.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	signalled := time.Now()
+	_ = cmd.Process.Signal(s)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// How it ended is of no interest here.
+		_ = cmd.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(grace + time.Second):
+		if !h.sound(signalled) {
+			break
+		}
+		f.ledger.check(func() { f.ledger.fail("host %s has not ended %v after signal %v", h.name, grace, s) })
+	}
+	// A process that is stopped by a signal ends only by force.
+	_ = cmd.Process.Kill()
+	<-done
+	h.mu.Lock()
+	h.stopped = time.Now()
+	h.mu.Unlock()
+	time.Sleep(restartDelay)
+	f.start(h)
+}
+
+func (f *fleet) stopAll() {
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		if h.cmd != nil {
+			_ = h.cmd.Process.Kill()
+			_ = h.cmd.Wait()
+		}
+		h.mu.Unlock()
+		_ = h.log.Close()
+	}
+	f.client.CloseIdleConnections()
+	if !f.t.Failed() {
+		_ = os.RemoveAll(f.dir)
+	}
+}
+
+// ready reports whether a host takes work.
+func (f *fleet) ready(h *host) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ip+":8167/-/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -16,10 +16,29 @@
 	timer *time.Timer
 }
 
+// Event is something that happens to a run.
+type Event struct {
+	Worker string
+	Task   string
+	Run    int
+	// How is Started, Noted or the word with which the run ended.
+	How string
+}
+
+const (
+	// Started means that the run has begun.
+	Started = "started"
+	// Noted means that an end that came as done was taken note of under the
+	// lease that it came under.
+	Noted = "noted"
+)
+
 // Worker is a stand-in for a worker whose every task takes the same time.
 type Worker struct {
 	id   string
 	took time.Duration
+	// observe, if set, is told of every event, in order.
+	observe func(Event)
 
 	mu      sync.Mutex
 	born    time.Time
@@ -34,13 +53,55 @@
 	started map[string]int
 	mute    bool
 	failing bool
+	// rate is how fast the worker's clock goes.
+	rate float64
+	// leases counts the leases that have expired, endedUnder gives the count at
+	// the time of each end.
+	leases     int
+	endedUnder map[int64]int
 }
 
 // New returns a worker whose tasks take so long.
 func New(id string, took time.Duration) *Worker {
 	return &Worker{
 		id: id, took: took, born: time.Now(), running: map[string]*run{}, barred: map[string]int{},
-		changed: make(chan struct{}), started: map[string]int{},
+		changed: make(chan struct{}), started: map[string]int{}, rate: 1, endedUnder: map[int64]int{},
+	}
+}
+
+// Observe has every later event told, in order. What is told must not call the
+// worker.
+func (w *Worker) Observe(observe func(Event)) { w.observe = observe }
+
+// SetClockRate has the worker's clock go faster or slower than ours.
+func (w *Worker) SetClockRate(rate float64) { w.rate = rate }
+
+// Restart ends the worker's lifetime and begins another under the same id:
+// everything is forgotten.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.running {
+		r.timer.Stop()
+		w.tell(r, "lost")
+	}
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+	w.born, w.fence, w.seq, w.ended = time.Now(), 0, 0, nil
+	w.running, w.barred, w.endedUnder = map[string]*run{}, map[string]int{}, map[int64]int{}
+}
+
+// Born returns when the present lifetime began, in Unix milliseconds.
+func (w *Worker) Born() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.born.UnixMilli()
+}
+
+func (w *Worker) tell(r *run, how string) {
+	if w.observe != nil {
+		w.observe(Event{Worker: w.id, Task: r.task, Run: r.run, How: how})
 	}
 }
 
@@ -96,9 +157,14 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	born := w.Born()
 	if r.URL.Path == "/-/hold" && o.WaitMs > 0 {
 		w.await(r, o)
 	}
+	if w.Born() != born {
+		// The lifetime that was asked is over.
+		panic(http.ErrAbortHandler)
+	}
 	status, body := w.carry(r.URL.Path, o)
 	w.mu.Lock()
 	mute := w.mute
@@ -129,7 +195,7 @@
 func (w *Worker) carry(path string, o order) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	clock := time.Since(w.born).Milliseconds()
+	clock := int64(float64(time.Since(w.born).Milliseconds()) * w.rate)
 	body := map[string]any{"clock_ms": clock, "born": w.born.UnixMilli()}
 	if o.Fence < w.fence {
 		body["reason"] = "fence"
@@ -178,6 +244,7 @@
 	})
 	w.running[o.Task] = r
 	w.started[o.Task]++
+	w.tell(r, Started)
 	return http.StatusOK, body
 }
 
@@ -189,6 +256,7 @@
 	w.lease = time.AfterFunc(d, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.leases++
 		for _, r := range w.running {
 			w.end(r, "lapsed")
 		}
@@ -200,6 +268,8 @@
 	delete(w.running, r.task)
 	w.barred[r.task] = max(w.barred[r.task], r.run)
 	w.seq++
+	w.endedUnder[w.seq] = w.leases
+	w.tell(r, how)
 	w.ended = append(w.ended, []any{w.seq, r.task, r.run, how, ""})
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -208,9 +278,15 @@
 func (w *Worker) list(o order, body map[string]any) {
 	rest := [][]any{}
 	for _, e := range w.ended {
-		if e[0].(int64) > o.AckSeq {
+		seq := e[0].(int64)
+		if seq > o.AckSeq {
 			rest = append(rest, e)
+			continue
+		}
+		if e[3] == "done" && w.endedUnder[seq] == w.leases {
+			w.tell(&run{task: e[1].(string), run: e[2].(int)}, Noted)
 		}
+		delete(w.endedUnder, seq)
 	}
 	w.ended = rest
 	running := [][]any{}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -97,7 +97,7 @@
 wait "$bench_run"
 
 step "process tests"
-go test -tags e2e -count=1 -parallel 4 ./internal/e2e
+go test -tags e2e -count=1 -parallel 4 ./internal/e2e ./internal/soak
 
 step "benchmarks, once each"
 go test -run '^$' -bench . -benchtime 1x ./... >/dev/null
