--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -62,7 +62,7 @@
 	case noLook:
 		return false
 	case w.looking:
-		w.looking = 0
+		w.looking, w.misnumbered = 0, 0
 	case w.renewing:
 		w.renewing = 0
 	default:
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -322,3 +322,20 @@
 	assert.Equal(t, offer.Done, of[Tell](actions)[0].Outcome.Result)
 	assert.Len(t, of[Start](actions), 1)
 }
+
+// A look that waits at the new lifetime of a worker with the old one's numbers
+// would take note of the first ends there: nothing is started before it is over.
+func TestNothingStartsBesideAMisnumberedLook(t *testing.T) {
+	p := adopted(t, 32, idle())
+	p.Tick(epoch)
+	waiting := of[Look](p.Take(epoch))[0]
+	reborn := testWorker("w", 32)
+	reborn.Born = 2
+	p.Update(reborn)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	assert.Empty(t, of[Start](p.Take(epoch)))
+	l := idle()
+	l.Born = 2
+	p.Listed(epoch, "w", waiting.Number, l)
+	assert.Len(t, of[Start](p.Take(epoch)), 1)
+}
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -72,6 +72,9 @@
 
 	// looking numbers the look that waits for an end; zero if there is none.
 	looking int64
+	// misnumbered is a waiting look that names ends of a former lifetime as noted:
+	// nothing may end in the new one before it is answered or given up.
+	misnumbered int64
 	// renewing numbers the look that answers at once; zero if there is none.
 	renewing int64
 	// lookedAt and renewedAt are when these were sent, listedAt is when lists
@@ -92,6 +95,7 @@
 // would be to take note of others in the new one.
 func (w *worker) renumber(granted time.Duration) {
 	w.seen, w.noted, w.granted = 0, 0, granted
+	w.misnumbered = w.looking
 	clear(w.unrecorded)
 }
 
@@ -122,7 +126,7 @@
 // usable reports whether the worker takes tasks at all.
 func (w *worker) usable(now time.Time) bool {
 	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining &&
-		w.unreachable == 0 && !w.health.out(now) && !w.stale(now)
+		w.unreachable == 0 && w.misnumbered == 0 && !w.health.out(now) && !w.stale(now)
 }
 
 // soonUsable reports whether the worker takes tasks now or is expected to
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,7 +3,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -130,18 +129,17 @@
 // copy carries bytes one way until an end closes. Bytes that come while the
 // mode holds them are dropped.
 func (p *proxy) copy(to, from net.Conn, held mode) {
-	defer to.Close()
+	defer func() { _ = to.Close() }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
-		switch m := p.now(); {
-		case m == silent || m == held:
-			_, _ = io.Discard.Write(buffer[:n])
+		switch p.now() {
+		case silent, held:
 			continue
-		case m == delaying:
+		case delaying:
 			time.Sleep(proxyDelay)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
