--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -162,9 +162,6 @@
 // Holds reports whether the log holds, or held, a job.
 func (l *Ledger) Holds(job string) bool { return l.jobs[job] != nil }
 
-// Empty reports whether no job was ever read.
-func (l *Ledger) Empty() bool { return len(l.jobs) == 0 }
-
 // Loaded reports whether the log has been read to its end once.
 func (l *Ledger) Loaded() bool { return !l.asOf.IsZero() }
 
