Review: one piece of code for what stood twice; records are encoded once

Found by reading the whole change once more; behaviour stays as it is.

- A broadcast encoded its records (JSON) once for every linked host; it is encoded once, and the frames share it.
- Serving a port until a context ends stood in daemon and in dispatch: both call internal/httpserve.
- Keeping a membership was two loops: keepIn takes what they differ in.
The member's time to live, waking a waiter, the caller's return time, and the length of a lease on the slowest clock each stood two to three times.
- spread.Stored was a copy of ledger.Drive.
- What is told of an end stood in ended and in takeNote: tellEnd. ended now keeps judging a worker (learn) apart from what becomes of the run.
- tickLooks tested a case that cannot be (a waiting look while adopting).

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -301,10 +301,7 @@
 			continue
 		}
 		l.dirty = false
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		wake(l.wake)
 	}
 }
 
@@ -336,8 +333,15 @@
 	l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
 }
 
+// broadcast puts a sighting or records into the next frame to every host. They
+// are encoded once and shared by the frames.
 func (p *peers) broadcast(now time.Time, m host.Message) {
+	shared := &dispatchv1.Frame{}
+	addMessage(shared, now, m)
 	for _, l := range p.links {
-		l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
+		l.add(func(f *dispatchv1.Frame) {
+			f.Sightings = append(f.Sightings, shared.Sightings...)
+			f.Logged = append(f.Logged, shared.Logged...)
+		})
 	}
 }
--- a/internal/daemon/dispatch/serve.go
+++ b/internal/daemon/dispatch/serve.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
 )
 
 // closeTimeout bounds the closing of a port on which no caller waits.
@@ -34,21 +35,8 @@
 		if p.streams {
 			server.Protocols = streamProtocols()
 		}
-		failed := make(chan error, 1)
-		go func() { failed <- server.Serve(listener) }()
-		select {
-		case err := <-failed:
-			return err
-		case <-ctx.Done():
-		}
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.finish)
-		defer cancel()
-		err = server.Shutdown(stop)
-		if errors.Is(err, context.DeadlineExceeded) {
-			err = server.Close()
-		}
-		if err != nil {
-			return fmt.Errorf("close %s: %w", p.address, err)
+		if err := httpserve.Until(ctx, server, listener, p.finish); err != nil {
+			return fmt.Errorf("serve %s: %w", p.address, err)
 		}
 		return ctx.Err()
 	}
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -44,13 +44,21 @@
 	return group.Wait()
 }
 
+// wake wakes who waits on a channel that holds one wake-up.
+func wake(waiting chan<- struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
+	}
+}
+
+// timeToLive is how long the store keeps this host as a silent member.
+func timeToLive(s platform.Settings) time.Duration { return max(memberTTL, s.MinMemberTTL) }
+
 // kickMemberships has every group joined or left at once.
 func (d *Dispatch) kickMemberships() {
 	for _, kick := range d.kicks {
-		select {
-		case kick <- struct{}{}:
-		default:
-		}
+		wake(kick)
 	}
 }
 
@@ -74,9 +82,15 @@
 		d.core.Tenure.Joined(zone, r.Generation, r.Partitions)
 	}, left: func() { d.core.Tenure.Left(zone) }}
 	started := time.Now()
+	return d.keepIn(ctx, m, d.kicks[zone], func() bool { return d.wanted(ctx, zone, time.Since(started)) })
+}
+
+// keepIn keeps a membership while it is wanted, until ctx ends. A kick, if
+// there are any, has it joined or left at once.
+func (d *Dispatch) keepIn(ctx context.Context, m *membership, kicks <-chan struct{}, wanted func() bool) error {
 	for {
 		switch {
-		case d.wanted(ctx, zone, time.Since(started)):
+		case wanted():
 			d.join(ctx, m)
 		case m.joined:
 			d.leave(m)
@@ -84,7 +98,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-d.kicks[zone]:
+		case <-kicks:
 		case <-time.After(m.interval()):
 		}
 	}
@@ -136,9 +150,8 @@
 func (d *Dispatch) join(ctx context.Context, m *membership) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	ttl := max(memberTTL, d.settings.MinMemberTTL)
 	sent := time.Now()
-	reply, err := d.store.Join(ctx, m.group, d.self.Name, ttl, m.generation)
+	reply, err := d.store.Join(ctx, m.group, d.self.Name, timeToLive(d.settings), m.generation)
 	if (err != nil) != m.failed {
 		m.failed = err != nil
 		d.logger.Info("membership", "group", m.group, "lost", m.failed, "error", err)
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -38,12 +38,12 @@
 
 // ledgerConfig returns the times of the stored jobs' ledger.
 func ledgerConfig(s platform.Settings) ledger.Config {
-	ttl := max(memberTTL, s.MinMemberTTL)
+	ttl := timeToLive(s)
 	return ledger.Config{
 		Shards: s.Partitions, MemberTTL: ttl, Keep: s.KeepState,
 		// A driver that is cut off goes on for its time to live, an owner that
 		// it offers to until the stream is silent, and a run until its lease ends.
-		Settle: ttl + peerSilence + s.MaxLease + s.MaxLease*3/100 + settleMargin,
+		Settle: ttl + peerSilence + fleet.OnSlowestClock(s.MaxLease) + settleMargin,
 	}
 }
 
@@ -71,10 +71,7 @@
 	j.mu.Lock()
 	j.waiting = append(j.waiting, r)
 	j.mu.Unlock()
-	select {
-	case j.wake <- struct{}{}:
-	default:
-	}
+	wake(j.wake)
 }
 
 // take returns what fits into one append, the oldest first.
@@ -360,17 +357,5 @@
 	m := &membership{group: jobsGroup, dealt: func(now, sent time.Time, r platform.Membership) {
 		d.core.Ledger.Dealt(now, sent, r.Partitions)
 	}, left: func() { d.core.Ledger.Left("planned stop") }}
-	for {
-		switch {
-		case d.leaving.Load() && m.joined:
-			d.leave(m)
-		case d.logRead.Load() && !d.leaving.Load():
-			d.join(ctx, m)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(m.interval()):
-		}
-	}
+	return d.keepIn(ctx, m, nil, func() bool { return d.logRead.Load() && !d.leaving.Load() })
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/daemon/operator"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
 )
 
 const (
@@ -28,27 +28,13 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		failed := make(chan error, 1)
-		go func() { failed <- server.Serve(listener) }()
-		select {
-		case err := <-failed:
+		if err := httpserve.Until(ctx, server, listener, closeTimeout); err != nil {
 			return fmt.Errorf("serve %s: %w", address, err)
-		case <-ctx.Done():
 		}
-		return shutdown(ctx, server)
+		return nil
 	}
 }
 
-func shutdown(ctx context.Context, server *http.Server) error {
-	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-	defer cancel()
-	err := server.Shutdown(closing)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = server.Close()
-	}
-	return err
-}
-
 // refuseOperators answers operators' paths on the callers' port with an error.
 func refuseOperators(mux *http.ServeMux) {
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -259,7 +259,7 @@
 	for _, a := range c.Ledger.Take() {
 		switch a := a.(type) {
 		case ledger.Drive:
-			c.Spread.Drive(now, spread.Stored(a))
+			c.Spread.Drive(now, a)
 		case ledger.Release:
 			c.Spread.Release(now, a.Job, a.Why)
 		case ledger.Done:
--- a/internal/decide/room/events.go
+++ b/internal/decide/room/events.go
@@ -142,33 +142,42 @@
 	if !ok {
 		return
 	}
-	stored := p.recordable(e, r.task)
-	if stored {
+	if e.How != fleet.EndedDone && e.How != fleet.EndedFailed {
+		p.over(w, r, e.How.String())
+		return
+	}
+	w.remove(r)
+	p.learn(now, w, r, e.How)
+	if p.recordable(e, r.task) {
 		p.record(now, w, e, r.task)
+	} else {
+		p.tellEnd(w, r.task, e)
 	}
-	switch e.How {
+}
+
+// learn judges the worker by a run that it has brought to its end.
+func (p *Pool) learn(now time.Time, w *worker, r *run, how fleet.Ending) {
+	switch how {
 	case fleet.EndedDone:
-		w.remove(r)
 		w.health.done()
-		if r.task == nil {
-			return
-		}
-		if !r.claimed && p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
+		if r.task != nil && !r.claimed && p.paces.record(&w.health, now.Sub(r.began), r.task.Estimate) && w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f against %.1f", w.health.pace, p.paces.pace)})
 		}
-		if !stored {
-			p.tell(*r.task, w, r.id.Run, offer.Done, "")
-		}
 	case fleet.EndedFailed:
-		w.remove(r)
 		if w.health.failed(now) {
 			p.emit(Note{What: "probation", Worker: w.info.ID, Why: fmt.Sprintf("%d runs failed in a row", w.health.failures)})
 		}
-		if r.task != nil && !stored {
-			p.retryFailed(w, r.task, r.id.Run)
-		}
-	case fleet.EndedStopped, fleet.EndedLapsed:
-		p.over(w, r, e.How.String())
+	}
+}
+
+// tellEnd tells the task's host, if one waits, that a run is done or has failed.
+func (p *Pool) tellEnd(w *worker, task *offer.Task, e fleet.RunEnd) {
+	switch {
+	case task == nil:
+	case e.How == fleet.EndedDone:
+		p.tell(*task, w, e.Run, offer.Done, "")
+	default:
+		p.retryFailed(w, task, e.Run)
 	}
 }
 
@@ -413,7 +422,7 @@
 // tickLooks keeps one waiting look at the worker, and renews leases.
 func (p *Pool) tickLooks(now time.Time, w *worker) {
 	if w.unreachable > 0 || w.adopting {
-		if w.renewing == 0 && (w.looking == 0 || !w.adopting) && !now.Before(w.nextLook) {
+		if w.renewing == 0 && !now.Before(w.nextLook) {
 			p.look(now, w, 0)
 		}
 		return
--- a/internal/decide/room/record.go
+++ b/internal/decide/room/record.go
@@ -74,14 +74,7 @@
 func (p *Pool) takeNote(w *worker, u *unrecorded) {
 	delete(w.unrecorded, u.end.Seq)
 	w.note()
-	if u.task == nil {
-		return
-	}
-	if u.end.How == fleet.EndedDone {
-		p.tell(*u.task, w, u.end.Run, offer.Done, "")
-		return
-	}
-	p.retryFailed(w, u.task, u.end.Run)
+	p.tellEnd(w, u.task, u.end)
 }
 
 // stale reports whether the worker's lease has to expire before its ends are
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -59,8 +59,6 @@
 	overdueAfter = 50 * time.Millisecond
 	// shortestRun bounds the rate at which one run is expected to free its room.
 	shortestRun = 10 * time.Millisecond
-	// slowClock bounds how much slower a worker's clock may run than ours.
-	slowClock = 0.03
 	// leaseMargin covers the granularity of clocks around a lease's end.
 	leaseMargin = 30 * time.Millisecond
 )
--- a/internal/decide/room/worker.go
+++ b/internal/decide/room/worker.go
@@ -116,8 +116,7 @@
 
 // leasesOver returns when every lease granted has surely expired.
 func (w *worker) leasesOver() time.Time {
-	left := w.granted - w.clock
-	return w.clockAt.Add(left + time.Duration(float64(left)*slowClock) + leaseMargin)
+	return w.clockAt.Add(fleet.OnSlowestClock(w.granted-w.clock) + leaseMargin)
 }
 
 // free returns the room that is left.
--- a/internal/decide/spread/events.go
+++ b/internal/decide/spread/events.go
@@ -69,9 +69,13 @@
 
 // refuse answers a job of which nothing has run.
 func (s *Spread) refuse(now time.Time, j *job, why string) {
-	s.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), min(max(j.wait, minRetryAfter), maxRetryAfter))
+	s.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), j.retryAfter())
 }
 
+// retryAfter is when the caller of a refused job may come back: once room is
+// expected.
+func (j *job) retryAfter() time.Duration { return min(max(j.wait, minRetryAfter), maxRetryAfter) }
+
 // answer ends a job and withdraws what is left of it.
 func (s *Spread) answer(now time.Time, j *job, err *errkind.Error, retryAfter time.Duration) {
 	delete(s.jobs, j.spec.ID)
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -223,7 +223,7 @@
 }
 
 func (s *Spread) leaseOver() time.Duration {
-	return s.cfg.MaxLease + s.cfg.MaxLease*3/100 + orphanMargin
+	return fleet.OnSlowestClock(s.cfg.MaxLease) + orphanMargin
 }
 
 // sorted lists the jobs by arrival, for repeatable decisions.
--- a/internal/decide/spread/stored.go
+++ b/internal/decide/spread/stored.go
@@ -3,22 +3,11 @@
 import (
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
-// Stored is a stored job as the log knows it.
-type Stored struct {
-	Job   fleet.Job
-	Route fleet.Route
-	// Done are the tasks that need no run.
-	Done []fleet.TaskName
-	// Failed counts the failed runs of a task.
-	Failed map[fleet.TaskName]int
-	// FirstRun numbers the first run that this host may start.
-	FirstRun int
-}
-
 const (
 	// storedPatience stands for no limit: a stored job is done whenever it can.
 	storedPatience = time.Hour
@@ -29,7 +18,7 @@
 
 // Drive takes a stored job. Nobody waits for its answer: it is never refused
 // or recalled, and ends when all its tasks are in the log as done.
-func (s *Spread) Drive(now time.Time, stored Stored) {
+func (s *Spread) Drive(now time.Time, stored ledger.Drive) {
 	if _, ok := s.jobs[stored.Job.ID]; ok {
 		return
 	}
@@ -62,7 +51,7 @@
 	}
 	j.wait = s.expectedWait(j)
 	if j.wait+j.chain > storedFactor*j.objective {
-		return errkind.New(errkind.Overloaded, noRoom), min(max(j.wait, minRetryAfter), maxRetryAfter)
+		return errkind.New(errkind.Overloaded, noRoom), j.retryAfter()
 	}
 	return nil, 0
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,13 @@
 	Born int64
 }
 
+// clocksSlow bounds, in hundredths, how much slower than ours a worker's clock
+// may run: the platform says two, and one is for our own.
+const clocksSlow = 3
+
+// OnSlowestClock returns how long a time on a worker's clock may take on ours.
+func OnSlowestClock(d time.Duration) time.Duration { return d + d*clocksSlow/100 }
+
 // HasLabel reports whether the worker has a label; the empty one always.
 func (w Worker) HasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
