Send unchanged capacity as heartbeats, and fresh capacity with messages

Cause: a host of the large deployment has some 53 links and sent 387 reports a second within its zone and 160 to others, changed or not, each of them about 50 us on the two sides together: more than its jobs cost. The interval within a zone was capped at half of a heartbeat, however many links there are.

Now the interval reaches the heartbeat at 50 links, a frame without a change is empty, and a frame with messages carries the capacity at that time, which is when the peer needs it. Reports of such a host: 353 a second at most instead of 547. TestIdleHostSendsHeartbeatsWithoutReports failed before (150 reports in 3 s).

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -22,7 +22,7 @@
 		d.execute(ctx, now, a)
 	}
 	d.updateReadiness()
-	d.peers.flush()
+	d.peers.flush(now)
 }
 
 func (d *Dispatcher) execute(ctx context.Context, now time.Time, a host.Action) {
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -20,7 +20,7 @@
 
 const (
 	// peerTimeout is how long a stream may stay silent before it is closed.
-	peerTimeout = 4 * heartbeatInterval
+	peerTimeout = 4 * topology.HeartbeatInterval
 	// peerDialTimeout and helloTimeout bound the opening of a stream.
 	peerDialTimeout = 300 * time.Millisecond
 	helloTimeout    = 500 * time.Millisecond
@@ -50,7 +50,8 @@
 	dialers map[string]dialer
 	ctx     context.Context
 
-	links map[string]*link
+	links    map[string]*link
+	capacity capacityReport
 }
 
 type dialer struct {
@@ -71,7 +72,12 @@
 	dirty       bool
 	leaving     bool
 	lastContact time.Time
-	lastReport  time.Time
+	// lastReport is when a report was last due or sent, and reportVersion the
+	// version that the peer has.
+	lastReport    time.Time
+	reportVersion int64
+	// exchanged is set if the peer has sent messages since its last report.
+	exchanged bool
 }
 
 func newPeers(self fleet.Host, logger *log.Logger, dispatcher *Dispatcher, dial platform.DialFunc) *peers {
@@ -303,23 +309,13 @@
 	}
 }
 
-// flush makes each link send the messages added since the last call.
-func (p *peers) flush() {
-	for _, l := range p.links {
-		if !l.dirty {
-			continue
-		}
-		l.dirty = false
-		wake(l.wake)
-	}
-}
-
 func (p *peers) received(now time.Time, l *link, f *dispatchv1.Frame) {
 	if p.links[l.host.Name] != l {
 		return
 	}
 	l.lastContact = now
 	for _, m := range messagesFromProto(now, p.self.Name, f) {
+		l.exchanged = true
 		p.dispatcher.core.Receive(now, l.host.Name, m)
 	}
 	if r := f.GetRoom(); r != nil {
--- a/internal/daemon/dispatch/peers_test.go
+++ b/internal/daemon/dispatch/peers_test.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -12,24 +14,64 @@
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 )
 
+// dialPeer opens a stream to host-0 as another host. This client offers gzip, as
+// clients of this protocol do by default.
+func dialPeer(t *testing.T, f *testFleet) *connect.BidiStreamForClient[dispatchv1.Frame, dispatchv1.Frame] {
+	transport := &http.Transport{DialContext: f.net.Dial, Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	client := dispatchv1connect.NewDispatchServiceClient(&http.Client{Transport: transport}, "http://host-0:3")
+	stream := client.Exchange(t.Context())
+	require.NoError(t, stream.Send(&dispatchv1.Frame{Hello: &dispatchv1.Hello{Host: "host-9", Zone: "z"}}))
+	_, err := stream.Receive()
+	require.NoError(t, err)
+	t.Cleanup(transport.CloseIdleConnections)
+	return stream
+}
+
 // Frames are a few hundred bytes and some hundred are sent each second, so that
 // compressing them costs more processor time than all else that a frame needs.
 func TestFramesAreNotCompressed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
 		defer f.stopAll()
-		transport := &http.Transport{DialContext: f.net.Dial, Protocols: new(http.Protocols)}
-		transport.Protocols.SetUnencryptedHTTP2(true)
-		defer transport.CloseIdleConnections()
-		// This client offers gzip, as clients of this protocol do by default.
-		client := dispatchv1connect.NewDispatchServiceClient(&http.Client{Transport: transport}, "http://host-0:3")
-		stream := client.Exchange(t.Context())
-		require.NoError(t, stream.Send(&dispatchv1.Frame{Hello: &dispatchv1.Hello{Host: "host-9", Zone: "z"}}))
-		_, err := stream.Receive()
-		require.NoError(t, err)
+		stream := dialPeer(t, f)
 		assert.Empty(t, stream.ResponseHeader().Get("Connect-Content-Encoding"))
 		assert.Empty(t, stream.ResponseHeader().Get("Connect-Accept-Encoding"))
 		require.NoError(t, stream.CloseRequest())
 		require.NoError(t, stream.CloseResponse())
 	})
 }
+
+// countFrames receives frames for a time and returns how many there were, and
+// how many of them carried a capacity report.
+func countFrames(t *testing.T, stream *connect.BidiStreamForClient[dispatchv1.Frame, dispatchv1.Frame], d time.Duration) (frames, reports int) {
+	for end := time.Now().Add(d); time.Now().Before(end); frames++ {
+		frame, err := stream.Receive()
+		require.NoError(t, err)
+		if frame.GetRoom() != nil {
+			reports++
+		}
+		require.NoError(t, stream.Send(&dispatchv1.Frame{}), "heartbeat")
+	}
+	return frames, reports
+}
+
+// An idle fleet: heartbeats go on, but a report whose content the peer already
+// has is not sent again. A peer that offers a task gets a report even if nothing
+// has changed, because it charged the task to the capacity that it knew.
+func TestIdleHostSendsHeartbeatsWithoutReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		defer f.stopAll()
+		stream := dialPeer(t, f)
+		frames, reports := countFrames(t, stream, 3*time.Second)
+		assert.Greater(t, frames, int(3*time.Second/peerTimeout), "a frame in each peer timeout")
+		assert.Equal(t, 1, reports)
+
+		require.NoError(t, stream.Send(&dispatchv1.Frame{Recalls: []string{"00000000000000a1"}}))
+		_, reports = countFrames(t, stream, peerTimeout)
+		assert.Equal(t, 1, reports)
+		require.NoError(t, stream.CloseRequest())
+		require.NoError(t, stream.CloseResponse())
+	})
+}
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -3,41 +3,80 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 )
 
-const (
-	// reportInterval is the shortest time between two capacity reports to a
-	// peer.
-	reportInterval = 20 * time.Millisecond
-	// reportIntervalPerPeer lengthens the interval with the number of peers: a
-	// report costs about 20 us on either side, and control traffic may use 3% of
-	// a core.
-	reportIntervalPerPeer = 3 * time.Millisecond
-	// remoteZoneFactor multiplies the interval for peers in other zones.
-	remoteZoneFactor = 2
-	// heartbeatInterval is the longest time between two reports to a peer.
-	heartbeatInterval = 150 * time.Millisecond
-)
+// capacityReport is this host's last capacity report. The loop alone uses it.
+type capacityReport struct {
+	room *dispatchv1.Room
+	// version counts the changes of room.
+	version int64
+}
+
+// update replaces the report if it differs from the last one.
+func (r *capacityReport) update(room *dispatchv1.Room) {
+	if r.version == 0 || !proto.Equal(r.room, room) {
+		r.room = room
+		r.version++
+	}
+}
 
-// report adds this host's free capacity to the next frame of each peer whose
-// report is due.
+// report sends a frame to each peer whose report is due. Without a change since
+// the peer's last report the frame is an empty heartbeat.
 func (p *peers) report(now time.Time) {
-	sameZone := max(reportInterval, time.Duration(len(p.links))*reportIntervalPerPeer)
-	sameZone = min(sameZone, heartbeatInterval/remoteZoneFactor)
-	var report *dispatchv1.Room
+	updated := false
 	for _, l := range p.links {
-		interval := sameZone
-		if l.host.Zone != p.self.Zone {
-			interval = remoteZoneFactor * sameZone
-		}
+		interval := topology.ReportInterval(len(p.links), l.host.Zone == p.self.Zone)
 		if now.Sub(l.lastReport) < interval-tickInterval/2 {
 			continue
 		}
-		if report == nil {
-			report = capacityReportToProto(p.dispatcher.core.Report(now))
+		if !updated {
+			p.updateReport(now)
+			updated = true
 		}
-		l.lastReport = now
-		l.add(func(f *dispatchv1.Frame) { f.Room = report })
+		p.addReport(now, l)
+		l.dirty = true
+	}
+}
+
+// flush makes each link send the messages added since the last call. A frame
+// with messages also carries a report unless the last one is recent: the peer
+// gets to know the capacity that its own tasks took or freed.
+func (p *peers) flush(now time.Time) {
+	updated := false
+	for _, l := range p.links {
+		if !l.dirty {
+			continue
+		}
+		l.dirty = false
+		if now.Sub(l.lastReport) >= topology.MinReportInterval {
+			if !updated {
+				p.updateReport(now)
+				updated = true
+			}
+			p.addReport(now, l)
+		}
+		wake(l.wake)
+	}
+}
+
+func (p *peers) updateReport(now time.Time) {
+	p.capacity.update(capacityReportToProto(p.dispatcher.core.Report(now)))
+}
+
+// addReport adds the report to the link's next frame. A peer corrects its view
+// with each report, also if the report is the same as before: it charges the
+// tasks that it offers to the capacity that it knows.
+func (p *peers) addReport(now time.Time, l *link) {
+	l.lastReport = now
+	if l.reportVersion == p.capacity.version && !l.exchanged {
+		return
 	}
+	l.reportVersion, l.exchanged = p.capacity.version, false
+	l.mu.Lock()
+	l.pending.Room = p.capacity.room
+	l.mu.Unlock()
 }
--- /dev/null
+++ b/internal/decide/topology/pace.go
@@ -0,0 +1,28 @@
+package topology
+
+import "time"
+
+const (
+	// MinReportInterval is the shortest time between two capacity reports to a
+	// peer.
+	MinReportInterval = 20 * time.Millisecond
+	// HeartbeatInterval is the longest time between two frames to a peer.
+	HeartbeatInterval = 150 * time.Millisecond
+	// reportIntervalPerPeer lengthens the interval with the number of peers, so
+	// that a host sends a bounded number of reports.
+	reportIntervalPerPeer = 3 * time.Millisecond
+	// remoteZoneFactor multiplies the interval for peers in other zones.
+	remoteZoneFactor = 2
+)
+
+// ReportInterval returns the time between two capacity reports to a peer for a
+// host with the given number of peers, unless a message to the peer carries one
+// earlier. Up to 50 peers, a host sends at most 333 reports a second; with more,
+// each peer gets one per HeartbeatInterval.
+func ReportInterval(peers int, sameZone bool) time.Duration {
+	interval := max(MinReportInterval, time.Duration(peers)*reportIntervalPerPeer)
+	if !sameZone {
+		interval *= remoteZoneFactor
+	}
+	return min(interval, HeartbeatInterval)
+}
