--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	hasStoredJobs atomic.Bool
 	logRead       atomic.Bool
 	appends       *appendQueue
+	// entryRemoved is signalled when this host's entry in the store was removed.
+	entryRemoved chan struct{}
 	// ready is the reason why this host accepts no work, or nil if it does.
 	ready atomic.Pointer[errkind.Error]
 
@@ -110,7 +112,7 @@
 			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
 			Ledger: ledgerConfig(s),
 		}),
-		appends: newAppendQueue(),
+		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[string]chan struct{}{},
 	}
 	for _, zone := range s.Zones {
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -26,11 +26,9 @@
 	// the workers of another zone that has no host. Hosts that are started
 	// together are running within a few tenths of a second.
 	foreignZoneDelay = 1500 * time.Millisecond
-	// announceInterval is how often a host's entry is rewritten, so that it
-	// reappears after the store has lost it.
-	announceInterval = 20 * time.Second
-	announceRetry    = 300 * time.Millisecond
-	leaveTimeout     = 300 * time.Millisecond
+	// announceRetry is the delay after a failed write of a host's entry.
+	announceRetry = 300 * time.Millisecond
+	leaveTimeout  = 300 * time.Millisecond
 )
 
 // zoneGroup returns the name of the group, and of the topic, of a zone's
@@ -193,23 +191,26 @@
 	m.joined, m.generation = false, 0
 }
 
-// announce keeps this host's entry in the store until ctx is done, and then
-// removes it.
+// announce writes this host's entry to the store, and again whenever the entry
+// is found removed: a removal by an earlier process of this host may arrive late.
+// Once ctx is done it removes the entry.
 func (d *Dispatcher) announce(ctx context.Context) error {
 	defer d.deleteHost()
 	for {
-		delay := announceInterval
+		var retry <-chan time.Time
 		if !d.leaving.Load() {
 			call, cancel := context.WithTimeout(ctx, joinTimeout)
 			if err := d.store.PutHost(call, d.self); err != nil {
-				delay = announceRetry
+				d.logger.Warn("failed to write the host entry", "host", d.self.Name, "error", err)
+				retry = time.After(announceRetry)
 			}
 			cancel()
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(delay):
+		case <-retry:
+		case <-d.entryRemoved:
 		}
 	}
 }
@@ -264,7 +265,13 @@
 }
 
 // HostRemoved implements platform.EventHandler.
-func (d *Dispatcher) HostRemoved(name string) { d.peers.remove(name) }
+func (d *Dispatcher) HostRemoved(name string) {
+	if name == d.self.Name {
+		wake(d.entryRemoved)
+		return
+	}
+	d.peers.remove(name)
+}
 
 // StoreFailed implements platform.EventHandler.
 func (d *Dispatcher) StoreFailed(topic string, err error) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -107,6 +107,13 @@
 	t.firstOffset = len(t.records)
 }
 
+// Length returns how many records were appended to a topic.
+func (s *Store) Length(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).records)
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
