Count the adoptions of a worker by zone, and skip confirmed memberships

Cause: a rise of one zone's generation cleared the adoption counters of all zones, so that a worker of another zone could be adopted again under the fence of its former adoption, whose late orders then counted.

TestChangeInOneZoneKeepsTheFencesOfAnotherRising failed before with two equal fences, TestConfirmedMembershipCostsNothingPerWorker with more than a byte a worker allocated.

--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -55,9 +55,17 @@
 // membership is the state of this host's membership in one zone's group.
 type membership struct {
 	generation int64
-	partitions map[int]bool
+	partitions []int
+	// attempts counts the adoptions of each worker of the zone since the
+	// generation last rose.
+	attempts map[string]int64
+	// unsettled is set if a worker of the zone was released that may still be
+	// assigned to this host.
+	unsettled bool
 }
 
+func (m *membership) owns(partition int) bool { return slices.Contains(m.partitions, partition) }
+
 // Tracker derives the owned workers from the memberships and the list of
 // workers. It is not safe for concurrent use.
 type Tracker struct {
@@ -66,11 +74,8 @@
 	memberships map[string]*membership
 	workers     map[string]fleet.Worker
 	// held contains the workers that this host owns or is taking over.
-	held map[string]bool
-	// attempts counts the adoptions of each worker since a generation last
-	// rose.
-	attempts map[string]int64
-	actions  []Action
+	held    map[string]bool
+	actions []Action
 }
 
 // New returns a Tracker for groups with the given number of partitions. The
@@ -79,7 +84,7 @@
 	return &Tracker{
 		partitions: partitions, nonce: nonce & (1<<nonceBits - 1),
 		memberships: map[string]*membership{}, workers: map[string]fleet.Worker{},
-		held: map[string]bool{}, attempts: map[string]int64{},
+		held: map[string]bool{},
 	}
 }
 
@@ -100,17 +105,17 @@
 func (t *Tracker) Joined(zone string, generation int64, partitions []int) {
 	g := t.memberships[zone]
 	if g == nil {
-		g = &membership{}
+		g = &membership{attempts: map[string]int64{}}
 		t.memberships[zone] = g
 	}
-	if generation > g.generation {
-		clear(t.attempts)
+	if generation == g.generation && slices.Equal(partitions, g.partitions) && !g.unsettled {
+		return
 	}
-	g.generation = generation
-	g.partitions = make(map[int]bool, len(partitions))
-	for _, p := range partitions {
-		g.partitions[p] = true
+	if generation > g.generation {
+		g.attempts = map[string]int64{}
 	}
+	g.generation, g.unsettled = generation, false
+	g.partitions = slices.Clone(partitions)
 	t.reconcileZone(zone, "assigned to another host")
 }
 
@@ -164,21 +169,27 @@
 
 // Released records that the pool has released a worker. If the store still
 // assigns it to this host, the next join adopts it again.
-func (t *Tracker) Released(id string) { delete(t.held, id) }
+func (t *Tracker) Released(id string) {
+	delete(t.held, id)
+	if g := t.memberships[t.workers[id].Zone]; g != nil {
+		g.unsettled = true
+	}
+}
 
 func (t *Tracker) reconcileZone(zone, why string) {
-	for _, w := range t.sortedWorkers() {
-		if w.Zone == zone {
-			t.reconcile(w, why)
-		}
+	for _, w := range t.sortedWorkers(func(w fleet.Worker) bool { return w.Zone == zone }) {
+		t.reconcile(w, why)
 	}
 }
 
-// sortedWorkers returns the workers by ID, which makes decisions deterministic.
-func (t *Tracker) sortedWorkers() []fleet.Worker {
-	list := make([]fleet.Worker, 0, len(t.workers))
+// sortedWorkers returns the workers that match by ID, which makes decisions
+// deterministic.
+func (t *Tracker) sortedWorkers(match func(fleet.Worker) bool) []fleet.Worker {
+	var list []fleet.Worker
 	for _, w := range t.workers {
-		list = append(list, w)
+		if match(w) {
+			list = append(list, w)
+		}
 	}
 	slices.SortFunc(list, func(a, b fleet.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return list
@@ -187,7 +198,7 @@
 // reconcile adopts or releases a worker according to the assigned partitions.
 func (t *Tracker) reconcile(w fleet.Worker, why string) {
 	g := t.memberships[w.Zone]
-	ours := g != nil && g.partitions[t.Partition(w.ID)]
+	ours := g != nil && g.owns(t.Partition(w.ID))
 	switch {
 	case ours && !t.held[w.ID]:
 		t.held[w.ID] = true
@@ -198,8 +209,8 @@
 }
 
 func (t *Tracker) adopt(w fleet.Worker, g *membership) {
-	attempt := min(t.attempts[w.ID], maxAttempt)
-	t.attempts[w.ID] = attempt + 1
+	attempt := min(g.attempts[w.ID], maxAttempt)
+	g.attempts[w.ID] = attempt + 1
 	fence := (g.generation<<attemptBits|attempt)<<nonceBits | t.nonce
 	t.actions = append(t.actions, Adopt{Worker: w, Fence: fence})
 }
@@ -208,10 +219,8 @@
 // must be a complete list.
 func (t *Tracker) Missing(present map[string]bool) []string {
 	var missing []string
-	for _, w := range t.sortedWorkers() {
-		if !present[w.ID] {
-			missing = append(missing, w.ID)
-		}
+	for _, w := range t.sortedWorkers(func(w fleet.Worker) bool { return !present[w.ID] }) {
+		missing = append(missing, w.ID)
 	}
 	return missing
 }
