--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -65,9 +66,27 @@
 	host.callers, host.operators = host.daemon.callerRoutes(), host.daemon.operatorRoutes()
 	host.run(t)
 	host.confirm(t, config.Intent{Operator: "wanjiru", Verb: config.SetCustomer, Customer: "tamarind", Rules: &standing.Customer{}})
+	host.awaitSnapshot(t)
 	return host
 }
 
+// awaitSnapshot waits until the host has published the snapshot that follows the
+// first change. It is appended in the background, so that a test that compares
+// the number of appends must not begin before it.
+func (host *testHost) awaitSnapshot(t *testing.T) {
+	t.Helper()
+	for offset := int64(0); ; {
+		page, err := host.platform.Log.Read(t.Context(), platform.StreamConfig, offset)
+		require.NoError(t, err)
+		for _, e := range page.Entries {
+			offset = e.Offset
+			if bytes.Contains(e.Data, []byte(`"snapshot":`)) {
+				return
+			}
+		}
+	}
+}
+
 // serveTest serves a handler until the test ends.
 func serveTest(t *testing.T, h http.Handler) *httptest.Server {
 	server := httptest.NewServer(h)
