--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -299,16 +299,16 @@
 	})
 }
 
-// A host writes its entry once, not again and again: each write makes all other
-// hosts read. It writes the entry again when it finds it removed.
+// A host writes its entry only once, because each write makes all other hosts
+// read. It writes the entry again if the entry was removed.
 func TestHostEntryIsWrittenAgainOnlyAfterItsRemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
 		defer f.stopAll()
 		time.Sleep(time.Minute)
-		assert.Equal(t, 1, f.store.Length("keyed.hosts"))
-		f.store.Put("keyed.hosts", store.Record{Key: "host-0"})
+		assert.Equal(t, 1, f.store.Length(store.TopicHosts))
+		f.store.Put(store.TopicHosts, store.Record{Key: "host-0"})
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, 3, f.store.Length("keyed.hosts"), "the entry, its removal and the entry")
+		assert.Equal(t, 3, f.store.Length(store.TopicHosts), "the entry, its removal and the entry")
 	})
 }
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	// peerTimeout is how long a stream may stay silent before it is closed.
+	// peerTimeout is how long a stream may stay silent before it is closed. It is
+	// well below the 1,300 ms after which callers of a lost host submit their jobs
+	// again: the former runs must have been stopped by then.
 	peerTimeout = 3 * topology.HeartbeatInterval
 	// peerDialTimeout and helloTimeout bound the opening of a stream.
 	peerDialTimeout = 300 * time.Millisecond
@@ -51,7 +53,7 @@
 	ctx     context.Context
 
 	links    map[string]*link
-	capacity capacityReport
+	capacity versionedReport
 }
 
 type dialer struct {
@@ -72,8 +74,8 @@
 	dirty       bool
 	leaving     bool
 	lastContact time.Time
-	// lastReport is when a report was last due or sent, and reportVersion the
-	// version that the peer has.
+	// lastReport is when a report was last sent, or left out because nothing had
+	// changed. reportVersion is the version that the peer has.
 	lastReport    time.Time
 	reportVersion int64
 	// exchanged is set if the peer has sent messages since its last report.
--- a/internal/daemon/dispatch/peers_test.go
+++ b/internal/daemon/dispatch/peers_test.go
@@ -28,8 +28,8 @@
 	return stream
 }
 
-// Frames are a few hundred bytes and some hundred are sent each second, so that
-// compressing them costs more processor time than all else that a frame needs.
+// A host sends some hundred frames of a few hundred bytes each second. Resetting a
+// compressor for each costs more processor time than encoding and sending it.
 func TestFramesAreNotCompressed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -9,15 +9,16 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 )
 
-// capacityReport is this host's last capacity report. The loop alone uses it.
-type capacityReport struct {
+// versionedReport is this host's last capacity report. It is accessed only by the
+// loop.
+type versionedReport struct {
 	room *dispatchv1.Room
 	// version counts the changes of room.
 	version int64
 }
 
 // update replaces the report if it differs from the last one.
-func (r *capacityReport) update(room *dispatchv1.Room) {
+func (r *versionedReport) update(room *dispatchv1.Room) {
 	if r.version == 0 || !proto.Equal(r.room, room) {
 		r.room = room
 		r.version++
@@ -43,8 +44,9 @@
 }
 
 // flush makes each link send the messages added since the last call. A frame
-// with messages also carries a report unless the last one is recent: the peer
-// gets to know the capacity that its own tasks took or freed.
+// with messages also carries a report, unless the last one is more recent than
+// topology.MinReportInterval, so that the peer learns how much capacity its own
+// tasks took or freed.
 func (p *peers) flush(now time.Time) {
 	updated := false
 	for _, l := range p.links {
@@ -67,9 +69,10 @@
 	p.capacity.update(capacityReportToProto(p.dispatcher.core.Report(now)))
 }
 
-// addReport adds the report to the link's next frame. A peer corrects its view
-// with each report, also if the report is the same as before: it charges the
-// tasks that it offers to the capacity that it knows.
+// addReport adds the report to the link's next frame. An unchanged report is left
+// out unless the peer has sent messages since the last one: a peer subtracts the
+// tasks that it offers from the capacity that it knows, and only another report
+// corrects that.
 func (p *peers) addReport(now time.Time, l *link) {
 	l.lastReport = now
 	if l.reportVersion == p.capacity.version && !l.exchanged {
--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// sortedWorkers returns the workers that match by ID, which makes decisions
+// sortedWorkers returns the matching workers, ordered by ID, which makes decisions
 // deterministic.
 func (t *Tracker) sortedWorkers(match func(fleet.Worker) bool) []fleet.Worker {
 	var list []fleet.Worker
--- a/internal/decide/topology/pace.go
+++ b/internal/decide/topology/pace.go
@@ -6,10 +6,13 @@
 	// MinReportInterval is the shortest time between two capacity reports to a
 	// peer.
 	MinReportInterval = 20 * time.Millisecond
-	// HeartbeatInterval is the longest time between two frames to a peer.
+	// HeartbeatInterval is the longest time between two frames to a peer. Each
+	// frame costs a send, a reception and a wake-up, and a host of a large fleet has
+	// some 45 peers.
 	HeartbeatInterval = 250 * time.Millisecond
 	// reportIntervalPerPeer lengthens the interval with the number of peers, so
-	// that a host sends a bounded number of reports.
+	// that a host sends a bounded number of reports: a report costs about 20 us on
+	// either side, and control traffic may use 3% of a core.
 	reportIntervalPerPeer = 5 * time.Millisecond
 	// remoteZoneFactor multiplies the interval for peers in other zones.
 	remoteZoneFactor = 2
--- a/internal/decide/topology/topology.go
+++ b/internal/decide/topology/topology.go
@@ -10,13 +10,14 @@
 
 // linksPerRemoteZone is how many hosts of each other zone a host chooses as
 // peers. All hosts of a zone of at most that size are chosen; with larger zones
-// the number of a host's streams grows only with its own zone.
+// the number of a host's streams grows only with its own zone. With two, the loss
+// of one peer does not separate a host from a zone.
 const linksPerRemoteZone = 2
 
 // Peers returns the hosts to which self keeps a stream, by name: all hosts of
 // its zone, and those of other zones where either side chooses the other. Two
-// hosts that know the same hosts agree on whether they are peers. The number of
-// comparisons grows linearly with the fleet.
+// hosts that know the same hosts agree on whether they are peers. No zone is
+// sorted, because a starting host calls this once per host of the fleet.
 func Peers(self fleet.Host, hosts map[string]fleet.Host) map[string]fleet.Host {
 	zones := byZone(hosts, self)
 	linked := map[string]fleet.Host{}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -87,6 +87,9 @@
 	topicWorkers  = "keyed.servers"
 )
 
+// TopicHosts is the topic to which the entry hosts write their entries.
+const TopicHosts = "keyed.hosts"
+
 // PutConfig publishes a configuration, as an operator would.
 func (s *Store) PutConfig(config []byte) { s.Put(topicOperator, Record{Key: "config", Value: config}) }
 
