Log and count the runs that are lost with their worker

'lease expired' did not tell a crash from a cut, and no line told which runs had shared a worker. One line a lost worker now names how the loss was found, how the last poll failed, and each run with its age at the worker's last answer; parsleyhill_runs_lost_total counts them. Polls' failures are classified in platform/ (closed, reset, refused, no answer).

No change of logic.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -42,6 +43,8 @@
 		o := a.Outcome
 		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
 			"worker", o.Worker, "failed", o.FailedRuns, "why", o.Why)
+	case workerpool.RunsLost:
+		d.runsLost(a)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case host.Append:
@@ -53,6 +56,20 @@
 	}
 }
 
+// maxLoggedRuns bounds the runs in one line of the process log.
+const maxLoggedRuns = 16
+
+// runsLost logs and counts the runs that were lost with a worker.
+func (d *Dispatcher) runsLost(a workerpool.RunsLost) {
+	d.metrics.runsLost.WithLabelValues(a.Why).Add(float64(len(a.Runs)))
+	runs := make([]string, 0, maxLoggedRuns)
+	for _, r := range a.Runs[:min(len(a.Runs), maxLoggedRuns)] {
+		runs = append(runs, fmt.Sprintf("%s run %d after %v", r.Task, r.Run, r.Age.Round(time.Millisecond)))
+	}
+	d.logger.Warn("runs lost with their worker", "worker", a.Worker.ID, "address", a.Worker.Address, "why", a.Why,
+		"last_failure", a.LastFailure, "silent_for", a.SilentFor, "draining", a.Worker.Draining, "count", len(a.Runs), "runs", runs)
+}
+
 func (d *Dispatcher) answer(a coordinator.Answer) {
 	if a.Stored {
 		d.logger.Info("stored job let go of", "job", a.Job, "route", a.Summary.Route, "done", a.Err == nil, "failed", a.Failed,
@@ -115,7 +132,8 @@
 		if ctx.Err() == nil || a.Wait == 0 {
 			d.logger.Debug("worker poll failed", "worker", id, "error", err)
 		}
-		d.post(func(now time.Time) { d.core.Pool.PollFailed(now, id, a.Number) })
+		failure := platform.FailureOf(err)
+		d.post(func(now time.Time) { d.core.Pool.PollFailed(now, id, a.Number, failure) })
 	case result == platform.PollFenced:
 		d.post(func(now time.Time) { d.core.Pool.Fenced(now, id, a.Number, a.Fence) })
 	case result == platform.PollWrongWorker:
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -18,6 +18,7 @@
 	starts       *prometheus.CounterVec
 	startSeconds prometheus.Histogram
 	polls        prometheus.Counter
+	runsLost     *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -42,8 +43,11 @@
 		polls: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyhill_looks_total", Help: "Looks at workers.",
 		}),
+		runsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_runs_lost_total", Help: "Runs lost together with their worker, by how the loss was found.",
+		}, []string{"why"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost)
 	return m
 }
 
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -367,7 +367,7 @@
 	sw := w.worker(a.Worker.ID)
 	id := sw.info.ID
 	failed := func() {
-		w.after(a.Wait+a.Timeout, w.on(h, func() { h.core.Pool.PollFailed(w.now, id, a.Number) }))
+		w.after(a.Wait+a.Timeout, w.on(h, func() { h.core.Pool.PollFailed(w.now, id, a.Number, fleet.CallTimedOut) }))
 	}
 	w.after(w.delay(), func() {
 		if sw.down || !w.linked(h.name, id) {
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -35,7 +35,7 @@
 	}
 	w.missedPolls = 0
 	if w.startTime != 0 && l.StartTime != w.startTime {
-		p.handleRestart(w, l)
+		p.handleRestart(now, w, l)
 	}
 	w.startTime = l.StartTime
 	w.syncClock(now, l.Clock)
@@ -75,7 +75,7 @@
 // handleRestart returns the tasks of runs of a former incarnation. It keeps runs
 // that the new incarnation lists, and those whose start has not been answered:
 // they may have started in the new one.
-func (p *Pool) handleRestart(w *worker, l fleet.PollResponse) {
+func (p *Pool) handleRestart(now time.Time, w *worker, l fleet.PollResponse) {
 	present := map[fleet.RunID]bool{}
 	for _, r := range l.Running {
 		present[r.RunID] = true
@@ -83,11 +83,7 @@
 	for _, e := range l.Ended {
 		present[e.RunID] = true
 	}
-	for _, r := range w.sortedRuns() {
-		if !present[r.id] && r.state != runStarting {
-			p.endWithoutResult(w, r, "worker restarted")
-		}
-	}
+	p.loseRuns(now, w, "worker restarted", func(r *run) bool { return !present[r.id] && r.state != runStarting })
 	w.resetEndNumbers(0)
 	p.emit(LogEvent{Message: "worker-restarted", Worker: w.info.ID, Why: "start time changed"})
 }
@@ -253,11 +249,12 @@
 }
 
 // PollFailed handles a poll without an answer.
-func (p *Pool) PollFailed(now time.Time, id string, number int64) {
+func (p *Pool) PollFailed(now time.Time, id string, number int64, failure fleet.CallFailure) {
 	w, ok := p.workers[id]
 	if !ok {
 		return
 	}
+	w.lastFailure = failure
 	sent := w.shortPollAt
 	if number == w.longPoll {
 		sent = w.longPollAt
@@ -274,7 +271,7 @@
 	w.missedPolls++
 	w.nextPoll = now.Add(p.cfg.PollRetryDelay * time.Duration(min(w.missedPolls, 8)))
 	if w.missedPolls == 1 {
-		p.emit(LogEvent{Message: "worker-unreachable", Worker: w.info.ID, Why: "no answer"})
+		p.emit(LogEvent{Message: "worker-unreachable", Worker: w.info.ID, Why: w.lastFailure.String()})
 	}
 }
 
@@ -295,14 +292,12 @@
 
 // WorkerReplaced handles an answer of another worker at the worker's address:
 // all its runs have ended, and it is removed.
-func (p *Pool) WorkerReplaced(_ time.Time, id string) {
+func (p *Pool) WorkerReplaced(now time.Time, id string) {
 	w, ok := p.workers[id]
 	if !ok {
 		return
 	}
-	for _, r := range w.sortedRuns() {
-		p.endWithoutResult(w, r, "worker replaced")
-	}
+	p.loseRuns(now, w, "worker replaced", anyRun)
 	p.removeWorker(w, "another worker answers at its address")
 }
 
@@ -417,9 +412,7 @@
 		}
 	}
 	if w.missedPolls > 0 && len(w.runs) > 0 && now.After(w.leaseExpiry()) {
-		for _, r := range w.sortedRuns() {
-			p.endWithoutResult(w, r, "lease expired")
-		}
+		p.loseRuns(now, w, "lease expired", anyRun)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop) {
--- a/internal/decide/workerpool/pool_test.go
+++ b/internal/decide/workerpool/pool_test.go
@@ -192,7 +192,7 @@
 	p.PopActions(epoch)
 	p.Tick(epoch)
 	for _, l := range actionsOf[Poll](p.PopActions(epoch)) {
-		p.PollFailed(epoch.Add(400*time.Millisecond), "w", l.Number)
+		p.PollFailed(epoch.Add(400*time.Millisecond), "w", l.Number, fleet.CallTimedOut)
 	}
 	p.Tick(epoch.Add(testLease))
 	assert.Empty(t, actionsOf[SendOutcome](p.PopActions(epoch.Add(testLease))))
@@ -227,7 +227,7 @@
 	})
 	assert.Equal(t, offer.Done, actionsOf[SendOutcome](p.PopActions(now))[0].Outcome.Result)
 
-	p.PollFailed(now.Add(time.Second), "w", polls[0].Number)
+	p.PollFailed(now.Add(time.Second), "w", polls[0].Number, fleet.CallTimedOut)
 	p.Offer(now, testTask(2, 0, 14, now))
 	assert.Len(t, actionsOf[Start](p.PopActions(now.Add(time.Second))), 1, "the worker has answered after the failed poll was sent")
 }
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -87,8 +87,10 @@
 	// pollAnsweredAt is when a poll was last answered, and lastContact when any
 	// call was.
 	longPollAt, shortPollAt, pollAnsweredAt, lastContact time.Time
-	// missedPolls counts the consecutive polls without an answer.
+	// missedPolls counts the consecutive polls without an answer, and lastFailure
+	// is how the last one ended.
 	missedPolls int
+	lastFailure fleet.CallFailure
 	nextPoll    time.Time
 
 	health health
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -278,3 +278,31 @@
 	}
 	return fmt.Sprintf("verdict %d", int(v))
 }
+
+// CallFailure is the way in which a call to a worker ended without an answer.
+type CallFailure int
+
+// The ways.
+const (
+	// CallTimedOut means that no answer arrived in time, or that the call failed
+	// in a way that says nothing about the worker.
+	CallTimedOut CallFailure = iota
+	// CallClosed means that the worker's side closed the connection while the
+	// call was pending. A process that ends does that.
+	CallClosed
+	// CallReset means that the connection was reset, which the network may have
+	// done.
+	CallReset
+	// CallRefused means that no connection could be opened because nothing
+	// listens at the address, or because the network refuses it.
+	CallRefused
+)
+
+// String returns the failure as it appears in logs.
+func (f CallFailure) String() string {
+	names := [...]string{"no answer", "connection closed", "connection reset", "connection refused"}
+	if f >= 0 && int(f) < len(names) {
+		return names[f]
+	}
+	return fmt.Sprintf("call failure %d", int(f))
+}
