Reproduce a task that crashes worker after worker, failing

TestTaskThatCrashesItsWorkersIsGivenUp: stored jobs whose first task crashes each worker that starts it, beside other load, in the simulated fleet.

The simulated fleet now lets a crash show on connections or not, lets a worker return under a new ID at its address, and sends heartbeats.

--- a/internal/decide/host/history_test.go
+++ b/internal/decide/host/history_test.go
@@ -60,7 +60,7 @@
 			host.storeUnreachable = true
 			w.after(length, func() { host.storeUnreachable = false })
 		case 3:
-			w.crash(worker, length)
+			w.crash(worker, length, true)
 		case 4:
 			w.isolateWorker(host, worker, length)
 		case 5:
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -25,6 +25,11 @@
 	// then drops it from its list.
 	acknowledged map[fleet.TaskName]bool
 	started      time.Time
+	// deadly is set if the first task crashes each worker that starts it.
+	deadly bool
+	// crashes counts the workers that crashed under a task, and startsAfterLimit
+	// its starts after crashLimit of them; failures counts its ends as failed.
+	crashes, startsAfterLimit, failures map[fleet.TaskName]int
 }
 
 // submit submits a job to a host.
@@ -90,6 +95,7 @@
 	j.started = w.now
 	if !j.spec.BestEffort {
 		w.checkStored(j, id)
+		w.checkCrashes(j, id)
 	}
 	length := time.Duration(float64(j.workTimes[id.Task.Index]) * sw.slowdown)
 	reason := fleet.EndedDone
@@ -101,11 +107,17 @@
 		length /= 2
 	}
 	sw.runs[id] = &simRun{size: step.Size, started: w.now, endsAt: w.now.Add(length), endReason: reason}
+	if j.deadly && id.Task.Step == 0 && id.Task.Index == 0 {
+		w.killWorker(sw, id)
+	}
 }
 
 func (w *world) ended(_ *simWorker, id fleet.RunID, reason fleet.EndReason) {
-	if reason == fleet.EndedDone {
+	switch reason {
+	case fleet.EndedDone:
 		w.jobs[id.Task.Job].done[id.Task] = true
+	case fleet.EndedFailed:
+		w.jobs[id.Task.Job].failures[id.Task]++
 	}
 }
 
@@ -135,7 +147,10 @@
 	case n == 9:
 		width, estimate = 2+w.rng.IntN(4), 900*time.Millisecond
 	}
-	j := &simJob{id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, acknowledged: map[fleet.TaskName]bool{}}
+	j := &simJob{
+		id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, acknowledged: map[fleet.TaskName]bool{},
+		crashes: map[fleet.TaskName]int{}, startsAfterLimit: map[fleet.TaskName]int{}, failures: map[fleet.TaskName]int{},
+	}
 	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
 		Count: width, Size: fleet.Size{MilliCPU: 11000 + w.rng.IntN(5000), MemoryMB: 64}, Estimate: estimate,
 	}}}
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -89,8 +89,9 @@
 }
 
 // submitStored submits a stored job of two steps.
-func (w *world) submitStored(h *simHost) {
+func (w *world) submitStored(h *simHost, change func(*simJob)) {
 	j := w.newJob()
+	change(j)
 	first := j.spec.Steps[0]
 	second := first
 	second.After = []int{0}
@@ -107,7 +108,7 @@
 	gap := time.Duration(w.rng.ExpFloat64() / perSecond * float64(time.Second))
 	w.after(gap, func() {
 		if w.now.Before(until) {
-			w.submitStored(w.hosts[w.rng.IntN(len(w.hosts))])
+			w.submitStored(w.hosts[w.rng.IntN(len(w.hosts))], func(*simJob) {})
 			w.loadStored(perSecond, until)
 		}
 	})
--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -36,6 +36,10 @@
 	lapsedAt time.Duration
 	seq      int64
 	down     bool
+	// silent is set if the crash does not show on the worker's connections.
+	silent bool
+	// crashes counts the crashes after which the worker took a new ID.
+	crashes  int
 	failing  bool
 	hanging  bool
 	slowdown float64
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -21,6 +21,9 @@
 	peerTimeout    = 600 * time.Millisecond
 	resubmitDelay  = 1300 * time.Millisecond
 	zonePartitions = 6
+	// heartbeatInterval and registrationTTL are those of the platform.
+	heartbeatInterval = 1500 * time.Millisecond
+	registrationTTL   = 3 * heartbeatInterval
 )
 
 // event is a callback that is due at a virtual time; seq orders events of the
@@ -98,7 +101,7 @@
 		w.groups[zone] = newGroup(zonePartitions)
 		for i := range workersPerZone {
 			sw := &simWorker{world: w, rate: 0.985 + 0.03*w.rng.Float64(), slowdown: 1, info: fleet.Worker{
-				ID: fmt.Sprintf("w-%s-%d", zone, i), Zone: zone, Service: "s",
+				ID: fmt.Sprintf("w-%s-%d", zone, i), Address: fmt.Sprintf("a-%s-%d", zone, i), Zone: zone, Service: "s",
 				Capacity: fleet.Size{MilliCPU: 32000, MemoryMB: 1 << 17},
 			}}
 			sw.boot(w.now)
@@ -113,6 +116,7 @@
 		}
 	}
 	w.after(tickInterval, w.tick)
+	w.after(heartbeatInterval, w.heartbeat)
 	return w
 }
 
@@ -261,34 +265,78 @@
 
 // isolateWorker cuts the link between a host and a worker for a time.
 func (w *world) isolateWorker(h *simHost, sw *simWorker, d time.Duration) {
-	w.cuts[pair(h.name, sw.info.ID)]++
-	w.after(d, func() { w.cuts[pair(h.name, sw.info.ID)]-- })
+	w.cuts[pair(h.name, sw.info.Address)]++
+	w.after(d, func() { w.cuts[pair(h.name, sw.info.Address)]-- })
 }
 
 func (w *world) delay() time.Duration {
 	return 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(1500*time.Microsecond)))
 }
 
-// crash ends a worker's process for a time. It restarts without any state.
-func (w *world) crash(sw *simWorker, down time.Duration) {
+// crash ends a worker's process for a time. It restarts without any state. A
+// crash that is not silent closes the worker's connections and refuses new ones.
+func (w *world) crash(sw *simWorker, down time.Duration, silent bool) {
 	if sw.down {
 		return
 	}
-	sw.down = true
+	sw.down, sw.silent = true, silent
+	for id := range sw.runs {
+		w.jobs[id.Task.Job].crashes[id.Task]++
+	}
 	clear(sw.runs)
+	polls := sw.waitingPolls
+	sw.waitingPolls = nil
+	for _, reply := range polls {
+		reply()
+	}
 	w.after(down, func() {
 		sw.boot(w.now)
+		w.announce(sw.info)
+	})
+}
+
+// crashForNewID is crash, after which the worker returns under a new ID at its
+// address. Its former registration is removed later.
+func (w *world) crashForNewID(sw *simWorker, down time.Duration) {
+	if sw.down {
+		return
+	}
+	w.crash(sw, down, false)
+	former := sw.info.ID
+	sw.crashes++
+	sw.info.ID = fmt.Sprintf("w-%s-%d", sw.info.Address, sw.crashes)
+	w.after(registrationTTL, func() {
 		for _, h := range w.hosts {
 			if h.up {
-				w.on(h, func() { h.core.UpdateWorker(sw.info) })()
+				w.on(h, func() { h.core.RemoveWorker(former) })()
 			}
 		}
 	})
 }
 
-func (w *world) worker(id string) *simWorker {
+// announce tells all hosts of a worker's registration.
+func (w *world) announce(info fleet.Worker) {
+	for _, h := range w.hosts {
+		if h.up {
+			w.on(h, func() { h.core.UpdateWorker(info) })()
+		}
+	}
+}
+
+// heartbeat makes the workers write their registrations periodically.
+func (w *world) heartbeat() {
 	for _, sw := range w.workers {
-		if sw.info.ID == id {
+		if !sw.down {
+			w.announce(sw.info)
+		}
+	}
+	w.after(heartbeatInterval, w.heartbeat)
+}
+
+// workerAt returns the worker at the address of a registration.
+func (w *world) workerAt(info fleet.Worker) *simWorker {
+	for _, sw := range w.workers {
+		if sw.info.Address == info.Address {
 			return sw
 		}
 	}
@@ -304,20 +352,31 @@
 func (w *world) execute(h *simHost, a Action) {
 	switch a := a.(type) {
 	case workerpool.Start:
-		sw := w.worker(a.Worker.ID)
+		sw, id := w.workerAt(a.Worker), a.Worker.ID
 		w.sendOrder(h, sw, a.Timeout, func(answered bool) func() {
 			verdict, clock := fleet.StartUnknown, time.Duration(0)
-			if answered {
+			switch {
+			case answered && sw.info.ID != id:
+				verdict = fleet.StartWrongWorker
+			case answered:
 				verdict, clock = sw.start(a), sw.now()
 			}
-			return func() { h.core.Pool.StartAnswered(w.now, sw.info.ID, a.Run, a.Fence, verdict, clock) }
-		}, func() { sw.start(a) })
+			return func() { h.core.Pool.StartAnswered(w.now, id, a.Run, a.Fence, verdict, clock) }
+		}, func() {
+			if sw.info.ID == id {
+				sw.start(a)
+			}
+		})
 	case workerpool.Stop:
-		sw := w.worker(a.Worker.ID)
+		sw, id := w.workerAt(a.Worker), a.Worker.ID
 		w.sendOrder(h, sw, a.Timeout, func(answered bool) func() {
-			ok := answered && sw.stop(a)
-			return func() { h.core.Pool.StopAnswered(w.now, sw.info.ID, a.Run, ok) }
-		}, func() { sw.stop(a) })
+			ok := answered && sw.info.ID == id && sw.stop(a)
+			return func() { h.core.Pool.StopAnswered(w.now, id, a.Run, ok) }
+		}, func() {
+			if sw.info.ID == id {
+				sw.stop(a)
+			}
+		})
 	case workerpool.Poll:
 		w.poll(h, a)
 	case Send:
@@ -344,7 +403,7 @@
 	unanswered := func() { w.after(timeout, w.on(h, deliver(false))) }
 	w.after(w.delay(), func() {
 		switch {
-		case sw.down || !w.linked(h.name, sw.info.ID):
+		case sw.down || !w.linked(h.name, sw.info.Address):
 			unanswered()
 		case w.rng.Float64() < w.lateRate:
 			startTime := sw.startTime
@@ -364,14 +423,24 @@
 }
 
 func (w *world) poll(h *simHost, a workerpool.Poll) {
-	sw := w.worker(a.Worker.ID)
-	id := sw.info.ID
-	failed := func() {
-		w.after(a.Wait+a.Timeout, w.on(h, func() { h.core.Pool.PollFailed(w.now, id, a.Number, fleet.CallTimedOut) }))
+	sw, id := w.workerAt(a.Worker), a.Worker.ID
+	fail := func(after time.Duration, failure fleet.CallFailure) {
+		w.after(after, w.on(h, func() { h.core.Pool.PollFailed(w.now, id, a.Number, failure) }))
+	}
+	failed := func(visible fleet.CallFailure) {
+		if sw.down && !sw.silent && w.linked(h.name, sw.info.Address) {
+			fail(w.delay(), visible)
+			return
+		}
+		fail(a.Wait+a.Timeout, fleet.CallTimedOut)
 	}
 	w.after(w.delay(), func() {
-		if sw.down || !w.linked(h.name, id) {
-			failed()
+		if sw.down || !w.linked(h.name, sw.info.Address) {
+			failed(fleet.CallRefused)
+			return
+		}
+		if sw.info.ID != id {
+			w.after(w.delay(), w.on(h, func() { h.core.Pool.WorkerReplaced(w.now, id) }))
 			return
 		}
 		if !sw.poll(a) {
@@ -384,8 +453,8 @@
 				return
 			}
 			answered = true
-			if sw.down || !w.linked(h.name, id) {
-				failed()
+			if sw.down || sw.info.ID != id || !w.linked(h.name, sw.info.Address) {
+				failed(fleet.CallClosed)
 				return
 			}
 			l := sw.listing()
