Count the workers that crash under a task, and give the task up

Cause: only ends that a worker lists as failed counted as attempts. A run lost with its worker was returned without a count, so that its task was offered again for as long as its job was open, beside other tasks, on worker after worker. Class: an unbounded retry whose failures take shared capacity away (poison message, crash loop).

Why this works: the host that drives a job keeps, for each task, the runs that were lost with their worker, and learns from the workers' registrations what became of them (restarted, replaced, gone; survived). With two unknown it waits, after a crash the task runs alone on a reserved worker, after two crashes, one of them alone, or three, the job is shown as failed. A job risks one worker at a time, a host too. Losses of stored jobs' runs are in their log, so that the next driver knows them.

Ruled out as enough: counting a lost run as a failed attempt (a cut would fail sound jobs); giving up at the first crash (most runs lost with a worker are neighbors).

Crashes are found only when the lease ends, 1.1 s later, and neighbors are lost a second time beside the suspect: next.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -7,6 +7,7 @@
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/platform"
 )
@@ -134,6 +135,7 @@
 		}
 		last.Tasks = append(last.Tasks, &dispatchv1.OfferedTask{
 			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(t.FailedRuns), Avoid: t.Avoid,
+			Exclusive: t.Exclusive,
 		})
 	}
 	return offers
@@ -148,25 +150,36 @@
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: timeIn(now, o.GetStartInMs()), Deadline: timeIn(now, o.GetUsefulMs()),
-			JobStarted: o.GetBegun(), Avoid: t.GetAvoid(), NextRun: int(t.GetNextRun()), FailedRuns: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
+			JobStarted: o.GetBegun(), Avoid: t.GetAvoid(), Exclusive: t.GetExclusive(), NextRun: int(t.GetNextRun()), FailedRuns: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
 		})
 	}
 	return tasks
 }
 
 func outcomeToProto(o offer.Outcome) *dispatchv1.Outcome {
-	return &dispatchv1.Outcome{
+	p := &dispatchv1.Outcome{
 		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.FailedRuns),
 		Result: int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, OverInMs: int32(o.MaxRemaining.Milliseconds()),
 	}
+	if l := o.Loss; l != nil {
+		p.Loss = &dispatchv1.Loss{Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Fate: int32(l.Fate)}
+	}
+	return p
 }
 
-func outcomeFromProto(self string, o *dispatchv1.Outcome) offer.Outcome {
-	return offer.Outcome{
-		Host: self, Task: fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(o.GetIndex())},
-		Run: int(o.GetRun()), FailedRuns: int(o.GetFailed()), Result: offer.Result(o.GetResult()), MayHaveRun: o.GetRan(), Fence: o.GetFence(),
-		Worker: o.GetWorker(), Why: o.GetWhy(), MaxRemaining: time.Duration(o.GetOverInMs()) * time.Millisecond,
+func outcomeFromProto(self string, p *dispatchv1.Outcome) offer.Outcome {
+	o := offer.Outcome{
+		Host: self, Task: fleet.TaskName{Job: p.GetJob(), Step: int(p.GetStep()), Index: int(p.GetIndex())},
+		Run: int(p.GetRun()), FailedRuns: int(p.GetFailed()), Result: offer.Result(p.GetResult()), MayHaveRun: p.GetRan(), Fence: p.GetFence(),
+		Worker: p.GetWorker(), Why: p.GetWhy(), MaxRemaining: time.Duration(p.GetOverInMs()) * time.Millisecond,
+	}
+	if l := p.GetLoss(); l != nil {
+		o.Loss = &quarantine.Loss{
+			Run: o.Run, Worker: o.Worker, Address: l.GetAddress(), StartTime: l.GetStartTime(),
+			Alone: l.GetAlone(), Bystander: l.GetBystander(), Fate: quarantine.Fate(l.GetFate()),
+		}
 	}
+	return o
 }
 
 func runToProto(r fleet.RunID, reason fleet.EndReason) *dispatchv1.Run {
@@ -204,7 +217,7 @@
 }
 
 func capacityReportToProto(r offer.CapacityReport) *dispatchv1.Room {
-	report := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving}
+	report := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving, Exclusive: int32(r.Exclusive)}
 	for _, w := range r.Workers {
 		report.Workers = append(report.Workers, &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free)})
 	}
@@ -219,7 +232,7 @@
 
 func capacityReportFromProto(r *dispatchv1.Room) offer.CapacityReport {
 	report := offer.CapacityReport{
-		Capacity: int(r.GetCapacity()), FreeingRate: r.GetFreeingRate(), Leaving: r.GetLeaving(),
+		Capacity: int(r.GetCapacity()), FreeingRate: r.GetFreeingRate(), Leaving: r.GetLeaving(), Exclusive: int(r.GetExclusive()),
 		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
 	}
 	for _, w := range r.GetWorkers() {
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -12,12 +12,14 @@
 )
 
 // The first part of a record's key is its kind. Sorted by key, a job's
-// acceptance comes before the ends of its runs, and its closing comes last.
+// acceptance comes before the ends of its runs, and its closing after them. The
+// losses of an ended job's runs have no effect.
 const (
 	keyAccepted  = "a"
 	keyEnded     = "b"
 	keyCancelled = "c"
 	keyClosed    = "d"
+	keyLost      = "l"
 	keyShard     = "s"
 )
 
@@ -46,7 +48,13 @@
 		}
 		return []platform.KeyedRecord{{Key: key(keyAccepted, e.Job.ID), Value: value}}, nil
 	case ledger.RunEnded:
-		return []platform.KeyedRecord{{Key: runKey(e.RunID), Value: []byte(strconv.Itoa(int(e.Reason)))}}, nil
+		return []platform.KeyedRecord{{Key: runKey(keyEnded, e.RunID), Value: []byte(strconv.Itoa(int(e.Reason)))}}, nil
+	case ledger.RunLost:
+		value, err := json.Marshal(e.Loss)
+		if err != nil {
+			return nil, fmt.Errorf("encode loss of a run of task %s: %w", e.Task, err)
+		}
+		return []platform.KeyedRecord{{Key: runKey(keyLost, fleet.RunID{Task: e.Task, Run: e.Loss.Run}), Value: value}}, nil
 	case ledger.Cancelled:
 		return []platform.KeyedRecord{{Key: key(keyCancelled, e.Job), Value: presentValue}}, nil
 	case ledger.Closed:
@@ -58,7 +66,10 @@
 			{Key: key(keyClosed, e.Job), Value: value}, {Key: key(keyAccepted, e.Job)}, {Key: key(keyCancelled, e.Job)},
 		}
 		for _, run := range e.Runs {
-			records = append(records, platform.KeyedRecord{Key: runKey(run)})
+			records = append(records, platform.KeyedRecord{Key: runKey(keyEnded, run)})
+		}
+		for _, run := range e.LostRuns {
+			records = append(records, platform.KeyedRecord{Key: runKey(keyLost, run)})
 		}
 		return records, nil
 	case ledger.Forgotten:
@@ -71,8 +82,8 @@
 
 func key(parts ...string) string { return strings.Join(parts, "/") }
 
-func runKey(r fleet.RunID) string {
-	return key(keyEnded, r.Task.Job, strconv.Itoa(r.Task.Step), strconv.Itoa(r.Task.Index), strconv.Itoa(r.Run))
+func runKey(kind string, r fleet.RunID) string {
+	return key(kind, r.Task.Job, strconv.Itoa(r.Task.Step), strconv.Itoa(r.Task.Index), strconv.Itoa(r.Run))
 }
 
 // decodeRecord returns the entry of a record, or nil for a deletion that needs
@@ -94,6 +105,8 @@
 		return ledger.Accepted(v), nil
 	case keyEnded:
 		return decodeRunEnded(r.Key, rest, r.Value)
+	case keyLost:
+		return decodeRunLost(r.Key, rest, r.Value)
 	case keyCancelled:
 		return ledger.Cancelled{Job: rest}, nil
 	case keyClosed:
@@ -113,16 +126,41 @@
 }
 
 func decodeRunEnded(name, rest string, value []byte) (ledger.Entry, error) {
+	run, err := parseRun(name, rest)
+	if err != nil {
+		return nil, err
+	}
+	reason, err := strconv.Atoi(string(value))
+	if err != nil {
+		return nil, fmt.Errorf("record %q: %w", name, err)
+	}
+	return ledger.RunEnded{RunID: run, Reason: fleet.EndReason(reason)}, nil
+}
+
+func decodeRunLost(name, rest string, value []byte) (ledger.Entry, error) {
+	run, err := parseRun(name, rest)
+	if err != nil {
+		return nil, err
+	}
+	lost := ledger.RunLost{Task: run.Task}
+	if err := json.Unmarshal(value, &lost.Loss); err != nil {
+		return nil, fmt.Errorf("record %q: %w", name, err)
+	}
+	lost.Loss.Run = run.Run
+	return lost, nil
+}
+
+// parseRun parses the part of a key after its kind, in the form of runKey.
+func parseRun(name, rest string) (fleet.RunID, error) {
 	parts := strings.Split(rest, "/")
 	if len(parts) != 4 {
-		return nil, fmt.Errorf("the key of record %q does not identify a run", name)
+		return fleet.RunID{}, fmt.Errorf("the key of record %q does not identify a run", name)
 	}
-	n, err := parseInts(parts[1], parts[2], parts[3], string(value))
+	n, err := parseInts(parts[1:]...)
 	if err != nil {
-		return nil, fmt.Errorf("record %q: %w", name, err)
+		return fleet.RunID{}, fmt.Errorf("record %q: %w", name, err)
 	}
-	task := fleet.TaskName{Job: parts[0], Step: n[0], Index: n[1]}
-	return ledger.RunEnded{RunID: fleet.RunID{Task: task, Run: n[2]}, Reason: fleet.EndReason(n[3])}, nil
+	return fleet.RunID{Task: fleet.TaskName{Job: parts[0], Step: n[0], Index: n[1]}, Run: n[2]}, nil
 }
 
 func parseInts(texts ...string) ([]int, error) {
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	startSeconds prometheus.Histogram
 	polls        prometheus.Counter
 	runsLost     *prometheus.CounterVec
+	verdicts     *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -46,8 +47,11 @@
 		runsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_runs_lost_total", Help: "Runs lost together with their worker, by how the loss was found.",
 		}, []string{"why"}),
+		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_task_verdicts_total", Help: "Changes of what happens to a task that lost workers, by the new verdict.",
+		}, []string{"verdict"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts)
 	return m
 }
 
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -237,8 +237,8 @@
 
 // WorkerChanged implements platform.EventHandler.
 func (d *Dispatcher) WorkerChanged(w fleet.Worker) {
-	d.post(func(time.Time) {
-		d.core.UpdateWorker(w)
+	d.post(func(now time.Time) {
+		d.core.UpdateWorker(now, w)
 	})
 }
 
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -1,9 +1,11 @@
 package coordinator
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -25,6 +27,10 @@
 		if t.state != taskIdle || !j.stepReady(t.name.Step) {
 			continue
 		}
+		t.exclusive = t.verdict == quarantine.Isolate
+		if t.verdict == quarantine.Hold || t.exclusive && j.hasExclusiveRun() {
+			continue
+		}
 		h := c.chooseHost(now, j, t)
 		if h == nil {
 			c.hasUnplaced = true
@@ -44,7 +50,7 @@
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
 		StartBy: j.arrived.Add(j.objective - j.criticalPath), Deadline: j.deadline,
-		JobStarted: j.started, Avoid: t.avoidWorker, NextRun: t.lastRun + 1, FailedRuns: t.failedRuns, MaxAttempts: j.route.MaxAttempts,
+		JobStarted: j.started, Avoid: t.avoidWorker, Exclusive: t.exclusive, NextRun: t.lastRun + 1, FailedRuns: t.failedRuns, MaxAttempts: j.route.MaxAttempts,
 	}
 }
 
@@ -53,6 +59,9 @@
 // time to reach the host, so that this host and its zone come first. It charges
 // the task to the chosen host's free capacity or queue.
 func (c *Coordinator) chooseHost(now time.Time, j *job, t *task) *host {
+	if t.exclusive {
+		return c.chooseExclusiveHost(now, t)
+	}
 	step := j.spec.Steps[t.name.Step]
 	var best *host
 	var bestWorker *offer.WorkerCapacity
@@ -85,6 +94,26 @@
 	return best
 }
 
+// chooseExclusiveHost returns the host to offer an exclusive task to, or nil if
+// there is none: the one with the fewest such tasks, then the nearest.
+func (c *Coordinator) chooseExclusiveHost(now time.Time, t *task) *host {
+	var best *host
+	for _, h := range c.sortedHosts {
+		if !h.connected || h.report.Leaving || h.report.Capacity == 0 || now.Before(t.skipUntil[h.name]) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(h.exclusiveTasks(), best.exclusiveTasks()), cmp.Compare(c.reachTime(h), c.reachTime(best))) < 0 {
+			best = h
+		}
+	}
+	if best != nil {
+		best.offeredExclusive++
+	}
+	return best
+}
+
+func (h *host) exclusiveTasks() int { return h.report.Exclusive + h.offeredExclusive }
+
 // better reports whether host h is preferred to best: by free capacity for the
 // task, then by the shorter wait, then by the most free CPU.
 func (c *Coordinator) better(hasCapacity bool, wait time.Duration, h *host, bestHasCapacity bool, bestWait time.Duration, best *host) bool {
@@ -117,7 +146,7 @@
 	var best *offer.WorkerCapacity
 	for i := range h.report.Workers {
 		w := &h.report.Workers[i]
-		if w.Service != service || !step.Size.Fits(w.Free) || !c.workers[w.ID].HasLabel(step.RequiredLabel) {
+		if w.Service != service || !step.Size.Fits(w.Free) || !c.workers.hasLabel(w.ID, step.RequiredLabel) {
 			continue
 		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -82,6 +83,22 @@
 	Claim offer.Claim
 }
 
+// RecordLoss asks for the loss of a stored job's run to be recorded, so that the
+// job's next driver knows of it.
+type RecordLoss struct {
+	Task fleet.TaskName
+	Loss quarantine.Loss
+}
+
+// TaskJudged reports, for the process log, that a task may be the cause of the
+// loss of workers, and what happens to it.
+type TaskJudged struct {
+	Task    fleet.TaskName
+	Verdict quarantine.Verdict
+	// Crashes is the number of workers known to have crashed under the task.
+	Crashes int
+}
+
 // Answer reports the end of a job.
 type Answer struct {
 	Job string
@@ -113,6 +130,8 @@
 func (Recall) action()     {}
 func (JobStarted) action() {}
 func (Claim) action()      {}
+func (RecordLoss) action() {}
+func (TaskJudged) action() {}
 func (Answer) action()     {}
 
 // host is the last known state of an owner of workers.
@@ -125,6 +144,9 @@
 	// offeredWork is the work charged to the host's queue since its last report, by
 	// priority, in thousandths of a core times milliseconds.
 	offeredWork map[int]int64
+	// offeredExclusive is the number of exclusive tasks offered to the host since
+	// its last report.
+	offeredExclusive int
 }
 
 // Coordinator holds the jobs that this host answers. It is not safe for
@@ -134,13 +156,15 @@
 	hosts       map[string]*host
 	sortedHosts []*host
 	jobs        map[string]*job
-	workers     map[string]fleet.Worker
+	workers     registry
 	actions     []Action
 	// pendingOffers holds the tasks of offers that are not emitted yet, by host.
 	pendingOffers map[string][]offer.Task
 	// hasUnplaced is set while no host could be chosen for some idle task.
 	hasUnplaced bool
 	seq         int64
+	// suspects are the tasks that lost workers whose fate is unknown.
+	suspects map[*task]*job
 	// logReadAt is when the last read of the log was requested.
 	logReadAt time.Time
 }
@@ -149,7 +173,7 @@
 func New(cfg Config) *Coordinator {
 	return &Coordinator{
 		cfg: cfg, hosts: map[string]*host{}, jobs: map[string]*job{},
-		workers: map[string]fleet.Worker{}, pendingOffers: map[string][]offer.Task{},
+		workers: newRegistry(), pendingOffers: map[string][]offer.Task{}, suspects: map[*task]*job{},
 	}
 }
 
@@ -176,11 +200,11 @@
 // Len returns the number of unanswered jobs.
 func (c *Coordinator) Len() int { return len(c.jobs) }
 
-// UpdateWorker adds or replaces the description of a worker.
-func (c *Coordinator) UpdateWorker(w fleet.Worker) { c.workers[w.ID] = w }
+// UpdateWorker adds or replaces the registration of a worker.
+func (c *Coordinator) UpdateWorker(now time.Time, w fleet.Worker) { c.workers.update(now, w) }
 
-// RemoveWorker removes the description of a worker.
-func (c *Coordinator) RemoveWorker(id string) { delete(c.workers, id) }
+// RemoveWorker removes the registration of a worker.
+func (c *Coordinator) RemoveWorker(id string) { c.workers.remove(id) }
 
 // UpdateHost stores a host's report of its capacity and offers tasks that had no
 // host so far.
@@ -194,6 +218,7 @@
 	}
 	h.report, h.reportedAt, h.connected = r, now, true
 	h.offeredWork = nil
+	h.offeredExclusive = 0
 	if c.hasUnplaced {
 		c.offerIdleTasks(now)
 	}
--- a/internal/decide/coordinator/coordinator_test.go
+++ b/internal/decide/coordinator/coordinator_test.go
@@ -36,7 +36,7 @@
 	c := New(Config{Self: "self", Zone: "z", MaxLease: time.Second})
 	for _, h := range []string{"h1", "h2"} {
 		w := "w-" + h
-		c.UpdateWorker(fleet.Worker{ID: w, Service: "s", Zone: "z"})
+		c.UpdateWorker(epoch, fleet.Worker{ID: w, Service: "s", Zone: "z"})
 		c.UpdateHost(epoch, h, "z", reportOf(w, cores))
 	}
 	return c
@@ -220,7 +220,7 @@
 // hour.
 func TestRetryAfterStaysShortWithoutCapacity(t *testing.T) {
 	c := New(Config{Self: "self", Zone: "z", MaxLease: time.Second})
-	c.UpdateWorker(fleet.Worker{ID: "w", Service: "s"})
+	c.UpdateWorker(epoch, fleet.Worker{ID: "w", Service: "s"})
 	c.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 0)
 	answers := actionsOf[Answer](c.PopActions())
 	require.Len(t, answers, 1)
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -51,7 +52,7 @@
 // checkServable returns the error for a job that is refused regardless of the
 // free capacity, or nil.
 func (c *Coordinator) checkServable(j *job) *errkind.Error {
-	if len(c.workers) == 0 {
+	if c.workers.empty() {
 		return errkind.New(errkind.NotReady, "no worker is known")
 	}
 	if j.spec.Unsupported != "" {
@@ -82,6 +83,9 @@
 // answer removes a job, emits its answer and withdraws its remaining tasks.
 func (c *Coordinator) answer(now time.Time, j *job, err *errkind.Error, retryAfter time.Duration) {
 	delete(c.jobs, j.spec.ID)
+	for _, t := range j.tasks {
+		delete(c.suspects, t)
+	}
 	why := ""
 	if err != nil {
 		why = err.Detail
@@ -131,6 +135,7 @@
 	switch o.Result {
 	case offer.Started:
 		t.state = taskStarted
+		t.incarnation, _, _ = c.workers.Worker(o.Worker)
 		c.markStarted(now, j, from)
 	case offer.Done:
 		c.taskDone(now, j, t)
@@ -142,6 +147,9 @@
 		if o.Worker == "" {
 			t.skipHost(from, now)
 		}
+		if o.Loss != nil {
+			c.addLoss(now, j, t, *o.Loss)
+		}
 		c.review(now, j)
 	case offer.Orphaned:
 		t.state, t.host, t.orphanEndsAt = taskOrphaned, "", now.Add(min(o.MaxRemaining+orphanMargin, c.orphanTimeout()))
@@ -245,6 +253,7 @@
 				t.state, t.host, t.orphanEndsAt = taskOrphaned, "", now.Add(-takeoverTime)
 				continue
 			}
+			c.addOrphanLoss(now, j, t)
 			t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
 		}
 		if lost {
@@ -276,12 +285,15 @@
 	}
 	for _, t := range j.tasks {
 		if t.state == taskOrphaned && c.orphanOver(now, j, t) {
+			c.addOrphanLoss(now, j, t)
 			t.state = taskIdle
 			t.lastRun++
 			t.lastEndedRun, t.mayHaveRun = t.lastRun, true
 		}
 	}
 	switch {
+	case c.giveUpDeadly(now, j):
+		return
 	case c.cannotFinish(now, j):
 		c.abandon(now, j)
 		return
@@ -295,6 +307,10 @@
 // cannotFinish reports whether a job can no longer be done before its deadline.
 func (c *Coordinator) cannotFinish(now time.Time, j *job) bool {
 	for _, t := range j.tasks {
+		if !j.stored && t.verdict == quarantine.Hold && t.state == taskIdle {
+			// The fate of a worker takes longer to learn than callers wait.
+			return true
+		}
 		step := j.spec.Steps[t.name.Step]
 		if t.state == taskOrphaned && t.orphanEndsAt.Add(step.Estimate+crossZoneDelay).After(j.deadline) {
 			// Only a claim of the orphaned run could still complete the job in time.
@@ -318,6 +334,7 @@
 // Tick offers idle tasks, recalls jobs that wait too long, and answers jobs that
 // are past their deadline or can no longer be done.
 func (c *Coordinator) Tick(now time.Time) {
+	c.resolveLosses(now)
 	for _, j := range c.jobsByArrival() {
 		switch {
 		case now.After(j.deadline):
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -44,6 +45,14 @@
 	lastEndedRun int
 	// orphanEndsAt is the time by which an orphaned run has certainly ended.
 	orphanEndsAt time.Time
+	// incarnation is the registration, when the current run started, of its worker.
+	incarnation fleet.Worker
+	// losses are the runs that were lost with their workers, verdict what follows
+	// from them, and exclusive whether the current offer asks for a worker without
+	// other runs.
+	losses    quarantine.History
+	verdict   quarantine.Verdict
+	exclusive bool
 	// skipUntil holds, for each host that returned the task, the time until which
 	// the task is not offered to it again.
 	skipUntil map[string]time.Time
@@ -96,7 +105,7 @@
 	if t.worker != "" {
 		t.avoidWorker = t.worker
 	}
-	t.worker, t.fence = "", 0
+	t.worker, t.fence, t.incarnation = "", 0, fleet.Worker{}
 }
 
 // addOfferedHost records that a host has, or had, tasks of the job.
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -38,7 +38,15 @@
 			j.remaining[name.Step]--
 		}
 	}
-	c.offerJob(now, j)
+	for _, t := range j.tasks {
+		for _, l := range stored.Lost[t.name] {
+			t.losses.Add(now, l)
+		}
+		if t.state != taskDone {
+			c.judge(j, t)
+		}
+	}
+	c.review(now, j)
 }
 
 // storedObjectiveFactor is the multiple of its objective that a stored job may
--- a/internal/decide/host/deadly_test.go
+++ b/internal/decide/host/deadly_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -109,3 +110,31 @@
 		}
 	}
 }
+
+// Under overlapping faults of every kind beside tasks that crash their workers,
+// no such task is started again and again, and no other job is shown as failed.
+func TestDeadlyHistories(t *testing.T) {
+	for seed := range uint64(*histories) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			w := newWorld(seed, 2, 2, 8)
+			w.run(2 * time.Second)
+			w.lossRate, w.lateRate = 0.02, 0.02
+			w.loadStored(10, w.now.Add(10*time.Second))
+			w.loadDeadly(700*time.Millisecond, w.now.Add(10*time.Second))
+			w.load(10, 10*time.Second)
+			for range 8 {
+				w.scheduleFault(time.Duration(w.rng.Int64N(int64(9 * time.Second))))
+			}
+			w.run(10 * time.Second)
+			w.lossRate, w.lateRate = 0, 0
+			w.run(30 * time.Second)
+			require.Empty(t, w.problems)
+			require.NotEmpty(t, w.log.accepted)
+			for _, h := range w.hosts {
+				w.checkFailedJobs(h)
+				assert.Empty(t, w.openJobs(h), "%s", h.name)
+			}
+			require.Empty(t, w.problems)
+		})
+	}
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -156,9 +156,9 @@
 const maxReportAge = 20 * time.Millisecond
 
 // UpdateWorker adds a worker or updates its entry.
-func (c *Core) UpdateWorker(w fleet.Worker) {
+func (c *Core) UpdateWorker(now time.Time, w fleet.Worker) {
 	c.Ownership.UpdateWorker(w)
-	c.Coordinator.UpdateWorker(w)
+	c.Coordinator.UpdateWorker(now, w)
 }
 
 // RemoveWorker removes a worker whose entry was deleted.
@@ -336,6 +336,8 @@
 		c.send(now, a.Host, JobStarted{Job: a.Job})
 	case coordinator.Claim:
 		c.send(now, a.Host, a.Claim)
+	case coordinator.RecordLoss:
+		c.emit(Append{Entries: []ledger.Entry{ledger.RunLost(a)}})
 	case coordinator.Answer:
 		if a.Stored && a.Failed {
 			c.Ledger.Fail(a.Job)
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -148,7 +148,7 @@
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
 	})
 	for _, sw := range w.workers {
-		h.core.UpdateWorker(sw.info)
+		h.core.UpdateWorker(w.now, sw.info)
 	}
 	w.readLog(h)
 	w.join(h)
@@ -318,7 +318,7 @@
 func (w *world) announce(info fleet.Worker) {
 	for _, h := range w.hosts {
 		if h.up {
-			w.on(h, func() { h.core.UpdateWorker(info) })()
+			w.on(h, func() { h.core.UpdateWorker(w.now, info) })()
 		}
 	}
 }
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -5,11 +5,15 @@
 // append.
 //
 // The log holds everything that must survive the failure of a host: that a job
-// was accepted or cancelled, which of its runs ended, and that it was closed.
+// was accepted or cancelled, which of its runs ended or were lost with their
+// worker, and that it was closed.
 // It does not hold which runs are in progress; the workers report those.
 package ledger
 
-import "github.com/parsleyhill/parsleyhill/internal/fleet"
+import (
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
 
 // Entry is one record of the log.
 type Entry interface{ entry() }
@@ -29,6 +33,13 @@
 	Reason fleet.EndReason
 }
 
+// RunLost records that a run was lost with its worker. A later entry for the same
+// run replaces it.
+type RunLost struct {
+	Task fleet.TaskName
+	Loss quarantine.Loss
+}
+
 // Cancelled records that a caller cancelled a job.
 type Cancelled struct{ Job string }
 
@@ -38,8 +49,9 @@
 	Job   string
 	Queue string
 	State State
-	// Runs are the runs whose ends are in the log and are dropped from it.
-	Runs []fleet.RunID
+	// Runs are the runs whose ends are in the log and are dropped from it, and
+	// LostRuns those whose losses are.
+	Runs, LostRuns []fleet.RunID
 }
 
 // Forgotten removes a closed job from the log.
@@ -54,6 +66,7 @@
 
 func (Accepted) entry()  {}
 func (RunEnded) entry()  {}
+func (RunLost) entry()   {}
 func (Cancelled) entry() {}
 func (Closed) entry()    {}
 func (Forgotten) entry() {}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -45,6 +47,8 @@
 	Done []fleet.TaskName
 	// FailedRuns is the number of failed runs by task.
 	FailedRuns map[fleet.TaskName]int
+	// Lost are the runs that were lost with their workers, by task.
+	Lost map[fleet.TaskName][]quarantine.Loss
 	// FirstRun is higher than the number of any run of a previous driver.
 	FirstRun int
 }
@@ -93,7 +97,9 @@
 	doneTasks  map[fleet.TaskName]bool
 	failedRuns map[fleet.TaskName]map[int]bool
 	endedRuns  []fleet.RunID
-	remaining  int
+	// losses are the runs that were lost with their workers.
+	losses    map[fleet.RunID]quarantine.Loss
+	remaining int
 	// takeovers is the shard's takeover count when the job was accepted.
 	takeovers int
 	driven    bool
@@ -214,6 +220,10 @@
 			l.accept(now, e)
 		case RunEnded:
 			l.runEnded(now, e)
+		case RunLost:
+			if j := l.jobs[e.Task.Job]; j != nil && !j.state.Ended() {
+				j.losses[fleet.RunID{Task: e.Task, Run: e.Loss.Run}] = e.Loss
+			}
 		case Cancelled:
 			l.cancel(now, e.Job)
 		case Closed:
@@ -247,6 +257,7 @@
 	j := &job{
 		spec: e.Job, route: e.Route, state: Pending, takeovers: e.Takeovers, acceptSeq: l.seq,
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
+		losses: map[fleet.RunID]quarantine.Loss{},
 	}
 	for _, step := range e.Job.Steps {
 		j.remaining += step.Count
@@ -316,7 +327,7 @@
 		l.stopDriving(j, "closed as "+string(e.State))
 		l.endJob(now, j, e.State, driven)
 	}
-	j.closing, j.endedRuns = true, nil
+	j.closing, j.endedRuns, j.losses = true, nil, nil
 	delete(l.unclosed, e.Job)
 }
 
@@ -350,7 +361,12 @@
 }
 
 func (j *job) closedEntry(state State) Closed {
-	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns}
+	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns()}
+}
+
+// lostRuns returns the runs that were lost with their workers, in order.
+func (j *job) lostRuns() []fleet.RunID {
+	return slices.SortedFunc(maps.Keys(j.losses), fleet.RunID.Compare)
 }
 
 // openJobs returns the jobs of a shard that have not ended, in the order of
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -131,6 +132,12 @@
 			d.FailedRuns[task] = len(runs)
 		}
 	}
+	for _, run := range j.lostRuns() {
+		if d.Lost == nil {
+			d.Lost = map[fleet.TaskName][]quarantine.Loss{}
+		}
+		d.Lost[run.Task] = append(d.Lost[run.Task], j.losses[run])
+	}
 	l.emit(d)
 }
 
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -41,6 +42,9 @@
 	Avoid string
 	// JobStarted is set if another task of the job has started.
 	JobStarted bool
+	// Exclusive requires a worker without other runs, for as long as the task
+	// runs: the task may crash its worker.
+	Exclusive bool
 	// NextRun is the number of the next run.
 	NextRun int
 	// FailedRuns counts the runs that failed.
@@ -96,6 +100,8 @@
 	Fence int64
 	// Why is a short reason for logs.
 	Why string
+	// Loss is set if the run was lost with its worker.
+	Loss *quarantine.Loss
 	// MaxRemaining is the longest time that an orphaned run may still be at the
 	// worker; it is zero with other results.
 	MaxRemaining time.Duration
@@ -138,6 +144,9 @@
 	// FreeingRate is the capacity that the ends of running tasks free, in
 	// thousandths of a core per second.
 	FreeingRate int64
+	// Exclusive is the number of exclusive tasks that wait or run at the host, or
+	// whose worker has not returned after a crash.
+	Exclusive int
 	// Leaving is set while the host prepares to stop.
 	Leaving bool
 }
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -33,7 +34,7 @@
 	if !ok || !w.finishPoll(number) {
 		return
 	}
-	w.missedPolls = 0
+	w.missedPolls, w.lostExclusive = 0, false
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, l)
 	}
@@ -83,7 +84,7 @@
 	for _, e := range l.Ended {
 		present[e.RunID] = true
 	}
-	p.loseRuns(now, w, "worker restarted", func(r *run) bool { return !present[r.id] && r.state != runStarting })
+	p.loseRuns(now, w, "worker restarted", quarantine.Crashed, func(r *run) bool { return !present[r.id] && r.state != runStarting })
 	w.resetEndNumbers(0)
 	p.emit(LogEvent{Message: "worker-restarted", Worker: w.info.ID, Why: "start time changed"})
 }
@@ -131,7 +132,7 @@
 	r := w.runs[id]
 	w.removeRun(r)
 	task := c.Task
-	r.task, r.size, r.claimed = &task, task.Size, true
+	r.task, r.size, r.claimed, r.exclusive = &task, task.Size, true, task.Exclusive
 	w.addRun(r)
 }
 
@@ -297,7 +298,7 @@
 	if !ok {
 		return
 	}
-	p.loseRuns(now, w, "worker replaced", anyRun)
+	p.loseRuns(now, w, "worker replaced", quarantine.Crashed, anyRun)
 	p.removeWorker(w, "another worker answers at its address")
 }
 
@@ -412,7 +413,7 @@
 		}
 	}
 	if w.missedPolls > 0 && len(w.runs) > 0 && now.After(w.leaseExpiry()) {
-		p.loseRuns(now, w, "lease expired", anyRun)
+		p.loseRuns(now, w, "lease expired", quarantine.Unknown, anyRun)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop) {
--- a/internal/decide/workerpool/loss.go
+++ b/internal/decide/workerpool/loss.go
@@ -3,9 +3,16 @@
 import (
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
+// bystanderMargin is how much longer than the youngest run on its worker a run
+// must have been there to count as a bystander of the worker's crash. Runs that
+// start together may each be the cause.
+const bystanderMargin = 50 * time.Millisecond
+
 // RunsLost reports, for the process log, the runs that were lost together with
 // their worker.
 type RunsLost struct {
@@ -31,14 +38,36 @@
 func anyRun(*run) bool { return true }
 
 // loseRuns removes the matching runs of a worker that can no longer report their
-// ends, and returns their tasks.
-func (p *Pool) loseRuns(now time.Time, w *worker, why string, match func(*run) bool) {
+// ends, and returns their tasks together with what is known of the loss.
+func (p *Pool) loseRuns(now time.Time, w *worker, why string, fate quarantine.Fate, match func(*run) bool) {
+	if w.info.Draining {
+		// The worker had announced that its runs would end.
+		fate = quarantine.Survived
+	}
+	runs := w.sortedRuns()
+	var youngest time.Time
+	for _, r := range runs {
+		if r.orderedAt.After(youngest) {
+			youngest = r.orderedAt
+		}
+	}
 	lost := RunsLost{Worker: w.info, Why: why, LastFailure: w.lastFailure, SilentFor: now.Sub(w.lastContact)}
-	for _, r := range w.sortedRuns() {
-		if match(r) {
-			lost.Runs = append(lost.Runs, LostRun{RunID: r.id, Age: w.lastContact.Sub(r.orderedAt)})
-			p.endWithoutResult(w, r, why)
+	for _, r := range runs {
+		if !match(r) {
+			continue
+		}
+		lost.Runs = append(lost.Runs, LostRun{RunID: r.id, Age: w.lastContact.Sub(r.orderedAt)})
+		w.lostExclusive = w.lostExclusive || r.exclusive
+		w.removeRun(r)
+		if r.task == nil {
+			continue
+		}
+		o := w.outcome(*r.task, r.id.Run, offer.Returned, why)
+		o.Loss = &quarantine.Loss{
+			Run: r.id.Run, Worker: w.info.ID, Address: w.info.Address, StartTime: w.startTime, Fate: fate,
+			Alone: !r.shared, Bystander: !r.claimed && youngest.Sub(r.orderedAt) >= bystanderMargin,
 		}
+		p.emit(SendOutcome{o})
 	}
 	if len(lost.Runs) > 0 {
 		p.emit(lost)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -152,6 +152,9 @@
 	// lastPoll is the number of the last poll that was sent.
 	lastPoll int64
 	paces    fleetPace
+	// reserved is the worker that starts no other tasks until an exclusive task
+	// can start on it, or nil.
+	reserved *worker
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
 }
@@ -174,10 +177,14 @@
 
 // sendOutcome reports the outcome of a task that has, or may have, run.
 func (p *Pool) sendOutcome(t offer.Task, w *worker, run int, result offer.Result, why string) {
-	p.emit(SendOutcome{offer.Outcome{
+	p.emit(SendOutcome{w.outcome(t, run, result, why)})
+}
+
+func (w *worker) outcome(t offer.Task, run int, result offer.Result, why string) offer.Outcome {
+	return offer.Outcome{
 		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: result, MayHaveRun: true,
 		Worker: w.info.ID, Fence: w.fence, Why: why,
-	}})
+	}
 }
 
 // returnTask returns a task of which no run has started here.
@@ -244,6 +251,9 @@
 func (p *Pool) removeWorker(w *worker, why string) {
 	delete(p.workers, w.info.ID)
 	p.order = slices.DeleteFunc(p.order, func(o *worker) bool { return o == w })
+	if p.reserved == w {
+		p.reserved = nil
+	}
 	p.emit(Released{Worker: w.info.ID, Why: why})
 }
 
@@ -310,7 +320,7 @@
 // workers. It reduces the free capacities in others accordingly.
 func (p *Pool) HandOff(now time.Time, others []offer.WorkerCapacity) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool {
-		if now.Sub(q.offeredAt) < handOffAfter {
+		if now.Sub(q.offeredAt) < handOffAfter || q.Exclusive {
 			return false
 		}
 		for i := range others {
@@ -349,8 +359,9 @@
 // Report returns the free capacity and the queued work of this host.
 func (p *Pool) Report(now time.Time) offer.CapacityReport {
 	r := offer.CapacityReport{QueuedWork: map[int]int64{}}
+	r.Exclusive = p.exclusiveTasks()
 	for _, w := range p.order {
-		if !w.usable(now) {
+		if !w.usable(now) || w == p.reserved || w.hasExclusiveRun() {
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -11,9 +11,11 @@
 // schedule starts the waiting tasks that fit into free capacity.
 func (p *Pool) schedule(now time.Time) {
 	if len(p.queue) == 0 {
+		p.reserved = nil
 		return
 	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedTask) int { return compareQueued(now, a, b) })
+	p.reserveWorker(now)
 	rest := make([]*queuedTask, 0, len(p.queue))
 	for _, q := range p.queue {
 		if w := p.pickWorker(now, q); w != nil {
@@ -71,7 +73,7 @@
 func (p *Pool) pickWorker(now time.Time, q *queuedTask) *worker {
 	var best *worker
 	for _, w := range p.order {
-		if !w.canStart(now, &q.Task) {
+		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) {
 			continue
 		}
 		if best == nil || p.isBetter(q, w, best) {
@@ -86,7 +88,7 @@
 	switch {
 	case w.info.Service != t.Service || !w.usable(now) || !t.Size.Fits(w.free()):
 		return false
-	case w.health.trial && len(w.runs) > 0:
+	case (w.health.trial || t.Exclusive) && len(w.runs) > 0 || w.hasExclusiveRun():
 		return false
 	case !w.info.HasLabel(t.RequiredLabel):
 		return false
@@ -124,6 +126,10 @@
 		task: &task, orderedAt: now, answeredAtPoll: p.lastPoll,
 	}
 	task.NextRun++
+	r.exclusive = task.Exclusive
+	if w == p.reserved {
+		p.reserved = nil
+	}
 	w.addRun(r)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -43,6 +43,9 @@
 	// claimed is set if a former owner started the run, so that its start time is
 	// unknown.
 	claimed bool
+	// exclusive is set if no other run may start on the worker beside it, and
+	// shared once another run has been on the worker with it.
+	exclusive, shared bool
 }
 
 // worker is one worker that this host owns.
@@ -91,7 +94,10 @@
 	// is how the last one ended.
 	missedPolls int
 	lastFailure fleet.CallFailure
-	nextPoll    time.Time
+	// lostExclusive is set from the loss of an exclusive run until the worker
+	// answers again.
+	lostExclusive bool
+	nextPoll      time.Time
 
 	health health
 }
@@ -154,6 +160,9 @@
 
 // addRun adds a run and the capacity that it occupies.
 func (w *worker) addRun(r *run) {
+	for _, other := range w.runs {
+		other.shared, r.shared = true, true
+	}
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 }
