See the end of a worker's process on its connections

What callers saw: jobs with a task that shared a worker with a crashing one waited 1.1 s, until the lease was over, and missed their objective; suspects ran beside others once more before they were found out, at three workers a task.

Cause: a crash, a cut and a frozen worker all counted as silence, though a process that ends closes its connections in order and then refuses new ones, while cuts reset or drop.

The owner then returns the runs at once, as lost by a crash; starts without an answer are left to the lease, as after a restart. A closed poll is followed by another at once. Refusals alone, resets, silence and closes of idle connections stay as they were (tests).

TestRunsOfEndedProcessAreReturnedAtOnce fails without the change to the pool's events.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -135,7 +135,7 @@
 		if ctx.Err() == nil || a.Wait == 0 {
 			d.logger.Debug("worker poll failed", "worker", id, "error", err)
 		}
-		failure := platform.FailureOf(err)
+		failure := d.workers.Failure(a.Worker, err)
 		d.post(func(now time.Time) { d.core.Pool.PollFailed(now, id, a.Number, failure) })
 	case result == platform.PollFenced:
 		d.post(func(now time.Time) { d.core.Pool.Fenced(now, id, a.Number, a.Fence) })
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -436,7 +436,7 @@
 	}
 	w.after(w.delay(), func() {
 		if sw.down || !w.linked(h.name, sw.info.Address) {
-			failed(fleet.CallRefused)
+			failed(fleet.CallProcessEnded)
 			return
 		}
 		if sw.info.ID != id {
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -260,7 +260,16 @@
 	if number == w.longPoll {
 		sent = w.longPollAt
 	}
-	if !w.finishPoll(number) || w.lastContact.After(sent) {
+	if !w.finishPoll(number) {
+		return
+	}
+	switch {
+	case failure == fleet.CallProcessEnded:
+		p.processEnded(now, w)
+	case failure == fleet.CallClosed && w.shortPoll == 0:
+		p.poll(now, w, 0)
+	}
+	if w.lastContact.After(sent) {
 		// The worker has answered other calls since this poll was sent.
 		return
 	}
--- a/internal/decide/workerpool/loss.go
+++ b/internal/decide/workerpool/loss.go
@@ -37,6 +37,13 @@
 
 func anyRun(*run) bool { return true }
 
+// processEnded handles the end of a worker's process: the runs are over, without
+// waiting for their leases, except those whose start has not been answered. They
+// may have reached the worker's next incarnation.
+func (p *Pool) processEnded(now time.Time, w *worker) {
+	p.loseRuns(now, w, "process ended", quarantine.Crashed, func(r *run) bool { return r.state != runStarting })
+}
+
 // loseRuns removes the matching runs of a worker that can no longer report their
 // ends, and returns their tasks together with what is known of the loss.
 func (p *Pool) loseRuns(now time.Time, w *worker, why string, fate quarantine.Fate, match func(*run) bool) {
--- /dev/null
+++ b/internal/decide/workerpool/loss_test.go
@@ -0,0 +1,113 @@
+package workerpool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// crashTime is when the polls of the tests below begin to fail.
+var crashTime = epoch.Add(100 * time.Millisecond)
+
+// runningPool returns a pool whose worker runs two tasks, the second of them
+// started later than the first.
+func runningPool(t *testing.T, later time.Duration) *Pool {
+	t.Helper()
+	p := newAdoptedPool(t, 32, idleResponse())
+	for i, at := range []time.Time{epoch, epoch.Add(later)} {
+		p.Offer(at, testTask(i+1, 0, 14, at))
+		start := actionsOf[Start](p.PopActions(at))[0]
+		p.StartAnswered(at, "w", start.Run, 7, fleet.StartAccepted, time.Minute+at.Sub(epoch))
+	}
+	p.Tick(epoch.Add(later))
+	return p
+}
+
+// testTick is longer than the pause after a failed poll.
+const testTick = 60 * time.Millisecond
+
+// lossesOf returns the losses that were reported since the last call.
+func lossesOf(p *Pool, now time.Time) []quarantine.Loss {
+	var losses []quarantine.Loss
+	for _, o := range actionsOf[SendOutcome](p.PopActions(now)) {
+		if o.Outcome.Loss != nil {
+			losses = append(losses, *o.Outcome.Loss)
+		}
+	}
+	return losses
+}
+
+// pendingPolls returns the numbers of the polls sent since the last call.
+func pendingPolls(p *Pool, now time.Time) []int64 {
+	var numbers []int64
+	for _, poll := range actionsOf[Poll](p.PopActions(now)) {
+		numbers = append(numbers, poll.Number)
+	}
+	return numbers
+}
+
+// Guards against sound tasks that wait for the end of a lease, 1.1 s, after their
+// worker's process has visibly ended.
+func TestRunsOfEndedProcessAreReturnedAtOnce(t *testing.T) {
+	p := runningPool(t, 90*time.Millisecond)
+	for _, number := range pendingPolls(p, crashTime) {
+		p.PollFailed(crashTime, "w", number, fleet.CallClosed)
+	}
+	checks := pendingPolls(p, crashTime)
+	require.Len(t, checks, 1, "a closed connection is followed by a poll at once")
+	p.PollFailed(crashTime, "w", checks[0], fleet.CallProcessEnded)
+	losses := lossesOf(p, crashTime)
+	require.Len(t, losses, 2)
+	for i, l := range losses {
+		assert.Equal(t, quarantine.Crashed, l.Fate)
+		assert.False(t, l.Alone)
+		assert.Equal(t, i == 0, l.Bystander, "the run that started last is the suspect")
+	}
+	assert.True(t, p.Idle())
+}
+
+// A cut may refuse or reset connections too; the runs go on until their leases
+// end.
+func TestCutThatResetsIsNoCrash(t *testing.T) {
+	for name, failures := range map[string][]fleet.CallFailure{
+		"refused":              {fleet.CallRefused, fleet.CallRefused},
+		"reset, then refused":  {fleet.CallReset, fleet.CallRefused},
+		"closed, then silence": {fleet.CallClosed, fleet.CallTimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := runningPool(t, 0)
+			now := crashTime
+			for _, failure := range failures {
+				for _, number := range pendingPolls(p, now) {
+					p.PollFailed(now, "w", number, failure)
+				}
+				now = now.Add(testTick)
+				p.Tick(now)
+			}
+			assert.Empty(t, lossesOf(p, now))
+			now = epoch.Add(2 * testLease)
+			p.Tick(now)
+			losses := lossesOf(p, now)
+			require.Len(t, losses, 2)
+			assert.Equal(t, quarantine.Unknown, losses[0].Fate)
+			assert.False(t, losses[0].Bystander)
+		})
+	}
+}
+
+// The end of a leaving worker's process is not a crash under its runs.
+func TestEndOfDrainingWorkerIsNoCrash(t *testing.T) {
+	p := runningPool(t, 0)
+	draining := testWorker("w", 32)
+	draining.Draining = true
+	p.Update(draining)
+	p.WorkerReplaced(crashTime, "w")
+	losses := lossesOf(p, crashTime)
+	require.Len(t, losses, 2)
+	assert.Equal(t, quarantine.Survived, losses[0].Fate)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -296,11 +296,16 @@
 	// CallRefused means that no connection could be opened because nothing
 	// listens at the address, or because the network refuses it.
 	CallRefused
+	// CallProcessEnded means that the worker's side had closed a connection in use
+	// and that nothing listens at the address any more: the worker's process has
+	// ended. A fault of the network may refuse or reset connections, but does not
+	// close them in order.
+	CallProcessEnded
 )
 
 // String returns the failure as it appears in logs.
 func (f CallFailure) String() string {
-	names := [...]string{"no answer", "connection closed", "connection reset", "connection refused"}
+	names := [...]string{"no answer", "connection closed", "connection reset", "connection refused", "process ended"}
 	if f >= 0 && int(f) < len(names) {
 		return names[f]
 	}
