Do not run a suspect of a best-effort job again

Cause: a best-effort job whose worker had crashed under its youngest run got a second, exclusive run within its deadline; in four of five cases it crashed one more worker, which was then away for 3 s, the room of some thirty other jobs. Class: retries that cost more than they save.

Change: such a job is answered at once, as lost with its worker; its other tasks are stopped. Older runs of a crashed worker, and those of a silent one, run again as before.

--- /dev/null
+++ b/internal/daemon/dispatch/convert_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+var (
+	lostTask = fleet.TaskName{Job: "00000000000000a1", Step: 1, Index: 2}
+	testLoss = quarantine.Loss{
+		Run: 3, Worker: "w", Address: "10.0.0.1:1", StartTime: 5, Alone: true, Bystander: true, Fate: quarantine.Crashed,
+	}
+)
+
+// What a host must know to keep a deadly task from its workers reaches other
+// hosts, and the next driver, unchanged.
+func TestLossesAreSentBetweenHosts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	outcome := offer.Outcome{Host: "h", Task: lostTask, Run: 3, Result: offer.Returned, MayHaveRun: true, Worker: "w", Loss: &testLoss}
+	task := offer.Task{Name: lostTask, Exclusive: true, NextRun: 4, StartBy: now, Deadline: now}
+	f := &dispatchv1.Frame{}
+	addMessage(f, now, outcome)
+	addMessage(f, now, host.Offers{Tasks: []offer.Task{task}})
+	assert.Equal(t, []host.Message{host.Offers{Tasks: []offer.Task{task}}, outcome}, messagesFromProto(now, "h", f))
+
+	report := capacityReportFromProto(capacityReportToProto(offer.CapacityReport{Exclusive: 2}))
+	assert.Equal(t, 2, report.Exclusive)
+}
+
+func TestLossesAreRecordedAndDropped(t *testing.T) {
+	lost := ledger.RunLost{Task: lostTask, Loss: testLoss}
+	records, err := encodeEntry(lost)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	entry, err := decodeRecord(records[0])
+	require.NoError(t, err)
+	assert.Equal(t, lost, entry)
+
+	closed, err := encodeEntry(ledger.Closed{Job: lostTask.Job, State: ledger.Failed, LostRuns: []fleet.RunID{{Task: lostTask, Run: 3}}})
+	require.NoError(t, err)
+	dropped := closed[len(closed)-1]
+	assert.Equal(t, records[0].Key, dropped.Key)
+	assert.Nil(t, dropped.Value)
+}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -307,8 +307,9 @@
 // cannotFinish reports whether a job can no longer be done before its deadline.
 func (c *Coordinator) cannotFinish(now time.Time, j *job) bool {
 	for _, t := range j.tasks {
-		if !j.stored && t.verdict == quarantine.Hold && t.state == taskIdle {
-			// The fate of a worker takes longer to learn than callers wait.
+		if !j.stored && t.state == taskIdle && t.verdict != quarantine.Unrestricted {
+			// The fate of a worker takes longer to learn than callers wait, and one
+			// more crash costs more jobs than a second run of a suspect saves.
 			return true
 		}
 		step := j.spec.Steps[t.name.Step]
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -165,3 +166,28 @@
 	assert.Len(t, actionsOf[Release](actions), 1)
 	assert.Equal(t, []JobEnded{{Job: other, Queue: "r", State: StateCancelled, Driven: true}}, actionsOf[JobEnded](actions))
 }
+
+// A run that was lost with its worker is handed to the next driver, and is
+// dropped from the log with the job.
+func TestLossesSurviveTheDriver(t *testing.T) {
+	crash := quarantine.Loss{Run: 1, Worker: "w", Address: "x", StartTime: 5, Fate: quarantine.Crashed}
+	unknown := crash
+	unknown.Fate = quarantine.Unknown
+	task := fleet.TaskName{Job: testJob}
+	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+	l.Apply(testEpoch, []Entry{
+		acceptedTwoSteps(testJob), RunLost{Task: task, Loss: unknown}, RunLost{Task: task, Loss: crash},
+		RunLost{Task: fleet.TaskName{Job: "unknown"}, Loss: crash},
+	})
+	l.Assigned(testEpoch, testEpoch, []int{0})
+	l.LogRead(testEpoch.Add(time.Millisecond))
+	l.Apply(testEpoch, actionsOf[AppendEntries](l.PopActions())[0].Entries)
+	drives := actionsOf[Drive](l.PopActions())
+	require.Len(t, drives, 1)
+	assert.Equal(t, map[fleet.TaskName][]quarantine.Loss{task: {crash}}, drives[0].Lost, "the later entry of a run counts")
+
+	l.Fail(testJob)
+	writes := actionsOf[AppendEntries](l.PopActions())
+	require.Len(t, writes, 1)
+	assert.Equal(t, []fleet.RunID{{Task: task, Run: 1}}, writes[0].Entries[0].(Closed).LostRuns)
+}
