Ignore a worker's former entries

What callers could see: tasks slowed on a worker that was started over its capacity, or ended with one that is leaving.

Cause: every entry read replaced the last one. After the store has dropped its history a read may return the state of some seconds ago: a capacity that has shrunk since, or 'ready' for a worker that drains, came back into force for that long.

Change: entries carry their number within the incarnation; one that is older than the one in use has no effect.

--- a/internal/decide/coordinator/losses.go
+++ b/internal/decide/coordinator/losses.go
@@ -64,7 +64,7 @@
 // addOrphanLoss records that nobody has found a run of an orphaned task. Its
 // worker may have crashed together with the loss of the owner.
 func (c *Coordinator) addOrphanLoss(now time.Time, j *job, t *task) {
-	if w := t.incarnation; w.ID != "" && w.StartTime != 0 && !w.Draining {
+	if w := t.incarnation; w.ID != "" && !w.Draining {
 		c.addLoss(now, j, t, quarantine.Loss{Run: t.lastRun, Worker: w.ID, Address: w.Address, StartTime: w.StartTime, Orphaned: true})
 	}
 }
--- a/internal/decide/host/deadly_test.go
+++ b/internal/decide/host/deadly_test.go
@@ -112,7 +112,8 @@
 }
 
 // Under overlapping faults of every kind beside tasks that crash their workers,
-// no such task is started again and again, and no other job is shown as failed.
+// and capacities that shrink and grow, no such task is started again and again, no
+// other job is shown as failed, and no start exceeds a capacity.
 func TestDeadlyHistories(t *testing.T) {
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
@@ -122,6 +123,7 @@
 			w.loadStored(10, w.now.Add(10*time.Second))
 			w.loadDeadly(700*time.Millisecond, w.now.Add(10*time.Second))
 			w.load(10, 10*time.Second)
+			w.changeCapacities(w.now.Add(10 * time.Second))
 			for range 8 {
 				w.scheduleFault(time.Duration(w.rng.Int64N(int64(9 * time.Second))))
 			}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -155,8 +155,13 @@
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
 
-// UpdateWorker adds a worker or updates its entry.
+// UpdateWorker adds a worker or updates its entry. An entry that is older than
+// the one in use has no effect: a read of the store may return former entries,
+// with a larger capacity or without the announcement that the worker leaves.
 func (c *Core) UpdateWorker(now time.Time, w fleet.Worker) {
+	if c.Ownership.IsOutdated(w) {
+		return
+	}
 	c.Ownership.UpdateWorker(w)
 	c.Coordinator.UpdateWorker(now, w)
 }
--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -36,6 +36,9 @@
 	lapsedAt time.Duration
 	seq      int64
 	down     bool
+	// former is the capacity before the worker's last change of it, at changedAt.
+	former    fleet.Size
+	changedAt time.Time
 	// silent is set if the crash does not show on the worker's connections.
 	silent bool
 	// crashes counts the crashes after which the worker took a new ID.
--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -150,6 +150,12 @@
 	t.reconcile(w, "assigned to another host")
 }
 
+// IsOutdated reports whether a newer registration of the worker is known.
+func (t *Tracker) IsOutdated(w fleet.Worker) bool {
+	known, ok := t.workers[w.ID]
+	return ok && w.OlderThan(known)
+}
+
 // RemoveWorker records the removal of a worker's registration and releases the
 // worker.
 func (t *Tracker) RemoveWorker(id string) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,8 +57,16 @@
 	Draining bool
 	// StartTime is when the worker's process started, in Unix milliseconds. It
 	// tells the incarnations of a worker apart: a worker may restart under the
-	// same ID.
+	// same ID. It is zero if the worker did not register one.
 	StartTime int64
+	// Heartbeat numbers the registrations of one incarnation.
+	Heartbeat int64
+}
+
+// OlderThan reports whether the registration precedes another one of the same
+// worker.
+func (w Worker) OlderThan(o Worker) bool {
+	return w.StartTime < o.StartTime || w.StartTime == o.StartTime && w.Heartbeat < o.Heartbeat
 }
 
 // maxClockDriftPercent bounds how much slower than the local clock a worker's
