Wait for the registration of a restarted worker

What callers could see: tasks slowed on a worker that was started over its capacity.

Cause: a poll shows a worker's restart at once, its new registration arrives up to two seconds later. Between the two, tasks started by the capacity of the former incarnation, though a worker may return as one of another kind.

Change: a worker starts nothing until the registration is that of the incarnation that answers.

--- a/internal/decide/workerpool/exclusive_test.go
+++ b/internal/decide/workerpool/exclusive_test.go
@@ -40,11 +40,12 @@
 	return started
 }
 
-// endRuns ends the given runs, which are on the given workers.
-func endRuns(p *Pool, now time.Time, runs map[fleet.RunID]string) {
+// endRuns ends the given runs, which are on the given workers, while others go
+// on.
+func endRuns(p *Pool, now time.Time, runs map[fleet.RunID]string, others ...fleet.RunID) {
 	p.Tick(now)
 	for _, poll := range actionsOf[Poll](p.PopActions(now)) {
-		response := fleet.PollResponse{Clock: time.Minute + now.Sub(epoch), StartTime: 1}
+		response := fleet.PollResponse{Clock: time.Minute + now.Sub(epoch), StartTime: 1, Running: runningList(others...)}
 		for run, worker := range runs {
 			if worker == poll.Worker.ID {
 				response.Ended = append(response.Ended, fleet.RunEnd{Seq: int64(len(response.Ended) + 1), RunID: run, Reason: fleet.EndedDone})
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -139,9 +139,15 @@
 // free returns the free capacity.
 func (w *worker) free() fleet.Size { return w.info.Capacity.Sub(w.used) }
 
+// registered reports whether the registration is that of the incarnation that
+// answers. A new incarnation may have another capacity.
+func (w *worker) registered() bool {
+	return w.startTime == 0 || w.info.StartTime == 0 || w.info.StartTime >= w.startTime
+}
+
 // usable reports whether the worker may start tasks now.
 func (w *worker) usable(now time.Time) bool {
-	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining &&
+	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
 		w.missedPolls == 0 && w.staleAckPoll == 0 && !w.health.onProbation(now) && !w.awaitsLeaseExpiry(now)
 }
 
