Let suspects use idle workers

What callers saw: accepted jobs whose tasks had shared a worker with a crashing one, or that crash it themselves, were neither run nor shown as failed for up to 30 s.

Change: a host risks more than one worker while over a third of its workers are idle; suspects are spread by the hosts' capacity.

--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -95,14 +95,15 @@
 }
 
 // chooseExclusiveHost returns the host to offer an exclusive task to, or nil if
-// there is none: the one with the fewest such tasks, then the nearest.
+// there is none: the one with the fewest such tasks for its capacity, then the
+// nearest.
 func (c *Coordinator) chooseExclusiveHost(now time.Time, t *task) *host {
 	var best *host
 	for _, h := range c.sortedHosts {
 		if !h.connected || h.report.Leaving || h.report.Capacity == 0 || now.Before(t.skipUntil[h.name]) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(h.exclusiveTasks(), best.exclusiveTasks()), cmp.Compare(c.reachTime(h), c.reachTime(best))) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(h.exclusiveLoad(best), best.exclusiveLoad(h)), cmp.Compare(c.reachTime(h), c.reachTime(best))) < 0 {
 			best = h
 		}
 	}
@@ -112,7 +113,11 @@
 	return best
 }
 
-func (h *host) exclusiveTasks() int { return h.report.Exclusive + h.offeredExclusive }
+// exclusiveLoad returns the host's exclusive tasks, with one more, by its capacity,
+// scaled for the comparison with another host.
+func (h *host) exclusiveLoad(o *host) int64 {
+	return int64(h.report.Exclusive+h.offeredExclusive+1) * int64(o.report.Capacity)
+}
 
 // better reports whether host h is preferred to best: by free capacity for the
 // task, then by the shorter wait, then by the most free CPU.
--- a/internal/decide/coordinator/losses_test.go
+++ b/internal/decide/coordinator/losses_test.go
@@ -147,3 +147,15 @@
 	require.Len(t, offers, 1)
 	assert.Equal(t, 1, offers[0].Tasks[0].Name.Index)
 }
+
+func TestExclusiveTasksAreSpreadByCapacity(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	large := reportOf("w-h2", 32)
+	large.Capacity = 3 * large.Capacity
+	c.UpdateHost(epoch, "h2", "z", large)
+	hosts := map[string]int{}
+	for range 4 {
+		hosts[c.chooseExclusiveHost(epoch, &task{}).name]++
+	}
+	assert.Equal(t, map[string]int{"h1": 1, "h2": 3}, hosts)
+}
--- a/internal/decide/workerpool/exclusive.go
+++ b/internal/decide/workerpool/exclusive.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// idleShare is the inverse of the share of its workers that must be idle for a host
+// to risk more than one of them on tasks that may crash them.
+const idleShare = 3
+
 // hasExclusiveRun reports whether a run on the worker must remain alone there.
 func (w *worker) hasExclusiveRun() bool {
 	for _, r := range w.runs {
@@ -30,8 +34,9 @@
 }
 
 // reserveWorker reserves a worker for the first waiting exclusive task. A host
-// risks one worker at a time on such tasks: it reserves none while one runs, or
-// while the worker of the last one has not answered since it was lost.
+// risks one worker at a time on such tasks, and more only while over a third of its
+// workers are idle: a worker that an exclusive task runs on, or that was lost under
+// one and has not answered since, is at risk.
 func (p *Pool) reserveWorker(now time.Time) {
 	var next *queuedTask
 	for _, q := range p.queue {
@@ -48,11 +53,18 @@
 		return
 	}
 	p.reserved = nil
+	atRisk, idle := 0, 0
 	for _, w := range p.order {
-		if w.lostExclusive || w.hasExclusiveRun() {
-			return
+		switch {
+		case w.lostExclusive || w.hasExclusiveRun():
+			atRisk++
+		case len(w.runs) == 0 && w.usable(now):
+			idle++
 		}
 	}
+	if atRisk > 0 && idle <= len(p.order)/idleShare {
+		return
+	}
 	var bestIdleAt time.Time
 	for _, w := range p.order {
 		if !w.mayHost(now, next) {
