Do not adopt a replaced worker again

Cause: the pool released the worker at whose address another one answered, but the next join found its entry and adopted it again.

Change: such a worker is adopted again only after it has registered anew. TestReplacedWorkerIsNotAdoptedAgain failed before.

--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -317,6 +317,8 @@
 	case workerpool.AnnounceInventory:
 		c.Coordinator.HandleInventory(now, c.cfg.Name, a.Inventory)
 		c.emit(Broadcast{Message: a.Inventory})
+	case workerpool.Replaced:
+		c.Ownership.Replaced(a.Worker)
 	case workerpool.Released:
 		c.Ownership.Released(a.Worker)
 		c.emit(LogEvent{Message: "worker dropped", Worker: a.Worker, Why: a.Why})
--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -74,8 +74,11 @@
 	memberships map[string]*membership
 	workers     map[string]fleet.Worker
 	// held contains the workers that this host owns or is taking over.
-	held    map[string]bool
-	actions []Action
+	held map[string]bool
+	// replaced holds the workers at whose address another worker has answered,
+	// with their last registration.
+	replaced map[string]fleet.Worker
+	actions  []Action
 }
 
 // New returns a Tracker for groups with the given number of partitions. The
@@ -84,7 +87,7 @@
 	return &Tracker{
 		partitions: partitions, nonce: nonce & (1<<nonceBits - 1),
 		memberships: map[string]*membership{}, workers: map[string]fleet.Worker{},
-		held: map[string]bool{},
+		held: map[string]bool{}, replaced: map[string]fleet.Worker{},
 	}
 }
 
@@ -141,6 +144,9 @@
 func (t *Tracker) UpdateWorker(w fleet.Worker) {
 	old, known := t.workers[w.ID]
 	t.workers[w.ID] = w
+	if t.replaced[w.ID].OlderThan(w) {
+		delete(t.replaced, w.ID)
+	}
 	if known && old.Zone != w.Zone {
 		t.release(w.ID, "worker moved to another zone")
 	}
@@ -160,6 +166,7 @@
 // worker.
 func (t *Tracker) RemoveWorker(id string) {
 	delete(t.workers, id)
+	delete(t.replaced, id)
 	t.release(id, "registration removed")
 }
 
@@ -173,6 +180,15 @@
 // WorkerCount returns the number of known workers.
 func (t *Tracker) WorkerCount() int { return len(t.workers) }
 
+// Replaced records that another worker has answered at a worker's address. The
+// worker is not adopted again until it registers anew: its last entry remains in the
+// store for some seconds.
+func (t *Tracker) Replaced(id string) {
+	if w, ok := t.workers[id]; ok {
+		t.replaced[id] = w
+	}
+}
+
 // Released records that the pool has released a worker. If the store still
 // assigns it to this host, the next join adopts it again.
 func (t *Tracker) Released(id string) {
@@ -207,6 +223,9 @@
 	ours := g != nil && g.owns(t.Partition(w.ID))
 	switch {
 	case ours && !t.held[w.ID]:
+		if _, gone := t.replaced[w.ID]; gone {
+			return
+		}
 		t.held[w.ID] = true
 		t.adopt(w, g)
 	case !ours:
--- a/internal/decide/ownership/ownership_test.go
+++ b/internal/decide/ownership/ownership_test.go
@@ -68,3 +68,27 @@
 	tracker.Joined("a", 3, []int{0})
 	assert.Len(t, fences(tracker.PopActions(), "w"), 1)
 }
+
+// Guards against a host that adopts and drops a worker with each join while the
+// store still lists it: it has crashed, and another one answers at its address.
+func TestReplacedWorkerIsNotAdoptedAgain(t *testing.T) {
+	tracker := New(1, 7)
+	entry := fleet.Worker{ID: "w", Zone: "a", StartTime: 5, Heartbeat: 3}
+	tracker.UpdateWorker(entry)
+	tracker.Joined("a", 3, []int{0})
+	require.Len(t, fences(tracker.PopActions(), "w"), 1)
+	tracker.Replaced("w")
+	tracker.Released("w")
+	tracker.Joined("a", 3, []int{0})
+	tracker.UpdateWorker(entry)
+	assert.Empty(t, fences(tracker.PopActions(), "w"))
+
+	entry.Heartbeat++
+	tracker.UpdateWorker(entry)
+	assert.Len(t, fences(tracker.PopActions(), "w"), 1, "the worker lives")
+
+	tracker.Replaced("w")
+	tracker.Released("w")
+	tracker.RemoveWorker("w")
+	assert.Empty(t, tracker.replaced)
+}
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -308,6 +308,7 @@
 		return
 	}
 	p.loseRuns(now, w, "worker replaced", quarantine.Crashed, anyRun)
+	p.emit(Replaced{Worker: id})
 	p.removeWorker(w, "another worker answers at its address")
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -119,6 +119,9 @@
 	Why    string
 }
 
+// Replaced reports that another worker answers at a worker's address.
+type Replaced struct{ Worker string }
+
 // LogEvent is a decision to be logged.
 type LogEvent struct {
 	Message string
@@ -132,6 +135,7 @@
 func (SendOutcome) action()       {}
 func (AnnounceInventory) action() {}
 func (Released) action()          {}
+func (Replaced) action()          {}
 func (LogEvent) action()          {}
 
 // queuedTask is an offered task that waits for free capacity.
