Take back the offer of a task whose end became known late

Cause: a host in the cut zone recorded the end of a run when the cut healed. The job's new driver had offered the task to another host by then, read the end in the log, and closed the job without a word to that host, because tasks that are done count as being at no host. The offer waited there for room and started over a second later.

Change: if a task is done by an earlier run than the one that a host has or will start, the driver withdraws that task there; an unsent offer is removed from the frame. The usual order, in which the log is quicker than the owner's report, costs no message.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -12,8 +12,8 @@
 	"github.com/parsleyhill/parsleyhill/platform"
 )
 
-// addMessage adds a message to a frame. A withdrawal also removes the job's
-// offers that are still in the frame, because the receiver handles withdrawals
+// addMessage adds a message to a frame. A withdrawal also removes the job's, or
+// the task's, offers that are still in the frame, because the receiver handles withdrawals
 // before offers.
 func addMessage(f *dispatchv1.Frame, now time.Time, m host.Message) {
 	switch m := m.(type) {
@@ -22,6 +22,9 @@
 	case host.Withdrawal:
 		f.Withdrawals = append(f.Withdrawals, m.Job)
 		f.Offers = slices.DeleteFunc(f.Offers, func(o *dispatchv1.Offer) bool { return o.GetJob() == m.Job })
+	case host.TaskWithdrawal:
+		f.TaskWithdrawals = append(f.TaskWithdrawals, runToProto(fleet.RunID{Task: m.Task}, 0))
+		removeOffer(f, m.Task)
 	case host.Recall:
 		f.Recalls = append(f.Recalls, m.Job)
 	case host.JobStarted:
@@ -37,6 +40,15 @@
 	}
 }
 
+// removeOffer removes the offers of a task that are still in a frame.
+func removeOffer(f *dispatchv1.Frame, name fleet.TaskName) {
+	for _, o := range f.GetOffers() {
+		if o.GetJob() == name.Job && int(o.GetStep()) == name.Step {
+			o.Tasks = slices.DeleteFunc(o.GetTasks(), func(t *dispatchv1.OfferedTask) bool { return int(t.GetIndex()) == name.Index })
+		}
+	}
+}
+
 // messagesFromProto returns the messages of a frame in the order in which they
 // must be handled: recalls after the offers that they refer to, withdrawals
 // before later offers of the same job.
@@ -48,6 +60,9 @@
 	for _, job := range f.GetWithdrawals() {
 		messages = append(messages, host.Withdrawal{Job: job})
 	}
+	for _, r := range f.GetTaskWithdrawals() {
+		messages = append(messages, host.TaskWithdrawal{Task: runFromProto(r).Task})
+	}
 	for _, o := range f.GetOffers() {
 		messages = append(messages, host.Offers{Tasks: tasksFromProto(now, o)})
 	}
--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -52,3 +52,19 @@
 	assert.Equal(t, records[0].Key, dropped.Key)
 	assert.Nil(t, dropped.Value)
 }
+
+// A task whose end became known late is taken back, also if its offer has not
+// been sent yet.
+func TestTaskWithdrawalIsSentAndRemovesItsOffer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	other := lostTask
+	other.Index++
+	f := &dispatchv1.Frame{}
+	addMessage(f, now, host.Offers{Tasks: []offer.Task{
+		{Name: lostTask, StartBy: now, Deadline: now}, {Name: other, StartBy: now, Deadline: now},
+	}})
+	addMessage(f, now, host.TaskWithdrawal{Task: lostTask})
+	assert.Equal(t, []host.Message{
+		host.TaskWithdrawal{Task: lostTask}, host.Offers{Tasks: []offer.Task{{Name: other, StartBy: now, Deadline: now}}},
+	}, messagesFromProto(now, "h", f))
+}
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -65,6 +65,13 @@
 	Job  string
 }
 
+// WithdrawTask notifies a host that one task is no longer needed, while others of
+// its job may be.
+type WithdrawTask struct {
+	Host string
+	Task fleet.TaskName
+}
+
 // Recall asks a host to return the tasks of a job that wait there.
 type Recall struct {
 	Host string
@@ -125,14 +132,15 @@
 	Why          string
 }
 
-func (Offer) action()      {}
-func (Withdraw) action()   {}
-func (Recall) action()     {}
-func (JobStarted) action() {}
-func (Claim) action()      {}
-func (RecordLoss) action() {}
-func (TaskJudged) action() {}
-func (Answer) action()     {}
+func (Offer) action()        {}
+func (Withdraw) action()     {}
+func (Recall) action()       {}
+func (WithdrawTask) action() {}
+func (JobStarted) action()   {}
+func (Claim) action()        {}
+func (RecordLoss) action()   {}
+func (TaskJudged) action()   {}
+func (Answer) action()       {}
 
 // host is the last known state of an owner of workers.
 type host struct {
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -138,7 +138,7 @@
 		t.incarnation, _, _ = c.workers.Worker(o.Worker)
 		c.markStarted(now, j, from)
 	case offer.Done:
-		c.taskDone(now, j, t)
+		c.taskDone(now, j, t, o.Run)
 	case offer.Failed:
 		c.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s",
 			o.Task, o.FailedRuns, o.Worker), 0)
@@ -194,7 +194,13 @@
 	c.offerJob(now, j)
 }
 
-func (c *Coordinator) taskDone(now time.Time, j *job, t *task) {
+// taskDone marks a task as done by a run. If the run is an earlier one, whose end
+// became known late, the host that has the task now must not run it.
+func (c *Coordinator) taskDone(now time.Time, j *job, t *task, run int) {
+	if current := t.currentRun(); run < current {
+		c.flushOffers(t.host)
+		c.emit(WithdrawTask{Host: t.host, Task: t.name})
+	}
 	t.state = taskDone
 	j.started, j.recalledAt = true, time.Time{}
 	step := t.name.Step
@@ -232,7 +238,7 @@
 			continue
 		}
 		if e.Reason == fleet.EndedDone {
-			c.taskDone(now, j, t)
+			c.taskDone(now, j, t, e.Run)
 			continue
 		}
 		if e.Reason == fleet.EndedFailed && t.worker == inv.Worker && !listed[e.Task] {
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -88,6 +88,18 @@
 	expectedWait time.Duration
 }
 
+// currentRun returns the number of the run that a host has, or will start, of the
+// task; zero if no host has the task.
+func (t *task) currentRun() int {
+	switch t.state {
+	case taskOffered:
+		return t.lastRun + 1
+	case taskStarted:
+		return t.lastRun
+	}
+	return 0
+}
+
 // atWorker reports whether a run of the task is, or may be, on a worker.
 func (t *task) atWorker() bool { return t.state == taskStarted || t.state == taskOrphaned }
 
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// TaskRecorded marks a task as done that the log records as done.
-func (c *Coordinator) TaskRecorded(now time.Time, name fleet.TaskName) {
-	if j, t := c.find(name); t != nil && t.state != taskDone {
-		c.taskDone(now, j, t)
+// TaskRecorded marks a task as done that the log records as done by a run.
+func (c *Coordinator) TaskRecorded(now time.Time, run fleet.RunID) {
+	if j, t := c.find(run.Task); t != nil && t.state != taskDone {
+		c.taskDone(now, j, t, run.Run)
 	}
 }
 
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -38,8 +38,9 @@
 // that was not done (TaskNotDone), or of a decision (LogEvent).
 type Action any
 
-// Message is a message from one host to another: Offers, Withdrawal, Recall,
-// JobStarted, LogAppended, offer.Claim, offer.Outcome or offer.Inventory.
+// Message is a message from one host to another: Offers, Withdrawal,
+// TaskWithdrawal, Recall, JobStarted, LogAppended, offer.Claim, offer.Outcome or
+// offer.Inventory.
 type Message any
 
 // Offers asks the receiver to run tasks on its workers.
@@ -49,6 +50,9 @@
 // are stopped.
 type Withdrawal struct{ Job string }
 
+// TaskWithdrawal cancels one task of a job, like Withdrawal.
+type TaskWithdrawal struct{ Task fleet.TaskName }
+
 // Recall asks the receiver to return the tasks of a job that are still in its
 // queue, so that the coordinator can offer them elsewhere or refuse the job.
 type Recall struct{ Job string }
@@ -208,6 +212,8 @@
 		c.reportedAt = time.Time{}
 	case Withdrawal:
 		c.Pool.Withdraw(now, from, m.Job)
+	case TaskWithdrawal:
+		c.Pool.WithdrawTask(now, from, m.Task)
 	case Recall:
 		c.Pool.Recall(from, m.Job)
 	case JobStarted:
@@ -281,7 +287,7 @@
 		case ledger.Release:
 			c.Coordinator.ReleaseStored(now, a.Job, a.Why)
 		case ledger.TaskDone:
-			c.Coordinator.TaskRecorded(now, a.Task)
+			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.JobEnded:
 			c.emit(a)
 		case ledger.AppendEntries:
@@ -337,6 +343,8 @@
 		c.send(now, a.Host, Offers{Tasks: a.Tasks})
 	case coordinator.Withdraw:
 		c.send(now, a.Host, Withdrawal{Job: a.Job})
+	case coordinator.WithdrawTask:
+		c.send(now, a.Host, TaskWithdrawal{Task: a.Task})
 	case coordinator.Recall:
 		c.send(now, a.Host, Recall{Job: a.Job})
 	case coordinator.JobStarted:
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -59,8 +59,8 @@
 	Why string
 }
 
-// TaskDone reports that the log records a task as done.
-type TaskDone struct{ Task fleet.TaskName }
+// TaskDone reports that the log records a task as done by a run.
+type TaskDone struct{ fleet.RunID }
 
 // JobEnded reports that a job has ended. Driven is set if this host drove it.
 type JobEnded struct {
@@ -295,7 +295,7 @@
 	j.doneTasks[e.Task] = true
 	j.remaining--
 	if j.driven {
-		l.emit(TaskDone{Task: e.Task})
+		l.emit(TaskDone{e.RunID})
 	}
 	if j.remaining == 0 {
 		l.endJob(now, j, Completed, j.driven)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -273,6 +273,11 @@
 	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name.Job == job })
 }
 
+// WithdrawTask is Withdraw for one task.
+func (p *Pool) WithdrawTask(now time.Time, host string, name fleet.TaskName) {
+	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name == name })
+}
+
 // Recall returns the waiting tasks of a job.
 func (p *Pool) Recall(host, job string) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool {
