Crash workers under tasks in the soak

Each three seconds a stored job comes whose first task crashes each worker that starts it; the stand-in closes its connections and refuses new ones for 2 s, as a process that ends does. Checked: no third start after three crashes, and each such job ends.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,6 +60,8 @@
 	zone    string
 	standin *taskworker.Worker
 	proxy   *proxy
+	// away is set while the worker is down after a crash.
+	away atomic.Bool
 }
 
 // fleet is a small deployment. Hosts are processes of their own. The store and the
@@ -108,10 +111,44 @@
 			f.start(h)
 		}
 	}
+	f.ledger.locked(func() {
+		f.ledger.deadlyStarted = func(id string) {
+			for _, w := range f.workers {
+				if w.id == id {
+					time.AfterFunc(deadlyDelay, func() { f.crash(w) })
+				}
+			}
+		}
+	})
 	t.Cleanup(f.stopAll)
 	return f
 }
 
+const (
+	// deadlyDelay is the time from the start of a deadly task to the crash.
+	deadlyDelay = 10 * time.Millisecond
+	// crashTime is how long a crashed worker is away.
+	crashTime = 2 * time.Second
+)
+
+// crash ends a worker's process for crashTime. It does nothing while the worker is
+// away.
+func (f *fleet) crash(w *worker) {
+	if !w.away.CompareAndSwap(false, true) {
+		return
+	}
+	w.proxy.endProcess()
+	w.standin.Restart()
+	time.AfterFunc(crashTime, func() {
+		w.standin.Restart()
+		if err := w.proxy.startProcess(); err != nil {
+			f.ledger.locked(func() { f.ledger.fail("worker %s does not start again: %v", w.id, err) })
+		}
+		f.register(w)
+		w.away.Store(false)
+	})
+}
+
 func (f *fleet) serve(handler http.Handler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -26,21 +26,56 @@
 	done         map[string]bool
 	acknowledged map[string]bool
 	// lastStart is when a task of the job last started.
-	lastStart  map[string]time.Time
-	violations []string
-	counts     map[string]int
+	lastStart map[string]time.Time
+	// crashes counts the workers that crashed under a task, and startsAfterLimit
+	// its starts after crashLimit of them.
+	crashes, startsAfterLimit map[string]int
+	// deadlyStarted, if set, is called with the worker on which a deadly task
+	// starts. It must not block.
+	deadlyStarted func(worker string)
+	violations    []string
+	counts        map[string]int
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		startTime: time.Now(), running: map[string]int{}, load: map[string]int{}, done: map[string]bool{},
 		acknowledged: map[string]bool{}, lastStart: map[string]time.Time{}, counts: map[string]int{},
+		crashes: map[string]int{}, startsAfterLimit: map[string]int{},
 	}
 }
 
 // storedPrefix is the first character of the ids of stored jobs.
 const storedPrefix = "5"
 
+// A task that crashes its workers is started fewer than startsBeyondLimit times
+// more once crashLimit workers have crashed under it.
+const (
+	crashLimit        = 3
+	startsBeyondLimit = 3
+)
+
+// deadlyPrefix is the beginning of the ids of the stored jobs whose first task
+// crashes each worker that starts it.
+const deadlyPrefix = storedPrefix + "d"
+
+func deadly(task string) bool {
+	return strings.HasPrefix(task, deadlyPrefix) && strings.HasSuffix(task, ".0.0.0")
+}
+
+// checkCrashes checks the start of a task that crashed its workers. The caller
+// must hold l.mu.
+func (l *ledger) checkCrashes(e taskworker.Event) {
+	if !strings.HasPrefix(e.Task, storedPrefix) || l.crashes[e.Task] < crashLimit {
+		return
+	}
+	l.startsAfterLimit[e.Task]++
+	if l.startsAfterLimit[e.Task] >= startsBeyondLimit {
+		l.fail("task %s starts on %s (run %d) for time %d after %d workers have crashed under it",
+			e.Task, e.Worker, e.Run, l.startsAfterLimit[e.Task], crashLimit)
+	}
+}
+
 // observe records an event of a worker and checks it.
 func (l *ledger) observe(e taskworker.Event) {
 	l.mu.Lock()
@@ -55,6 +90,10 @@
 		if strings.HasPrefix(job, storedPrefix) && l.acknowledged[e.Task] {
 			l.fail("task %s starts on %s (run %d) after its end was acknowledged", e.Task, e.Worker, e.Run)
 		}
+		l.checkCrashes(e)
+		if deadly(e.Task) && l.deadlyStarted != nil {
+			l.deadlyStarted(e.Worker)
+		}
 		l.running[e.Task]++
 		l.load[e.Worker]++
 		if l.load[e.Worker] > tasksPerWorker {
@@ -66,8 +105,12 @@
 	default:
 		l.running[e.Task]--
 		l.load[e.Worker]--
-		if e.Kind == "done" {
+		switch e.Kind {
+		case "done":
 			l.done[e.Task] = true
+		case "lost":
+			l.crashes[e.Task]++
+			l.counts["lost"]++
 		}
 	}
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -33,27 +33,52 @@
 // network faults. Data that it dropped is never delivered: its connections are
 // reset when the dropping mode ends.
 type proxy struct {
-	target   string
-	listener net.Listener
+	target string
+	at     string
 
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	mode     mode
+	conns    map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, address, target string) *proxy {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
-	p := &proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, at: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}}
 	t.Cleanup(func() {
-		_ = listener.Close()
+		p.endProcess()
 		p.set(resetting)
 	})
-	go p.accept()
+	go p.accept(listener)
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
+
+// endProcess does what the end of the process behind the proxy would do: its
+// connections are closed in order, and new ones are refused.
+func (p *proxy) endProcess() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// startProcess undoes endProcess.
+func (p *proxy) startProcess() error {
+	listener, err := net.Listen("tcp", p.at)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
+	go p.accept(listener)
+	return nil
+}
 
 // set changes the mode. Open connections stay open between passThrough and
 // delaying and when a dropping mode begins. Any other change resets them.
@@ -92,9 +117,9 @@
 	}
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,7 @@
 const (
 	jobsPerSecond   = 12
 	storedPerSecond = 3
+	deadlyPerSecond = 0.3
 	// recoveryTimeout is how long a fleet may take to become ready, at its start and
 	// after the faults.
 	recoveryTimeout = 8 * time.Second
@@ -121,6 +122,9 @@
 	send(storedPerSecond, 4, func(rng *rand.Rand, n int) {
 		f.submitStored(rng, fmt.Sprintf(storedPrefix+"%015x", n), accepted)
 	})
+	send(deadlyPerSecond, 5, func(rng *rand.Rand, n int) {
+		f.submitStored(rng, fmt.Sprintf(deadlyPrefix+"%014x", n), accepted)
+	})
 }
 
 // checkRecovery checks that all hosts become ready, that accepted stored jobs end,
