Remember the crashes under a best-effort job that is submitted again

What callers could see: a job that crashes its worker was answered 504, its caller submitted it again to any host, and it crashed one more worker beside other callers' tasks, each 1.3 s for as long as the caller goes on.

Cause: the crashes under a best-effort job were forgotten with its answer.

A job that is submitted again runs its suspect alone, and is answered as failed after the second crash, at once if it comes once more. A host without a link to the one that answered does not know of them: one more worker.

TestResubmittedJobIsKnownToHaveCrashedWorkers failed before (no such message).

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -25,6 +25,10 @@
 	case host.TaskWithdrawal:
 		f.TaskWithdrawals = append(f.TaskWithdrawals, runToProto(fleet.RunID{Task: m.Task}, 0))
 		removeOffer(f, m.Task)
+	case host.TaskLoss:
+		f.Losses = append(f.Losses, &dispatchv1.TaskLoss{
+			Run: runToProto(fleet.RunID{Task: m.Task, Run: m.Loss.Run}, 0), Worker: m.Loss.Worker, Loss: lossToProto(m.Loss),
+		})
 	case host.Recall:
 		f.Recalls = append(f.Recalls, m.Job)
 	case host.JobStarted:
@@ -77,6 +81,10 @@
 			messages = append(messages, offer.Claim{Worker: c.GetWorker(), Task: t})
 		}
 	}
+	for _, l := range f.GetLosses() {
+		run := runFromProto(l.GetRun())
+		messages = append(messages, host.TaskLoss{Task: run.Task, Loss: lossFromProto(run.Run, l.GetWorker(), l.GetLoss())})
+	}
 	for _, o := range f.GetOutcomes() {
 		messages = append(messages, outcomeFromProto(self, o))
 	}
@@ -176,12 +184,25 @@
 		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.FailedRuns),
 		Result: int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, OverInMs: int32(o.MaxRemaining.Milliseconds()),
 	}
-	if l := o.Loss; l != nil {
-		p.Loss = &dispatchv1.Loss{Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Fate: int32(l.Fate)}
+	if o.Loss != nil {
+		p.Loss = lossToProto(*o.Loss)
 	}
 	return p
 }
 
+func lossToProto(l quarantine.Loss) *dispatchv1.Loss {
+	return &dispatchv1.Loss{
+		Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Orphaned: l.Orphaned, Fate: int32(l.Fate),
+	}
+}
+
+func lossFromProto(run int, worker string, l *dispatchv1.Loss) quarantine.Loss {
+	return quarantine.Loss{
+		Run: run, Worker: worker, Address: l.GetAddress(), StartTime: l.GetStartTime(),
+		Alone: l.GetAlone(), Bystander: l.GetBystander(), Orphaned: l.GetOrphaned(), Fate: quarantine.Fate(l.GetFate()),
+	}
+}
+
 func outcomeFromProto(self string, p *dispatchv1.Outcome) offer.Outcome {
 	o := offer.Outcome{
 		Host: self, Task: fleet.TaskName{Job: p.GetJob(), Step: int(p.GetStep()), Index: int(p.GetIndex())},
@@ -189,10 +210,8 @@
 		Worker: p.GetWorker(), Why: p.GetWhy(), MaxRemaining: time.Duration(p.GetOverInMs()) * time.Millisecond,
 	}
 	if l := p.GetLoss(); l != nil {
-		o.Loss = &quarantine.Loss{
-			Run: o.Run, Worker: o.Worker, Address: l.GetAddress(), StartTime: l.GetStartTime(),
-			Alone: l.GetAlone(), Bystander: l.GetBystander(), Fate: quarantine.Fate(l.GetFate()),
-		}
+		loss := lossFromProto(o.Run, o.Worker, l)
+		o.Loss = &loss
 	}
 	return o
 }
--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -31,7 +31,9 @@
 	f := &dispatchv1.Frame{}
 	addMessage(f, now, outcome)
 	addMessage(f, now, host.Offers{Tasks: []offer.Task{task}})
-	assert.Equal(t, []host.Message{host.Offers{Tasks: []offer.Task{task}}, outcome}, messagesFromProto(now, "h", f))
+	shared := host.TaskLoss{Task: lostTask, Loss: testLoss}
+	addMessage(f, now, shared)
+	assert.Equal(t, []host.Message{host.Offers{Tasks: []offer.Task{task}}, shared, outcome}, messagesFromProto(now, "h", f))
 
 	report := capacityReportFromProto(capacityReportToProto(offer.CapacityReport{Exclusive: 2}))
 	assert.Equal(t, 2, report.Exclusive)
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -97,6 +97,13 @@
 	Loss quarantine.Loss
 }
 
+// ShareLoss tells the other hosts that a worker crashed under a run of a
+// best-effort job, which its caller may submit again to any of them.
+type ShareLoss struct {
+	Task fleet.TaskName
+	Loss quarantine.Loss
+}
+
 // TaskJudged reports, for the process log, that a task may be the cause of the
 // loss of workers, and what happens to it.
 type TaskJudged struct {
@@ -139,6 +146,7 @@
 func (JobStarted) action()   {}
 func (Claim) action()        {}
 func (RecordLoss) action()   {}
+func (ShareLoss) action()    {}
 func (TaskJudged) action()   {}
 func (Answer) action()       {}
 
@@ -173,6 +181,8 @@
 	seq         int64
 	// suspects are the tasks that lost workers whose fate is unknown.
 	suspects map[*task]*job
+	// former holds the crashes under tasks of best-effort jobs.
+	former formerLosses
 	// logReadAt is when the last read of the log was requested.
 	logReadAt time.Time
 }
@@ -181,7 +191,7 @@
 func New(cfg Config) *Coordinator {
 	return &Coordinator{
 		cfg: cfg, hosts: map[string]*host{}, jobs: map[string]*job{},
-		workers: newRegistry(), pendingOffers: map[string][]offer.Task{}, suspects: map[*task]*job{},
+		workers: newRegistry(), pendingOffers: map[string][]offer.Task{}, suspects: map[*task]*job{}, former: formerLosses{},
 	}
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -32,6 +32,10 @@
 		c.answer(now, j, err, 0)
 		return true
 	}
+	c.recallLosses(now, j)
+	if c.giveUpDeadly(now, j) {
+		return true
+	}
 	j.expectedWait = c.expectedWait(j)
 	if j.expectedWait > c.maxExpectedWait(j, limit) {
 		c.refuse(now, j, noCapacity)
--- a/internal/decide/coordinator/losses.go
+++ b/internal/decide/coordinator/losses.go
@@ -57,7 +57,7 @@
 // addLoss records that a run of a task was lost with its worker.
 func (c *Coordinator) addLoss(now time.Time, j *job, t *task, l quarantine.Loss) {
 	t.losses.Add(now, l)
-	c.recordLoss(j, t, l)
+	c.recordLoss(now, j, t, l)
 	c.judge(j, t)
 }
 
@@ -69,8 +69,17 @@
 	}
 }
 
-func (c *Coordinator) recordLoss(j *job, t *task, l quarantine.Loss) {
-	if j.stored && (l.Fate == quarantine.Crashed || l.Fate == quarantine.Unknown && !l.Orphaned) {
+// recordLoss makes a loss known to the host that may have the job next: by the log
+// for a stored job, by a message for one that its caller may submit again.
+func (c *Coordinator) recordLoss(now time.Time, j *job, t *task, l quarantine.Loss) {
+	if !j.stored {
+		if l.Fate == quarantine.Crashed {
+			c.former.add(now, t.name, l)
+			c.emit(ShareLoss{Task: t.name, Loss: l})
+		}
+		return
+	}
+	if l.Fate == quarantine.Crashed || l.Fate == quarantine.Unknown && !l.Orphaned {
 		c.emit(RecordLoss{Task: t.name, Loss: l})
 	}
 }
@@ -99,7 +108,7 @@
 				continue
 			}
 			for _, l := range t.losses.Resolve(now, &c.workers) {
-				c.recordLoss(j, t, l)
+				c.recordLoss(now, j, t, l)
 			}
 			c.judge(j, t)
 		}
--- a/internal/decide/coordinator/losses_test.go
+++ b/internal/decide/coordinator/losses_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -159,3 +160,48 @@
 	}
 	assert.Equal(t, map[string]int{"h1": 1, "h2": 3}, hosts)
 }
+
+// Guards against a best-effort job that crashes one more worker each time that
+// its caller submits it again, to any host: its crashes were forgotten with it.
+func TestResubmittedJobIsKnownToHaveCrashedWorkers(t *testing.T) {
+	submit := func(c *Coordinator) []Action {
+		c.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, time.Second)
+		return c.PopActions()
+	}
+	first := coordinatorWithHosts(32)
+	offered := actionsOf[Offer](submit(first))[0]
+	first.HandleOutcome(epoch, offered.Host, lost(1, quarantine.Loss{Fate: quarantine.Crashed}))
+	shared := actionsOf[ShareLoss](first.PopActions())
+	require.Len(t, shared, 1)
+
+	second := coordinatorWithHosts(32)
+	second.LossShared(epoch, shared[0].Task, shared[0].Loss)
+	for name, c := range map[string]*Coordinator{"the same host": first, "another host": second} {
+		t.Run(name, func(t *testing.T) {
+			offers := actionsOf[Offer](submit(c))
+			require.Len(t, offers, 1)
+			assert.True(t, offers[0].Tasks[0].Exclusive)
+			proof := lost(1, quarantine.Loss{Fate: quarantine.Crashed, Alone: true})
+			proof.Loss.StartTime++
+			c.HandleOutcome(epoch, offers[0].Host, proof)
+			answers := actionsOf[Answer](c.PopActions())
+			require.Len(t, answers, 1)
+			assert.Equal(t, errkind.TaskFailed, answers[0].Err.Kind)
+
+			actions := submit(c)
+			assert.Empty(t, actionsOf[Offer](actions), "no further worker is risked")
+			require.Len(t, actionsOf[Answer](actions), 1)
+			assert.Equal(t, errkind.TaskFailed, actionsOf[Answer](actions)[0].Err.Kind)
+		})
+	}
+}
+
+func TestFormerLossesAreBounded(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	for i := range maxFormerLosses + 1 {
+		c.LossShared(epoch, fleet.TaskName{Job: fmt.Sprintf("%016x", i)}, quarantine.Loss{Fate: quarantine.Crashed})
+	}
+	assert.Equal(t, maxFormerLosses, len(c.former))
+	c.LossShared(epoch.Add(formerLossTTL), fleet.TaskName{Job: "b000000000000000"}, quarantine.Loss{Fate: quarantine.Crashed})
+	assert.Equal(t, 1, len(c.former), "expired entries make room")
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
+	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -39,8 +40,8 @@
 type Action any
 
 // Message is a message from one host to another: Offers, Withdrawal,
-// TaskWithdrawal, Recall, JobStarted, LogAppended, offer.Claim, offer.Outcome or
-// offer.Inventory.
+// TaskWithdrawal, TaskLoss, Recall, JobStarted, LogAppended, offer.Claim,
+// offer.Outcome or offer.Inventory.
 type Message any
 
 // Offers asks the receiver to run tasks on its workers.
@@ -53,6 +54,13 @@
 // TaskWithdrawal cancels one task of a job, like Withdrawal.
 type TaskWithdrawal struct{ Task fleet.TaskName }
 
+// TaskLoss reports a crash under a run of a best-effort job, which its caller may
+// submit again to the receiver.
+type TaskLoss struct {
+	Task fleet.TaskName
+	Loss quarantine.Loss
+}
+
 // Recall asks the receiver to return the tasks of a job that are still in its
 // queue, so that the coordinator can offer them elsewhere or refuse the job.
 type Recall struct{ Job string }
@@ -214,6 +222,8 @@
 		c.Pool.Withdraw(now, from, m.Job)
 	case TaskWithdrawal:
 		c.Pool.WithdrawTask(now, from, m.Task)
+	case TaskLoss:
+		c.Coordinator.LossShared(now, m.Task, m.Loss)
 	case Recall:
 		c.Pool.Recall(from, m.Job)
 	case JobStarted:
@@ -351,6 +361,8 @@
 		c.send(now, a.Host, JobStarted{Job: a.Job})
 	case coordinator.Claim:
 		c.send(now, a.Host, a.Claim)
+	case coordinator.ShareLoss:
+		c.emit(Broadcast{Message: TaskLoss(a)})
 	case coordinator.RecordLoss:
 		c.emit(Append{Entries: []ledger.Entry{ledger.RunLost(a)}})
 	case coordinator.Answer:
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -113,11 +113,11 @@
 // History is the losses of one task. The zero value is an empty history.
 type History struct{ losses []*loss }
 
-// Add adds a loss that was found now. A loss of the same run replaces the former
-// one.
+// Add adds a loss that was found now. A loss of the same run on the same worker
+// replaces the former one; a job that is submitted again numbers its runs anew.
 func (h *History) Add(now time.Time, l Loss) {
 	for _, old := range h.losses {
-		if old.Run == l.Run {
+		if old.Run == l.Run && old.Worker == l.Worker && old.StartTime == l.StartTime {
 			old.Loss = l
 			return
 		}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -106,6 +106,11 @@
 
 func TestLossOfTheSameRunReplacesTheFormerOne(t *testing.T) {
 	h := historyOf(Loss{})
-	h.Add(epoch, Loss{Run: 1, Fate: Crashed})
+	crash := Loss{Run: 1, Worker: "w", Address: "a", StartTime: 5, Fate: Crashed}
+	h.Add(epoch, crash)
 	assert.Equal(t, 1, h.Crashes())
+	assert.False(t, h.Open())
+	crash.StartTime = 6
+	h.Add(epoch, crash)
+	assert.Equal(t, 2, h.Crashes(), "the job was submitted again")
 }
