Report a recorded end also after its worker is gone

Cause: the end of a stored job's run is reported to the job's host once the log has it. If the worker was lost, restarted or released between the two, as happens when another task crashes it, the confirmation found no worker and the report was dropped. An end that is done reaches the host by the log, a failed one does not: the host took the run for running, without end.

TestRecordedEndIsReportedAfterItsWorkerIsGone fails before in all three cases (replaced, released, restarted).

Change: the request to record carries the task, so that the confirmation is reported without the worker.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -151,7 +151,7 @@
 	if p.mustRecord(e, r.task) {
 		p.recordEnd(now, w, e, r.task)
 	} else {
-		p.reportEnd(w, r.task, e)
+		p.reportEnd(w.info.ID, w.fence, r.task, e)
 	}
 }
 
@@ -172,26 +172,26 @@
 
 // reportEnd reports a completed or failed run to the task's host, if a host waits
 // for it.
-func (p *Pool) reportEnd(w *worker, task *offer.Task, e fleet.RunEnd) {
+func (p *Pool) reportEnd(worker string, fence int64, task *offer.Task, e fleet.RunEnd) {
 	switch {
 	case task == nil:
 	case e.Reason == fleet.EndedDone:
-		p.sendOutcome(*task, w, e.Run, offer.Done, "")
+		p.emit(SendOutcome{outcomeOf(*task, worker, fence, e.Run, offer.Done, "")})
 	default:
-		p.reportFailed(w, task, e.Run)
+		p.reportFailed(worker, fence, task, e.Run)
 	}
 }
 
 // reportFailed counts and reports a failed run. The host of the job decides
 // whether the task is offered again, since a former owner may have reported the
 // same end.
-func (p *Pool) reportFailed(w *worker, task *offer.Task, run int) {
+func (p *Pool) reportFailed(worker string, fence int64, task *offer.Task, run int) {
 	task.FailedRuns++
 	result, why := offer.Returned, "run failed"
 	if task.FailedRuns >= task.MaxAttempts {
 		result, why = offer.Failed, "maximum number of attempts reached"
 	}
-	p.sendOutcome(*task, w, run, result, why)
+	p.emit(SendOutcome{outcomeOf(*task, worker, fence, run, result, why)})
 }
 
 // endWithoutResult removes a run that ended without a result and returns its
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -185,9 +185,15 @@
 }
 
 func (w *worker) outcome(t offer.Task, run int, result offer.Result, why string) offer.Outcome {
+	return outcomeOf(t, w.info.ID, w.fence, run, result, why)
+}
+
+// outcomeOf returns the outcome of a task that has, or may have, run on a worker
+// that is, or was, owned under a fence.
+func outcomeOf(t offer.Task, worker string, fence int64, run int, result offer.Result, why string) offer.Outcome {
 	return offer.Outcome{
 		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: result, MayHaveRun: true,
-		Worker: w.info.ID, Fence: w.fence, Why: why,
+		Worker: worker, Fence: fence, Why: why,
 	}
 }
 
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -17,6 +17,10 @@
 	// StartTime identifies the incarnation of the worker that numbered the end.
 	StartTime int64
 	End       fleet.RunEnd
+	// Task is nil if no host waits for the run. Fence is the one under which the
+	// end was read.
+	Task  *offer.Task
+	Fence int64
 }
 
 func (RecordEnd) action() {}
@@ -46,7 +50,7 @@
 // have been freed already.
 func (p *Pool) recordEnd(now time.Time, w *worker, e fleet.RunEnd, task *offer.Task) {
 	w.unrecorded[e.Seq] = &unrecordedEnd{end: e, task: task, listedAt: now}
-	p.emit(RecordEnd{Worker: w.info.ID, StartTime: w.startTime, End: e})
+	p.emit(RecordEnd{Worker: w.info.ID, StartTime: w.startTime, End: e, Task: task, Fence: w.fence})
 }
 
 // mustRecord reports whether an end must be in the log before it is
@@ -61,10 +65,12 @@
 
 // EndRecorded handles the log's confirmation of an end: the end is acknowledged
 // to the worker and reported to the task's host, unless the worker's lease has
-// to expire first.
+// to expire first. An end of a worker that this host does not own any more, or of
+// its former incarnation, is only reported.
 func (p *Pool) EndRecorded(now time.Time, r RecordEnd) {
 	w, ok := p.workers[r.Worker]
 	if !ok || w.startTime != r.StartTime {
+		p.reportEnd(r.Worker, r.Fence, r.Task, r.End)
 		return
 	}
 	u, ok := w.unrecorded[r.End.Seq]
@@ -81,7 +87,7 @@
 func (p *Pool) acknowledgeEnd(w *worker, u *unrecordedEnd) {
 	delete(w.unrecorded, u.end.Seq)
 	w.advanceAcknowledged()
-	p.reportEnd(w, u.task, u.end)
+	p.reportEnd(w.info.ID, w.fence, u.task, u.end)
 }
 
 // awaitsLeaseExpiry reports whether the worker's lease must expire before its
--- /dev/null
+++ b/internal/decide/workerpool/record_test.go
@@ -0,0 +1,51 @@
+package workerpool
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Guards against an accepted job that is never finished: a run of it had failed,
+// and its worker crashed under another task before the end was recorded, so that
+// the job's host was never told.
+func TestRecordedEndIsReportedAfterItsWorkerIsGone(t *testing.T) {
+	for name, lose := range map[string]func(p *Pool, pending []Poll){
+		"replaced": func(p *Pool, _ []Poll) { p.WorkerReplaced(epoch, "w") },
+		"released": func(p *Pool, _ []Poll) { p.Release(epoch, "w", "assigned to another host") },
+		"restarted": func(p *Pool, pending []Poll) {
+			p.PollAnswered(epoch, "w", pending[0].Number, fleet.PollResponse{StartTime: 2})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newAdoptedPool(t, 32, idleResponse())
+			task := testTask(1, 0, 14, epoch)
+			task.Stored = true
+			p.Offer(epoch, task)
+			startAll(p, epoch)
+			p.Tick(epoch)
+			for _, poll := range actionsOf[Poll](p.PopActions(epoch)) {
+				p.PollAnswered(epoch, "w", poll.Number, fleet.PollResponse{
+					Clock: idleResponse().Clock, StartTime: 1, Ended: []fleet.RunEnd{{Seq: 1, RunID: runID(1, 0, 1), Reason: fleet.EndedFailed}},
+				})
+			}
+			p.Tick(epoch)
+			actions := p.PopActions(epoch)
+			records := actionsOf[RecordEnd](actions)
+			require.Len(t, records, 1)
+			lose(p, actionsOf[Poll](actions))
+			p.PopActions(epoch)
+
+			p.EndRecorded(epoch, records[0])
+			outcomes := actionsOf[SendOutcome](p.PopActions(epoch))
+			require.Len(t, outcomes, 1)
+			assert.Equal(t, offer.Returned, outcomes[0].Outcome.Result)
+			assert.Equal(t, 1, outcomes[0].Outcome.FailedRuns)
+			assert.Equal(t, "w", outcomes[0].Outcome.Worker)
+		})
+	}
+}
