Record an end that a new owner lists without knowing its job

Cause, from the hosts' logs: the job was accepted at 07.363, its runs on w-east-3 were over when a new owner adopted the worker at 07.505. That host had been frozen until 07.38 and had not read yet that the job is a stored one, so that it acknowledged the ends without recording them. The driver saw them as done in the inventory and waited for the log.

Change: the driver records such an end itself; a second record of it has no effect. TestEndInAnInventoryIsRecordedByTheDriver failed before.

--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -97,6 +97,13 @@
 	Loss quarantine.Loss
 }
 
+// RecordEnd asks for the end of a stored job's run to be recorded. The worker's
+// owner may record it too.
+type RecordEnd struct {
+	fleet.RunID
+	Reason fleet.EndReason
+}
+
 // ShareLoss tells the other hosts that a worker crashed under a run of a
 // best-effort job, which its caller may submit again to any of them.
 type ShareLoss struct {
@@ -146,6 +153,7 @@
 func (JobStarted) action()   {}
 func (Claim) action()        {}
 func (RecordLoss) action()   {}
+func (RecordEnd) action()    {}
 func (ShareLoss) action()    {}
 func (TaskJudged) action()   {}
 func (Answer) action()       {}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -235,8 +235,9 @@
 		}
 		t.mayHaveRun = true
 		if e.Reason == fleet.EndedDone && j.stored {
-			// The new owner records the end in the log. Until then the run counts as
-			// still at the worker.
+			// Until the end is in the log, the run counts as still at the worker. The
+			// new owner records it only if it has read that the job is a stored one.
+			c.emit(RecordEnd{RunID: e.RunID, Reason: e.Reason})
 			listed[e.Task] = true
 			t.lastRun, t.state, t.host, t.worker, t.fence = e.Run, taskStarted, from, inv.Worker, inv.Fence
 			continue
--- a/internal/decide/coordinator/recorded_test.go
+++ b/internal/decide/coordinator/recorded_test.go
@@ -49,3 +49,19 @@
 		})
 	}
 }
+
+// Guards against an accepted job that is never finished: a new owner of its
+// worker had not read yet that the job is a stored one, and acknowledged the end of
+// its run without recording it.
+func TestEndInAnInventoryIsRecordedByTheDriver(t *testing.T) {
+	c := storedCoordinator(t)
+	offered := actionsOf[Offer](c.PopActions())
+	c.HandleOutcome(epoch, offered[0].Host, outcome(0, offer.Started, "w-h1", 1))
+	run := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+	c.HandleInventory(epoch, "h2", offer.Inventory{Worker: "w-h1", Fence: 2, Ended: []fleet.RunEnd{{Seq: 1, RunID: run, Reason: fleet.EndedDone}}})
+	actions := c.PopActions()
+	assert.Equal(t, []RecordEnd{{RunID: run, Reason: fleet.EndedDone}}, actionsOf[RecordEnd](actions))
+	assert.Empty(t, actionsOf[Answer](actions), "the end is not in the log yet")
+	c.TaskRecorded(epoch, run)
+	assert.Len(t, actionsOf[Answer](c.PopActions()), 1)
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -361,6 +361,8 @@
 		c.send(now, a.Host, JobStarted{Job: a.Job})
 	case coordinator.Claim:
 		c.send(now, a.Host, a.Claim)
+	case coordinator.RecordEnd:
+		c.emit(Append{Entries: []ledger.Entry{ledger.RunEnded(a)}})
 	case coordinator.ShareLoss:
 		c.emit(Broadcast{Message: TaskLoss(a)})
 	case coordinator.RecordLoss:
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -137,8 +137,9 @@
 	if !w.away.CompareAndSwap(false, true) {
 		return
 	}
-	w.proxy.endProcess()
+	// The runs are over before the hosts can notice the end of the process.
 	w.standin.Restart()
+	w.proxy.endProcess()
 	time.AfterFunc(crashTime, func() {
 		w.standin.Restart()
 		if err := w.proxy.startProcess(); err != nil {
