Record the end of a run whose task was withdrawn

What callers could see: a stored task that runs again after its end was acknowledged (TWICE), around the loss of the host that drives its job.

Cause: when the driver is lost, its tasks are taken off the runs and the runs are stopped. A run that ended as done in that moment counted as a stored job's only if this host had read the job's acceptance; else its end was acknowledged without a record.

Change: a run remembers that it belongs to a stored job. TestEndOfWithdrawnRunIsRecorded failed before.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -97,7 +97,7 @@
 	w.latestLeaseEnd = l.Clock + p.cfg.MaxLease
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
-		if p.mustRecord(e, nil) {
+		if p.mustRecord(e, false) {
 			p.recordEnd(now, w, e, nil)
 		}
 	}
@@ -132,7 +132,7 @@
 	r := w.runs[id]
 	w.removeRun(r)
 	task := c.Task
-	r.task, r.size, r.claimed, r.exclusive = &task, task.Size, true, task.Exclusive
+	r.task, r.size, r.claimed, r.exclusive, r.stored = &task, task.Size, true, task.Exclusive, task.Stored
 	w.addRun(r)
 }
 
@@ -148,7 +148,7 @@
 	}
 	w.removeRun(r)
 	p.updateHealth(now, w, r, e.Reason)
-	if p.mustRecord(e, r.task) {
+	if p.mustRecord(e, r.stored) {
 		p.recordEnd(now, w, e, r.task)
 	} else {
 		p.reportEnd(w.info.ID, w.fence, r.task, e)
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -56,11 +56,11 @@
 // mustRecord reports whether an end must be in the log before it is
 // acknowledged. Other ends, such as those of a stop, leave the task to be run
 // again.
-func (p *Pool) mustRecord(e fleet.RunEnd, task *offer.Task) bool {
+func (p *Pool) mustRecord(e fleet.RunEnd, stored bool) bool {
 	if e.Reason != fleet.EndedDone && e.Reason != fleet.EndedFailed {
 		return false
 	}
-	return task != nil && task.Stored || p.cfg.IsStored != nil && p.cfg.IsStored(e.Task.Job)
+	return stored || p.cfg.IsStored != nil && p.cfg.IsStored(e.Task.Job)
 }
 
 // EndRecorded handles the log's confirmation of an end: the end is acknowledged
--- a/internal/decide/workerpool/record_test.go
+++ b/internal/decide/workerpool/record_test.go
@@ -49,3 +49,27 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after its end was acknowledged: the host
+// of its job was lost just before the end, and this host had not read yet that the
+// job is a stored one.
+func TestEndOfWithdrawnRunIsRecorded(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	task := testTask(1, 0, 14, epoch)
+	task.Stored = true
+	p.Offer(epoch, task)
+	startAll(p, epoch)
+	p.Tick(epoch)
+	polls := actionsOf[Poll](p.PopActions(epoch))
+	require.Len(t, polls, 1)
+	p.HostLost(epoch, "front")
+	p.PollAnswered(epoch, "w", polls[0].Number, fleet.PollResponse{
+		Clock: idleResponse().Clock, StartTime: 1, Ended: []fleet.RunEnd{{Seq: 1, RunID: runID(1, 0, 1), Reason: fleet.EndedDone}},
+	})
+	p.Tick(epoch)
+	actions := p.PopActions(epoch)
+	assert.Len(t, actionsOf[RecordEnd](actions), 1)
+	for _, poll := range actionsOf[Poll](actions) {
+		assert.Zero(t, poll.Acknowledged)
+	}
+}
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -126,7 +126,7 @@
 		task: &task, orderedAt: now, answeredAtPoll: p.lastPoll,
 	}
 	task.NextRun++
-	r.exclusive = task.Exclusive
+	r.exclusive, r.stored = task.Exclusive, task.Stored
 	if w == p.reserved {
 		p.reserved = nil
 	}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -43,6 +43,9 @@
 	// claimed is set if a former owner started the run, so that its start time is
 	// unknown.
 	claimed bool
+	// stored is set if the run is known to belong to a stored job. It outlives the
+	// task.
+	stored bool
 	// exclusive is set if no other run may start on the worker beside it, and
 	// shared once another run has been on the worker with it.
 	exclusive, shared bool
