Acknowledge nothing in the poll after a failed one

Change: after a failed poll nothing is acknowledged until one has been answered and has shown the incarnation. TestPollAfterAFailureAcknowledgesNothing failed before.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -12,7 +12,10 @@
 // poll sends a poll; with a zero wait, the worker answers at once.
 func (p *Pool) poll(now time.Time, w *worker, wait time.Duration) {
 	p.lastPoll++
-	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Acknowledged: w.acknowledgedSeq, Wait: wait, Timeout: longPollMargin}
+	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Wait: wait, Timeout: longPollMargin}
+	if !w.interrupted {
+		l.Acknowledged = w.acknowledgedSeq
+	}
 	if wait == 0 {
 		l.Timeout = 2 * p.timeouts.Timeout()
 	}
@@ -34,7 +37,7 @@
 	if !ok || !w.finishPoll(number) {
 		return
 	}
-	w.missedPolls, w.lostExclusive = 0, false
+	w.missedPolls, w.lostExclusive, w.interrupted = 0, false, false
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, l)
 	}
@@ -255,7 +258,7 @@
 	if !ok {
 		return
 	}
-	w.lastFailure = failure
+	w.lastFailure, w.interrupted = failure, true
 	sent := w.shortPollAt
 	if number == w.longPoll {
 		sent = w.longPollAt
--- a/internal/decide/workerpool/record_test.go
+++ b/internal/decide/workerpool/record_test.go
@@ -73,3 +73,28 @@
 		assert.Zero(t, poll.Acknowledged)
 	}
 }
+
+// Guards against a task that runs again after its end was acknowledged: its worker
+// had restarted, and the poll that followed the broken one acknowledged, by the
+// numbers of the former incarnation, an end of the new one that nobody had read.
+func TestPollAfterAFailureAcknowledgesNothing(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	started := startAll(p, epoch)
+	endRuns(p, epoch, started)
+	p.Tick(epoch)
+	polls := actionsOf[Poll](p.PopActions(epoch))
+	require.Len(t, polls, 1)
+	require.Equal(t, int64(1), polls[0].Acknowledged)
+
+	p.PollFailed(epoch, "w", polls[0].Number, fleet.CallClosed)
+	checks := actionsOf[Poll](p.PopActions(epoch))
+	require.Len(t, checks, 1)
+	assert.Zero(t, checks[0].Acknowledged)
+
+	p.PollAnswered(epoch, "w", checks[0].Number, fleet.PollResponse{Clock: idleResponse().Clock, StartTime: 1})
+	p.Tick(epoch)
+	polls = actionsOf[Poll](p.PopActions(epoch))
+	require.Len(t, polls, 1)
+	assert.Equal(t, int64(1), polls[0].Acknowledged, "the worker is the same")
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -97,6 +97,10 @@
 	// is how the last one ended.
 	missedPolls int
 	lastFailure fleet.CallFailure
+	// interrupted is set from the failure of a poll until one is answered. The
+	// worker may have started again meanwhile, so that an acknowledgement could
+	// take away an unread end of its new incarnation.
+	interrupted bool
 	// lostExclusive is set from the loss of an exclusive run until the worker
 	// answers again.
 	lostExclusive bool
