Do not count a worker under which a task cannot have run

Cause, suspected: a start that was refused by a worker that had just crashed counted as unanswered, and the end of the worker's process then as a crash under that task.

Change: a start for which no connection could be opened has not run; its task is returned at once, as not run, and the worker starts nothing until it answers a poll. A start that was sent without an answer may have crashed the worker: it counts as unconfirmed, for isolation, and to give up only after four.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -192,14 +192,15 @@
 
 func lossToProto(l quarantine.Loss) *dispatchv1.Loss {
 	return &dispatchv1.Loss{
-		Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Orphaned: l.Orphaned, Fate: int32(l.Fate),
+		Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Orphaned: l.Orphaned, Unconfirmed: l.Unconfirmed,
+		Fate: int32(l.Fate),
 	}
 }
 
 func lossFromProto(run int, worker string, l *dispatchv1.Loss) quarantine.Loss {
 	return quarantine.Loss{
 		Run: run, Worker: worker, Address: l.GetAddress(), StartTime: l.GetStartTime(),
-		Alone: l.GetAlone(), Bystander: l.GetBystander(), Orphaned: l.GetOrphaned(), Fate: quarantine.Fate(l.GetFate()),
+		Alone: l.GetAlone(), Bystander: l.GetBystander(), Orphaned: l.GetOrphaned(), Unconfirmed: l.GetUnconfirmed(), Fate: quarantine.Fate(l.GetFate()),
 	}
 }
 
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -18,9 +18,11 @@
 const (
 	// provenCrashes is the number of crashed workers after which a task is given
 	// up if it was alone on one of them, and maxCrashes the number after which it
-	// is given up in any case.
-	provenCrashes = 2
-	maxCrashes    = 3
+	// is given up in any case. Runs whose start was not answered count only for
+	// maxUnconfirmed.
+	provenCrashes  = 2
+	maxCrashes     = 3
+	maxUnconfirmed = 4
 	// reportDelay is how long a worker's last registrations before a crash may
 	// take to arrive: the store's lag and the interval between reads, doubled.
 	reportDelay = 3 * time.Second
@@ -70,6 +72,9 @@
 	// Bystander is set if another run had started on the worker distinctly later,
 	// which is the more likely cause of a crash.
 	Bystander bool `json:"bystander,omitempty"`
+	// Unconfirmed is set if the worker had not answered the start, so that the run
+	// may not have been there.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// Orphaned is set if contact with the worker's owner was lost, not with the
 	// worker, so that a crash is unlikely until it shows.
 	Orphaned bool `json:"orphaned,omitempty"`
@@ -199,7 +204,7 @@
 
 // Verdict returns what may happen to the task.
 func (h *History) Verdict() Verdict {
-	crashes, open, suspected, proven := 0, 0, false, false
+	crashes, confirmed, open, suspected, proven := 0, 0, 0, false, false
 	for _, l := range h.losses {
 		switch l.Fate {
 		case Unknown:
@@ -209,12 +214,15 @@
 		case Crashed:
 			crashes++
 			suspected = suspected || !l.Bystander
-			proven = proven || l.Alone
+			if !l.Unconfirmed {
+				confirmed++
+				proven = proven || l.Alone
+			}
 		case Survived:
 		}
 	}
 	switch {
-	case crashes >= maxCrashes || crashes >= provenCrashes && proven:
+	case crashes >= maxUnconfirmed || confirmed >= maxCrashes || confirmed >= provenCrashes && proven:
 		return GiveUp
 	case open > 0 && crashes+open >= provenCrashes:
 		return Hold
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -42,6 +42,7 @@
 	crash, neighbor := Loss{Fate: Crashed}, Loss{Fate: Crashed, Bystander: true}
 	alone, silent, cut := Loss{Fate: Crashed, Alone: true}, Loss{}, Loss{Fate: Survived, Alone: true}
 	orphan := Loss{Orphaned: true}
+	unanswered := Loss{Fate: Crashed, Alone: true, Unconfirmed: true}
 	for name, c := range map[string]struct {
 		losses []Loss
 		want   Verdict
@@ -58,6 +59,10 @@
 		"three crashes":                         {[]Loss{neighbor, neighbor, neighbor}, GiveUp},
 		"any number of workers that survived":   {[]Loss{cut, cut, cut, cut}, Unrestricted},
 		"a crash among workers that survived":   {[]Loss{cut, crash, cut}, Isolate},
+		"a crash and a start without answer":    {[]Loss{crash, unanswered}, Isolate},
+		"two crashes and starts without answer": {[]Loss{crash, alone, unanswered}, GiveUp},
+		"three starts without answer":           {[]Loss{unanswered, unanswered, unanswered}, Isolate},
+		"four starts without answer":            {[]Loss{unanswered, unanswered, unanswered, unanswered}, GiveUp},
 		"owners that were lost":                 {[]Loss{orphan, orphan, orphan}, Unrestricted},
 		"an owner that was lost after a crash":  {[]Loss{crash, orphan}, Isolate},
 		"two crashes, a third without evidence": {[]Loss{crash, crash, silent}, Hold},
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -119,7 +119,7 @@
 
 // addFoundRun adds a run that this host did not start.
 func (p *Pool) addFoundRun(now time.Time, w *worker, id fleet.RunID) *run {
-	r := &run{id: id, state: runRunning, orderedAt: now, answeredAtPoll: p.lastPoll}
+	r := &run{id: id, state: runRunning, confirmed: true, orderedAt: now, answeredAtPoll: p.lastPoll}
 	w.unclaimed[id] = true
 	w.addRun(r)
 	return r
@@ -225,6 +225,7 @@
 	for _, progress := range running {
 		id := progress.RunID
 		if known := w.runs[id]; known != nil {
+			known.confirmed = true
 			p.stopStraggler(now, w, known, progress.Percent)
 			continue
 		}
@@ -342,7 +343,7 @@
 	r.answeredAtPoll = p.lastPoll
 	switch verdict {
 	case fleet.StartAccepted:
-		r.state = runRunning
+		r.state, r.confirmed = runRunning, true
 		w.missedPolls = 0
 		if r.task != nil {
 			p.sendOutcome(*r.task, w, runID.Run, offer.Started, "")
@@ -360,6 +361,9 @@
 			p.emit(LogEvent{Message: "probation", Worker: id, Why: "start rejected: " + verdict.String()})
 		}
 		p.startRejected(w, r, verdict)
+	case fleet.StartNotSent:
+		p.startRejected(w, r, verdict)
+		p.countMissedPoll(now, w)
 	case fleet.StartUnknown:
 		p.timeouts.TimedOut()
 		p.stop(now, w, r)
--- a/internal/decide/workerpool/loss.go
+++ b/internal/decide/workerpool/loss.go
@@ -72,7 +72,7 @@
 		o := w.outcome(*r.task, r.id.Run, offer.Returned, why)
 		o.Loss = &quarantine.Loss{
 			Run: r.id.Run, Worker: w.info.ID, Address: w.info.Address, StartTime: w.startTime, Fate: fate,
-			Alone: !r.shared, Bystander: !r.claimed && youngest.Sub(r.orderedAt) >= bystanderMargin,
+			Alone: !r.shared, Unconfirmed: !r.confirmed, Bystander: !r.claimed && youngest.Sub(r.orderedAt) >= bystanderMargin,
 		}
 		p.emit(SendOutcome{o})
 	}
--- a/internal/decide/workerpool/loss_test.go
+++ b/internal/decide/workerpool/loss_test.go
@@ -111,3 +111,32 @@
 	require.Len(t, losses, 2)
 	assert.Equal(t, quarantine.Survived, losses[0].Fate)
 }
+
+// Guards against a sound job that is shown as failed: its task had been offered to
+// a worker that had just crashed, where it never ran.
+func TestStartThatWasNotSentIsNoLoss(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := actionsOf[Start](p.PopActions(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, 7, fleet.StartNotSent, 0)
+	outcomes := actionsOf[SendOutcome](p.PopActions(epoch))
+	require.Len(t, outcomes, 1)
+	assert.Nil(t, outcomes[0].Outcome.Loss)
+	assert.False(t, outcomes[0].Outcome.MayHaveRun)
+	p.Offer(epoch, testTask(2, 0, 14, epoch))
+	assert.Empty(t, actionsOf[Start](p.PopActions(epoch)), "the worker must answer a poll first")
+}
+
+// A start without an answer may have crashed the worker, or not have reached it.
+func TestStartWithoutAnswerIsAnUnconfirmedLoss(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.Tick(epoch)
+	polls := pendingPolls(p, epoch)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	start := actionsOf[Start](p.PopActions(epoch))[0]
+	p.StartAnswered(epoch, "w", start.Run, 7, fleet.StartUnknown, 0)
+	p.PollFailed(epoch, "w", polls[0], fleet.CallProcessEnded)
+	losses := lossesOf(p, epoch)
+	require.Len(t, losses, 1)
+	assert.True(t, losses[0].Unconfirmed)
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -46,6 +46,8 @@
 	// stored is set if the run is known to belong to a stored job. It outlives the
 	// task.
 	stored bool
+	// confirmed is set once the worker has accepted or listed the run.
+	confirmed bool
 	// exclusive is set if no other run may start on the worker beside it, and
 	// shared once another run has been on the worker with it.
 	exclusive, shared bool
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -276,11 +276,14 @@
 	StartInvalid
 	// StartUnknown means that no answer arrived; the run may have started.
 	StartUnknown
+	// StartNotSent means that no connection to the worker could be opened; the run
+	// has not started.
+	StartNotSent
 )
 
 // String returns the verdict as it appears in logs.
 func (v StartVerdict) String() string {
-	names := [...]string{"accepted", "fenced", "old", "late", "no_room", "unhealthy", "gone", "invalid", "unknown"}
+	names := [...]string{"accepted", "fenced", "old", "late", "no_room", "unhealthy", "gone", "invalid", "unknown", "not_sent"}
 	if int(v) < len(names) {
 		return names[v]
 	}
