--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -176,7 +176,9 @@
 	task := fleet.TaskName{Job: testJob}
 	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
 	l.Apply(testEpoch, []Entry{
-		acceptedTwoSteps(testJob), RunLost{Task: task, Loss: unknown}, RunLost{Task: task, Loss: crash},
+		acceptedTwoSteps(testJob),
+		RunLost{Task: task, Loss: unknown},
+		RunLost{Task: task, Loss: crash},
 		RunLost{Task: fleet.TaskName{Job: "unknown"}, Loss: crash},
 	})
 	l.Assigned(testEpoch, testEpoch, []int{0})
