Do not blame a task for a later crash of its worker

Found by reading the diff: a run that was lost to a cut, or with its worker's owner, counted as a crash if the worker crashed any time later, under another task; with two of them a sound job would be shown as failed.

Change: a crash counts as unconfirmed if the worker was heard from after the loss, or if only the owner had been lost. TestLaterCrashOfTheWorkerIsUnconfirmed failed before.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -18,7 +18,7 @@
 const (
 	// provenCrashes is the number of crashed workers after which a task is given
 	// up if it was alone on one of them, and maxCrashes the number after which it
-	// is given up in any case. Runs whose start was not answered count only for
+	// is given up in any case. Unconfirmed losses count only for
 	// maxUnconfirmed.
 	provenCrashes  = 2
 	maxCrashes     = 3
@@ -72,8 +72,8 @@
 	// Bystander is set if another run had started on the worker distinctly later,
 	// which is the more likely cause of a crash.
 	Bystander bool `json:"bystander,omitempty"`
-	// Unconfirmed is set if the worker had not answered the start, so that the run
-	// may not have been there.
+	// Unconfirmed is set if the run may not have been on the worker when it crashed:
+	// its start was not answered, or the worker may have crashed later.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// Orphaned is set if contact with the worker's owner was lost, not with the
 	// worker, so that a crash is unlikely until it shows.
@@ -169,6 +169,9 @@
 		}
 		l.Fate = l.fate(now, r)
 		if l.Fate == Crashed {
+			// A worker that was heard from after the loss may have crashed later, under
+			// another task.
+			l.Unconfirmed = l.Unconfirmed || l.Orphaned || !l.heardAt.IsZero()
 			crashed = append(crashed, l.Loss)
 		}
 	}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -119,3 +119,20 @@
 	h.Add(epoch, crash)
 	assert.Equal(t, 2, h.Crashes(), "the job was submitted again")
 }
+
+// Guards against a sound task that is given up: its worker was cut off or lost its
+// owner, and crashed under another task later.
+func TestLaterCrashOfTheWorkerIsUnconfirmed(t *testing.T) {
+	former := fleet.Worker{ID: "w", Address: "a", StartTime: 5}
+	restarted := former
+	restarted.StartTime = 6
+	cut := historyOf(Loss{Alone: true})
+	cut.Resolve(epoch, registry{former, epoch.Add(reportDelay)})
+	orphan := historyOf(Loss{Alone: true, Orphaned: true})
+	silent := historyOf(Loss{Alone: true})
+	for h, want := range map[*History]bool{cut: true, orphan: true, silent: false} {
+		crashed := h.Resolve(epoch.Add(time.Minute), registry{restarted, epoch.Add(time.Minute)})
+		require.Len(t, crashed, 1)
+		assert.Equal(t, want, crashed[0].Unconfirmed)
+	}
+}
