--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // A task may crash each worker that starts it. Its neighbors on the worker are
 // lost with it, and a worker that is cut off looks like one that has crashed
 // without a trace. So a task is given up only after workers are known to have
-// crashed under it, and a suspect runs alone: a crash then proves its guilt, and
-// harms no neighbor.
+// crashed under it, and a suspect runs alone: a crash is then its own doing, and
+// ends no other run.
 package quarantine
 
 import (
