--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -35,10 +35,11 @@
 
   parsleyhilld -settings entry-1.json
   parsleyhilld -settings entry-1.json -check
-  parsleyhilld -platform
+  parsleyhilld -platform [-policy policy.json]
 
 With -platform the host dispatches jobs on the users' platform, with the settings
-file that the platform names in the environment.
+file that the platform names in the environment. -policy names a file, JSON with
+comments, that turns scheduling policies off; without it all are on.
 
 Exit status: 0 after a planned stop or a successful check, 1 if the entry host
 failed, 2 if a flag or the settings are invalid. No port is opened before the
@@ -55,6 +56,7 @@
 	settingsPath string
 	check        bool
 	platform     bool
+	policyPath   string
 	overrides    settings.Overrides
 }
 
@@ -93,6 +95,7 @@
 	flags.StringVar(&o.settingsPath, "settings", "parsleyhilld.json", "settings `file`, JSON with comments")
 	flags.BoolVar(&o.check, "check", false, "validate the settings and exit")
 	flags.BoolVar(&o.platform, "platform", false, "run on the users' platform, with its own settings file")
+	flags.StringVar(&o.policyPath, "policy", "", "policy settings `file` for -platform, JSON with comments")
 	flags.StringVar(&o.overrides.LogLevel, "log-level", "", "override log.level: debug, info, warn or error")
 	flags.StringVar(&o.overrides.LogFormat, "log-format", "", "override log.format: logfmt, json or text")
 	flags.Usage = func() {
@@ -164,6 +167,11 @@
 		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
 		return exitInvalid
 	}
+	policies, err := settings.LoadPolicies(o.policyPath)
+	if err != nil {
+		printSettingsErrors(errOut, err)
+		return exitInvalid
+	}
 	if o.check {
 		_, _ = fmt.Fprintf(out, "%s: settings of host %s in zone %s are good\n", path, s.Host, s.Zone)
 		return exitOK
@@ -177,7 +185,7 @@
 	defer func() { _ = lines.Close() }()
 	level := cmp.Or(o.overrides.LogLevel, "info")
 	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
-	d := dispatch.New(s, logger, dispatch.SystemNetwork())
+	d := dispatch.New(s, policies, logger, dispatch.SystemNetwork())
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go reloadOnSignal(reloads, path, logger, d)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+	"github.com/parsleyhill/parsleyhill/internal/decide/policy"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
@@ -99,7 +100,7 @@
 }
 
 // New returns a dispatcher that is idle until Run is called.
-func New(s platform.Settings, logger *log.Logger, network Network) *Dispatcher {
+func New(s platform.Settings, policies policy.Settings, logger *log.Logger, network Network) *Dispatcher {
 	self := fleet.Host{
 		Name: s.Host, Zone: s.Zone, Address: s.PeersAddress,
 		Incarnation: string(ids.NewIncarnation(s.Host)),
@@ -110,7 +111,7 @@
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
 			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
-			Ledger: ledgerConfig(s),
+			Ledger: ledgerConfig(s), Policy: policies,
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[string]chan struct{}{},
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/policy"
 	"github.com/parsleyhill/parsleyhill/internal/standin/memnet"
 	"github.com/parsleyhill/parsleyhill/internal/standin/store"
 	"github.com/parsleyhill/parsleyhill/internal/standin/taskworker"
@@ -100,7 +101,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	d := New(s, log.New(logOutput), network)
+	d := New(s, policy.Settings{}, log.New(logOutput), network)
 	go func() { done <- d.Run(ctx) }()
 	f.stops[name] = func() {
 		cancel()
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
+	"github.com/parsleyhill/parsleyhill/internal/decide/policy"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -30,6 +31,8 @@
 	Nonce int64
 	// Ledger configures the ledger of stored jobs.
 	Ledger ledger.Config
+	// Policy tells which scheduling policies may act.
+	Policy policy.Settings
 }
 
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
