Acknowledge an end found at a takeover only once its job's host claims it

A new owner of a worker counted the time that an end may wait to be recorded from its own first look. When the worker changed its owner several times within the seconds in which no owner could reach the log, each owner renewed the lease and had a second of its own, so that the end outlived the 2.6 s after which the job's host starts the task again.

Ruled out: the check of the histories had a gap that hid this. It looked for starts after an acknowledgement, but not for an acknowledgement after a later start.

A new owner now acknowledges a done run that it found only after the job's host has claimed it as the task's current run, or after the worker's lease has expired, when an acknowledgement confirms nothing.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -238,8 +238,14 @@
 			// Until the end is in the log, the run counts as still at the worker. The
 			// new owner records it only if it has read that the job is a stored one.
 			c.emit(RecordEnd{RunID: e.RunID, Reason: e.Reason})
+			if t.currentRun() > e.Run {
+				// A later run may have started. The task stays with its host until the
+				// log has the end, and the end must not be acknowledged under its lease.
+				continue
+			}
 			listed[e.Task] = true
 			t.lastRun, t.state, t.host, t.worker, t.fence = e.Run, taskStarted, from, inv.Worker, inv.Fence
+			c.emit(Claim{Host: from, Claim: offer.Claim{Worker: inv.Worker, Task: c.offerTask(j, t)}})
 			continue
 		}
 		if e.Reason == fleet.EndedDone {
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -24,7 +24,9 @@
 	// acknowledged are the tasks whose end was acknowledged to a worker, which
 	// then drops it from its list.
 	acknowledged map[fleet.TaskName]bool
-	started      time.Time
+	// lastStarts are the times of the last start of each task.
+	lastStarts map[fleet.TaskName]time.Time
+	started    time.Time
 	// deadly is set if the first task crashes each worker that starts it.
 	deadly bool
 	// crashes counts the workers that crashed under a task, and startsAfterLimit
@@ -92,7 +94,7 @@
 			}
 		}
 	}
-	j.started = w.now
+	j.started, j.lastStarts[id.Task] = w.now, w.now
 	if !j.spec.BestEffort {
 		w.checkStored(j, id)
 		w.checkCrashes(j, id)
@@ -148,7 +150,7 @@
 		width, estimate = 2+w.rng.IntN(4), 900*time.Millisecond
 	}
 	j := &simJob{
-		id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, acknowledged: map[fleet.TaskName]bool{},
+		id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, acknowledged: map[fleet.TaskName]bool{}, lastStarts: map[fleet.TaskName]time.Time{},
 		crashes: map[fleet.TaskName]int{}, startsAfterLimit: map[fleet.TaskName]int{}, failures: map[fleet.TaskName]int{},
 	}
 	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -71,7 +71,7 @@
 	retry := w.on(h, func() { w.appendToLog(h, a, done) })
 	write := func() { w.log.entries = append(w.log.entries, a.Entries...) }
 	switch {
-	case h.storeUnreachable:
+	case h.storeUnreachable || h.appendsRejected:
 		w.after(retryInterval, retry)
 	case w.rng.Float64() < w.lateRate:
 		w.after(time.Second+time.Duration(w.rng.Int64N(int64(3*time.Second))), write)
@@ -130,6 +130,17 @@
 	}
 }
 
+// acknowledged records that the end of a done run was acknowledged. It checks that
+// the task has not started again since the run ended.
+func (w *world) acknowledged(e fleet.RunEnd, endedAt time.Time) {
+	j := w.jobs[e.Task.Job]
+	j.acknowledged[e.Task] = true
+	if !j.spec.BestEffort && j.lastStarts[e.Task].After(endedAt) {
+		w.fail("the end of task %s (run %d) is acknowledged %v after it, although the task started again after %v", e.Task, e.Run,
+			w.now.Sub(endedAt), j.lastStarts[e.Task].Sub(endedAt))
+	}
+}
+
 // openJobs returns the accepted jobs that have not ended according to a host.
 func (w *world) openJobs(h *simHost) []string {
 	var open []string
--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -32,7 +32,9 @@
 	ended     []fleet.RunEnd
 	// endedAt is the time of each listed end, and lapsedAt when the lease was last
 	// found to have expired, both on the worker's clock.
-	endedAt  map[int64]time.Duration
+	endedAt map[int64]time.Duration
+	// endTimes are the times of the listed ends.
+	endTimes map[int64]time.Time
 	lapsedAt time.Duration
 	seq      int64
 	down     bool
@@ -57,7 +59,7 @@
 	}
 	w.startTime = now
 	w.fence, w.lease, w.seq = 0, 0, 0
-	w.endedAt, w.lapsedAt = map[int64]time.Duration{}, 0
+	w.endedAt, w.endTimes, w.lapsedAt = map[int64]time.Duration{}, map[int64]time.Time{}, 0
 	w.runs, w.blocked, w.ended, w.waitingPolls = map[fleet.RunID]*simRun{}, map[fleet.TaskName]int{}, nil, nil
 	w.down = false
 	w.info.StartTime = now.UnixMilli()
@@ -111,7 +113,7 @@
 func (w *simWorker) end(id fleet.RunID, reason fleet.EndReason) {
 	delete(w.runs, id)
 	w.seq++
-	w.endedAt[w.seq] = w.now()
+	w.endedAt[w.seq], w.endTimes[w.seq] = w.now(), w.world.now
 	w.ended = append(w.ended, fleet.RunEnd{Seq: w.seq, RunID: id, Reason: reason})
 	w.blocked[id.Task] = max(w.blocked[id.Task], id.Run)
 	w.world.ended(w, id, reason)
@@ -175,7 +177,7 @@
 func (w *simWorker) acknowledge(upTo int64) {
 	for _, e := range w.ended {
 		if e.Seq <= upTo && e.Reason == fleet.EndedDone && w.now() < w.lease && w.lapsedAt <= w.endedAt[e.Seq] {
-			w.world.jobs[e.Task.Job].acknowledged[e.Task] = true
+			w.world.acknowledged(e, w.endTimes[e.Seq])
 		}
 	}
 }
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -61,6 +61,7 @@
 	up               bool
 	generation       int64
 	storeUnreachable bool
+	appendsRejected  bool
 	// shardGeneration is the generation that the host last joined in the group of
 	// the shards, and logPosition how far it has read the log of stored jobs.
 	shardGeneration int64
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -118,8 +118,9 @@
 	Ended   []fleet.RunEnd
 }
 
-// Claim reports that a run found on a worker belongs to a job that is still
-// wanted. Task.NextRun is the number of the claimed run plus one.
+// Claim reports that a run found on a worker, in progress or ended, is the current
+// run of a task of a job that is still wanted. Task.NextRun is the number of the
+// claimed run plus one.
 type Claim struct {
 	Worker string
 	Task   Task
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -101,7 +101,7 @@
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
 		if p.mustRecord(e, false) {
-			p.recordEnd(now, w, e, nil)
+			p.recordFoundEnd(now, w, e)
 		}
 	}
 	w.advanceAcknowledged()
@@ -125,11 +125,15 @@
 	return r
 }
 
-// Claimed records a host's claim of a run found on a worker.
-func (p *Pool) Claimed(_ time.Time, c offer.Claim) {
+// Claimed records a host's claim of a run found on a worker, in progress or ended.
+func (p *Pool) Claimed(now time.Time, c offer.Claim) {
 	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
 	w, ok := p.workers[c.Worker]
-	if !ok || !w.unclaimed[id] {
+	if !ok {
+		return
+	}
+	if !w.unclaimed[id] {
+		p.confirmEnd(now, w, id, c.Task)
 		return
 	}
 	r := w.runs[id]
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -41,16 +41,47 @@
 	task *offer.Task
 	// listedAt is when this host read the end.
 	listedAt time.Time
+	// confirmed is set if the run is the task's current one: its owner has had the
+	// run since before its end, or the host of the job has claimed the end. Another
+	// end was listed to a former owner for an unknown time, and the task may have
+	// started again; the host of the job has until confirmBy to claim it.
+	confirmed bool
+	confirmBy time.Time
 	// recorded is set once the log has confirmed the end, leaseExpired once the
 	// worker's lease has expired since the end was listed.
 	recorded, leaseExpired bool
 }
 
-// recordEnd asks the caller to record the end of a run. The run's capacity must
-// have been freed already.
+// recordEnd asks the caller to record the end of a run of this owner. The run's
+// capacity must have been freed already.
 func (p *Pool) recordEnd(now time.Time, w *worker, e fleet.RunEnd, task *offer.Task) {
-	w.unrecorded[e.Seq] = &unrecordedEnd{end: e, task: task, listedAt: now}
-	p.emit(RecordEnd{Worker: w.info.ID, StartTime: w.startTime, End: e, Task: task, Fence: w.fence})
+	p.addUnrecorded(w, &unrecordedEnd{end: e, task: task, listedAt: now, confirmed: true})
+}
+
+// recordFoundEnd asks the caller to record an end that was listed when the worker
+// was taken over. Only a done run must not be acknowledged beside a later one.
+func (p *Pool) recordFoundEnd(now time.Time, w *worker, e fleet.RunEnd) {
+	p.addUnrecorded(w, &unrecordedEnd{
+		end: e, listedAt: now, confirmed: e.Reason != fleet.EndedDone, confirmBy: now.Add(p.cfg.ClaimTimeout),
+	})
+}
+
+func (p *Pool) addUnrecorded(w *worker, u *unrecordedEnd) {
+	w.unrecorded[u.end.Seq] = u
+	p.emit(RecordEnd{Worker: w.info.ID, StartTime: w.startTime, End: u.end, Task: u.task, Fence: w.fence})
+}
+
+// confirmEnd handles a host's claim of a run that had ended when the worker was
+// taken over.
+func (p *Pool) confirmEnd(now time.Time, w *worker, id fleet.RunID, task offer.Task) {
+	for _, u := range w.unrecorded {
+		if u.end.RunID != id || u.confirmed {
+			continue
+		}
+		u.confirmed, u.task = true, &task
+		p.acknowledgeIfSafe(now, w, u)
+		return
+	}
 }
 
 // mustRecord reports whether an end must be in the log before it is
@@ -78,7 +109,13 @@
 		return
 	}
 	u.recorded = true
-	if !w.awaitsLeaseExpiry(now) {
+	p.acknowledgeIfSafe(now, w, u)
+}
+
+// acknowledgeIfSafe acknowledges a recorded end of a task's current run, unless
+// the worker's lease has to expire first.
+func (p *Pool) acknowledgeIfSafe(now time.Time, w *worker, u *unrecordedEnd) {
+	if u.recorded && (u.confirmed || u.leaseExpired) && !w.awaitsLeaseExpiry(now) {
 		p.acknowledgeEnd(w, u)
 	}
 }
@@ -91,10 +128,11 @@
 }
 
 // awaitsLeaseExpiry reports whether the worker's lease must expire before its
-// ends are acknowledged, because one of them exceeded recordTimeout.
+// ends are acknowledged, because one of them exceeded recordTimeout or was not
+// claimed in time.
 func (w *worker) awaitsLeaseExpiry(now time.Time) bool {
 	for _, u := range w.unrecorded {
-		if !u.leaseExpired && now.Sub(u.listedAt) > recordTimeout {
+		if !u.leaseExpired && (now.Sub(u.listedAt) > recordTimeout || !u.confirmed && now.After(u.confirmBy)) {
 			return true
 		}
 	}
@@ -113,7 +151,7 @@
 			p.acknowledgeEnd(w, u)
 		}
 	}
-	p.emit(LogEvent{Message: "lease let go", Worker: w.info.ID, Why: "an end was not recorded in time"})
+	p.emit(LogEvent{Message: "lease let go", Worker: w.info.ID, Why: "an end was not recorded or claimed in time"})
 }
 
 // advanceAcknowledged acknowledges the ends before the first unrecorded one.
