Evacuation of zones on the users' platform, told from host to host

The operator can take the workers of a zone out of use by a key in the store, but no part of the system knew of it: tasks were started there as before.

The pool starts nothing on workers of an evacuated zone, reports no capacity for them and returns the tasks that only they could start; runs continue. The coordinator ignores their capacity in older reports and refuses jobs that have nowhere left to run, with a Retry-After. A host sends changes to its linked hosts, the whole set when a stream opens, and a newer statement to a host whose own is outdated. A host is not ready, and owns no workers, before it has read the set once. After a readmission, cold workers come after warm ones.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -54,6 +54,8 @@
 		d.queueAppend(a, nil)
 	case host.LogEvent:
 		d.logger.Info(a.Message, "worker", a.Worker, "why", a.Why, "fence", a.Fence)
+	case host.ZoneChanged:
+		d.zoneChanged(a)
 	case coordinator.Answer:
 		d.answer(a)
 	}
@@ -147,15 +149,19 @@
 }
 
 // updateReadiness records whether this host accepts work. It needs a
-// configuration, the list of workers, and a host with capacity.
+// configuration, the evacuated zones, the list of workers, and a host with
+// capacity. While all workers are in evacuated zones it is ready nevertheless, so
+// that callers get a refusal with a Retry-After instead of no host at all.
 func (d *Dispatcher) updateReadiness() {
 	var why *errkind.Error
 	switch {
 	case d.config.Load() == nil:
 		why = errkind.New(errkind.NotReady, "no configuration yet")
+	case !d.core.Evacuations.Listed():
+		why = errkind.New(errkind.NotReady, "evacuated zones not read yet")
 	case !d.workersListed:
 		why = errkind.New(errkind.NotReady, "no worker list yet")
-	case !d.core.Coordinator.HasCapacity():
+	case !d.core.Coordinator.HasCapacity() && !d.core.Coordinator.AllEvacuated():
 		why = errkind.New(errkind.NotReady, "no host has workers")
 	}
 	old := d.ready.Swap(why)
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -41,6 +41,8 @@
 		f.Logged = append(f.Logged, logRecordsToProto(m)...)
 	case offer.Inventory:
 		f.Sightings = append(f.Sightings, inventoryToProto(m))
+	case host.Evacuations:
+		f.Evacuations = append(f.Evacuations, evacuationsToProto(m.Changes)...)
 	}
 }
 
@@ -58,6 +60,9 @@
 // before later offers of the same job.
 func messagesFromProto(now time.Time, self string, f *dispatchv1.Frame) []host.Message {
 	var messages []host.Message
+	if len(f.GetEvacuations()) > 0 {
+		messages = append(messages, evacuationsFromProto(f.GetEvacuations()))
+	}
 	if len(f.GetLogged()) > 0 {
 		messages = append(messages, logAppendedFromProto(f.GetLogged()))
 	}
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -75,7 +75,9 @@
 	// job log has been read to its end.
 	hasStoredJobs atomic.Bool
 	logRead       atomic.Bool
-	appends       *appendQueue
+	// evacuationsListed is set once the evacuated zones have been read in full.
+	evacuationsListed atomic.Bool
+	appends           *appendQueue
 	// entryRemoved is signalled when this host's entry in the store was removed.
 	entryRemoved chan struct{}
 	// ready is the reason why this host accepts no work, or nil if it does.
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -20,6 +20,8 @@
 	polls        prometheus.Counter
 	runsLost     *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
+	// zoneEvacuated has a value for each zone that was ever evacuated.
+	zoneEvacuated *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -50,8 +52,11 @@
 		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_task_verdicts_total", Help: "Changes of what happens to a task that lost workers, by the new verdict.",
 		}, []string{"verdict"}),
+		zoneEvacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_zone_evacuated", Help: "1 while this host starts no tasks on the zone's workers because it is evacuated, else 0.",
+		}, []string{"zone"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated)
 	return m
 }
 
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -286,6 +286,9 @@
 	}
 	l.lastContact = now
 	p.links[l.host.Name] = l
+	if known := p.dispatcher.core.Evacuations.Changes(); len(known) > 0 {
+		l.add(func(f *dispatchv1.Frame) { addMessage(f, now, host.Evacuations{Changes: known}) })
+	}
 	p.logger.Info("host reached", "host", l.host.Name, "zone", l.host.Zone, "incarnation", l.host.Incarnation)
 }
 
@@ -340,7 +343,7 @@
 	l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
 }
 
-// broadcast adds an inventory or log records to the next frame to every host.
+// broadcast adds an inventory, log records or evacuations to the next frame to every host.
 // They are encoded once and shared by the frames.
 func (p *peers) broadcast(now time.Time, m host.Message) {
 	shared := &dispatchv1.Frame{}
@@ -349,6 +352,7 @@
 		l.add(func(f *dispatchv1.Frame) {
 			f.Sightings = append(f.Sightings, shared.Sightings...)
 			f.Logged = append(f.Logged, shared.Logged...)
+			f.Evacuations = append(f.Evacuations, shared.Evacuations...)
 		})
 	}
 }
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -121,9 +121,10 @@
 // its own zone, and in those of zones that no other host serves.
 func (d *Dispatcher) shouldJoin(ctx context.Context, zone string, uptime time.Duration) bool {
 	switch {
-	case d.leaving.Load() || !d.logRead.Load():
+	case d.leaving.Load() || !d.logRead.Load() || !d.evacuationsListed.Load():
 		// Before the job log is read, ended runs of stored jobs that are found on
-		// workers cannot be distinguished from those of best-effort jobs.
+		// workers cannot be distinguished from those of best-effort jobs. Before the
+		// evacuated zones are read, tasks could be started in one of them.
 		return false
 	case zone == d.settings.Zone:
 		return true
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -70,8 +70,11 @@
 		if !h.connected || h.report.Leaving || now.Before(t.skipUntil[h.name]) {
 			continue
 		}
-		worker := c.workerWithCapacity(h, j.route.Service, step)
+		worker := c.workerWithCapacity(now, h, j.route.Service, step)
 		wait := c.reachTime(h)
+		if worker != nil && c.isCold(now, worker.ID) {
+			wait += coldPenalty
+		}
 		if worker == nil {
 			queued, ok := c.queueWait(h, j.route, step)
 			if !ok {
@@ -100,7 +103,7 @@
 func (c *Coordinator) chooseExclusiveHost(now time.Time, t *task) *host {
 	var best *host
 	for _, h := range c.sortedHosts {
-		if !h.connected || h.report.Leaving || h.report.Capacity == 0 || now.Before(t.skipUntil[h.name]) {
+		if !h.connected || h.report.Leaving || c.capacityOf(h) == 0 || now.Before(t.skipUntil[h.name]) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(h.exclusiveLoad(best), best.exclusiveLoad(h)), cmp.Compare(c.reachTime(h), c.reachTime(best))) < 0 {
@@ -146,14 +149,22 @@
 }
 
 // workerWithCapacity returns the host's worker with the fewest free cores that
-// fits a task of the step, or nil.
-func (c *Coordinator) workerWithCapacity(h *host, service string, step fleet.Step) *offer.WorkerCapacity {
+// fits a task of the step, or nil. Cold workers come last.
+func (c *Coordinator) workerWithCapacity(now time.Time, h *host, service string, step fleet.Step) *offer.WorkerCapacity {
 	var best *offer.WorkerCapacity
 	for i := range h.report.Workers {
 		w := &h.report.Workers[i]
-		if w.Service != service || !step.Size.Fits(w.Free) || !c.workers.hasLabel(w.ID, step.RequiredLabel) {
+		if w.Service != service || !step.Size.Fits(w.Free) || !c.workers.hasLabel(w.ID, step.RequiredLabel) || c.isEvacuated(w.ID) {
 			continue
 		}
+		if best != nil {
+			if cold := c.isCold(now, w.ID); cold != c.isCold(now, best.ID) {
+				if !cold {
+					best = w
+				}
+				continue
+			}
+		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
 			best = w
 		}
@@ -164,10 +175,11 @@
 // queueWait estimates how long a new task waits at a host without free capacity.
 // It returns false if the host has no capacity at all.
 func (c *Coordinator) queueWait(h *host, route fleet.Route, step fleet.Step) (time.Duration, bool) {
-	if h.report.Capacity == 0 {
+	capacity := c.capacityOf(h)
+	if capacity == 0 {
 		return 0, false
 	}
-	return waitFor(h.workAhead(route.Priority), int64(h.report.Capacity), int64(step.Size.MilliCPU), h.report.FreeingRate), true
+	return waitFor(h.workAhead(route.Priority), int64(capacity), int64(step.Size.MilliCPU), h.report.FreeingRate), true
 }
 
 // workAhead returns the work queued at a host with the same or a higher
@@ -224,10 +236,10 @@
 		if !h.connected || h.report.Leaving {
 			continue
 		}
-		capacity += int64(h.report.Capacity)
+		capacity += int64(c.capacityOf(h))
 		rate += h.report.FreeingRate
 		ahead += h.workAhead(j.route.Priority)
-		startable += h.startableTasks(j.route.Service, first.Size)
+		startable += startableTasks(c.servedWorkers(h.report.Workers), j.route.Service, first.Size)
 	}
 	if startable >= first.Count {
 		return 0
@@ -241,11 +253,10 @@
 // noCapacityWait is returned as the expected wait if no host has capacity.
 const noCapacityWait = time.Hour
 
-// startableTasks returns how many tasks of a size the host's workers have free
-// cores for.
-func (h *host) startableTasks(service string, size fleet.Size) int {
+// startableTasks returns how many tasks of a size the workers have free cores for.
+func startableTasks(workers []offer.WorkerCapacity, service string, size fleet.Size) int {
 	n := 0
-	for _, w := range h.report.Workers {
+	for _, w := range workers {
 		if w.Service == service && size.MilliCPU > 0 {
 			n += max(0, w.Free.MilliCPU) / size.MilliCPU
 		}
@@ -261,7 +272,7 @@
 	var workers []offer.WorkerCapacity
 	for _, h := range c.sortedHosts {
 		if h.connected && !h.report.Leaving && h.name != c.cfg.Self {
-			workers = append(workers, h.report.Workers...)
+			workers = append(workers, c.servedWorkers(h.report.Workers)...)
 		}
 	}
 	return workers
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -20,6 +21,9 @@
 	Zone string
 	// MaxLease bounds how long a run continues that nobody renews.
 	MaxLease time.Duration
+	// Evacuations holds the evacuated zones; nil means that none ever is. After a
+	// change, Coordinator.EvacuationsChanged must be called.
+	Evacuations *evacuation.Set
 }
 
 const (
@@ -193,10 +197,15 @@
 	former formerLosses
 	// logReadAt is when the last read of the log was requested.
 	logReadAt time.Time
+	// evacuating is set while any zone is evacuated.
+	evacuating bool
 }
 
 // New returns a coordinator without jobs.
 func New(cfg Config) *Coordinator {
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = &evacuation.Set{}
+	}
 	return &Coordinator{
 		cfg: cfg, hosts: map[string]*host{}, jobs: map[string]*job{},
 		workers: newRegistry(), pendingOffers: map[string][]offer.Task{}, suspects: map[*task]*job{}, former: formerLosses{},
@@ -301,7 +310,7 @@
 // HasCapacity reports whether some connected host has workers.
 func (c *Coordinator) HasCapacity() bool {
 	for _, h := range c.sortedHosts {
-		if h.connected && h.report.Capacity > 0 {
+		if h.connected && c.capacityOf(h) > 0 {
 			return true
 		}
 	}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -36,6 +36,9 @@
 	if c.giveUpDeadly(now, j) {
 		return true
 	}
+	if c.refuseEvacuated(now, j) {
+		return true
+	}
 	j.expectedWait = c.expectedWait(j)
 	if j.expectedWait > c.maxExpectedWait(j, limit) {
 		c.refuse(now, j, noCapacity)
@@ -75,7 +78,7 @@
 
 // refuse answers a job none of whose tasks has run.
 func (c *Coordinator) refuse(now time.Time, j *job, why string) {
-	c.answer(now, j, errkind.New(errkind.Overloaded, "%s", why), j.retryAfter())
+	c.answer(now, j, errkind.New(errkind.Overloaded, "%s", why+c.evacuationNote()), j.retryAfter())
 }
 
 // retryAfter returns the delay after which the caller of a refused job may
@@ -305,6 +308,8 @@
 	switch {
 	case c.giveUpDeadly(now, j):
 		return
+	case c.refuseEvacuated(now, j):
+		return
 	case c.cannotFinish(now, j):
 		c.abandon(now, j)
 		return
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -61,9 +61,12 @@
 	if err := c.checkServable(j); err != nil {
 		return err, minRetryAfter
 	}
+	if why := c.evacuatedPlaces(j); why != "" {
+		return errkind.New(errkind.Overloaded, "%s", why), maxRetryAfter
+	}
 	j.expectedWait = c.expectedWait(j)
 	if j.expectedWait+j.criticalPath > storedObjectiveFactor*j.objective {
-		return errkind.New(errkind.Overloaded, noCapacity), j.retryAfter()
+		return errkind.New(errkind.Overloaded, "%s", noCapacity+c.evacuationNote()), j.retryAfter()
 	}
 	return nil, 0
 }
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/coordinator"
+	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
@@ -39,12 +40,13 @@
 // workerpool.Stop, workerpool.Poll), a message to other hosts (Send, Broadcast),
 // an answer to a caller (coordinator.Answer), an append to the log of stored
 // jobs (Append), or a report of a stored job's end (ledger.JobEnded), of a task
-// that was not done (TaskNotDone), or of a decision (LogEvent).
+// that was not done (TaskNotDone), of a decision (LogEvent),
+// or of an evacuated or readmitted zone (ZoneChanged).
 type Action any
 
 // Message is a message from one host to another: Offers, Withdrawal,
 // TaskWithdrawal, TaskLoss, Recall, JobStarted, LogAppended, offer.Claim,
-// offer.Outcome or offer.Inventory.
+// offer.Outcome, offer.Inventory or Evacuations.
 type Message any
 
 // Offers asks the receiver to run tasks on its workers.
@@ -108,6 +110,9 @@
 	Coordinator *coordinator.Coordinator
 	Ownership   *ownership.Tracker
 	Ledger      *ledger.Ledger
+	// Evacuations holds the evacuated zones. It is changed by ChangeEvacuations and
+	// ListEvacuations only.
+	Evacuations *evacuation.Set
 	leaving     bool
 	actions     []Action
 	// reportedAt is when the coordinator last received the pool's report.
@@ -119,11 +124,14 @@
 	jobLog := ledger.New(cfg.Ledger)
 	poolConfig := workerpool.DefaultConfig(cfg.MaxLease)
 	poolConfig.IsStored = jobLog.Contains
+	evacuations := &evacuation.Set{}
+	poolConfig.Evacuations = evacuations
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
+		Evacuations: evacuations,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease}),
+		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
@@ -177,6 +185,9 @@
 	if c.Ownership.IsOutdated(w) {
 		return
 	}
+	if w.ColdLeft > 0 {
+		w.ColdUntil = now.Add(w.ColdLeft)
+	}
 	c.Ownership.UpdateWorker(w)
 	c.Coordinator.UpdateWorker(now, w)
 }
@@ -240,6 +251,8 @@
 		c.outcome(now, from, m)
 	case offer.Inventory:
 		c.Coordinator.HandleInventory(now, from, m)
+	case Evacuations:
+		c.ChangeEvacuations(now, from, m.Changes)
 	}
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -38,6 +39,9 @@
 	StopRetryDelay time.Duration
 	// IsStored reports whether this host knows the job as a stored one.
 	IsStored func(job string) bool
+	// Evacuations holds the evacuated zones; nil means that none ever is. After a
+	// change, Pool.EvacuationsChanged must be called.
+	Evacuations *evacuation.Set
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -165,6 +169,9 @@
 
 // NewPool returns a pool without workers.
 func NewPool(cfg Config) *Pool {
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = &evacuation.Set{}
+	}
 	return &Pool{cfg: cfg, workers: map[string]*worker{}}
 }
 
@@ -210,13 +217,14 @@
 	if w, ok := p.workers[info.ID]; ok {
 		// A newer fence for an owned worker applies to later orders.
 		w.fence = max(w.fence, fence)
-		w.info = info
+		p.setInfo(w, info)
 		return
 	}
 	w := &worker{
-		info: info, fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]*unrecordedEnd{},
+		fence: fence, runs: map[fleet.RunID]*run{}, unrecorded: map[int64]*unrecordedEnd{},
 		unclaimed: map[fleet.RunID]bool{}, adopting: true,
 	}
+	p.setInfo(w, info)
 	p.workers[info.ID] = w
 	p.order = append(p.order, w)
 	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
@@ -232,7 +240,7 @@
 	if w.startTime != 0 && info.StartTime > w.startTime {
 		w.resetEndNumbers(w.latestLeaseEnd)
 	}
-	w.info = info
+	p.setInfo(w, info)
 }
 
 // Release releases a worker at once. Its runs continue under their leases, so
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -76,7 +76,7 @@
 		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) {
 			continue
 		}
-		if best == nil || p.isBetter(q, w, best) {
+		if best == nil || p.prefers(now, q, w, best) {
 			best = w
 		}
 	}
@@ -146,7 +146,7 @@
 			p.returnTask(q.Task, "", q.NextRun-1, "deadline passed")
 			return true
 		case !p.couldStartSoon(now, &q.Task):
-			p.returnTask(q.Task, "", q.NextRun-1, "no worker of this host can start it")
+			p.returnTask(q.Task, "", q.NextRun-1, p.whyUnstartable(&q.Task))
 			return true
 		}
 		return false
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -55,7 +55,10 @@
 
 // worker is one worker that this host owns.
 type worker struct {
-	info  fleet.Worker
+	info fleet.Worker
+	// evacuated is set while the worker's zone is evacuated.
+	evacuated bool
+
 	fence int64
 	runs  map[fleet.RunID]*run
 	used  fleet.Size
@@ -156,14 +159,14 @@
 
 // usable reports whether the worker may start tasks now.
 func (w *worker) usable(now time.Time) bool {
-	return !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
+	return !w.evacuated && !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
 		w.missedPolls == 0 && w.staleAckPoll == 0 && !w.health.onProbation(now) && !w.awaitsLeaseExpiry(now)
 }
 
 // soonUsable reports whether the worker may start tasks now or is expected to
 // within a few round trips.
 func (w *worker) soonUsable(now time.Time) bool {
-	return !w.info.Draining && w.missedPolls < lostAfterMissedPolls && !w.health.onProbation(now)
+	return !w.evacuated && !w.info.Draining && w.missedPolls < lostAfterMissedPolls && !w.health.onProbation(now)
 }
 
 // renewsLeases reports whether polls renew the leases. Unclaimed runs are not
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,8 +61,17 @@
 	StartTime int64
 	// Heartbeat numbers the registrations of one incarnation.
 	Heartbeat int64
+	// ColdLeft is how long after the registration the worker will still run tasks
+	// slower than usual; zero if it does not.
+	ColdLeft time.Duration
+	// ColdUntil is when ColdLeft ends on the local clock. The receiver of the
+	// registration sets it; it is zero if ColdLeft is.
+	ColdUntil time.Time
 }
 
+// Cold reports whether the worker still runs tasks slower than usual.
+func (w Worker) Cold(now time.Time) bool { return now.Before(w.ColdUntil) }
+
 // OlderThan reports whether the registration precedes another one of the same
 // worker.
 func (w Worker) OlderThan(o Worker) bool {
