--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -34,6 +34,7 @@
 // testFleet is a fleet of hosts, workers and a store on an in-memory network.
 type testFleet struct {
 	t       *testing.T
+	zones   []string
 	net     *memnet.Network
 	store   *store.Store
 	workers []*taskworker.Worker
@@ -43,7 +44,12 @@
 }
 
 func newFleet(t *testing.T, hosts, workers int) *testFleet {
-	f := &testFleet{t: t, net: memnet.New(), store: store.New(partitions), stops: map[string]func(){}}
+	return newFleetInZones(t, []string{"z"}, hosts, workers)
+}
+
+// newFleetInZones returns a fleet whose hosts and workers take turns in the zones.
+func newFleetInZones(t *testing.T, zones []string, hosts, workers int) *testFleet {
+	f := &testFleet{t: t, zones: zones, net: memnet.New(), store: store.New(partitions), stops: map[string]func(){}}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.Dial, DisableKeepAlives: true}}
 	f.serve("store:1", f.store)
 	f.configure(1, "/jobs/")
@@ -53,12 +59,12 @@
 		f.workers = append(f.workers, w)
 		f.serve(id+":1", w)
 		f.store.PutWorker(id, f.encode(map[string]any{
-			"service": "s", "addr": id + ":1", "zone": "z", "state": "ready",
+			"service": "s", "addr": id + ":1", "zone": zones[i%len(zones)], "state": "ready",
 			"capacity": map[string]int{"cpu": 32000, "mem_mb": 1024}, "labels": []string{"a"},
 		}))
 	}
 	for i := range hosts {
-		f.start(fmt.Sprintf("host-%d", i))
+		f.startIn(fmt.Sprintf("host-%d", i), zones[i%len(zones)])
 	}
 	time.Sleep(time.Second)
 	return f
@@ -89,13 +95,15 @@
 	f.servers = append(f.servers, server)
 }
 
-// start runs a host until its function in stops is called.
-func (f *testFleet) start(name string) {
+// start runs a host in the first zone until its function in stops is called.
+func (f *testFleet) start(name string) { f.startIn(name, f.zones[0]) }
+
+func (f *testFleet) startIn(name, zone string) {
 	network := Network{Dial: f.net.Dial, Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 		return f.net.Listen(address), nil
 	}}
 	s := platform.Settings{
-		Host: name, Zone: "z", Zones: []string{"z"}, CallersAddress: name + ":1", ReadyAddress: name + ":2",
+		Host: name, Zone: zone, Zones: f.zones, CallersAddress: name + ":1", ReadyAddress: name + ":2",
 		PeersAddress: name + ":3", MetricsAddress: name + ":4", StoreAddress: "store:1",
 		MaxLease: time.Second, Grace: 6 * time.Second, Partitions: partitions, JobRetention: 2 * time.Minute,
 	}
