Intents that evacuate and readmit a zone

Operators of the product's own interface could take single hosts out of service, but had to name each host of a zone, and hosts that joined the zone later got work.

The intents evacuate_zone and readmit_zone, with the field zone, are planned, confirmed and explained like drains. A plan warns when the zone is unknown, evacuated already or the last one in service, and when a customer or the jobs lose their last server. Backend servers and workers of the zone get no new work; work in flight completes. While everything that could run a request or a job is in evacuated zones, it is refused at once as not run, with a Retry-After. The tool has plan evacuate-zone and plan readmit-zone, and status lists the evacuated zones.

All plans about zones share a key, so that two made on one version cannot together take the last zone.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -159,6 +159,8 @@
 	cases := map[string]string{
 		"plan drain backend-3":            `"verb":"drain","host":"backend-3"`,
 		"plan undrain backend-3":          `"verb":"undrain","host":"backend-3"`,
+		"plan evacuate-zone karen":        `"verb":"evacuate_zone","zone":"karen"`,
+		"plan readmit-zone karen":         `"verb":"readmit_zone","zone":"karen"`,
 		"plan set-weight t backend-3 0.5": `"verb":"set_weight","customer":"t","host":"backend-3","weight":0.5`,
 		"plan remove-customer t":          `"verb":"remove_customer","customer":"t"`,
 		"plan set-team t rigs -slots 4":   `"verb":"set_team","customer":"t","team":"rigs","team_rules":{"weight":1,"slots":4}`,
@@ -232,13 +234,16 @@
 	}
 	status := operator.Status{
 		Host: "entry-1", Zone: "westlands", Version: 9, LogAgeMs: 12,
-		State:      &standing.State{Drains: map[string]standing.Drain{"backend-3": {Since: 9, Operator: "wanjiru", Reason: "bad rig"}}},
+		State: &standing.State{
+			Drains:      map[string]standing.Drain{"backend-3": {Since: 9, Operator: "wanjiru", Reason: "bad rig"}},
+			Evacuations: map[string]standing.Evacuation{"karen": {Since: 8, Operator: "patel", Reason: "power"}},
+		},
 		Peers:      []operator.PeerStatus{{Host: "entry-2", Zone: "karen", Reachable: true, Version: 9}, {Host: "entry-3", Zone: "embakasi", Version: 7}},
 		Conditions: []decision.Record{{Part: decision.PartEject, Action: "eject", Why: "5 failures in a row"}},
 	}
 	got = run(t, fakeHosts{operatorsAddr: {handler: respondWith(status)}}, "", "status")
 	require.Equal(t, exitOK, got.status, got.err)
-	for _, want := range []string{"version 9", "drained: backend-3", "wanjiru (bad rig)", "entry-3 in zone embakasi: not reachable", "5 failures in a row"} {
+	for _, want := range []string{"version 9", "drained: backend-3", "wanjiru (bad rig)", "evacuated: zone karen since version 8 by patel (power)", "entry-3 in zone embakasi: not reachable", "5 failures in a row"} {
 		require.Contains(t, got.out, want)
 	}
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -13,7 +13,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decision"
 )
 
-const explainHelp = `The id names a request, job, task, backend server, worker, entry host or plan.
+const explainHelp = `The id names a request, job, task, backend server, worker, entry host, zone or plan.
 Any entry host can answer: it collects the decisions of all entry hosts and
 lists the hosts that it could not reach. Each decision names its rule, its
 inputs, the configuration version and the operator's intent behind that version.`
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -94,6 +94,8 @@
 		Subcommands: []*ffcli.Command{
 			t.planIntentCommand(), t.planHostCommand(config.Drain, "Take a host out of service: it gets no new work."),
 			t.planHostCommand(config.Undrain, "Return a drained host to service."), t.planWeightCommand(),
+			t.planZoneCommand("evacuate-zone", config.EvacuateZone, "Give the backend servers and workers of a zone no new work."),
+			t.planZoneCommand("readmit-zone", config.ReadmitZone, "Return an evacuated zone to service."),
 			t.planSetCustomerCommand(), t.planRemoveCustomerCommand(), t.planSetTeamCommand(), t.planRemoveTeamCommand(),
 			t.planOutcomeCommand(),
 		},
@@ -129,6 +131,12 @@
 	})
 }
 
+func (t *Tool) planZoneCommand(name string, verb config.Verb, help string) *ffcli.Command {
+	return t.newPlanner(name).newCommand(name, help, []string{"zone"}, func(args []string) (config.Intent, error) {
+		return config.Intent{Verb: verb, Zone: args[0]}, nil
+	})
+}
+
 func (t *Tool) planWeightCommand() *ffcli.Command {
 	names := []string{"customer", "backend", "weight"}
 	help := "Set a backend server's weight for a customer; 0 gives it no work."
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -22,8 +24,9 @@
 )
 
 const statusHelp = `Prints the state of one entry host: its zone, the configuration version in
-force, the time since the log last answered, the drained hosts, the peers as
-this entry host sees them, and the conditions that need attention.
+force, the time since the log last answered, the drained hosts and evacuated
+zones, the peers as this entry host sees them, and the conditions that need
+attention.
 
 With -wait-version the command waits until at least that version is in force on
 this entry host and on every peer that it lists.`
@@ -99,6 +102,10 @@
 		for name, d := range status.State.Drains {
 			_, _ = fmt.Fprintf(w, "  drained: %s since version %d by %s (%s), intent %s\n", name, d.Since, d.Operator, orNone(d.Reason), d.Intent)
 		}
+		for _, zone := range slices.Sorted(maps.Keys(status.State.Evacuations)) {
+			e := status.State.Evacuations[zone]
+			_, _ = fmt.Fprintf(w, "  evacuated: zone %s since version %d by %s (%s), intent %s\n", zone, e.Since, e.Operator, orNone(e.Reason), e.Intent)
+		}
 	}
 	for _, c := range status.Conditions {
 		_, _ = fmt.Fprintf(w, "  condition: %s %s: %s\n", c.Part, c.Action, c.Why)
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -311,6 +311,8 @@
 		{"no host", operator.PathPlans, `{"operator":"w","verb":"drain"}`, errkind.PlanInvalid},
 		{"unknown verb", operator.PathPlans, `{"operator":"w","verb":"explode"}`, errkind.PlanInvalid},
 		{"undrain of a host in service", operator.PathPlans, `{"operator":"w","verb":"undrain","host":"backend-1"}`, errkind.PlanRejected},
+		{"no zone", operator.PathPlans, `{"operator":"w","verb":"evacuate_zone"}`, errkind.PlanInvalid},
+		{"readmission of a zone in service", operator.PathPlans, `{"operator":"w","verb":"readmit_zone","zone":"karen"}`, errkind.PlanRejected},
 		{"altered plan", operator.PathConfirms, encode(t, altered), errkind.PlanInvalid},
 		{"empty plan", operator.PathConfirms, `{}`, errkind.PlanInvalid},
 	}
--- a/internal/daemon/follower/listedhosts.go
+++ b/internal/daemon/follower/listedhosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
@@ -21,16 +22,20 @@
 	}
 	var listed config.ListedHosts
 	for _, host := range h.Hosts() {
+		if !slices.Contains(listed.Zones, host.Zone) {
+			listed.Zones = append(listed.Zones, host.Zone)
+		}
 		switch host.Role {
 		case platform.RoleBackend:
 			listed.Backends = append(listed.Backends, config.Backend{
-				Name: host.Name, Customer: host.Customer, Slots: host.Slots, Leaving: host.State == platform.HostLeaving,
+				Name: host.Name, Customer: host.Customer, Zone: host.Zone, Slots: host.Slots, Leaving: host.State == platform.HostLeaving,
 			})
 		case platform.RoleWorker:
-			listed.Workers = append(listed.Workers, config.Worker{Name: host.Name, Cores: host.Cores})
+			listed.Workers = append(listed.Workers, config.Worker{Name: host.Name, Zone: host.Zone, Cores: host.Cores})
 		case platform.RoleEntry:
 			listed.EntryHosts = append(listed.EntryHosts, host.Name)
 		}
 	}
+	slices.Sort(listed.Zones)
 	return listed
 }
--- a/internal/daemon/jobs/hosts.go
+++ b/internal/daemon/jobs/hosts.go
@@ -16,10 +16,14 @@
 	for _, h := range s.deps.Hosts.Hosts() {
 		switch h.Role {
 		case platform.RoleWorker:
+			evacuated := ""
+			if state.Evacuated(h.Zone) {
+				evacuated = h.Zone
+			}
 			workers = append(workers, jobs.WorkerInfo{
 				Name: h.Name, Address: h.Address, Rack: h.Rack,
 				Capacity: placement.Size{Cores: h.Cores, MemoryMB: h.MemoryMB, Accelerators: h.Accelerators},
-				Live:     h.State == platform.HostLive && !drained(state, h.Name),
+				Live:     h.State == platform.HostLive && !drained(state, h.Name), EvacuatedZone: evacuated,
 			})
 		case platform.RoleEntry:
 			if h.State == platform.HostLive && h.Name != s.deps.Settings.Host {
--- a/internal/daemon/jobs/http.go
+++ b/internal/daemon/jobs/http.go
@@ -33,12 +33,24 @@
 	}
 	answer, err := s.Submit(r.Context(), job, jobDigest(job))
 	if err != nil {
-		errkind.Write(w, job.Submission, err, 0)
+		errkind.Write(w, job.Submission, err, retryAfter(err))
 		return
 	}
 	httpjson.Write(w, http.StatusOK, answer)
 }
 
+// refusedRetryAfter is the delay after which the caller of a refused job may retry.
+// Jobs are refused while all workers are in evacuated zones, which operators readmit
+// by hand, so that a shorter delay only causes more refusals.
+const refusedRetryAfter = 3 * time.Second
+
+func retryAfter(err *errkind.Error) time.Duration {
+	if err.Kind == errkind.Overloaded {
+		return refusedRetryAfter
+	}
+	return 0
+}
+
 func (s *Service) serveGet(w http.ResponseWriter, r *http.Request) {
 	k := jobs.Key{Customer: r.PathValue("customer"), Submission: r.PathValue("submission")}
 	waitMs, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -165,7 +165,9 @@
 	s.refreshSelector(now, c, rules, hosts)
 	c.table.SetHorizon(now, horizon(rules))
 	c.table.Expire(now)
-	s.applyDispatch(c, c.core.SetBackends(now, c.routableBackends(now, rules, state, hosts)))
+	backends, evacuated := c.routableBackends(now, rules, state, hosts)
+	s.applyDispatch(c, c.core.SetBackends(now, backends))
+	s.applyDispatch(c, c.core.SetEvacuated(now, evacuated))
 	if s.deps.Hints != nil {
 		s.applyDispatch(c, c.core.HintLeaving(now, s.deps.Hints.LeavingBackends()))
 	}
@@ -257,15 +259,23 @@
 }
 
 // routableBackends returns the servers that may receive new requests, and
-// stores the addresses of all listed servers.
-func (c *customer) routableBackends(now time.Time, rules standing.Customer, state *standing.State, hosts []platform.Host) []route.Backend {
+// stores the addresses of all listed servers. If there would be such servers but
+// all are in evacuated zones, it returns the names of these zones.
+func (c *customer) routableBackends(now time.Time, rules standing.Customer, state *standing.State, hosts []platform.Host) ([]route.Backend, []string) {
 	var backends []route.Backend
+	var evacuated []string
 	for _, h := range c.listedBackends(now, rules, hosts) {
 		c.addresses[h.Name] = h.Address
 		_, drained := state.Drains[h.Name]
 		if h.State != platform.HostLive || drained {
 			continue
 		}
+		if state.Evacuated(h.Zone) {
+			if !slices.Contains(evacuated, h.Zone) {
+				evacuated = append(evacuated, h.Zone)
+			}
+			continue
+		}
 		weight, ok := rules.Weights[h.Name]
 		if !ok {
 			weight = 1
@@ -274,7 +284,11 @@
 			Name: h.Name, Zone: h.Zone, Slots: h.Slots, Limit: backendpool.ConnsPerBackend, Weight: weight,
 		})
 	}
-	return backends
+	if len(backends) > 0 {
+		return backends, nil
+	}
+	slices.Sort(evacuated)
+	return nil, evacuated
 }
 
 // applyDispatch executes actions of the dispatch core. The lock is held.
--- a/internal/decide/config/apply.go
+++ b/internal/decide/config/apply.go
@@ -148,7 +148,7 @@
 }
 
 // evictionOrder returns the tracked keys in the order of their removal: keys
-// without a rule or drain in force come first, and within each group those with
+// without a rule, drain or evacuation in force come first, and within each group those with
 // the oldest change.
 func evictionOrder(s *standing.State) []string {
 	inForce := map[string]bool{}
@@ -156,6 +156,9 @@
 		inForce[standing.CustomerKey(name)] = true
 		inForce[standing.PoolKey(name)] = true
 	}
+	for zone := range s.Evacuations {
+		inForce[standing.ZoneKey(zone)] = true
+	}
 	for name := range s.Drains {
 		inForce[standing.HostKey(name)] = true
 	}
@@ -178,6 +181,7 @@
 	next := *s
 	next.Customers = cloneMap(s.Customers)
 	next.Drains = cloneMap(s.Drains)
+	next.Evacuations = cloneMap(s.Evacuations)
 	next.LastChanges = cloneMap(s.LastChanges)
 	return &next
 }
@@ -214,5 +218,9 @@
 		s.Drains[i.Host] = standing.Drain{Since: offset, Intent: i.ID, Operator: i.Operator, Reason: i.Reason}
 	case Undrain:
 		delete(s.Drains, i.Host)
+	case EvacuateZone:
+		s.Evacuations[i.Zone] = standing.Evacuation{Since: offset, Intent: i.ID, Operator: i.Operator, Reason: i.Reason}
+	case ReadmitZone:
+		delete(s.Evacuations, i.Zone)
 	}
 }
--- a/internal/decide/config/effects.go
+++ b/internal/decide/config/effects.go
@@ -18,6 +18,10 @@
 		return hostEffects(hosts, i, "sends no new work to")
 	case Undrain:
 		return hostEffects(hosts, i, "sends new work again to")
+	case EvacuateZone:
+		return zoneEffects(hosts, i, "sends no new work to")
+	case ReadmitZone:
+		return zoneEffects(hosts, i, "sends new work again to")
 	}
 	out := changedRules(before.Customers[i.Customer], after.Customers[i.Customer])
 	for n := range out {
@@ -43,11 +47,31 @@
 	return out
 }
 
+func zoneEffects(hosts ListedHosts, i Intent, effect string) []string {
+	backends, slots, workers, cores := 0, 0, 0, 0
+	for _, b := range hosts.Backends {
+		if b.Zone == i.Zone {
+			backends, slots = backends+1, slots+b.Slots
+		}
+	}
+	for _, w := range hosts.Workers {
+		if w.Zone == i.Zone {
+			workers, cores = workers+1, cores+w.Cores
+		}
+	}
+	return []string{
+		fmt.Sprintf("%s zone %s: %d backend servers with %d slots, %d workers with %d cores", effect, i.Zone, backends, slots, workers, cores),
+		fmt.Sprintf("entry hosts in zone %s go on serving their callers", i.Zone),
+	}
+}
+
 // inFlight describes what the intent does to work that has already started.
 func inFlight(i Intent) string {
 	switch i.Verb {
 	case Drain, Undrain:
 		return "requests and tasks in flight on the host run to completion"
+	case EvacuateZone, ReadmitZone:
+		return "requests and tasks in flight in the zone run to completion"
 	case RemoveCustomer:
 		return "requests and jobs in flight run to completion; new ones are refused without being run"
 	default:
--- a/internal/decide/config/intent.go
+++ b/internal/decide/config/intent.go
@@ -27,9 +27,13 @@
 	Drain Verb = "drain"
 	// Undrain returns a host to service.
 	Undrain Verb = "undrain"
+	// EvacuateZone gives the backend servers and workers of a zone no new work.
+	EvacuateZone Verb = "evacuate_zone"
+	// ReadmitZone returns an evacuated zone to service.
+	ReadmitZone Verb = "readmit_zone"
 )
 
-var verbs = []Verb{SetCustomer, RemoveCustomer, SetTeam, RemoveTeam, SetWeight, Drain, Undrain}
+var verbs = []Verb{SetCustomer, RemoveCustomer, SetTeam, RemoveTeam, SetWeight, Drain, Undrain, EvacuateZone, ReadmitZone}
 
 const (
 	// maxNameBytes is the maximum length of each name in an intent.
@@ -48,7 +52,9 @@
 	Customer string `json:"customer,omitempty"`
 	Team     string `json:"team,omitempty"`
 	// Host is the name of a backend server, worker or entry host.
-	Host      string             `json:"host,omitempty"`
+	Host string `json:"host,omitempty"`
+	// Zone is the name of an availability zone.
+	Zone      string             `json:"zone,omitempty"`
 	Rules     *standing.Customer `json:"rules,omitempty"`
 	TeamRules *standing.Team     `json:"team_rules,omitempty"`
 	Weight    *float64           `json:"weight,omitempty"`
@@ -64,6 +70,8 @@
 	switch i.Verb {
 	case Drain, Undrain:
 		return []string{standing.HostKey(i.Host)}
+	case EvacuateZone, ReadmitZone:
+		return []string{standing.ZoneKey(i.Zone), standing.ZonesKey}
 	case SetWeight:
 		return []string{customer, standing.HostKey(i.Host), pool}
 	case SetTeam, RemoveTeam:
@@ -80,7 +88,7 @@
 	if field := i.missing(); field != "" {
 		return errkind.New(errkind.PlanInvalid, "%s needs %q", i.Verb, field)
 	}
-	for _, name := range []string{i.ID, i.Operator, i.Customer, i.Team, i.Host} {
+	for _, name := range []string{i.ID, i.Operator, i.Customer, i.Team, i.Host, i.Zone} {
 		if len(name) > maxNameBytes {
 			return errkind.New(errkind.PlanInvalid, "a name has %d bytes, the maximum is %d", len(name), maxNameBytes)
 		}
@@ -94,13 +102,15 @@
 // missing returns the first field that the verb requires and the intent does not
 // set, or "".
 func (i Intent) missing() string {
-	hostVerb := i.Verb == Drain || i.Verb == Undrain
+	hostVerb, zoneVerb := i.Verb == Drain || i.Verb == Undrain, i.Verb == EvacuateZone || i.Verb == ReadmitZone
 	switch {
 	case !slices.Contains(verbs, i.Verb):
 		return "a known verb"
 	case i.Operator == "":
 		return "operator"
-	case !hostVerb && i.Customer == "":
+	case zoneVerb && i.Zone == "":
+		return "zone"
+	case !hostVerb && !zoneVerb && i.Customer == "":
 		return "customer"
 	case (hostVerb || i.Verb == SetWeight) && i.Host == "":
 		return "host"
--- a/internal/decide/config/plan.go
+++ b/internal/decide/config/plan.go
@@ -70,7 +70,8 @@
 
 // planKeys returns the sorted keys of the plan. To the keys of the intent it adds
 // the pool of the customer whose backend server is drained, so that two
-// concurrent drains cannot together remove a customer's last server.
+// concurrent drains cannot together remove a customer's last server. An evacuation
+// adds the pools of the customers with servers in the zone, as far as they fit.
 func planKeys(hosts ListedHosts, i Intent) []string {
 	keys := i.Keys()
 	if i.Verb == Drain || i.Verb == Undrain {
@@ -78,13 +79,20 @@
 			keys = append(keys, standing.PoolKey(b.Customer))
 		}
 	}
+	if i.Verb == EvacuateZone {
+		for _, customer := range hosts.customersIn(i.Zone) {
+			if len(keys) < maxPlanKeys {
+				keys = append(keys, standing.PoolKey(customer))
+			}
+		}
+	}
 	slices.Sort(keys)
 	return keys
 }
 
 func affectedBy(hosts ListedHosts, i Intent) []string {
 	var names []string
-	for _, name := range []string{i.Customer, i.Team, i.Host} {
+	for _, name := range []string{i.Customer, i.Team, i.Host, i.Zone} {
 		if name != "" {
 			names = append(names, name)
 		}
@@ -92,6 +100,9 @@
 	if b, ok := hosts.backend(i.Host); ok && b.Customer != i.Customer {
 		names = append(names, b.Customer)
 	}
+	if i.Zone != "" {
+		names = append(names, hosts.customersIn(i.Zone)...)
+	}
 	return names
 }
 
@@ -140,7 +151,12 @@
 func checkApplicable(state *standing.State, i Intent) *errkind.Error {
 	customer, known := state.Customers[i.Customer]
 	switch i.Verb {
-	case Drain, SetCustomer:
+	case Drain, SetCustomer, EvacuateZone:
+		return nil
+	case ReadmitZone:
+		if !state.Evacuated(i.Zone) {
+			return errkind.New(errkind.PlanRejected, "zone %q is not evacuated", i.Zone)
+		}
 		return nil
 	case Undrain:
 		if _, ok := state.Drains[i.Host]; !ok {
--- a/internal/decide/config/warnings.go
+++ b/internal/decide/config/warnings.go
@@ -24,9 +24,38 @@
 	if i.Customer != "" {
 		out = append(out, quotaWarnings(after, hosts, i.Customer)...)
 	}
+	out = append(out, zoneWarnings(before, after, hosts, i)...)
 	return append(out, roleWarnings(after, hosts, i)...)
 }
 
+// zoneWarnings warns if a zone to evacuate is unknown, already evacuated or the
+// last one in service, and if no worker outside evacuated zones is left.
+func zoneWarnings(before, after *standing.State, hosts ListedHosts, i Intent) []string {
+	if i.Verb != EvacuateZone {
+		return nil
+	}
+	var out []string
+	if !slices.Contains(hosts.Zones, i.Zone) {
+		out = append(out, fmt.Sprintf("the host list names no host in zone %q", i.Zone))
+	}
+	if e, ok := before.Evacuations[i.Zone]; ok {
+		out = append(out, fmt.Sprintf("zone %q is evacuated already, since version %d by %s", i.Zone, e.Since, e.Operator))
+	}
+	if !slices.ContainsFunc(hosts.Zones, func(zone string) bool { return !after.Evacuated(zone) }) {
+		out = append(out, fmt.Sprintf("zone %q is the last one in service", i.Zone))
+	}
+	usable := func(s *standing.State) bool {
+		return slices.ContainsFunc(hosts.Workers, func(w Worker) bool {
+			_, drained := s.Drains[w.Name]
+			return !drained && !s.Evacuated(w.Zone)
+		})
+	}
+	if usable(before) && !usable(after) {
+		out = append(out, "no worker is left")
+	}
+	return out
+}
+
 // usableBackends returns the number of backend servers that can get new work of
 // the customer.
 func usableBackends(s *standing.State, hosts ListedHosts, customer string) int {
@@ -34,7 +63,7 @@
 	for _, b := range hosts.Backends {
 		_, drained := s.Drains[b.Name]
 		weight, listed := s.Customers[customer].Weights[b.Name]
-		if b.Customer == customer && !b.Leaving && !drained && (!listed || weight > 0) {
+		if b.Customer == customer && !b.Leaving && !drained && !s.Evacuated(b.Zone) && (!listed || weight > 0) {
 			n++
 		}
 	}
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -102,6 +102,9 @@
 	detector    *eject.Detector
 	listed      []route.Backend
 	listChanged bool
+	// evacuatedZones holds the zones of all backend servers if all these zones are
+	// evacuated.
+	evacuatedZones []string
 }
 
 // New returns a core without requests or backend servers.
@@ -137,6 +140,9 @@
 func (c *Core) Arrive(now time.Time, r Request) []Action {
 	w := &activeRequest{req: r, arrived: now}
 	c.requests[r.ID] = w
+	if len(c.evacuatedZones) > 0 {
+		return c.refuseEvacuated(r.ID)
+	}
 	refused := c.queue.Push(now, w.item())
 	return c.advance(now, c.refuse(refused))
 }
--- a/internal/decide/jobs/claim.go
+++ b/internal/decide/jobs/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/callerapi"
@@ -29,6 +30,11 @@
 	if c.rejectNew {
 		return c.refusal(errkind.New(errkind.Stopping, "entry host %s is stopping", c.cfg.Self.Host()), spec)
 	}
+	if len(c.evacuatedZones) > 0 {
+		err := errkind.New(errkind.Overloaded, "all workers are in evacuated zones: %s", strings.Join(c.evacuatedZones, ", "))
+		c.logDecision(decision.PartJob, "refuse", "evacuation", k, nil, "%s", err.Detail)
+		return c.refusal(err, spec)
+	}
 	p := &pendingClaim{job: spec, digest: digest, minted: minted, requestedAt: now}
 	if minted {
 		lease := time.Duration(spec.DeadlineMs)*time.Millisecond + c.cfg.CloseMargin
--- a/internal/decide/jobs/core.go
+++ b/internal/decide/jobs/core.go
@@ -114,9 +114,11 @@
 	// dirtyWorkers are the workers with something to send.
 	dirtyWorkers []*worker
 
-	rejectNew    bool
-	lastRecordAt time.Time
-	actions      []Action
+	rejectNew bool
+	// evacuatedZones holds the zones of all live workers if all are evacuated.
+	evacuatedZones []string
+	lastRecordAt   time.Time
+	actions        []Action
 }
 
 // queuedClaim is a claim that was handed over for appending.
--- a/internal/decide/jobs/worker.go
+++ b/internal/decide/jobs/worker.go
@@ -23,6 +23,9 @@
 	Capacity placement.Size
 	// Live is false while the worker is leaving or drained.
 	Live bool
+	// EvacuatedZone is the worker's zone if it is evacuated, else empty. The worker
+	// then gets no tasks; its tasks run to completion.
+	EvacuatedZone string
 }
 
 // worker is this host's state for one worker.
@@ -71,6 +74,7 @@
 	if len(infos) == 0 {
 		return
 	}
+	c.evacuatedZones = evacuatedZones(infos)
 	for _, w := range c.workerList {
 		w.inHostList = false
 	}
@@ -81,7 +85,7 @@
 			c.workers[info.Name] = w
 			c.workerList = append(c.workerList, w)
 		}
-		w.address, w.live, w.inHostList = info.Address, info.Live, true
+		w.address, w.live, w.inHostList = info.Address, info.Live && info.EvacuatedZone == "", true
 		c.fleet.Put(placement.Worker{
 			Name: info.Name, Rack: info.Rack, Capacity: info.Capacity, Home: c.isHome(info.Name, entries),
 		}, w.usable(now))
@@ -100,6 +104,23 @@
 	})
 }
 
+// evacuatedZones returns the sorted names of the zones of all live workers if all
+// these zones are evacuated, else nil.
+func evacuatedZones(infos []WorkerInfo) []string {
+	var zones []string
+	for _, info := range infos {
+		switch {
+		case !info.Live:
+		case info.EvacuatedZone == "":
+			return nil
+		case !slices.Contains(zones, info.EvacuatedZone):
+			zones = append(zones, info.EvacuatedZone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // isHome reports whether this entry host ranks first for the worker by
 // rendezvous hashing.
 func (c *Core) isHome(worker string, entries []string) bool {
--- a/internal/decide/standing/state.go
+++ b/internal/decide/standing/state.go
@@ -18,6 +18,9 @@
 	Customers map[string]Customer `json:"customers,omitempty"`
 	// Drains are the hosts and backend servers that get no new work, by name.
 	Drains map[string]Drain `json:"drains,omitempty"`
+	// Evacuations are the availability zones whose backend servers and workers get
+	// no new work, by zone.
+	Evacuations map[string]Evacuation `json:"evacuations,omitempty"`
 	// LastChanges holds the last change of each key, such as
 	// "customer/tamarind" or "host/backend-7".
 	LastChanges map[string]Change `json:"touched,omitempty"`
@@ -51,6 +54,28 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// Evacuation is an operator's order that the backend servers and workers of a zone
+// get no new work.
+type Evacuation struct {
+	// Since is the version that set the evacuation.
+	Since int64 `json:"since"`
+	// Intent is the id of the intent that set the evacuation.
+	Intent string `json:"intent"`
+	// Operator is the operator who set the evacuation.
+	Operator string `json:"operator"`
+	// Reason is the reason that the operator gave, if any.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Evacuated reports whether a zone is evacuated. A nil state has no evacuations.
+func (s *State) Evacuated(zone string) bool {
+	if s == nil {
+		return false
+	}
+	_, ok := s.Evacuations[zone]
+	return ok
+}
+
 // Outcome is the result of applying a record.
 type Outcome struct {
 	// ID is the record's id.
@@ -82,8 +107,14 @@
 // HostKey returns the key of a backend server, worker or entry host.
 func HostKey(host string) string { return "host/" + host }
 
+// ZoneKey returns the key of an availability zone.
+func ZoneKey(zone string) string { return "zone/" + zone }
+
+// ZonesKey is the key of the set of zones in service.
+const ZonesKey = "zones"
+
 // LastChange returns the newest recorded change of the customer's rules or of
-// any of the hosts. An empty customer is ignored. It returns false if no change is
+// any of the hosts or zones. An empty customer is ignored. It returns false if no change is
 // recorded.
 func (s *State) LastChange(customer string, hosts ...string) (Change, bool) {
 	newest, found := Change{}, false
@@ -98,6 +129,7 @@
 	}
 	for _, host := range hosts {
 		consider(HostKey(host))
+		consider(ZoneKey(host))
 	}
 	return newest, found
 }
