Soak: evacuate and readmit a zone

Records of refusals in the product's own interface also name the evacuated zones as subjects, so that explain finds them by the zone.

--- a/internal/daemon/dispatch/evacuation_test.go
+++ b/internal/daemon/dispatch/evacuation_test.go
@@ -154,3 +154,38 @@
 	addMessage(frame, time.Time{}, m)
 	assert.Equal(t, []host.Message{m}, messagesFromProto(time.Time{}, "self", frame))
 }
+
+// Guards against a host that is cut off from the store and does not learn of changes
+// from its streams, and against a peer that keeps an outdated evacuation.
+func TestStreamCarriesTheEvacuatedZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetInZones(t, []string{"y", "z"}, 1, 2)
+		defer f.stopAll()
+		f.evacuate("y", true)
+		time.Sleep(taskTime)
+		f.store.SetDown(true)
+		stream := dialPeer(t, f)
+		next := func() []*dispatchv1.Evacuation {
+			for {
+				frame, err := stream.Receive()
+				require.NoError(t, err)
+				if frame.GetEvacuations() != nil {
+					return frame.GetEvacuations()
+				}
+			}
+		}
+		known := evacuationsFromProto(next()).Changes
+		require.Equal(t, []evacuation.Change{{Zone: "y", Offset: 1, Active: true}}, known)
+		require.NoError(t, stream.Send(&dispatchv1.Frame{Evacuations: []*dispatchv1.Evacuation{
+			{Zone: "y", Offset: 0}, {Zone: "z", Offset: 5, Active: true},
+		}}))
+		learned := evacuationsFromProto(next()).Changes
+		assert.ElementsMatch(t, []evacuation.Change{known[0], {Zone: "z", Offset: 5, Active: true}}, learned,
+			"the correction, and the change for all linked hosts")
+		status, answer := f.submit("host-0", "00000000000000a1", 1)
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Contains(t, answer, "evacuated zones: y, z")
+		require.NoError(t, stream.CloseRequest())
+		require.NoError(t, stream.CloseResponse())
+	})
+}
--- a/internal/decide/dispatch/evacuation.go
+++ b/internal/decide/dispatch/evacuation.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/parsleyhill/parsleyhill/internal/decide/admit"
+	"github.com/parsleyhill/parsleyhill/internal/decision"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 )
 
@@ -37,8 +37,15 @@
 	return c.advance(now, actions)
 }
 
-// refuseEvacuated refuses a request that is not in the queue.
+// refuseEvacuated refuses a request that is not in the queue. The decision record
+// also has the zones as subjects.
 func (c *Core) refuseEvacuated(id string) []Action {
-	return c.refuse([]admit.Refusal{{ID: id, RetryAfter: evacuatedRetryAfter, Err: errkind.New(errkind.NoBackend,
-		"all backend servers of customer %s are in evacuated zones: %s", c.customer, strings.Join(c.evacuatedZones, ", "))}})
+	err := c.requests[id].withKnownRun(errkind.New(errkind.NoBackend,
+		"all backend servers of customer %s are in evacuated zones: %s", c.customer, strings.Join(c.evacuatedZones, ", ")))
+	delete(c.requests, id)
+	subjects := append([]string{id}, c.evacuatedZones...)
+	return []Action{
+		c.logEvent(decision.PartAdmit, "refuse", "evacuation", err.Detail, subjects...),
+		Finish{ID: id, Err: err, RetryAfter: evacuatedRetryAfter},
+	}
 }
--- a/internal/decide/dispatch/evacuation_test.go
+++ b/internal/decide/dispatch/evacuation_test.go
@@ -26,6 +26,9 @@
 	actions := append(c.SetEvacuated(now, []string{"karen"}), c.Arrive(now, Request{ID: "late", Deadline: now.Add(10 * time.Second)})...)
 	refused := map[string]bool{}
 	for _, a := range actions {
+		if e, ok := a.(LogEvent); ok && e.Record.Action == "refuse" {
+			require.Contains(t, e.Record.Subjects, "karen", "explain finds it by the zone")
+		}
 		if f, ok := a.(Finish); ok {
 			refused[f.ID] = true
 			require.Equal(t, errkind.NotRun, f.Err.Run)
--- a/internal/decide/jobs/claim.go
+++ b/internal/decide/jobs/claim.go
@@ -32,7 +32,7 @@
 	}
 	if len(c.evacuatedZones) > 0 {
 		err := errkind.New(errkind.Overloaded, "all workers are in evacuated zones: %s", strings.Join(c.evacuatedZones, ", "))
-		c.logDecision(decision.PartJob, "refuse", "evacuation", k, nil, "%s", err.Detail)
+		c.logDecision(decision.PartJob, "refuse", "evacuation", k, c.evacuatedZones, "%s", err.Detail)
 		return c.refusal(err, spec)
 	}
 	p := &pendingClaim{job: spec, digest: digest, minted: minted, requestedAt: now}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -98,6 +98,7 @@
 			w.standin.SetClockRate(1 - 0.005*float64(i))
 			w.proxy = newProxy(t, "127.0.0.1:0", f.serve(w.standin))
 			f.workers = append(f.workers, w)
+			f.ledger.zoneOf[w.id] = zone
 			f.register(w)
 		}
 		for i := range hostsPerZone {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -33,8 +33,13 @@
 	// deadlyStarted, if set, is called with the worker on which a deadly task
 	// starts. It must not block.
 	deadlyStarted func(worker string)
-	violations    []string
-	counts        map[string]int
+	// zoneOf holds each worker's zone, and evacuated since when a zone is evacuated.
+	zoneOf    map[string]string
+	evacuated map[string]time.Time
+	// storeAway is the sum of the times in which the store was away for some host.
+	storeAway  time.Duration
+	violations []string
+	counts     map[string]int
 }
 
 func newLedger() *ledger {
@@ -42,6 +47,7 @@
 		startTime: time.Now(), running: map[string]int{}, load: map[string]int{}, done: map[string]bool{},
 		acknowledged: map[string]bool{}, lastStart: map[string]time.Time{}, counts: map[string]int{},
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{},
+		zoneOf: map[string]string{}, evacuated: map[string]time.Time{},
 	}
 }
 
@@ -91,6 +97,7 @@
 			l.fail("task %s starts on %s (run %d) after its end was acknowledged", e.Task, e.Worker, e.Run)
 		}
 		l.checkCrashes(e)
+		l.checkZone(e.Worker, e.Task, e.Run)
 		if deadly(e.Task) && l.deadlyStarted != nil {
 			l.deadlyStarted(e.Worker)
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,11 +91,22 @@
 		running.Go(func() {
 			time.Sleep(at)
 			t.Logf("%6.3f s: %s, for %v", time.Since(f.ledger.startTime).Seconds(), name, duration.Round(time.Millisecond))
+			if strings.HasPrefix(name, "store") {
+				f.ledger.locked(func() { f.ledger.storeAway += duration })
+			}
 			begin()
 			time.Sleep(duration)
 			heal()
 		})
 	}
+	zone, at, duration := drawEvacuation(seed, *length)
+	running.Go(func() {
+		time.Sleep(at)
+		t.Logf("%6.3f s: zone %s evacuated, for %v", time.Since(f.ledger.startTime).Seconds(), zone, duration.Round(time.Millisecond))
+		f.evacuate(zone, true)
+		time.Sleep(duration)
+		f.evacuate(zone, false)
+	})
 	running.Wait()
 	close(accepted)
 	f.checkRecovery(accepted)
