Stop a slow run only if its worker is the likely cause

Cause: the straggler rule stopped every run that was three times slower than the mean. Three tasks of a hundred take seven times as long on any worker; their runs were stopped and started again elsewhere, where they took as long, and their workers went on probation.

Change: a run is stopped if it stands still, if other runs on its worker are slow too, or if long tasks have been rare among the finished runs. A run that is slow beside normal ones, or whose task was started before, goes on and counts neither against the worker's health nor its speed. Each decision has a log line with its inputs and is counted in parsleyhill_slow_runs_total.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -48,6 +48,8 @@
 		d.logger.Warn("task judged by its lost workers", "task", a.Task, "verdict", a.Verdict, "crashes", a.Crashes)
 	case workerpool.RunsLost:
 		d.runsLost(a)
+	case workerpool.SlowRun:
+		d.slowRun(a)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case host.Append:
@@ -73,6 +75,18 @@
 		"last_failure", a.LastFailure, "silent_for", a.SilentFor, "draining", a.Worker.Draining, "count", len(a.Runs), "runs", runs)
 }
 
+// slowRun logs and counts a decision about a run that is far slower than expected.
+func (d *Dispatcher) slowRun(a workerpool.SlowRun) {
+	d.metrics.slowRuns.WithLabelValues(string(a.Decision)).Inc()
+	message := "slow run goes on"
+	if a.Decision.Stopped() {
+		message = "straggler stopped"
+	}
+	d.logger.Info(message, "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker, "why", a.Decision, "percent", a.Percent,
+		"after", a.Took, "normal", a.Normal, "pace", a.Pace, "mean_pace", a.MeanPace, "stalled_for", a.StalledFor,
+		"other_slow_runs", a.OtherSlowRuns, "needed", a.NeededSlowRuns)
+}
+
 func (d *Dispatcher) answer(a coordinator.Answer) {
 	if a.Stored {
 		d.logger.Info("stored job let go of", "job", a.Job, "route", a.Summary.Route, "done", a.Err == nil, "failed", a.Failed,
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -20,6 +20,7 @@
 	polls        prometheus.Counter
 	runsLost     *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
+	slowRuns     *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -50,8 +51,11 @@
 		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_task_verdicts_total", Help: "Changes of what happens to a task that lost workers, by the new verdict.",
 		}, []string{"verdict"}),
+		slowRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_slow_runs_total", Help: "Decisions about runs that are far slower than expected.",
+		}, []string{"decision"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.slowRuns)
 	return m
 }
 
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -163,8 +163,8 @@
 	switch reason {
 	case fleet.EndedDone:
 		w.health.runCompleted()
-		if r.task != nil && !r.claimed && p.paces.record(&w.health, now.Sub(r.orderedAt), r.task.Estimate) && w.health.runFailed(now) {
-			p.emit(LogEvent{Message: "probation", Worker: w.info.ID, Why: fmt.Sprintf("pace %.1f, mean of all workers %.1f", w.health.pace, p.paces.pace)})
+		if r.task != nil && !r.claimed {
+			p.recordRunTime(now, w, r)
 		}
 	case fleet.EndedFailed:
 		if w.health.runFailed(now) {
@@ -226,31 +226,15 @@
 		id := progress.RunID
 		if known := w.runs[id]; known != nil {
 			known.confirmed = true
-			p.stopStraggler(now, w, known, progress.Percent)
+			known.observeProgress(now, progress.Percent)
 			continue
 		}
 		// The worker received an order of a former owner late.
 		p.stop(now, w, p.addFoundRun(now, w, id))
 	}
-}
-
-// stopStraggler stops a run that is so slow that its task is expected to
-// complete earlier elsewhere.
-func (p *Pool) stopStraggler(now time.Time, w *worker, r *run, percent int) {
-	if r.task == nil || r.state != runRunning || r.claimed || p.paces.runs < minPaceRuns {
-		return
-	}
-	normal := time.Duration(float64(r.task.Estimate) * p.paces.pace)
-	took := now.Sub(r.orderedAt)
-	total := time.Duration(float64(took) * 100 / float64(max(percent, 1)))
-	if took < minJudgedTime || total < time.Duration(slowFactor*float64(normal)) || total-took < max(2*normal, minStragglerRemaining) {
-		return
-	}
-	if p.paces.record(&w.health, total, r.task.Estimate) && w.health.runFailed(now) {
-		p.emit(LogEvent{Message: "probation", Worker: w.info.ID, Why: fmt.Sprintf("run at %d%% after %v", percent, took)})
+	for _, progress := range running {
+		p.stopStraggler(now, w, w.runs[progress.RunID])
 	}
-	p.emit(LogEvent{Message: "straggler stopped", Worker: w.info.ID, Why: fmt.Sprintf("%s at %d%% after %v", r.id.Task, percent, took)})
-	p.stop(now, w, r)
 }
 
 // PollFailed handles a poll without an answer.
@@ -343,7 +327,7 @@
 	r.answeredAtPoll = p.lastPoll
 	switch verdict {
 	case fleet.StartAccepted:
-		r.state, r.confirmed = runRunning, true
+		r.state, r.confirmed, r.acceptedAt = runRunning, true, now
 		w.missedPolls = 0
 		if r.task != nil {
 			p.sendOutcome(*r.task, w, runID.Run, offer.Started, "")
--- a/internal/decide/workerpool/health.go
+++ b/internal/decide/workerpool/health.go
@@ -34,6 +34,16 @@
 	// pace is the moving mean of run time divided by estimate, over runs runs.
 	pace float64
 	runs int
+	// usualPace is pace without the slow runs, over usualRuns runs.
+	usualPace float64
+	usualRuns int
+	// normalAt is the middle of the last run that was not slow.
+	normalAt time.Time
+	// slowRuns counts the slow runs since then that the worker may have caused.
+	slowRuns int
+	// pendingRatio is the run time divided by the estimate of a slow run whose cause
+	// is not known, or zero. It is counted if the next run is slow too.
+	pendingRatio float64
 }
 
 func (h *health) onProbation(now time.Time) bool { return now.Before(h.probationUntil) }
@@ -68,7 +78,11 @@
 	if estimate <= 0 {
 		return false
 	}
-	ratio := float64(took) / float64(estimate)
+	return f.recordRatio(h, float64(took)/float64(estimate))
+}
+
+// recordRatio is record for a run time divided by the estimate.
+func (f *fleetPace) recordRatio(h *health, ratio float64) bool {
 	f.pace = movingMean(f.pace, ratio, f.runs, paceWeight/10)
 	f.runs++
 	h.pace = movingMean(h.pace, ratio, h.runs, paceWeight)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -156,6 +156,8 @@
 	// lastPoll is the number of the last poll that was sent.
 	lastPoll int64
 	paces    fleetPace
+	// longTasks is the share of tasks that take far longer than expected.
+	longTasks longTasks
 	// reserved is the worker that starts no other tasks until an exclusive task
 	// can start on it, or nil.
 	reserved *worker
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -33,6 +33,14 @@
 	task *offer.Task
 	// orderedAt is when the start was ordered.
 	orderedAt time.Time
+	// acceptedAt is when the worker's acceptance of the start was read.
+	acceptedAt time.Time
+	// percent is the progress that was listed last, and progressAt when it was first
+	// listed; for a run without progress, when the run was accepted.
+	percent    int
+	progressAt time.Time
+	// slowDecision is the last decision about the run as a slow one, or empty.
+	slowDecision SlowRunDecision
 	// answeredAtPoll is the number of the last poll sent before the start or stop
 	// was answered. The answer to any later poll reflects that order.
 	answeredAtPoll int64
