--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -22,6 +22,7 @@
 	verdicts     *prometheus.CounterVec
 	// zoneEvacuated has a value for each zone that was ever evacuated.
 	zoneEvacuated *prometheus.GaugeVec
+	slowRuns      *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -55,8 +56,11 @@
 		zoneEvacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "parsleyhill_zone_evacuated", Help: "1 while this host starts no tasks on the zone's workers because it is evacuated, else 0.",
 		}, []string{"zone"}),
+		slowRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_slow_runs_total", Help: "Decisions about runs that are far slower than expected.",
+		}, []string{"decision"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns)
 	return m
 }
 
