Hold found ends until their jobs' kind is known

The store had been out of reach of the worker's new owner until 11.5 s. When it took the worker over at 11.806 s, it had not read that the job, accepted at 11.695 s, is a stored one. It took the end for that of a best-effort job and acknowledged it unrecorded. It had no stream to the job's host, which therefore never saw the inventory and started the task again 2.6 s later.

Ruled out: the cause of (several owners within the time limit); here one owner acknowledged at once.

An owner now holds the ends that it finds until it has read the job log since, and treats them as found at their first listing.

--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -124,6 +124,7 @@
 	jobLog := ledger.New(cfg.Ledger)
 	poolConfig := workerpool.DefaultConfig(cfg.MaxLease)
 	poolConfig.IsStored = jobLog.Contains
+	poolConfig.IsClassified = jobLog.Classified
 	evacuations := &evacuation.Set{}
 	poolConfig.Evacuations = evacuations
 	return &Core{
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -175,6 +175,14 @@
 // dropped after its retention.
 func (l *Ledger) Contains(job string) bool { return l.jobs[job] != nil }
 
+// Classified reports whether Contains tells if a job is a stored one, given that a
+// run of the job had ended by the given time: its acceptance was in the log before
+// the run started, and this host has read the log since. While no job is known, a
+// recent read suffices: hosts read an idle log less often.
+func (l *Ledger) Classified(id string, ended time.Time) bool {
+	return l.Contains(id) || l.asOf.After(ended) || len(l.jobs) == 0 && ended.Sub(l.asOf) < maxLogAge
+}
+
 // Loaded reports whether the log has been read to its end at least once.
 func (l *Ledger) Loaded() bool { return !l.asOf.IsZero() }
 
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -100,10 +100,9 @@
 	w.latestLeaseEnd = l.Clock + p.cfg.MaxLease
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
-		if p.mustRecord(e, false) {
-			p.recordFoundEnd(now, w, e)
-		}
+		w.holdFoundEnd(now, e)
 	}
+	p.classifyFoundEnds(w)
 	w.advanceAcknowledged()
 	if len(l.Running) == 0 && len(l.Ended) == 0 {
 		return
@@ -153,11 +152,16 @@
 		p.endWithoutResult(w, r, e.Reason.String())
 		return
 	}
+	unclaimed := w.unclaimed[e.RunID]
 	w.removeRun(r)
 	p.updateHealth(now, w, r, e.Reason)
-	if p.mustRecord(e, r.stored) {
+	switch {
+	case p.mustRecord(e, r.stored):
 		p.recordEnd(now, w, e, r.task)
-	} else {
+	case unclaimed:
+		w.holdFoundEnd(now, e)
+		p.classifyFoundEnds(w)
+	default:
 		p.reportEnd(w.info.ID, w.fence, r.task, e)
 	}
 }
@@ -425,6 +429,7 @@
 			p.stop(now, w, r)
 		}
 	}
+	p.classifyFoundEnds(w)
 	p.expireLease(now, w)
 	p.tickPolls(now, w)
 }
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -39,6 +39,10 @@
 	StopRetryDelay time.Duration
 	// IsStored reports whether this host knows the job as a stored one.
 	IsStored func(job string) bool
+	// IsClassified reports whether IsStored can tell what kind of job a run
+	// belongs to that had ended by the given time: an unknown job may be a stored
+	// one that this host has not read of yet. Nil means that it always can.
+	IsClassified func(job string, ended time.Time) bool
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Pool.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -66,6 +66,52 @@
 	})
 }
 
+// classifyFoundEnds asks for the ends that were found on the worker to be recorded
+// if their jobs turn out to be stored ones, and lets the others be acknowledged.
+// An end that was found a while ago counts as listed then.
+func (p *Pool) classifyFoundEnds(w *worker) {
+	if len(w.unclassified) == 0 {
+		return
+	}
+	for _, seq := range slices.Sorted(maps.Keys(w.unclassified)) {
+		found := w.unclassified[seq]
+		if !p.isClassified(found) {
+			continue
+		}
+		delete(w.unclassified, seq)
+		if p.mustRecord(found.end, false) {
+			p.recordFoundEnd(found.listedAt, w, found.end)
+		}
+	}
+	w.advanceAcknowledged()
+}
+
+// holdFoundEnd keeps an end from being acknowledged until it is known whether its
+// job is a stored one.
+func (w *worker) holdFoundEnd(now time.Time, e fleet.RunEnd) {
+	if w.unclassified == nil {
+		w.unclassified = map[int64]foundEnd{}
+	}
+	w.unclassified[e.Seq] = foundEnd{end: e, listedAt: now}
+}
+
+// foundEnd is the end of a run that another owner had started, listed by the
+// worker at listedAt.
+type foundEnd struct {
+	end      fleet.RunEnd
+	listedAt time.Time
+}
+
+func (p *Pool) isClassified(f foundEnd) bool {
+	return !isResult(f.end.Reason) || p.cfg.IsClassified == nil || p.cfg.IsClassified(f.end.Task.Job, f.listedAt)
+}
+
+// isResult reports whether a run ended by itself, so that its end counts for its
+// task.
+func isResult(reason fleet.EndReason) bool {
+	return reason == fleet.EndedDone || reason == fleet.EndedFailed
+}
+
 func (p *Pool) addUnrecorded(w *worker, u *unrecordedEnd) {
 	w.unrecorded[u.end.Seq] = u
 	p.emit(RecordEnd{Worker: w.info.ID, StartTime: w.startTime, End: u.end, Task: u.task, Fence: w.fence})
@@ -74,6 +120,12 @@
 // confirmEnd handles a host's claim of a run that had ended when the worker was
 // taken over.
 func (p *Pool) confirmEnd(now time.Time, w *worker, id fleet.RunID, task offer.Task) {
+	for seq, found := range w.unclassified {
+		if found.end.RunID == id && task.Stored {
+			delete(w.unclassified, seq)
+			p.recordFoundEnd(found.listedAt, w, found.end)
+		}
+	}
 	for _, u := range w.unrecorded {
 		if u.end.RunID != id || u.confirmed {
 			continue
@@ -88,7 +140,7 @@
 // acknowledged. Other ends, such as those of a stop, leave the task to be run
 // again.
 func (p *Pool) mustRecord(e fleet.RunEnd, stored bool) bool {
-	if e.Reason != fleet.EndedDone && e.Reason != fleet.EndedFailed {
+	if !isResult(e.Reason) {
 		return false
 	}
 	return stored || p.cfg.IsStored != nil && p.cfg.IsStored(e.Task.Job)
@@ -154,10 +206,14 @@
 	p.emit(LogEvent{Message: "lease let go", Worker: w.info.ID, Why: "an end was not recorded or claimed in time"})
 }
 
-// advanceAcknowledged acknowledges the ends before the first unrecorded one.
+// advanceAcknowledged acknowledges the ends before the first one that is not
+// recorded or not classified.
 func (w *worker) advanceAcknowledged() {
 	w.acknowledgedSeq = w.seenSeq
 	for seq := range w.unrecorded {
 		w.acknowledgedSeq = min(w.acknowledgedSeq, seq-1)
 	}
+	for seq := range w.unclassified {
+		w.acknowledgedSeq = min(w.acknowledgedSeq, seq-1)
+	}
 }
--- a/internal/decide/workerpool/record_test.go
+++ b/internal/decide/workerpool/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -98,3 +99,44 @@
 	require.Len(t, polls, 1)
 	assert.Equal(t, int64(1), polls[0].Acknowledged, "the worker is the same")
 }
+
+// Guards against a task that runs again after its end was acknowledged: the store
+// had been out of this host's reach, so that it had not read of the job when it
+// took the worker over, and it had no stream to the job's host.
+func TestEndOfAnUnknownJobIsHeldUntilTheLogIsRead(t *testing.T) {
+	for name, stored := range map[string]bool{"stored job": true, "best-effort job": false} {
+		t.Run(name, func(t *testing.T) {
+			cfg := DefaultConfig(time.Second)
+			logRead := false
+			cfg.IsStored = func(string) bool { return stored && logRead }
+			cfg.IsClassified = func(string, time.Time) bool { return logRead }
+			p := NewPool(cfg)
+			p.Adopt(epoch, testWorker("w", 32), 1)
+			found := idleResponse()
+			found.Ended = []fleet.RunEnd{{Seq: 1, RunID: runID(1, 0, 1), Reason: fleet.EndedDone}}
+			p.PollAnswered(epoch, "w", actionsOf[Poll](p.PopActions(epoch))[0].Number, found)
+			p.Tick(epoch)
+			actions := p.PopActions(epoch)
+			assert.Empty(t, actionsOf[RecordEnd](actions))
+			polls := actionsOf[Poll](actions)
+			require.Len(t, polls, 1)
+			assert.Zero(t, polls[0].Acknowledged)
+
+			logRead = true
+			p.Tick(epoch.Add(100 * time.Millisecond))
+			records := actionsOf[RecordEnd](p.PopActions(epoch.Add(100 * time.Millisecond)))
+			w := p.workers["w"]
+			if !stored {
+				assert.Empty(t, records)
+				assert.Equal(t, int64(1), w.acknowledgedSeq)
+				return
+			}
+			require.Len(t, records, 1)
+			assert.Zero(t, w.acknowledgedSeq, "not recorded yet")
+			p.EndRecorded(epoch.Add(110*time.Millisecond), records[0])
+			assert.Zero(t, w.acknowledgedSeq, "the job's host has not claimed it")
+			p.Tick(w.leaseExpiry().Add(time.Millisecond))
+			assert.Equal(t, int64(1), w.acknowledgedSeq, "an acknowledgement confirms nothing any more")
+		})
+	}
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -91,6 +91,9 @@
 	seenSeq, acknowledgedSeq int64
 	// unrecorded contains the ends, by number, that are not in the log yet.
 	unrecorded map[int64]*unrecordedEnd
+	// unclassified contains the ends, by number, of runs of former owners whose
+	// jobs this host cannot tell from stored ones yet.
+	unclassified map[int64]foundEnd
 
 	// longPoll is the number of the pending poll that waits for an end, or zero.
 	longPoll int64
@@ -132,6 +135,7 @@
 	w.seenSeq, w.acknowledgedSeq, w.latestLeaseEnd = 0, 0, leaseEnd
 	w.staleAckPoll = w.longPoll
 	clear(w.unrecorded)
+	clear(w.unclassified)
 }
 
 // syncClock records a reading of the worker's clock.
