Join as soon as a start's reads end; keep streams when a peer's entry follows late

Cause: after a restart of all hosts no host owns a worker before joinInterval (0.3 s) has passed, because the membership checks once before the job log and the evacuated zones have been read; and 48 streams end 0.4 s after the start because the peer's entry changes to the process that has already answered. Change: the later of the two reads wakes the memberships once. A dialer remembers the incarnation in the peer's hello and keeps its stream if a changed entry differs only in the incarnation and names that process, or the one it had replaced. Any other incarnation still restarts the dialer. Both only with fast_recovery. Result: on the in-memory network a job submitted 150 ms after the start is served (before: 503, no host has workers), and a late entry opens no further stream (before: 1 more per entry). Both tests fail without the change. A restart of a whole fleet was not measured.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 // Dispatcher is the dispatcher of one entry host.
 type Dispatcher struct {
 	settings platform.Settings
+	policies policy.Settings
 	network  Network
 	self     fleet.Host
 	logger   *log.Logger
@@ -108,7 +109,7 @@
 		Incarnation: string(ids.NewIncarnation(s.Host)),
 	}
 	d := &Dispatcher{
-		settings: s, network: network, self: self, logger: logger,
+		settings: s, policies: policies, network: network, self: self, logger: logger,
 		store: platform.NewStore(s.StoreAddress, network.Dial), workers: platform.NewWorkerClient(network.Dial), metrics: newMetrics(),
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
@@ -122,6 +123,7 @@
 		d.membershipWakeups[zone] = make(chan struct{}, 1)
 	}
 	d.peers = newPeers(self, logger.WithPrefix("peers"), d, network.Dial)
+	d.peers.keepStreams = policies.FastRecovery.Enabled()
 	d.ready.Store(errkind.New(errkind.NotReady, "starting"))
 	return d
 }
--- a/internal/daemon/dispatch/evacuation.go
+++ b/internal/daemon/dispatch/evacuation.go
@@ -18,7 +18,9 @@
 func (d *Dispatcher) EvacuationsListed(zones map[string]bool, asOf int64) {
 	d.post(func(now time.Time) {
 		d.core.ListEvacuations(now, zones, asOf)
-		d.evacuationsListed.Store(true)
+		if !d.evacuationsListed.Swap(true) {
+			d.startupReadEnded()
+		}
 	})
 }
 
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -13,6 +13,7 @@
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/recovery"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/platform"
@@ -44,21 +45,27 @@
 	logger     *log.Logger
 	dispatcher *Dispatcher
 	dial       platform.DialFunc
+	// keepStreams keeps a stream when the peer's entry in the store changes to the
+	// process that the stream leads to.
+	keepStreams bool
 
 	mu sync.Mutex
 	// hosts holds the known hosts, dialers those to which this host keeps a
 	// stream open.
 	hosts   map[string]fleet.Host
-	dialers map[string]dialer
+	dialers map[string]*dialer
 	ctx     context.Context
 
 	links    map[string]*link
 	capacity versionedReport
 }
 
+// dialer keeps a stream to a host. Its fields are guarded by peers.mu.
 type dialer struct {
 	host   fleet.Host
 	cancel context.CancelFunc
+	// stream tells which process the open stream leads to.
+	stream recovery.Stream
 }
 
 // link is one open stream.
@@ -83,7 +90,7 @@
 }
 
 func newPeers(self fleet.Host, logger *log.Logger, dispatcher *Dispatcher, dial platform.DialFunc) *peers {
-	return &peers{dial: dial, self: self, logger: logger, dispatcher: dispatcher, hosts: map[string]fleet.Host{}, dialers: map[string]dialer{}, links: map[string]*link{}}
+	return &peers{dial: dial, self: self, logger: logger, dispatcher: dispatcher, hosts: map[string]fleet.Host{}, dialers: map[string]*dialer{}, links: map[string]*link{}}
 }
 
 // run keeps streams open to the hosts set by put and remove until ctx is done.
@@ -123,7 +130,11 @@
 	}
 	wanted := topology.Peers(p.self, p.hosts)
 	for name, d := range p.dialers {
-		if h, ok := wanted[name]; !ok || h != d.host {
+		h, ok := wanted[name]
+		if ok && p.keepStreams && d.stream.Keep(d.host, h) {
+			d.host = h
+		}
+		if !ok || h != d.host {
 			d.cancel()
 			delete(p.dialers, name)
 		}
@@ -133,8 +144,9 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(p.ctx)
-		p.dialers[name] = dialer{host: h, cancel: cancel}
-		go p.maintainStream(ctx, h)
+		d := &dialer{host: h, cancel: cancel}
+		p.dialers[name] = d
+		go p.maintainStream(ctx, d, h)
 	}
 }
 
@@ -154,11 +166,11 @@
 
 // maintainStream keeps a stream to a host open until ctx is done. It reopens the
 // stream with exponential backoff.
-func (p *peers) maintainStream(ctx context.Context, h fleet.Host) {
+func (p *peers) maintainStream(ctx context.Context, d *dialer, h fleet.Host) {
 	pause := minRedialBackoff
 	for ctx.Err() == nil {
 		opened := time.Now()
-		err := p.connect(ctx, h)
+		err := p.connect(ctx, d, h)
 		if time.Since(opened) > peerTimeout {
 			pause = minRedialBackoff
 		}
@@ -172,7 +184,7 @@
 }
 
 // connect opens a stream and serves it until it ends.
-func (p *peers) connect(ctx context.Context, h fleet.Host) error {
+func (p *peers) connect(ctx context.Context, d *dialer, h fleet.Host) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Each stream has its own connection, so that a connection that went silent
@@ -197,9 +209,18 @@
 		return err
 	}
 	greeting.Stop()
+	p.setStream(func() { d.stream.Answered(d.host, first.GetHello().GetIncarnation()) })
+	defer p.setStream(d.stream.Ended)
 	return p.serve(ctx, cancel, first, stream.Send, stream.Receive)
 }
 
+// setStream changes what is known of a dialer's stream.
+func (p *peers) setStream(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
 // Exchange serves a stream from a host that dialed this one. It implements
 // dispatchv1connect.DispatchServiceHandler.
 func (p *peers) Exchange(ctx context.Context, stream *connect.BidiStream[dispatchv1.Frame, dispatchv1.Frame]) error {
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -222,7 +222,9 @@
 		d.core.Ledger.Apply(now, entries)
 		if atEnd {
 			d.core.LogRead(sent)
-			d.logRead.Store(true)
+			if !d.logRead.Swap(true) {
+				d.startupReadEnded()
+			}
 		}
 	})
 }
