Place tasks by the learned speeds of workers

Change: package speed learns the run time of each worker relative to estimates (mean of the middle half of logarithms, kind of worker, age); owners report it with the expected ends on fast workers; owners and hosts of jobs choose by the expected end where the spread of speeds exceeds the stretch of the route.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -29,6 +29,7 @@
 func (d *Dispatcher) execute(ctx context.Context, now time.Time, a host.Action) {
 	switch a := a.(type) {
 	case workerpool.Start:
+		d.metrics.placements.WithLabelValues(string(a.Placement)).Inc()
 		go d.sendStart(ctx, a)
 	case workerpool.Stop:
 		d.logger.Info("run stopped", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID)
@@ -50,6 +51,10 @@
 		d.runsLost(a)
 	case workerpool.SlowRun:
 		d.slowRun(a)
+	case workerpool.SpeedSpread:
+		d.speedSpread(a)
+	case workerpool.WaitForFast:
+		d.waitForFast(a)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case host.Append:
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -259,7 +259,15 @@
 func capacityReportToProto(r offer.CapacityReport) *dispatchv1.Room {
 	report := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving, Exclusive: int32(r.Exclusive)}
 	for _, w := range r.Workers {
-		report.Workers = append(report.Workers, &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free)})
+		room := &dispatchv1.WorkerRoom{
+			Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free),
+			RelativeTime: float32(w.RelativeTime), RelativeTimeRuns: int32(w.RelativeTimeRuns),
+		}
+		for _, e := range w.Ends {
+			room.FreeInMs = append(room.FreeInMs, int32(e.In.Milliseconds()))
+			room.FreeCpu = append(room.FreeCpu, int32(e.MilliCPU))
+		}
+		report.Workers = append(report.Workers, room)
 	}
 	if len(r.QueuedWork) > 0 {
 		report.QueuedWork = make(map[int32]int64, len(r.QueuedWork))
@@ -276,7 +284,14 @@
 		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
 	}
 	for _, w := range r.GetWorkers() {
-		report.Workers = append(report.Workers, offer.WorkerCapacity{ID: w.GetId(), Service: w.GetService(), Free: sizeFromProto(w.GetFree())})
+		capacity := offer.WorkerCapacity{
+			ID: w.GetId(), Service: w.GetService(), Free: sizeFromProto(w.GetFree()),
+			RelativeTime: float64(w.GetRelativeTime()), RelativeTimeRuns: int(w.GetRelativeTimeRuns()),
+		}
+		for i, ms := range w.GetFreeInMs()[:min(len(w.GetFreeInMs()), len(w.GetFreeCpu()))] {
+			capacity.Ends = append(capacity.Ends, offer.ExpectedEnd{In: time.Duration(ms) * time.Millisecond, MilliCPU: int(w.GetFreeCpu()[i])})
+		}
+		report.Workers = append(report.Workers, capacity)
 	}
 	for priority, work := range r.GetQueuedWork() {
 		report.QueuedWork[int(priority)] = work
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -23,6 +23,10 @@
 	// zoneEvacuated has a value for each zone that was ever evacuated.
 	zoneEvacuated *prometheus.GaugeVec
 	slowRuns      *prometheus.CounterVec
+	speedSpread   *prometheus.GaugeVec
+	speedActive   *prometheus.GaugeVec
+	placements    *prometheus.CounterVec
+	fastWaits     prometheus.Counter
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -59,8 +63,21 @@
 		slowRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_slow_runs_total", Help: "Decisions about runs that are far slower than expected.",
 		}, []string{"decision"}),
+		speedSpread: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_worker_speed_spread", Help: "Relative run time of a service's slow workers divided by that of its fast ones.",
+		}, []string{"service"}),
+		speedActive: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_worker_speed_active", Help: "1 while tasks of the service are placed by the speeds of workers, else 0.",
+		}, []string{"service"}),
+		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_placements_total", Help: "Starts ordered, by the part that speeds had in the choice of the worker.",
+		}, []string{"reason"}),
+		fastWaits: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "parsleyhill_fast_worker_waits_total", Help: "Tasks that waited for a fast worker although another could have started them.",
+		}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits)
 	return m
 }
 
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -62,6 +62,9 @@
 	if t.exclusive {
 		return c.chooseExclusiveHost(now, t)
 	}
+	if h := c.chooseHostBySpeed(now, j, t); h != nil {
+		return h
+	}
 	step := j.spec.Steps[t.name.Step]
 	var best *host
 	var bestWorker *offer.WorkerCapacity
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -24,6 +25,9 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Coordinator.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// Speeds is the model of the workers' speeds; nil means that speeds do not
+	// count.
+	Speeds *speed.Model
 }
 
 const (
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -25,6 +25,7 @@
 	if callerTimeout > 0 {
 		limit = callerTimeout
 	}
+	c.cfg.Speeds.ObserveStretch(route.Service, route.Stretch)
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
 	c.jobs[spec.ID] = j
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -86,6 +86,8 @@
 	recalledAt time.Time
 	// expectedWait is the last estimate of how long the job waits to start.
 	expectedWait time.Duration
+	// expectedEnd is when the last task placed by speed is expected to end.
+	expectedEnd time.Time
 }
 
 // currentRun returns the number of the run that a host has, or will start, of the
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/decide/policy"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -113,8 +114,10 @@
 	// Evacuations holds the evacuated zones. It is changed by ChangeEvacuations and
 	// ListEvacuations only.
 	Evacuations *evacuation.Set
-	leaving     bool
-	actions     []Action
+	// speeds is the model of the workers' speeds, or nil.
+	speeds  *speed.Model
+	leaving bool
+	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
 }
@@ -126,12 +129,18 @@
 	poolConfig.IsStored = jobLog.Contains
 	evacuations := &evacuation.Set{}
 	poolConfig.Evacuations = evacuations
+	var speeds *speed.Model
+	if cfg.Policy.UnequalWorkers.Enabled() {
+		speeds = speed.New()
+	}
+	poolConfig.Speeds = speeds
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
 		Evacuations: evacuations,
+		speeds:      speeds,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations}),
+		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, Speeds: speeds}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
@@ -190,12 +199,14 @@
 	}
 	c.Ownership.UpdateWorker(w)
 	c.Coordinator.UpdateWorker(now, w)
+	c.speeds.Register(now, w)
 }
 
 // RemoveWorker removes a worker whose entry was deleted.
 func (c *Core) RemoveWorker(id string) {
 	c.Ownership.RemoveWorker(id)
 	c.Coordinator.RemoveWorker(id)
+	c.speeds.Remove(id)
 }
 
 // WorkersListed removes all workers that are missing from a complete list.
@@ -214,6 +225,11 @@
 // UpdateHost updates another host's report of its free capacity and queue.
 func (c *Core) UpdateHost(now time.Time, name, zone string, r offer.CapacityReport) {
 	c.Coordinator.UpdateHost(now, name, zone, r)
+	for _, w := range r.Workers {
+		if w.RelativeTimeRuns > 0 {
+			c.speeds.Receive(now, w.ID, w.Service, w.RelativeTime, w.RelativeTimeRuns)
+		}
+	}
 }
 
 // Report returns this host's report of its free capacity and queue.
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -4,6 +4,8 @@
 package offer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
@@ -131,6 +133,28 @@
 	ID      string
 	Service string
 	Free    fleet.Size
+	// RelativeTime is the learned run time divided by the estimate, over
+	// RelativeTimeRuns runs; zero if unknown or if speeds do not decide.
+	RelativeTime     float64
+	RelativeTimeRuns int
+	// Ends holds the expected ends of the runs on a fast worker, earliest first.
+	Ends []ExpectedEnd
+}
+
+// ExpectedEnd is the time until a run is expected to end, and the capacity that it
+// then frees, in thousandths of a core.
+type ExpectedEnd struct {
+	In       time.Duration
+	MilliCPU int
+}
+
+// InsertEnd inserts an expected end into a sorted list of at most limit entries.
+func InsertEnd(ends []ExpectedEnd, e ExpectedEnd, limit int) []ExpectedEnd {
+	i, _ := slices.BinarySearchFunc(ends, e, func(a, b ExpectedEnd) int {
+		return cmp.Or(cmp.Compare(a.In, b.In), cmp.Compare(a.MilliCPU, b.MilliCPU))
+	})
+	ends = slices.Insert(ends, i, e)
+	return ends[:min(len(ends), limit)]
 }
 
 // CapacityReport describes the workers and the queue of an owner.
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -403,6 +403,7 @@
 // Tick performs the actions that are due: polls, lease renewals, stops, and the
 // expiry of claims and leases. It also returns tasks that cannot start.
 func (p *Pool) Tick(now time.Time) {
+	p.refreshSpeeds(now)
 	for _, w := range p.order {
 		p.tickWorker(now, w)
 	}
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -42,6 +43,9 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Pool.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// Speeds is the model of the workers' speeds; nil means that speeds do not
+	// count.
+	Speeds *speed.Model
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -83,6 +87,8 @@
 	LeaseUntil time.Duration
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
+	// Placement is the part that speeds had in the choice of the worker.
+	Placement speed.Reason
 }
 
 // Stop orders the end of a run. The answer comes back by Pool.StopAnswered.
@@ -146,6 +152,11 @@
 type queuedTask struct {
 	offer.Task
 	offeredAt time.Time
+	// need is what the task needs to be on time; it counts if speedsDecide is set.
+	need         speed.Need
+	speedsDecide bool
+	// waitsForFast is set once the task waits for a fast worker.
+	waitsForFast bool
 }
 
 // Pool is the set of workers that this host owns. It is not safe for
@@ -165,6 +176,8 @@
 	// reserved is the worker that starts no other tasks until an exclusive task
 	// can start on it, or nil.
 	reserved *worker
+	// speedsActive tells for which services speeds decide, as last reported.
+	speedsActive map[string]bool
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
 }
@@ -349,7 +362,7 @@
 			return false
 		}
 		for i := range others {
-			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) {
+			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) && !q.staysForSpeed(others[i]) {
 				others[i].Free = others[i].Free.Sub(q.Size)
 				p.returnTask(q.Task, "", q.NextRun-1, "another host has free capacity")
 				return true
@@ -390,7 +403,9 @@
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
-		r.Workers = append(r.Workers, offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free()})
+		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free()}
+		p.reportSpeed(now, w, &capacity)
+		r.Workers = append(r.Workers, capacity)
 		for _, run := range w.sortedRuns() {
 			if run.task != nil {
 				length := max(minRunTime, p.paces.expectedRunTime(w, run.task.Estimate))
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -16,6 +16,9 @@
 	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedTask) int { return compareQueued(now, a, b) })
 	p.reserveWorker(now)
+	for _, w := range p.order {
+		w.awaited = false
+	}
 	rest := make([]*queuedTask, 0, len(p.queue))
 	for _, q := range p.queue {
 		if w := p.pickWorker(now, q); w != nil {
@@ -72,6 +75,7 @@
 // which leaves capacity for large tasks, and the fastest worker among equals.
 func (p *Pool) pickWorker(now time.Time, q *queuedTask) *worker {
 	var best *worker
+	q.need, q.speedsDecide = p.needOf(now, &q.Task)
 	for _, w := range p.order {
 		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) {
 			continue
@@ -80,6 +84,9 @@
 			best = w
 		}
 	}
+	if p.waitsForFast(now, q, best) {
+		return nil
+	}
 	return best
 }
 
@@ -111,6 +118,9 @@
 	if a.health.trial != b.health.trial {
 		return b.health.trial
 	}
+	if c := p.compareSpeeds(q, a, b); c != 0 {
+		return c < 0
+	}
 	left, right := a.free().Sub(q.Size).MilliCPU, b.free().Sub(q.Size).MilliCPU
 	if left != right {
 		return left < right
@@ -133,7 +143,7 @@
 	w.addRun(r)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
-		Timeout: p.timeouts.Timeout(),
+		Timeout: p.timeouts.Timeout(), Placement: p.placementOf(q, w),
 	})
 }
 
--- a/internal/decide/workerpool/straggler.go
+++ b/internal/decide/workerpool/straggler.go
@@ -266,6 +266,7 @@
 			w.health.usualPace = movingMean(w.health.usualPace, float64(took)/float64(estimate), w.health.usualRuns, paceWeight)
 			w.health.usualRuns++
 		}
+		p.cfg.Speeds.Observe(now, w.info.ID, took, estimate)
 		p.longTasks.observe(false)
 		if p.paces.record(&w.health, took, estimate) && w.health.runFailed(now) {
 			p.emit(LogEvent{Message: "probation", Worker: w.info.ID, Why: why})
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -120,6 +120,8 @@
 	nextPoll      time.Time
 
 	health health
+	// awaited is set while a waiting task is to start here once its capacity is free.
+	awaited bool
 }
 
 // maxClockRegression is how far a worker's clock may appear to go back, since
