--- a/internal/decide/workerpool/sim_test.go
+++ b/internal/decide/workerpool/sim_test.go
@@ -61,8 +61,10 @@
 	nominal map[fleet.TaskName]time.Duration
 	tasks   map[fleet.TaskName]offer.Task
 	done    map[fleet.TaskName]time.Time
-	stops   []fleet.RunID
-	slow    []SlowRun
+	// ranOn holds the worker of the last start of each task.
+	ranOn map[fleet.TaskName]string
+	stops []fleet.RunID
+	slow  []SlowRun
 	// stoppedAt and probations are the times of stops, and of workers' probations.
 	stoppedAt, probations []time.Time
 	// onDone is called when a task is done; it may be nil.
@@ -73,6 +75,7 @@
 	s := &poolSim{
 		pool: pool, now: epoch, workers: map[string]*simWorker{},
 		nominal: map[fleet.TaskName]time.Duration{}, tasks: map[fleet.TaskName]offer.Task{}, done: map[fleet.TaskName]time.Time{},
+		ranOn: map[fleet.TaskName]string{},
 	}
 	for i, speed := range speeds {
 		w := &simWorker{info: testWorker(fmt.Sprintf("w%03d", i), cores), speed: speed, runs: map[fleet.RunID]time.Time{}}
@@ -164,6 +167,7 @@
 	switch a := a.(type) {
 	case Start:
 		w := s.workers[a.Worker.ID]
+		s.ranOn[a.Run.Task] = a.Worker.ID
 		s.after(simDelay, func() {
 			w.runs[a.Run] = s.now
 			s.after(s.runTime(w, a.Run.Task), func() { s.end(w, a.Run, fleet.EndedDone) })
