--- a/internal/decide/workerpool/speed_test.go
+++ b/internal/decide/workerpool/speed_test.go
@@ -99,11 +99,10 @@
 // onTime is the share of jobs without a long task that are on time, by class, and
 // the number of all jobs that are.
 type onTime struct {
-	share   [3]float64
-	all     float64
-	count   int
-	fast    [3]float64
-	waiting int
+	share [3]float64
+	all   float64
+	count int
+	fast  [3]float64
 }
 
 func rate(jobs []loadJob, ends []time.Duration) onTime {
