Limit unanswered starts while answers are delayed

Cause: on links of 2 Mbit/s half of the starts get no answer within 40 to 250 ms from the second second on. Each is stopped, stops are repeated every 50 ms or at once after a timeout, and a request that times out closes its connection.

Change: internal/decide/flow measures the answer time of starts and immediate polls against its long-term minimum. Above 30 ms of delay the pool limits unanswered starts (multiplicative decrease, additive increase), returns waiting tasks that would start late, waits for a late start's answer up to the lease while a poll looks it up, and repeats stops with backoff. Below the bound, and with the policy off, the pool acts as before.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -48,6 +48,8 @@
 		d.logger.Warn("task judged by its lost workers", "task", a.Task, "verdict", a.Verdict, "crashes", a.Crashes)
 	case workerpool.RunsLost:
 		d.runsLost(a)
+	case workerpool.SaturationChanged:
+		d.saturationChanged(a)
 	case workerpool.SlowRun:
 		d.slowRun(a)
 	case ledger.JobEnded:
@@ -111,8 +113,16 @@
 }
 
 func (d *Dispatcher) sendStart(ctx context.Context, a workerpool.Start) {
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, a.GiveUp)
 	defer cancel()
+	if a.GiveUp > a.Timeout {
+		// Cancelling the request would close its connection, and the worker may have
+		// the run already.
+		late := time.AfterFunc(a.Timeout, func() {
+			d.post(func(now time.Time) { d.core.Pool.StartLate(now, a.Worker.ID, a.Run) })
+		})
+		defer late.Stop()
+	}
 	sent := time.Now()
 	verdict, clock, err := d.workers.Start(ctx, a.Worker, platform.StartRequest{
 		Run: a.Run, Spec: a.Spec, Fence: a.Fence, LeaseUntil: a.LeaseUntil,
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/coordinator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
@@ -113,8 +114,11 @@
 	// Evacuations holds the evacuated zones. It is changed by ChangeEvacuations and
 	// ListEvacuations only.
 	Evacuations *evacuation.Set
-	leaving     bool
-	actions     []Action
+	// Flow limits the work in flight while the host is saturated; nil if the policy
+	// is off.
+	Flow    *flow.Limiter
+	leaving bool
+	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
 }
@@ -126,10 +130,14 @@
 	poolConfig.IsStored = jobLog.Contains
 	evacuations := &evacuation.Set{}
 	poolConfig.Evacuations = evacuations
+	if cfg.Policy.Saturation.Enabled() {
+		poolConfig.Flow = &flow.Limiter{}
+	}
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
 		Evacuations: evacuations,
+		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
 		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -12,12 +12,12 @@
 // poll sends a poll; with a zero wait, the worker answers at once.
 func (p *Pool) poll(now time.Time, w *worker, wait time.Duration) {
 	p.lastPoll++
-	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Wait: wait, Timeout: longPollMargin}
+	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Wait: wait, Timeout: p.longPollTimeout()}
 	if !w.interrupted {
 		l.Acknowledged = w.acknowledgedSeq
 	}
 	if wait == 0 {
-		l.Timeout = 2 * p.timeouts.Timeout()
+		l.Timeout = p.shortPollTimeout()
 	}
 	if w.renewsLeases(now) {
 		l.LeaseUntil = w.grantLease(now, p.cfg.MaxLease)
@@ -34,9 +34,13 @@
 // pending are ignored.
 func (p *Pool) PollAnswered(now time.Time, id string, number int64, l fleet.PollResponse) {
 	w, ok := p.workers[id]
+	short := ok && number == w.shortPoll
 	if !ok || !w.finishPoll(number) {
 		return
 	}
+	if short {
+		p.cfg.Flow.Answered(now, now.Sub(w.shortPollAt))
+	}
 	w.missedPolls, w.lostExclusive, w.interrupted = 0, false, false
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, l)
@@ -230,6 +234,7 @@
 		id := progress.RunID
 		if known := w.runs[id]; known != nil {
 			known.confirmed = true
+			p.confirmLateStart(now, w, known)
 			known.observeProgress(now, progress.Percent)
 			continue
 		}
@@ -319,6 +324,7 @@
 		w.syncClock(now, clock)
 		if ok {
 			p.timeouts.Observe(now.Sub(r.orderedAt))
+			p.cfg.Flow.Answered(now, now.Sub(r.orderedAt))
 		}
 	}
 	if !ok || r.state != runStarting {
@@ -331,11 +337,8 @@
 	r.answeredAtPoll = p.lastPoll
 	switch verdict {
 	case fleet.StartAccepted:
-		r.state, r.confirmed, r.acceptedAt = runRunning, true, now
 		w.missedPolls = 0
-		if r.task != nil {
-			p.sendOutcome(*r.task, w, runID.Run, offer.Started, "")
-		}
+		p.startAccepted(now, w, r)
 	case fleet.StartFenced:
 		p.startRejected(w, r, verdict)
 		p.Fenced(now, id, noPoll, fence)
@@ -353,11 +356,20 @@
 		p.startRejected(w, r, verdict)
 		p.countMissedPoll(now, w)
 	case fleet.StartUnknown:
-		p.timeouts.TimedOut()
+		p.noAnswerInTime(now, w, r)
 		p.stop(now, w, r)
 	}
 }
 
+// startAccepted records that a run is at the worker.
+func (p *Pool) startAccepted(now time.Time, w *worker, r *run) {
+	r.state, r.confirmed, r.acceptedAt = runRunning, true, now
+	p.cfg.Flow.Started(now)
+	if r.task != nil {
+		p.sendOutcome(*r.task, w, r.id.Run, offer.Started, "")
+	}
+}
+
 // startRejected removes a run that the worker did not start and returns its task.
 func (p *Pool) startRejected(w *worker, r *run, verdict fleet.StartVerdict) {
 	w.removeRun(r)
@@ -374,7 +386,7 @@
 	}
 	r.stopInFlight = true
 	r.nextStop = now.Add(p.cfg.StopRetryDelay)
-	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence, Timeout: p.timeouts.Timeout()})
+	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence, Timeout: p.stopTimeout()})
 }
 
 // StopAnswered handles the answer to a stop; ok means that the worker has ended
@@ -390,6 +402,7 @@
 	}
 	r.stopInFlight = false
 	if !ok {
+		p.delayStop(now, r)
 		return
 	}
 	r.stopAnswered = true
@@ -406,6 +419,7 @@
 	for _, w := range p.order {
 		p.tickWorker(now, w)
 	}
+	p.tickFlow(now)
 	p.returnUnstartable(now)
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -42,6 +43,9 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Pool.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// Flow limits the unanswered starts while the host is saturated; nil means
+	// that nothing does.
+	Flow *flow.Limiter
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -83,6 +87,9 @@
 	LeaseUntil time.Duration
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
+	// GiveUp is how long the request may go on after all; if it is longer than
+	// Timeout, Pool.StartLate is called meanwhile.
+	GiveUp time.Duration
 }
 
 // Stop orders the end of a run. The answer comes back by Pool.StopAnswered.
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -17,9 +17,11 @@
 	slices.SortStableFunc(p.queue, func(a, b *queuedTask) int { return compareQueued(now, a, b) })
 	p.reserveWorker(now)
 	rest := make([]*queuedTask, 0, len(p.queue))
+	unanswered := p.unansweredStarts()
 	for _, q := range p.queue {
-		if w := p.pickWorker(now, q); w != nil {
+		if w := p.pickWorker(now, q); w != nil && p.cfg.Flow.MayStart(unanswered) {
 			p.startRun(now, w, q)
+			unanswered++
 			p.TaskStarted(q.Host, q.Name.Job)
 		} else {
 			rest = append(rest, q)
@@ -133,7 +135,7 @@
 	w.addRun(r)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
-		Timeout: p.timeouts.Timeout(),
+		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(),
 	})
 }
 
--- a/internal/decide/workerpool/timeout.go
+++ b/internal/decide/workerpool/timeout.go
@@ -39,9 +39,12 @@
 
 // Timeout returns how long to wait for an answer: maxTimeout before the first
 // observation.
-func (p *TimeoutEstimator) Timeout() time.Duration {
+func (p *TimeoutEstimator) Timeout() time.Duration { return p.timeoutWithin(maxTimeout) }
+
+// timeoutWithin returns Timeout with another upper bound.
+func (p *TimeoutEstimator) timeoutWithin(bound time.Duration) time.Duration {
 	if p.mean == 0 {
-		return maxTimeout
+		return bound
 	}
-	return min(max(p.mean+deviationFactor*p.deviation, minTimeout), maxTimeout)
+	return min(max(p.mean+deviationFactor*p.deviation, minTimeout), bound)
 }
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -48,6 +48,10 @@
 	stopAnswered bool
 	stopInFlight bool
 	nextStop     time.Time
+	// failedStops counts the stops without an answer.
+	failedStops int
+	// late is set once the start was not answered in time but may still be.
+	late bool
 	// claimed is set if a former owner started the run, so that its start time is
 	// unknown.
 	claimed bool
