Refuse early, thin reports and tell peers while a host is saturated

Tasks returned for other hosts' free capacity are sent again.

Change: during saturation reports have a budget of 25 KB/s, nearly unchanged ones are left out, no task is handed off for capacity elsewhere, jobs that would not start in time by the rate of starts are refused before anything is sent, and Room.saturated makes peers offer less. Late ticks of the event loop count as a delay.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -182,9 +182,11 @@
 		case event := <-d.events:
 			event(time.Now())
 			d.drainEvents()
-		case <-ticker.C:
+		case planned := <-ticker.C:
 			now := time.Now()
+			d.core.Flow.LoopDelayed(now, now.Sub(planned))
 			d.core.Tick(now)
+			d.metrics.flow(d.core.Flow)
 			d.peers.closeSilent(now)
 			d.peers.report(now)
 		}
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 )
 
 // pathMetrics is the HTTP path of the metrics.
@@ -23,6 +25,8 @@
 	// zoneEvacuated has a value for each zone that was ever evacuated.
 	zoneEvacuated *prometheus.GaugeVec
 	slowRuns      *prometheus.CounterVec
+	// saturated, delay and startLimit show the state of the limiter.
+	saturated, delay, startLimit prometheus.Gauge
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -59,8 +63,18 @@
 		slowRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_slow_runs_total", Help: "Decisions about runs that are far slower than expected.",
 		}, []string{"decision"}),
+		saturated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_saturated", Help: "1 while the host's link or processor delays its orders beyond the bound, else 0.",
+		}),
+		delay: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_saturation_delay_seconds", Help: "Measured delay during saturation, else 0.",
+		}),
+		startLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_start_limit", Help: "Unanswered starts allowed during saturation; 0 means no limit.",
+		}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
+		m.saturated, m.delay, m.startLimit)
 	return m
 }
 
@@ -68,6 +82,17 @@
 	m.answers.WithLabelValues(route, outcome).Observe(responseTime.Seconds())
 }
 
+// flow updates the state of the limiter.
+func (m *metrics) flow(l *flow.Limiter) {
+	saturated := 0.0
+	if l.Saturated() {
+		saturated = 1
+	}
+	m.saturated.Set(saturated)
+	m.delay.Set(l.Delay().Seconds())
+	m.startLimit.Set(float64(l.Limit()))
+}
+
 func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -76,7 +76,9 @@
 	lastContact time.Time
 	// lastReport is when a report was last sent, or left out because nothing had
 	// changed. reportVersion is the version that the peer has.
-	lastReport    time.Time
+	lastReport time.Time
+	// fullReport is when a report was last sent.
+	fullReport    time.Time
 	reportVersion int64
 	// exchanged is set if the peer has sent messages since its last report.
 	exchanged bool
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,6 +32,9 @@
 	updated := false
 	for _, l := range p.links {
 		interval := topology.ReportInterval(len(p.links), l.host.Zone == p.self.Zone)
+		if p.dispatcher.core.Flow.Saturated() {
+			interval = topology.HeartbeatInterval
+		}
 		if now.Sub(l.lastReport) < interval-tickInterval/2 {
 			continue
 		}
@@ -66,7 +70,33 @@
 }
 
 func (p *peers) updateReport(now time.Time) {
-	p.capacity.update(capacityReportToProto(p.dispatcher.core.Report(now)))
+	room := capacityReportToProto(p.dispatcher.core.Report(now))
+	if p.dispatcher.core.Flow.Saturated() && nearlyEqual(room, p.capacity.room) {
+		return
+	}
+	p.capacity.update(room)
+}
+
+// nearChange is the part of the capacity by which the free capacity of nearly equal
+// reports may differ: less than one task of 8 cores at a worker of 16 cores among
+// five.
+const nearChange = 0.08
+
+// nearlyEqual reports whether two reports name the same workers and differ little
+// in their free capacity.
+func nearlyEqual(a, b *dispatchv1.Room) bool {
+	if a.GetCapacity() != b.GetCapacity() || a.GetLeaving() != b.GetLeaving() || a.GetSaturated() != b.GetSaturated() ||
+		a.GetExclusive() != b.GetExclusive() || len(a.GetWorkers()) != len(b.GetWorkers()) {
+		return false
+	}
+	change := 0.0
+	for i, w := range a.GetWorkers() {
+		if w.GetId() != b.GetWorkers()[i].GetId() {
+			return false
+		}
+		change += math.Abs(float64(w.GetFree().GetMilliCpu() - b.GetWorkers()[i].GetFree().GetMilliCpu()))
+	}
+	return change <= nearChange*float64(a.GetCapacity())
 }
 
 // addReport adds the report to the link's next frame. An unchanged report is left
@@ -78,6 +108,10 @@
 	if l.reportVersion == p.capacity.version && !l.exchanged {
 		return
 	}
+	if now.Sub(l.fullReport) < p.dispatcher.core.Flow.ReportInterval(len(p.links), proto.Size(p.capacity.room)) {
+		return
+	}
+	l.fullReport = now
 	l.reportVersion, l.exchanged = p.capacity.version, false
 	l.mu.Lock()
 	l.pending.Room = p.capacity.room
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -66,6 +67,7 @@
 	var best *host
 	var bestWorker *offer.WorkerCapacity
 	var bestWait time.Duration
+	bestFree := false
 	for _, h := range c.sortedHosts {
 		if !h.connected || h.report.Leaving || now.Before(t.skipUntil[h.name]) {
 			continue
@@ -82,8 +84,13 @@
 			}
 			wait += queued
 		}
-		if best == nil || c.better(worker != nil, wait, h, bestWorker != nil, bestWait, best) {
-			best, bestWorker, bestWait = h, worker, wait
+		free := worker != nil
+		if c.avoidSaturated(h) {
+			free = false
+			wait += flow.DelayBound
+		}
+		if best == nil || c.better(free, wait, h, bestFree, bestWait, best) {
+			best, bestWorker, bestWait, bestFree = h, worker, wait, free
 		}
 	}
 	if best == nil {
@@ -271,7 +278,7 @@
 func (c *Coordinator) RemoteFreeCapacity() []offer.WorkerCapacity {
 	var workers []offer.WorkerCapacity
 	for _, h := range c.sortedHosts {
-		if h.connected && !h.report.Leaving && h.name != c.cfg.Self {
+		if h.connected && !h.report.Leaving && h.name != c.cfg.Self && !c.avoidSaturated(h) {
 			workers = append(workers, c.servedWorkers(h.report.Workers)...)
 		}
 	}
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -24,6 +25,8 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Coordinator.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// Flow tells whether this host is saturated; nil means that it never is.
+	Flow *flow.Limiter
 }
 
 const (
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -39,6 +39,9 @@
 	if c.refuseEvacuated(now, j) {
 		return true
 	}
+	if c.refuseSaturated(now, j) {
+		return true
+	}
 	j.expectedWait = c.expectedWait(j)
 	if j.expectedWait > c.maxExpectedWait(j, limit) {
 		c.refuse(now, j, noCapacity)
@@ -141,6 +144,7 @@
 	t.failedRuns = max(t.failedRuns, o.FailedRuns)
 	switch o.Result {
 	case offer.Started:
+		c.cfg.Flow.Started(now)
 		t.state = taskStarted
 		t.incarnation, _, _ = c.workers.Worker(o.Worker)
 		c.markStarted(now, j, from)
--- a/internal/decide/flow/flow.go
+++ b/internal/decide/flow/flow.go
@@ -347,3 +347,27 @@
 	perSecond := max(l.StartRate(now), l.limit/(2*max(l.delay, DelayBound)).Seconds())
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
+
+const (
+	// reportBytesPerSecond is the budget of a saturated host for its capacity
+	// reports to all peers: a tenth of a link of 2 Mbit/s.
+	reportBytesPerSecond = 25_000
+	// reportOverhead is the size of a report's frame and packet headers, in bytes.
+	reportOverhead = 80
+	// reportDelays is the time between two reports to a peer in measured delays, so
+	// that the queue on the link never holds two of them.
+	reportDelays = 2
+	// maxReportInterval bounds the age of a report. A job is refused or recalled by
+	// reports, which callers notice after about a second.
+	maxReportInterval = time.Second
+)
+
+// ReportInterval returns the shortest time between two capacity reports, of a
+// size in bytes, to each of the peers; zero while the host is not saturated.
+func (l *Limiter) ReportInterval(peers, bytes int) time.Duration {
+	if !l.Saturated() {
+		return 0
+	}
+	perRound := time.Duration(peers*(bytes+reportOverhead)) * time.Second / reportBytesPerSecond
+	return min(max(perRound, reportDelays*l.delay), maxReportInterval)
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -139,7 +139,7 @@
 		Evacuations: evacuations,
 		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations}),
+		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, Flow: poolConfig.Flow}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
@@ -177,7 +177,9 @@
 	c.applyLedger(now)
 	c.Pool.Tick(now)
 	c.Coordinator.Tick(now)
-	if c.Pool.QueueLength() > 0 {
+	// During saturation the pool returns only tasks that would be late here: each
+	// task that is offered again is sent over the link again.
+	if c.Pool.QueueLength() > 0 && !c.Flow.Saturated() {
 		c.Pool.HandOff(now, c.Coordinator.RemoteFreeCapacity())
 	}
 }
@@ -227,7 +229,7 @@
 // Report returns this host's report of its free capacity and queue.
 func (c *Core) Report(now time.Time) offer.CapacityReport {
 	r := c.Pool.Report(now)
-	r.Leaving = c.leaving
+	r.Leaving, r.Saturated = c.leaving, c.Flow.Saturated()
 	return r
 }
 
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -150,4 +150,7 @@
 	Exclusive int
 	// Leaving is set while the host prepares to stop.
 	Leaving bool
+	// Saturated is set while the host starts fewer tasks than its workers have
+	// capacity for, since its link or processor delays its orders.
+	Saturated bool
 }
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -364,7 +364,6 @@
 // startAccepted records that a run is at the worker.
 func (p *Pool) startAccepted(now time.Time, w *worker, r *run) {
 	r.state, r.confirmed, r.acceptedAt = runRunning, true, now
-	p.cfg.Flow.Started(now)
 	if r.task != nil {
 		p.sendOutcome(*r.task, w, r.id.Run, offer.Started, "")
 	}
