--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 )
 
 // pathMetrics is the HTTP path of the metrics.
@@ -27,6 +29,8 @@
 	speedActive   *prometheus.GaugeVec
 	placements    *prometheus.CounterVec
 	fastWaits     prometheus.Counter
+	// saturated, delay and startLimit show the state of the limiter.
+	saturated, delay, startLimit prometheus.Gauge
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -75,9 +79,18 @@
 		fastWaits: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyhill_fast_worker_waits_total", Help: "Tasks that waited for a fast worker although another could have started them.",
 		}),
+		saturated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_saturated", Help: "1 while the host's link or processor delays its orders beyond the bound, else 0.",
+		}),
+		delay: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_saturation_delay_seconds", Help: "Measured delay during saturation, else 0.",
+		}),
+		startLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "parsleyhill_start_limit", Help: "Unanswered starts allowed during saturation; 0 means no limit.",
+		}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit)
 	return m
 }
 
@@ -85,6 +98,17 @@
 	m.answers.WithLabelValues(route, outcome).Observe(responseTime.Seconds())
 }
 
+// flow updates the state of the limiter.
+func (m *metrics) flow(l *flow.Limiter) {
+	saturated := 0.0
+	if l.Saturated() {
+		saturated = 1
+	}
+	m.saturated.Set(saturated)
+	m.delay.Set(l.Delay().Seconds())
+	m.startLimit.Set(float64(l.Limit()))
+}
+
 func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
@@ -28,6 +29,8 @@
 	// Speeds is the model of the workers' speeds; nil means that speeds do not
 	// count.
 	Speeds *speed.Model
+	// Flow tells whether this host is saturated; nil means that it never is.
+	Flow *flow.Limiter
 }
 
 const (
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/coordinator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
@@ -115,7 +116,10 @@
 	// ListEvacuations only.
 	Evacuations *evacuation.Set
 	// speeds is the model of the workers' speeds, or nil.
-	speeds  *speed.Model
+	speeds *speed.Model
+	// Flow limits the work in flight while the host is saturated; nil if the policy
+	// is off.
+	Flow    *flow.Limiter
 	leaving bool
 	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
@@ -135,13 +139,17 @@
 		speeds = speed.New()
 	}
 	poolConfig.Speeds = speeds
+	if cfg.Policy.Saturation.Enabled() {
+		poolConfig.Flow = &flow.Limiter{}
+	}
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
 		Evacuations: evacuations,
 		speeds:      speeds,
+		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, Speeds: speeds}),
+		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, Speeds: speeds, Flow: poolConfig.Flow}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
@@ -179,7 +187,9 @@
 	c.applyLedger(now)
 	c.Pool.Tick(now)
 	c.Coordinator.Tick(now)
-	if c.Pool.QueueLength() > 0 {
+	// During saturation the pool returns only tasks that would be late here: each
+	// task that is offered again is sent over the link again.
+	if c.Pool.QueueLength() > 0 && !c.Flow.Saturated() {
 		c.Pool.HandOff(now, c.Coordinator.RemoteFreeCapacity())
 	}
 }
@@ -236,7 +246,7 @@
 // Report returns this host's report of its free capacity and queue.
 func (c *Core) Report(now time.Time) offer.CapacityReport {
 	r := c.Pool.Report(now)
-	r.Leaving = c.leaving
+	r.Leaving, r.Saturated = c.leaving, c.Flow.Saturated()
 	return r
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
+	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -50,6 +51,9 @@
 	// Speeds is the model of the workers' speeds; nil means that speeds do not
 	// count.
 	Speeds *speed.Model
+	// Flow limits the unanswered starts while the host is saturated; nil means
+	// that nothing does.
+	Flow *flow.Limiter
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -93,6 +97,9 @@
 	Timeout time.Duration
 	// Placement is the part that speeds had in the choice of the worker.
 	Placement speed.Reason
+	// GiveUp is how long the request may go on after all; if it is longer than
+	// Timeout, Pool.StartLate is called meanwhile.
+	GiveUp time.Duration
 }
 
 // Stop orders the end of a run. The answer comes back by Pool.StopAnswered.
