Replace lost long polls, and hedge them while calls are lost

The long poll that reports the ends was among the unanswered calls. Until its timeout of 2.4 s the worker's ends were noticed only by the poll for overdue runs, after the estimate (off by 40%) and 50 ms, and their capacity stood idle. At nine ends a second, half of the workers were in that state at any time.

A long poll that has not answered although another poll lists a newer end is given up after the usual timeout and replaced. For 3 s after a lost call a second long poll waits beside the first, except during saturation. Given-up polls still count as pending when a worker starts again, since they may acknowledge ends of its new incarnation. An answer that was overtaken by a newer one no longer decides which runs are at the worker.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -51,6 +51,9 @@
 		d.runsLost(a)
 	case workerpool.SaturationChanged:
 		d.saturationChanged(a)
+	case workerpool.PollLost:
+		d.metrics.pollsLost.Inc()
+		d.logger.Info("poll lost", "worker", a.Worker, "number", a.Number, "age", a.Age)
 	case workerpool.SlowRun:
 		d.slowRun(a)
 	case workerpool.SpeedSpread:
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -20,6 +20,7 @@
 	starts       *prometheus.CounterVec
 	startSeconds prometheus.Histogram
 	polls        prometheus.Counter
+	pollsLost    prometheus.Counter
 	runsLost     *prometheus.CounterVec
 	verdicts     *prometheus.CounterVec
 	// zoneEvacuated has a value for each zone that was ever evacuated.
@@ -55,6 +56,9 @@
 		polls: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyhill_looks_total", Help: "Looks at workers.",
 		}),
+		pollsLost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "parsleyhill_polls_lost_total", Help: "Polls that were not answered although a run had ended.",
+		}),
 		runsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_runs_lost_total", Help: "Runs lost together with their worker, by how the loss was found.",
 		}, []string{"why"}),
@@ -89,7 +93,7 @@
 			Name: "parsleyhill_start_limit", Help: "Unanswered starts allowed during saturation; 0 means no limit.",
 		}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
 		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit)
 	return m
 }
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -9,27 +9,6 @@
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
-// poll sends a poll; with a zero wait, the worker answers at once.
-func (p *Pool) poll(now time.Time, w *worker, wait time.Duration) {
-	p.lastPoll++
-	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Wait: wait, Timeout: p.longPollTimeout()}
-	if !w.interrupted {
-		l.Acknowledged = w.acknowledgedSeq
-	}
-	if wait == 0 {
-		l.Timeout = p.shortPollTimeout()
-	}
-	if w.renewsLeases(now) {
-		l.LeaseUntil = w.grantLease(now, p.cfg.MaxLease)
-	}
-	if wait > 0 {
-		w.longPoll, w.longPollAt = l.Number, now
-	} else {
-		w.shortPoll, w.shortPollAt = l.Number, now
-	}
-	p.emit(l)
-}
-
 // PollAnswered handles a worker's answer to a poll. Answers to polls that are not
 // pending are ignored.
 func (p *Pool) PollAnswered(now time.Time, id string, number int64, l fleet.PollResponse) {
@@ -45,9 +24,15 @@
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, l)
 	}
+	// Answers on different connections may overtake each other.
+	outdated := l.StartTime == w.startTime && l.Clock < w.polledClock && l.Clock > w.polledClock-maxClockRegression
+	if !outdated {
+		w.polledClock = l.Clock
+	}
 	w.startTime = l.StartTime
 	w.syncClock(now, l.Clock)
 	w.pollAnsweredAt = now
+	w.noteMissedEnds(now, l.Ended)
 	if w.adopting {
 		p.handleFirstPoll(now, w, l)
 		return
@@ -59,25 +44,9 @@
 		}
 	}
 	w.advanceAcknowledged()
-	p.reconcileRuns(now, w, number, l.Running)
-}
-
-// noPoll is passed as the poll number for orders that are not polls.
-const noPoll = 0
-
-// finishPoll reports whether a poll is pending, and marks it as finished.
-func (w *worker) finishPoll(number int64) bool {
-	switch number {
-	case noPoll:
-		return false
-	case w.longPoll:
-		w.longPoll, w.staleAckPoll = 0, 0
-	case w.shortPoll:
-		w.shortPoll = 0
-	default:
-		return false
+	if !outdated {
+		p.reconcileRuns(now, w, number, l.Running)
 	}
-	return true
 }
 
 // handleRestart returns the tasks of runs of a former incarnation. It keeps runs
@@ -257,10 +226,7 @@
 		return
 	}
 	w.lastFailure, w.interrupted = failure, true
-	sent := w.shortPollAt
-	if number == w.longPoll {
-		sent = w.longPollAt
-	}
+	sent := w.pollSentAt(number)
 	if !w.finishPoll(number) {
 		return
 	}
@@ -268,10 +234,13 @@
 	case failure == fleet.CallProcessEnded:
 		p.processEnded(now, w)
 	case failure == fleet.CallClosed && w.shortPoll == 0:
-		p.poll(now, w, 0)
+		p.poll(now, w)
 	}
 	if w.lastContact.After(sent) {
 		// The worker has answered other calls since this poll was sent.
+		if failure == fleet.CallTimedOut {
+			p.callLost(now)
+		}
 		return
 	}
 	p.countMissedPoll(now, w)
@@ -412,7 +381,7 @@
 	r.answeredAtPoll = p.lastPoll
 	w.missedPolls = 0
 	if w.shortPoll == 0 {
-		p.poll(now, w, 0)
+		p.poll(now, w)
 	}
 }
 
@@ -447,37 +416,3 @@
 	p.expireLease(now, w)
 	p.tickPolls(now, w)
 }
-
-// tickPolls keeps one long poll pending at the worker, and renews leases.
-func (p *Pool) tickPolls(now time.Time, w *worker) {
-	if w.missedPolls > 0 || w.adopting {
-		if w.shortPoll == 0 && !now.Before(w.nextPoll) {
-			p.poll(now, w, 0)
-		}
-		return
-	}
-	if w.renewsLeases(now) && w.shortPoll == 0 && w.latestLeaseEnd-w.clockNow(now) < p.cfg.RenewBefore {
-		p.poll(now, w, 0)
-	}
-	if w.shortPoll == 0 && p.hasOverdueRun(now, w) {
-		p.poll(now, w, 0)
-	}
-	if w.longPoll == 0 {
-		p.poll(now, w, p.cfg.LongPollWait)
-	}
-}
-
-// hasOverdueRun reports whether a run should have ended and no list arrived
-// since: the answer to the long poll may be lost.
-func (p *Pool) hasOverdueRun(now time.Time, w *worker) bool {
-	for _, r := range w.runs {
-		due := r.orderedAt.Add(overdueAfter)
-		if r.task != nil {
-			due = due.Add(p.paces.expectedRunTime(w, r.task.Estimate))
-		}
-		if r.state == runRunning && now.After(due) && now.Sub(w.pollAnsweredAt) > overdueAfter {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/decide/workerpool/flow.go
+++ b/internal/decide/workerpool/flow.go
@@ -100,7 +100,7 @@
 	r.late = true
 	p.noAnswerInTime(now, w, r)
 	if w.shortPoll == 0 {
-		p.poll(now, w, 0)
+		p.poll(now, w)
 	}
 }
 
@@ -109,6 +109,7 @@
 func (p *Pool) noAnswerInTime(now time.Time, w *worker, r *run) {
 	p.timeouts.TimedOut()
 	if w.lastContact.After(r.orderedAt) {
+		p.callLost(now)
 		p.cfg.Flow.Late(now, now.Sub(r.orderedAt))
 	}
 }
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -189,6 +189,8 @@
 	reserved *worker
 	// speedsActive tells for which services speeds decide, as last reported.
 	speedsActive map[string]bool
+	// callsLostAt is when a worker that answers other calls last did not answer one.
+	callsLostAt time.Time
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
 }
@@ -254,7 +256,7 @@
 	p.workers[info.ID] = w
 	p.order = append(p.order, w)
 	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	p.poll(now, w, 0)
+	p.poll(now, w)
 }
 
 // Update records a worker's newer registration.
--- a/internal/decide/workerpool/pool_test.go
+++ b/internal/decide/workerpool/pool_test.go
@@ -344,3 +344,64 @@
 	p.PollAnswered(epoch, "w", longPoll.Number, l)
 	assert.Len(t, actionsOf[Start](p.PopActions(epoch)), 1)
 }
+
+// Guards against a worker whose ends are noticed late for as long as a lost long
+// poll may take: the poll has to be given up once another poll lists an end that it
+// should have reported, and a second one kept beside the next.
+func TestLostLongPollIsReplacedAndHedged(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	p.Offer(epoch, testTask(1, 1, 14, epoch))
+	for _, start := range actionsOf[Start](p.PopActions(epoch)) {
+		p.StartAnswered(epoch, "w", start.Run, 7, fleet.StartAccepted, time.Minute)
+	}
+	p.Tick(epoch)
+	lost := actionsOf[Poll](p.PopActions(epoch))
+	require.Len(t, lost, 1)
+
+	due := epoch.Add(160 * time.Millisecond)
+	p.Tick(due)
+	short := actionsOf[Poll](p.PopActions(due))
+	require.Len(t, short, 1)
+	answer := fleet.PollResponse{
+		Clock: time.Minute + 160*time.Millisecond, StartTime: 1, Running: runningList(runID(1, 1, 1)),
+		Ended: []fleet.RunEnd{{Seq: 1, RunID: runID(1, 0, 1), Reason: fleet.EndedDone}},
+	}
+	p.PollAnswered(due, "w", short[0].Number, answer)
+	p.Tick(due.Add(20 * time.Millisecond))
+	assert.Empty(t, actionsOf[Poll](p.PopActions(due.Add(20*time.Millisecond))), "the answer may still be on its way")
+
+	now := due.Add(maxTimeout)
+	for range 3 {
+		p.Tick(now)
+	}
+	var waiting []Poll
+	for _, poll := range actionsOf[Poll](p.PopActions(now)) {
+		if poll.Wait > 0 {
+			waiting = append(waiting, poll)
+		}
+	}
+	require.Len(t, waiting, 2)
+	assert.Equal(t, hedgedPollWait, waiting[0].Wait)
+
+	answer.Clock, answer.Running = time.Minute+900*time.Millisecond, nil
+	answer.Ended = append(answer.Ended, fleet.RunEnd{Seq: 2, RunID: runID(1, 1, 1), Reason: fleet.EndedDone})
+	p.PollAnswered(now, "w", waiting[1].Number, answer)
+	outcomes := actionsOf[SendOutcome](p.PopActions(now))
+	require.NotEmpty(t, outcomes)
+	assert.Equal(t, offer.Done, outcomes[len(outcomes)-1].Outcome.Result)
+}
+
+// A worker starts again while a long poll that was given up may still reach it. The
+// poll acknowledges ends of the former incarnation, so that nothing may start before
+// it has failed.
+func TestNothingStartsWhileAGivenUpPollMayAcknowledge(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	w := p.workers["w"]
+	w.lostPolls = map[int64]bool{99: true}
+	w.resetEndNumbers(0)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	assert.Empty(t, actionsOf[Start](p.PopActions(epoch)))
+	p.PollFailed(epoch, "w", 99, fleet.CallTimedOut)
+	assert.Len(t, actionsOf[Start](p.PopActions(epoch)), 1)
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -1,6 +1,7 @@
 package workerpool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -99,20 +100,24 @@
 	// jobs this host cannot tell from stored ones yet.
 	unclassified map[int64]foundEnd
 
-	// longPoll is the number of the pending poll that waits for an end, or zero.
-	longPoll int64
-	// staleAckPoll is a pending long poll that acknowledges ends of a former
-	// incarnation, or zero. It could acknowledge ends of the new incarnation
-	// unread, so that no run may end there before the poll has been answered or
-	// has failed.
-	staleAckPoll int64
+	// longPoll is the pending poll that waits for an end, and hedgePoll a second one
+	// while calls are unreliable.
+	longPoll, hedgePoll longPoll
+	// lostPolls are the numbers of long polls that were given up and have neither
+	// been answered nor failed.
+	lostPolls map[int64]bool
+	// staleAckPolls are pending long polls that acknowledge ends of a former
+	// incarnation. They could acknowledge ends of the new incarnation unread, so
+	// that no run may end there before they have been answered or have failed.
+	staleAckPolls map[int64]bool
 	// shortPoll is the number of the pending poll that is answered at once, or
 	// zero.
 	shortPoll int64
-	// longPollAt and shortPollAt are when the last polls of each kind were sent,
-	// pollAnsweredAt is when a poll was last answered, and lastContact when any
-	// call was.
-	longPollAt, shortPollAt, pollAnsweredAt, lastContact time.Time
+	// shortPollAt is when the last poll of that kind was sent, pollAnsweredAt when a
+	// poll was last answered, polledClock the worker's clock in that answer, and
+	// lastContact when any call was answered.
+	shortPollAt, pollAnsweredAt, lastContact time.Time
+	polledClock                              time.Duration
 	// missedPolls counts the consecutive polls without an answer, and lastFailure
 	// is how the last one ended.
 	missedPolls int
@@ -139,7 +144,15 @@
 // acknowledging them would acknowledge other ends of the new one.
 func (w *worker) resetEndNumbers(leaseEnd time.Duration) {
 	w.seenSeq, w.acknowledgedSeq, w.latestLeaseEnd = 0, 0, leaseEnd
-	w.staleAckPoll = w.longPoll
+	w.staleAckPolls = maps.Clone(w.lostPolls)
+	for _, l := range []longPoll{w.longPoll, w.hedgePoll} {
+		if l.number != 0 {
+			if w.staleAckPolls == nil {
+				w.staleAckPolls = map[int64]bool{}
+			}
+			w.staleAckPolls[l.number] = true
+		}
+	}
 	clear(w.unrecorded)
 	clear(w.unclassified)
 }
@@ -178,7 +191,7 @@
 // usable reports whether the worker may start tasks now.
 func (w *worker) usable(now time.Time) bool {
 	return !w.evacuated && !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
-		w.missedPolls == 0 && w.staleAckPoll == 0 && !w.health.onProbation(now) && !w.awaitsLeaseExpiry(now)
+		w.missedPolls == 0 && len(w.staleAckPolls) == 0 && !w.health.onProbation(now) && !w.awaitsLeaseExpiry(now)
 }
 
 // soonUsable reports whether the worker may start tasks now or is expected to
