Wait for a place near a task's data where that pays

Cause: a rack that a task names counted only among free workers of one owner; the job's host ignored it, so that tasks ran away from their racks at twice the time although a place near was free, or nearly free.

Change: the job's host prefers owners with free workers of the rack, considers a wait there by the reported ends of runs, or spills. The owner decides for queued tasks before a start elsewhere and before a hand-over. Estimates of runs away from their rack count with the slowdown. Later steps have their own latest start. Active only for tasks that name a rack, with slowdown_factor above 1 in the settings, and the policy near_wait on.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -50,6 +50,10 @@
 		d.runsLost(a)
 	case workerpool.SlowRun:
 		d.slowRun(a)
+	case workerpool.NearDecision:
+		d.nearDecision("owner", a.Report)
+	case coordinator.NearDecision:
+		d.nearDecision("job_host", a.Report)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case host.Append:
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -259,7 +259,9 @@
 func capacityReportToProto(r offer.CapacityReport) *dispatchv1.Room {
 	report := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving, Exclusive: int32(r.Exclusive)}
 	for _, w := range r.Workers {
-		report.Workers = append(report.Workers, &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free)})
+		room := &dispatchv1.WorkerRoom{Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free)}
+		releasesToProto(room, w.Releases)
+		report.Workers = append(report.Workers, room)
 	}
 	if len(r.QueuedWork) > 0 {
 		report.QueuedWork = make(map[int32]int64, len(r.QueuedWork))
@@ -276,7 +278,7 @@
 		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
 	}
 	for _, w := range r.GetWorkers() {
-		report.Workers = append(report.Workers, offer.WorkerCapacity{ID: w.GetId(), Service: w.GetService(), Free: sizeFromProto(w.GetFree())})
+		report.Workers = append(report.Workers, offer.WorkerCapacity{ID: w.GetId(), Service: w.GetService(), Free: sizeFromProto(w.GetFree()), Releases: releasesFromProto(w)})
 	}
 	for priority, work := range r.GetQueuedWork() {
 		report.QueuedWork[int(priority)] = work
--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -70,3 +70,15 @@
 		host.TaskWithdrawal{Task: lostTask}, host.Offers{Tasks: []offer.Task{{Name: other, StartBy: now, Deadline: now}}},
 	}, messagesFromProto(now, "h", f))
 }
+
+// Guards against ends of runs that the receiver of a report does not get, and
+// against a list of a newer host that is malformed.
+func TestEndsOfRunsAreReported(t *testing.T) {
+	report := offer.CapacityReport{QueuedWork: map[int]int64{}, Workers: []offer.WorkerCapacity{
+		{ID: "a", Releases: []offer.Release{{In: 70 * time.Millisecond, MilliCPU: 8000}, {In: 20 * time.Millisecond, MilliCPU: 1}}}, {ID: "b"},
+	}}
+	room := capacityReportToProto(report)
+	assert.Equal(t, report, capacityReportFromProto(room))
+	room.Workers[0].FreeCpu = room.Workers[0].FreeCpu[:1]
+	assert.Len(t, capacityReportFromProto(room).Workers[0].Releases, 1)
+}
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -113,7 +113,7 @@
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
 			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
-			Ledger: ledgerConfig(s), Policy: policies,
+			Ledger: ledgerConfig(s), Policy: policies, RemoteSlowdown: s.RemoteSlowdown,
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[string]chan struct{}{},
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -23,6 +23,8 @@
 	// zoneEvacuated has a value for each zone that was ever evacuated.
 	zoneEvacuated *prometheus.GaugeVec
 	slowRuns      *prometheus.CounterVec
+	nearDecisions *prometheus.CounterVec
+	nearWaits     *prometheus.HistogramVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -59,8 +61,14 @@
 		slowRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_slow_runs_total", Help: "Decisions about runs that are far slower than expected.",
 		}, []string{"decision"}),
+		nearDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_near_decisions_total", Help: "Decisions about tasks that name a rack.",
+		}, []string{"by", "action", "reason"}),
+		nearWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "parsleyhill_near_wait_seconds", Help: "Time that tasks which name a rack waited at the owner before they started or went elsewhere.", Buckets: latencyBuckets,
+		}, []string{"action"}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns)
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns, m.nearDecisions, m.nearWaits)
 	return m
 }
 
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -49,7 +49,7 @@
 		Host: c.cfg.Self, Name: t.name, Stored: j.stored, Spec: j.spec.Spec, Service: j.route.Service,
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
-		StartBy: j.arrived.Add(j.objective - j.criticalPath), Deadline: j.deadline,
+		StartBy: c.startBy(j, t.name.Step), Deadline: j.deadline,
 		JobStarted: j.started, Avoid: t.avoidWorker, Exclusive: t.exclusive, NextRun: t.lastRun + 1, FailedRuns: t.failedRuns, MaxAttempts: j.route.MaxAttempts,
 	}
 }
@@ -86,6 +86,9 @@
 			best, bestWorker, bestWait = h, worker, wait
 		}
 	}
+	if step.Affinity != "" && c.cfg.RemoteSlowdown > 1 {
+		best, bestWorker = c.chooseNear(now, j, t, best, bestWorker, bestWait)
+	}
 	if best == nil {
 		return nil
 	}
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -24,6 +24,9 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Coordinator.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless. Racks count in the choice of a host only if it is above 1.
+	RemoteSlowdown float64
 }
 
 const (
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -56,6 +56,8 @@
 	// skipUntil holds, for each host that returned the task, the time until which
 	// the task is not offered to it again.
 	skipUntil map[string]time.Time
+	// nearSince is when the task was first offered to wait for its rack, or zero.
+	nearSince time.Time
 }
 
 type job struct {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -34,6 +34,18 @@
 	Ledger ledger.Config
 	// Policy tells which scheduling policies may act.
 	Policy policy.Settings
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless; zero if the platform states none.
+	RemoteSlowdown float64
+}
+
+// remoteSlowdown returns the factor by which the waits for racks are decided, or
+// zero if tasks do not wait for their racks.
+func (c *Config) remoteSlowdown() float64 {
+	if !c.Policy.NearWait.Enabled() {
+		return 0
+	}
+	return c.RemoteSlowdown
 }
 
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
@@ -126,12 +138,13 @@
 	poolConfig.IsStored = jobLog.Contains
 	evacuations := &evacuation.Set{}
 	poolConfig.Evacuations = evacuations
+	poolConfig.RemoteSlowdown = cfg.remoteSlowdown()
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
 		Evacuations: evacuations,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations}),
+		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown()}),
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
--- a/internal/decide/nearwait/nearwait.go
+++ b/internal/decide/nearwait/nearwait.go
@@ -2,7 +2,11 @@
 // pure: the state and the time go in, a decision comes out.
 package nearwait
 
-import "time"
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
 
 const (
 	// uncertainty is the share by which an expected wait, and a run that has to be
@@ -190,3 +194,15 @@
 	}
 	return b
 }
+
+// Report describes a decision, for the process log and the metrics.
+type Report struct {
+	Task     fleet.TaskName
+	Rack     string
+	Decision Decision
+	Inputs   Inputs
+	// Worker is the worker that is free for the task if it starts now, or empty.
+	Worker string
+	// Ahead is the number of tasks that wait for the rack before this one.
+	Ahead int
+}
--- a/internal/decide/nearwait/rack.go
+++ b/internal/decide/nearwait/rack.go
@@ -7,10 +7,10 @@
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
-// maxAhead bounds the waiting tasks that are placed before the task in question,
+// MaxAhead bounds the waiting tasks that are placed before the task in question,
 // which bounds the work of one decision. A rack of 20 workers of 16 cores runs
 // about 40 tasks at once; three times as many ahead exceed every wait that pays.
-const maxAhead = 128
+const MaxAhead = 128
 
 // Release is capacity of a worker that is expected to become free.
 type Release struct {
@@ -37,7 +37,7 @@
 	for i := range workers {
 		slices.SortFunc(workers[i].Releases, func(a, b Release) int { return a.At.Compare(b.At) })
 	}
-	for _, d := range ahead[:min(len(ahead), maxAhead)] {
+	for _, d := range ahead[:min(len(ahead), MaxAhead)] {
 		if w, at := first(now, workers, d.Size); w != nil {
 			w.place(at, d)
 		}
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -131,6 +131,16 @@
 	ID      string
 	Service string
 	Free    fleet.Size
+	// Releases holds the expected ends of the worker's runs. It is empty unless a
+	// task named one of the worker's racks recently.
+	Releases []Release
+}
+
+// Release is capacity that the end of a run is expected to free.
+type Release struct {
+	In time.Duration
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int
 }
 
 // CapacityReport describes the workers and the queue of an owner.
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -42,6 +42,9 @@
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Pool.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless. Tasks wait for their racks only if it is above 1.
+	RemoteSlowdown float64
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -146,6 +149,8 @@
 type queuedTask struct {
 	offer.Task
 	offeredAt time.Time
+	// nearUntil is when a wait for a worker of the task's rack is reviewed, or zero.
+	nearUntil time.Time
 }
 
 // Pool is the set of workers that this host owns. It is not safe for
@@ -167,6 +172,7 @@
 	reserved *worker
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
+	near     nearState
 }
 
 // NewPool returns a pool without workers.
@@ -280,6 +286,7 @@
 // Offer queues a task that a host has offered.
 func (p *Pool) Offer(now time.Time, t offer.Task) {
 	t.NextRun = max(1, t.NextRun)
+	p.observeRack(now, t.Affinity)
 	p.queue = append(p.queue, &queuedTask{Task: t, offeredAt: now})
 }
 
@@ -350,6 +357,9 @@
 		}
 		for i := range others {
 			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) {
+				if p.keepsNear(now, q) {
+					return false
+				}
 				others[i].Free = others[i].Free.Sub(q.Size)
 				p.returnTask(q.Task, "", q.NextRun-1, "another host has free capacity")
 				return true
@@ -390,7 +400,7 @@
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
-		r.Workers = append(r.Workers, offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free()})
+		r.Workers = append(r.Workers, offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free(), Releases: p.releases(now, w)})
 		for _, run := range w.sortedRuns() {
 			if run.task != nil {
 				length := max(minRunTime, p.paces.expectedRunTime(w, run.task.Estimate))
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -18,7 +18,7 @@
 	p.reserveWorker(now)
 	rest := make([]*queuedTask, 0, len(p.queue))
 	for _, q := range p.queue {
-		if w := p.pickWorker(now, q); w != nil {
+		if w := p.pickWorker(now, q); w != nil && !p.waitsNear(now, q, w, rest) {
 			p.startRun(now, w, q)
 			p.TaskStarted(q.Host, q.Name.Job)
 		} else {
@@ -121,6 +121,7 @@
 // startRun orders a run of a task on the worker.
 func (p *Pool) startRun(now time.Time, w *worker, q *queuedTask) {
 	task := q.Task
+	p.scaleAway(w, &task)
 	r := &run{
 		id: fleet.RunID{Task: task.Name, Run: task.NextRun}, size: task.Size, state: runStarting,
 		task: &task, orderedAt: now, answeredAtPoll: p.lastPoll,
