--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -100,6 +100,7 @@
 		w.checkCrashes(j, id)
 	}
 	length := time.Duration(float64(j.workTimes[id.Task.Index]) * sw.slowdown)
+	length = w.awayTime(sw, step, length)
 	reason := fleet.EndedDone
 	switch {
 	case sw.hanging:
@@ -156,6 +157,7 @@
 	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
 		Count: width, Size: fleet.Size{MilliCPU: 11000 + w.rng.IntN(5000), MemoryMB: 64}, Estimate: estimate,
 	}}}
+	w.nameRack(&j.spec.Steps[0])
 	for range width {
 		j.workTimes = append(j.workTimes, time.Duration((0.7+0.6*w.rng.Float64())*float64(estimate)))
 	}
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -84,6 +84,8 @@
 	lossRate float64
 	lateRate float64
 	problems []string
+	// racks holds the racks and the tasks' places if jobs name racks.
+	racks rackLoad
 }
 
 var (
@@ -92,8 +94,13 @@
 )
 
 func newWorld(seed uint64, zones, hostsPerZone, workersPerZone int) *world {
+	return newWorldWithRacks(seed, zones, hostsPerZone, workersPerZone, rackLoad{})
+}
+
+func newWorldWithRacks(seed uint64, zones, hostsPerZone, workersPerZone int, racks rackLoad) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
+		racks: racks,
+		rng:   rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
 		jobs: map[string]*simJob{}, cuts: map[string]int{},
 		log: &simLog{group: newGroup(testShards), accepted: map[string]bool{}},
 	}
@@ -105,6 +112,7 @@
 				ID: fmt.Sprintf("w-%s-%d", zone, i), Address: fmt.Sprintf("a-%s-%d", zone, i), Zone: zone, Service: "s",
 				Capacity: fleet.Size{MilliCPU: 32000, MemoryMB: 1 << 17},
 			}}
+			sw.info.Labels = racks.labels(len(w.workers), zones*workersPerZone)
 			sw.boot(w.now)
 			w.workers = append(w.workers, sw)
 		}
@@ -147,6 +155,7 @@
 	h.up, h.generation, h.shardGeneration, h.logPosition = true, 0, 0, 0
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
+		RemoteSlowdown: w.racks.slowdown,
 	})
 	for _, sw := range w.workers {
 		h.core.UpdateWorker(w.now, sw.info)
