Hand a waiting task over to another owner's free worker of its rack

Cause: workers of a rack may belong to several owners. A task that waited at one of them stayed until its wait ended, though a place at another was free.

Change: the hand-over of waiting tasks looks for such a place first.

--- a/internal/decide/coordinator/near.go
+++ b/internal/decide/coordinator/near.go
@@ -62,6 +62,11 @@
 	return best, bestWorker
 }
 
+// HasLabel reports whether a known worker has a label.
+func (c *Coordinator) HasLabel(worker, label string) bool {
+	return c.workers.hasLabel(worker, label)
+}
+
 // startBy returns the latest start of a step's tasks that meets the objective. For
 // steps whose tasks wait for a rack it counts from the step on; for others it is
 // that of the job's first steps.
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -139,12 +139,16 @@
 	evacuations := &evacuation.Set{}
 	poolConfig.Evacuations = evacuations
 	poolConfig.RemoteSlowdown = cfg.remoteSlowdown()
+	coordination := coordinator.New(coordinator.Config{
+		Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown(),
+	})
+	poolConfig.HasLabel = coordination.HasLabel
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
 		Evacuations: evacuations,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown()}),
+		Coordinator: coordination,
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
--- a/internal/decide/workerpool/near.go
+++ b/internal/decide/workerpool/near.go
@@ -65,11 +65,17 @@
 }
 
 // keepsNear reports whether a waiting task stays for a worker of its rack although
-// other hosts have free capacity.
-func (p *Pool) keepsNear(now time.Time, q *queuedTask) bool {
+// other hosts have free capacity. It does not if that is on a worker of the rack.
+func (p *Pool) keepsNear(now time.Time, q *queuedTask, others []offer.WorkerCapacity) bool {
 	if q.Affinity == "" || p.cfg.RemoteSlowdown <= 1 {
 		return false
 	}
+	for i := range others {
+		o := &others[i]
+		if p.cfg.HasLabel != nil && o.Service == q.Service && q.Size.Fits(o.Free) && p.cfg.HasLabel(o.ID, q.Affinity) {
+			return false
+		}
+	}
 	ahead := p.queue
 	for i, o := range p.queue {
 		if o == q {
--- a/internal/decide/workerpool/near_test.go
+++ b/internal/decide/workerpool/near_test.go
@@ -73,6 +73,19 @@
 	assert.Equal(t, []string{"n"}, startedOn(p.PopActions(now)))
 }
 
+// Guards against a task that waits here while another owner has a free worker of
+// its rack.
+func TestWaitEndsWhenAnotherOwnersNearPlaceIsFree(t *testing.T) {
+	p := newRackPool(t, 2)
+	p.cfg.HasLabel = func(worker, rack string) bool { return worker == "far-near" && rack == "r" }
+	now := epoch.Add(80 * time.Millisecond)
+	p.Offer(now, rackTask(2, now, "r"))
+	assert.Empty(t, startedOn(p.PopActions(now)))
+	now = now.Add(10 * time.Millisecond)
+	p.HandOff(now, []offer.WorkerCapacity{{ID: "far-near", Service: "s", Free: fleet.Size{MilliCPU: 16000, MemoryMB: 64}}})
+	assert.Zero(t, p.QueueLength())
+}
+
 // Guards against a task that waits on although the rack stays busy.
 func TestWaitEndsElsewhere(t *testing.T) {
 	p := newRackPool(t, 2)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -45,6 +45,9 @@
 	// RemoteSlowdown is the factor on the run time of a task away from the rack that
 	// it names, unitless. Tasks wait for their racks only if it is above 1.
 	RemoteSlowdown float64
+	// HasLabel reports whether a worker, also of another owner, has a label; nil
+	// means that only the labels of this host's workers are known.
+	HasLabel func(worker, label string) bool
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -357,7 +360,7 @@
 		}
 		for i := range others {
 			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) {
-				if p.keepsNear(now, q) {
+				if p.keepsNear(now, q, others) {
 					return false
 				}
 				others[i].Free = others[i].Free.Sub(q.Size)
