--- a/internal/decide/nearwait/model_test.go
+++ b/internal/decide/nearwait/model_test.go
@@ -95,12 +95,12 @@
 				return true
 			}
 			elsewhere := -1
-			for i := 1; i < d.racks && elsewhere < 0; i++ {
+			for i := 1; i < d.racks && elsewhere < 0 && !now.Before(q.until); i++ {
 				if other := (q.rack + i*5) % d.racks; free(now, other) >= 0 {
 					elsewhere = other
 				}
 			}
-			if elsewhere >= 0 && !now.Before(q.until) {
+			if elsewhere >= 0 {
 				workers := make([]Worker, len(slots[q.rack]))
 				for i, end := range believed[q.rack] {
 					workers[i].Releases = []Release{{later(now, end), fleet.Size{MilliCPU: 1}}}
