--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -60,6 +60,10 @@
 		d.speedSpread(a)
 	case workerpool.WaitForFast:
 		d.waitForFast(a)
+	case workerpool.NearDecision:
+		d.nearDecision("owner", a.Report)
+	case coordinator.NearDecision:
+		d.nearDecision("job_host", a.Report)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case host.Append:
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -32,6 +32,8 @@
 	fastWaits     prometheus.Counter
 	// saturated, delay and startLimit show the state of the limiter.
 	saturated, delay, startLimit prometheus.Gauge
+	nearDecisions                *prometheus.CounterVec
+	nearWaits                    *prometheus.HistogramVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -92,9 +94,15 @@
 		startLimit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "parsleyhill_start_limit", Help: "Unanswered starts allowed during saturation; 0 means no limit.",
 		}),
+		nearDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_near_decisions_total", Help: "Decisions about tasks that name a rack.",
+		}, []string{"by", "action", "reason"}),
+		nearWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "parsleyhill_near_wait_seconds", Help: "Time that tasks which name a rack waited at the owner before they started or went elsewhere.", Buckets: latencyBuckets,
+		}, []string{"action"}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits)
 	return m
 }
 
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -31,6 +31,9 @@
 	Speeds *speed.Model
 	// Flow tells whether this host is saturated; nil means that it never is.
 	Flow *flow.Limiter
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless. Racks count in the choice of a host only if it is above 1.
+	RemoteSlowdown float64
 }
 
 const (
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -36,6 +36,18 @@
 	Ledger ledger.Config
 	// Policy tells which scheduling policies may act.
 	Policy policy.Settings
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless; zero if the platform states none.
+	RemoteSlowdown float64
+}
+
+// remoteSlowdown returns the factor by which the waits for racks are decided, or
+// zero if tasks do not wait for their racks.
+func (c *Config) remoteSlowdown() float64 {
+	if !c.Policy.NearWait.Enabled() {
+		return 0
+	}
+	return c.RemoteSlowdown
 }
 
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
@@ -142,6 +154,12 @@
 	if cfg.Policy.Saturation.Enabled() {
 		poolConfig.Flow = &flow.Limiter{}
 	}
+	poolConfig.RemoteSlowdown = cfg.remoteSlowdown()
+	coordination := coordinator.New(coordinator.Config{
+		Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown(),
+		Speeds: speeds, Flow: poolConfig.Flow,
+	})
+	poolConfig.HasLabel = coordination.HasLabel
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
@@ -149,7 +167,7 @@
 		speeds:      speeds,
 		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
-		Coordinator: coordinator.New(coordinator.Config{Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, Speeds: speeds, Flow: poolConfig.Flow}),
+		Coordinator: coordination,
 		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
 	}
 }
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -137,7 +137,9 @@
 	// RelativeTimeRuns runs; zero if unknown or if speeds do not decide.
 	RelativeTime     float64
 	RelativeTimeRuns int
-	// Ends holds the expected ends of the runs on a fast worker, earliest first.
+	// Ends holds the expected ends of the worker's runs, earliest first. It is empty
+	// unless the worker is a fast one and speeds decide, or a task named one of its
+	// racks recently.
 	Ends []ExpectedEnd
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -54,6 +54,12 @@
 	// Flow limits the unanswered starts while the host is saturated; nil means
 	// that nothing does.
 	Flow *flow.Limiter
+	// RemoteSlowdown is the factor on the run time of a task away from the rack that
+	// it names, unitless. Tasks wait for their racks only if it is above 1.
+	RemoteSlowdown float64
+	// HasLabel reports whether a worker, also of another owner, has a label; nil
+	// means that only the labels of this host's workers are known.
+	HasLabel func(worker, label string) bool
 }
 
 // DefaultConfig returns the configuration for leases of maxLease.
@@ -168,6 +174,8 @@
 	speedsDecide bool
 	// waitsForFast is set once the task waits for a fast worker.
 	waitsForFast bool
+	// nearUntil is when a wait for a worker of the task's rack is reviewed, or zero.
+	nearUntil time.Time
 }
 
 // Pool is the set of workers that this host owns. It is not safe for
@@ -193,6 +201,7 @@
 	callsLostAt time.Time
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
+	near     nearState
 }
 
 // NewPool returns a pool without workers.
@@ -306,6 +315,7 @@
 // Offer queues a task that a host has offered.
 func (p *Pool) Offer(now time.Time, t offer.Task) {
 	t.NextRun = max(1, t.NextRun)
+	p.observeRack(now, t.Affinity)
 	p.queue = append(p.queue, &queuedTask{Task: t, offeredAt: now})
 }
 
@@ -376,6 +386,9 @@
 		}
 		for i := range others {
 			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) && !q.staysForSpeed(others[i]) {
+				if p.keepsNear(now, q, others) {
+					return false
+				}
 				others[i].Free = others[i].Free.Sub(q.Size)
 				p.returnTask(q.Task, "", q.NextRun-1, "another host has free capacity")
 				return true
@@ -416,7 +429,7 @@
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
-		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free()}
+		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free(), Ends: p.nearEnds(now, w)}
 		p.reportSpeed(now, w, &capacity)
 		r.Workers = append(r.Workers, capacity)
 		for _, run := range w.sortedRuns() {
--- a/internal/decide/workerpool/speed.go
+++ b/internal/decide/workerpool/speed.go
@@ -163,6 +163,9 @@
 	if p.cfg.Speeds.Relative(w.info.ID) >= s.Middle {
 		return
 	}
+	if len(c.Ends) > 0 {
+		return
+	}
 	for _, r := range w.runs {
 		end := offer.ExpectedEnd{In: (p.endsIn(now, w, r) + endStep - 1).Truncate(endStep), MilliCPU: r.size.MilliCPU}
 		c.Ends = offer.InsertEnd(c.Ends, end, maxReportedEnds)
