--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -158,6 +158,7 @@
 				MaxPerWorker: int32(t.MaxPerWorker), Priority: int32(t.Priority),
 				StartInMs: remainingMs(now, t.StartBy), UsefulMs: remainingMs(now, t.Deadline),
 				Begun: t.JobStarted, MaxAttempts: int32(t.MaxAttempts), Stored: t.Stored,
+				Route: t.Route, JobTasks: int32(t.JobTasks),
 			}
 			offers = append(offers, last)
 		}
@@ -174,7 +175,7 @@
 	for _, t := range o.GetTasks() {
 		tasks = append(tasks, offer.Task{
 			Name:   fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
-			Stored: o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Size: sizeFromProto(o.GetSize()),
+			Stored: o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Route: o.GetRoute(), JobTasks: int(o.GetJobTasks()), Size: sizeFromProto(o.GetSize()),
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: timeIn(now, o.GetStartInMs()), Deadline: timeIn(now, o.GetUsefulMs()),
@@ -275,6 +276,11 @@
 			report.QueuedWork[int32(priority)] = work
 		}
 	}
+	for _, l := range r.Routes {
+		report.Routes = append(report.Routes, &dispatchv1.RouteLoad{
+			Route: l.Route, WaitingWork: l.WaitingWork, RunningCpu: l.RunningCPU, WaitingTasks: int32(l.WaitingTasks),
+		})
+	}
 	return report
 }
 
@@ -296,5 +302,10 @@
 	for priority, work := range r.GetQueuedWork() {
 		report.QueuedWork[int(priority)] = work
 	}
+	for _, l := range r.GetRoutes() {
+		report.Routes = append(report.Routes, offer.RouteLoad{
+			Route: l.GetRoute(), WaitingWork: l.GetWaitingWork(), RunningCPU: l.GetRunningCpu(), WaitingTasks: int(l.GetWaitingTasks()),
+		})
+	}
 	return report
 }
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -48,6 +48,7 @@
 	step := j.spec.Steps[t.name.Step]
 	return offer.Task{
 		Host: c.cfg.Self, Name: t.name, Stored: j.stored, Spec: j.spec.Spec, Service: j.route.Service,
+		Route: j.route.Name, JobTasks: step.Count,
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
 		StartBy: c.startBy(j, t.name.Step), Deadline: j.deadline,
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -34,6 +34,9 @@
 	// RemoteSlowdown is the factor on the run time of a task away from the rack that
 	// it names, unitless. Racks count in the choice of a host only if it is above 1.
 	RemoteSlowdown float64
+	// Sharing lets routes of different priorities share scarce capacity by usual
+	// rate and priority.
+	Sharing bool
 }
 
 const (
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -155,9 +155,11 @@
 		poolConfig.Flow = &flow.Limiter{}
 	}
 	poolConfig.RemoteSlowdown = cfg.remoteSlowdown()
+	poolConfig.Sharing = cfg.Policy.SharedCapacity.Enabled()
 	coordination := coordinator.New(coordinator.Config{
 		Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown(),
-		Speeds: speeds, Flow: poolConfig.Flow,
+		Sharing: cfg.Policy.SharedCapacity.Enabled(),
+		Speeds:  speeds, Flow: poolConfig.Flow,
 	})
 	poolConfig.HasLabel = coordination.HasLabel
 	return &Core{
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -23,7 +23,12 @@
 	Spec   string
 	// Service names the pool of workers.
 	Service string
-	Size    fleet.Size
+	// Route names the queue of the job. It is empty if the offering host does not
+	// send it.
+	Route string
+	// JobTasks is the number of tasks of the step, or zero if it is not sent.
+	JobTasks int
+	Size     fleet.Size
 	// Estimate is the declared run time.
 	Estimate time.Duration
 	// RequiredLabel is a label that the worker must have, or empty.
@@ -168,6 +173,9 @@
 	// QueuedWork is the waiting work by priority, in thousandths of a core times
 	// milliseconds. Divided by Capacity it gives milliseconds.
 	QueuedWork map[int]int64
+	// Routes holds the work of each route, by name. It is empty unless routes share
+	// scarce capacity by priority.
+	Routes []RouteLoad
 	// FreeingRate is the capacity that the ends of running tasks free, in
 	// thousandths of a core per second.
 	FreeingRate int64
@@ -180,3 +188,13 @@
 	// capacity for, since its link or processor delays its orders.
 	Saturated bool
 }
+
+// RouteLoad is the work of one route at an owner.
+type RouteLoad struct {
+	Route string
+	// WaitingWork is in thousandths of a core times milliseconds.
+	WaitingWork int64
+	// RunningCPU is in thousandths of a core.
+	RunningCPU   int64
+	WaitingTasks int
+}
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -57,6 +57,9 @@
 	// RemoteSlowdown is the factor on the run time of a task away from the rack that
 	// it names, unitless. Tasks wait for their racks only if it is above 1.
 	RemoteSlowdown float64
+	// Sharing lets routes of different priorities share scarce capacity by usual
+	// rate and priority.
+	Sharing bool
 	// HasLabel reports whether a worker, also of another owner, has a label; nil
 	// means that only the labels of this host's workers are known.
 	HasLabel func(worker, label string) bool
