Refuse stored jobs at once while the job log does not answer

Cause: while the store does not answer, all submissions of a host's last 600 ms were sent with the next append, and ended with an unknown result after 500 ms.

Change: package appendgate counts consecutive failed appends. From the second on, submissions and cancellations that were not sent are refused as such, except one that probes the log if no other append does. One lost answer refuses nothing.

--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/appendgate"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
@@ -64,17 +65,29 @@
 	done func(error)
 }
 
+// errNotSent is the outcome of an append that was not sent, because the log has not
+// answered for some time.
+var errNotSent = errors.New("the job log does not answer; the append was not sent")
+
 // appendQueue holds the appends to the job log that wait to be sent.
 type appendQueue struct {
 	mu      sync.Mutex
 	waiting []appendRequest
+	gate    appendgate.Gate
 	wake    chan struct{}
 }
 
 func newAppendQueue() *appendQueue { return &appendQueue{wake: make(chan struct{}, 1)} }
 
+// add queues a request. A request that is tried only once is answered with
+// errNotSent instead while the log is away.
 func (q *appendQueue) add(r appendRequest) {
 	q.mu.Lock()
+	if r.done != nil && !q.gate.MayWait(len(q.waiting)) {
+		q.mu.Unlock()
+		r.done(errNotSent)
+		return
+	}
 	q.waiting = append(q.waiting, r)
 	q.mu.Unlock()
 	wake(q.wake)
@@ -95,18 +108,42 @@
 		}
 		n++
 	}
+	if n > 0 {
+		q.gate.Sent()
+	}
 	batch := q.waiting[:n:n]
 	q.waiting = q.waiting[n:]
 	return batch
 }
 
-// requeue puts failed requests back at the head of the queue.
-func (q *appendQueue) requeue(batch []appendRequest) {
+// succeeded records that the last batch was appended.
+func (q *appendQueue) succeeded() {
 	q.mu.Lock()
-	q.waiting = append(batch, q.waiting...)
+	q.gate.Succeeded()
 	q.mu.Unlock()
 }
 
+// failed records that the last batch was not appended, or that no answer tells. It
+// puts the requests to retry back at the head of the queue, and returns the waiting
+// requests that are tried only once if the log is away.
+func (q *appendQueue) failed(retry []appendRequest) []appendRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	away := q.gate.Failed()
+	q.waiting = append(retry, q.waiting...)
+	if !away {
+		return nil
+	}
+	var notSent []appendRequest
+	q.waiting = slices.DeleteFunc(q.waiting, func(r appendRequest) bool {
+		if r.done != nil {
+			notSent = append(notSent, r)
+		}
+		return r.done != nil
+	})
+	return notSent
+}
+
 // queueAppend queues an append. If done is set, it is called with the outcome
 // and a failed append is not retried.
 func (d *Dispatcher) queueAppend(a host.Append, done func(error)) {
@@ -164,6 +201,7 @@
 	}
 	err := d.store.AppendJobRecords(ctx, records)
 	if err == nil {
+		d.appends.succeeded()
 		d.post(func(now time.Time) {
 			for _, r := range batch {
 				d.core.Appended(now, r.append)
@@ -182,7 +220,9 @@
 		}
 		r.done(err)
 	}
-	d.appends.requeue(retry)
+	for _, r := range d.appends.failed(retry) {
+		r.done(errNotSent)
+	}
 	return err
 }
 
@@ -275,7 +315,7 @@
 // appendError returns the error of a failed append: LogUnavailable if it was
 // certainly not applied, LogUnknown if it may have been.
 func appendError(err error) *errkind.Error {
-	if platform.HadNoEffect(err) {
+	if errors.Is(err, errNotSent) || platform.HadNoEffect(err) {
 		return errkind.Wrap(errkind.LogUnavailable, err, "the append to the job log was not applied")
 	}
 	return errkind.Wrap(errkind.LogUnknown, err, "no answer to the append to the job log")
--- a/internal/daemon/dispatch/stored_test.go
+++ b/internal/daemon/dispatch/stored_test.go
@@ -137,3 +137,47 @@
 		assert.Equal(t, "Gone", f.state("host-0", "00000000000000a2"), "a refused submission creates no job")
 	})
 }
+
+// Guards against submissions that are sent, one batch after the other, to a log that
+// does not answer: none of them is known not to be accepted, and each waits for the
+// time limit of an append.
+func TestSubmissionsAreRefusedAtOnceWhileAppendsHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		defer f.stopAll()
+		time.Sleep(assignmentTime)
+		f.store.SetHangAppends(true)
+		unknown, refused := 0, 0
+		const jobs, interval = 80, 50 * time.Millisecond
+		statuses := make(chan int, jobs)
+		for i := range jobs {
+			go func() {
+				sent := time.Now()
+				status, _ := f.submitStored("host-0", fmt.Sprintf("%016x", 0xb00+i))
+				if status == http.StatusServiceUnavailable && i > jobs/2 {
+					assert.Less(t, time.Since(sent), interval, "job %d", i)
+				}
+				statuses <- status
+			}()
+			time.Sleep(interval)
+		}
+		for range jobs {
+			switch <-statuses {
+			case http.StatusServiceUnavailable:
+				refused++
+			case http.StatusGatewayTimeout:
+				unknown++
+			}
+		}
+		// Two appends fail before the log counts as away: all jobs of their 1.1 s may
+		// be in them. After that one job goes with each attempt.
+		maxUnknown := int(2*(appendTimeout+appendRetry)/interval) + jobs*int(interval)/int(appendTimeout+appendRetry)
+		assert.LessOrEqual(t, unknown, maxUnknown)
+		assert.Equal(t, jobs, refused+unknown)
+
+		f.store.SetHangAppends(false)
+		time.Sleep(appendTimeout + 2*appendRetry)
+		status, answer := f.submitStored("host-0", "00000000000000c1")
+		assert.Equal(t, http.StatusOK, status, answer)
+	})
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -48,6 +48,8 @@
 	groups    map[string]*group
 	down      bool
 	hangReads bool
+	// hangAppends is set while appends are not answered.
+	hangAppends bool
 }
 
 // New returns an empty store. Each of its groups assigns this many partitions to
@@ -71,6 +73,14 @@
 	s.hangReads = hang
 }
 
+// SetHangAppends sets whether appends block, without effect, until their caller
+// disconnects.
+func (s *Store) SetHangAppends(hang bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangAppends = hang
+}
+
 // Put appends a record to a topic, as an operator or a worker would.
 func (s *Store) Put(name string, r Record) {
 	s.mu.Lock()
@@ -247,6 +257,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	hang := s.hangAppends
+	s.mu.Unlock()
+	if hang {
+		<-r.Context().Done()
+		return
+	}
 	for len(body) > 0 {
 		if len(body) < 5 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
 			http.Error(w, "record is longer than the body", http.StatusBadRequest)
