--- a/internal/decide/config/effects.go
+++ b/internal/decide/config/effects.go
@@ -38,10 +38,10 @@
 
 func hostEffects(hosts ListedHosts, i Intent, effect string) []string {
 	out := []string{fmt.Sprintf("%s %s", effect, i.Host)}
-	if !hosts.contains(i.Host) {
+	if !hosts.Contains(i.Host) {
 		out = append(out, fmt.Sprintf("the host list does not name %s", i.Host))
 	}
-	if b, ok := hosts.backend(i.Host); ok && i.Verb == Drain {
+	if b, ok := hosts.Backend(i.Host); ok && i.Verb == Drain {
 		out = append(out, fmt.Sprintf("takes %d slots from customer %s", b.Slots, b.Customer))
 	}
 	return out
--- a/internal/decide/config/hosts.go
+++ b/internal/decide/config/hosts.go
@@ -7,36 +7,36 @@
 // between entry hosts.
 type ListedHosts struct {
 	// Backends are the backend servers.
-	Backends []Backend
+	Backends []Backend `json:"backends"`
 	// Workers are the workers.
-	Workers []Worker
-	// Entries are the names of the entry hosts.
-	EntryHosts []string
+	Workers []Worker `json:"workers"`
+	// EntryHosts are the names of the entry hosts.
+	EntryHosts []string `json:"entry_hosts"`
 	// Zones are the names of the availability zones of all hosts, sorted.
-	Zones []string
+	Zones []string `json:"zones"`
 }
 
 // Backend is one backend server of a customer.
 type Backend struct {
-	Name     string
-	Customer string
+	Name     string `json:"name"`
+	Customer string `json:"customer"`
 	// Zone is the availability zone.
-	Zone string
+	Zone string `json:"zone"`
 	// Slots is the number of requests that the server runs at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Leaving is set when the platform is about to remove the server.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Worker is one worker with its availability zone and number of cores.
 type Worker struct {
-	Name  string
-	Zone  string
-	Cores int
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Cores int    `json:"cores"`
 }
 
-// anyListed reports whether at least one host is listed.
-func (s ListedHosts) anyListed() bool { return len(s.Backends)+len(s.Workers)+len(s.EntryHosts) > 0 }
+// AnyListed reports whether at least one host is listed.
+func (s ListedHosts) AnyListed() bool { return len(s.Backends)+len(s.Workers)+len(s.EntryHosts) > 0 }
 
 // customersIn returns the sorted names of the customers with backend servers in a
 // zone.
@@ -51,7 +51,8 @@
 	return slices.Compact(names)
 }
 
-func (s ListedHosts) backend(name string) (Backend, bool) {
+// Backend returns the listed backend server with the name.
+func (s ListedHosts) Backend(name string) (Backend, bool) {
 	for _, b := range s.Backends {
 		if b.Name == name {
 			return b, true
@@ -60,9 +61,9 @@
 	return Backend{}, false
 }
 
-// contains reports whether a host with the name is listed.
-func (s ListedHosts) contains(host string) bool {
-	if _, ok := s.backend(host); ok {
+// Contains reports whether a host with the name is listed.
+func (s ListedHosts) Contains(host string) bool {
+	if _, ok := s.Backend(host); ok {
 		return true
 	}
 	for _, w := range s.Workers {
--- a/internal/decide/config/intent.go
+++ b/internal/decide/config/intent.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -85,27 +86,68 @@
 // with invalid values. The result depends on the intent alone, so that it is the
 // same on every host.
 func (i Intent) Check() *errkind.Error {
+	var texts []string
+	for _, p := range i.Problems() {
+		texts = append(texts, p.Text)
+	}
+	if len(texts) == 0 {
+		return nil
+	}
+	return errkind.New(errkind.PlanInvalid, "%s", strings.Join(texts, "; "))
+}
+
+// Problems returns the reasons for which Check refuses the intent, with the
+// path of each entry in the intent.
+func (i Intent) Problems() []standing.Problem {
 	if field := i.missing(); field != "" {
-		return errkind.New(errkind.PlanInvalid, "%s needs %q", i.Verb, field)
+		return []standing.Problem{i.missingProblem(field)}
 	}
-	for _, name := range []string{i.ID, i.Operator, i.Customer, i.Team, i.Host, i.Zone} {
-		if len(name) > maxNameBytes {
-			return errkind.New(errkind.PlanInvalid, "a name has %d bytes, the maximum is %d", len(name), maxNameBytes)
+	var problems []standing.Problem
+	for _, n := range []struct{ field, name string }{
+		{"id", i.ID},
+		{"operator", i.Operator},
+		{"customer", i.Customer},
+		{"team", i.Team},
+		{"host", i.Host},
+		{"zone", i.Zone},
+	} {
+		if len(n.name) > maxNameBytes {
+			problems = append(problems, lengthProblem(n.field, "a name", len(n.name), maxNameBytes))
 		}
 	}
 	if len(i.Reason) > maxReasonBytes {
-		return errkind.New(errkind.PlanInvalid, "the reason has %d bytes, the maximum is %d", len(i.Reason), maxReasonBytes)
+		problems = append(problems, lengthProblem("reason", "the reason", len(i.Reason), maxReasonBytes))
 	}
-	return i.checkRules()
+	return append(problems, i.ruleProblems()...)
 }
 
+func (i Intent) missingProblem(field string) standing.Problem {
+	p := standing.Problem{
+		Path: []string{field}, Text: fmt.Sprintf("%s needs %q", i.Verb, field), Fix: fmt.Sprintf("add %q", field),
+	}
+	if field == unknownVerb {
+		p.Path, p.Fix = []string{"verb"}, fmt.Sprintf("set it to one of %v", verbs)
+	}
+	return p
+}
+
+func lengthProblem(field, what string, length, limit int) standing.Problem {
+	return standing.Problem{
+		Path: []string{field}, Text: fmt.Sprintf("%s has %d bytes, the maximum is %d", what, length, limit),
+		Fix: fmt.Sprintf("shorten it to %d bytes", limit),
+	}
+}
+
+// unknownVerb is what missing returns for an intent without a known verb.
+const unknownVerb = "a known verb"
+
 // missing returns the first field that the verb requires and the intent does not
 // set, or "".
 func (i Intent) missing() string {
 	hostVerb, zoneVerb := i.Verb == Drain || i.Verb == Undrain, i.Verb == EvacuateZone || i.Verb == ReadmitZone
 	switch {
 	case !slices.Contains(verbs, i.Verb):
-		return "a known verb"
+		return unknownVerb
 	case i.Operator == "":
 		return "operator"
 	case zoneVerb && i.Zone == "":
@@ -126,18 +168,23 @@
 	return ""
 }
 
-func (i Intent) checkRules() *errkind.Error {
-	var err error
+func (i Intent) ruleProblems() []standing.Problem {
+	var problems []standing.Problem
+	var prefix string
 	switch i.Verb {
 	case SetCustomer:
-		err = i.Rules.Check()
+		prefix, problems = "rules", i.Rules.Problems()
 	case SetTeam:
-		err = i.TeamRules.Check()
+		prefix, problems = "team_rules", i.TeamRules.Problems()
 	case SetWeight:
-		err = standing.Customer{Weights: map[string]float64{i.Host: *i.Weight}}.Check()
+		problems = standing.Customer{Weights: map[string]float64{i.Host: *i.Weight}}.Problems()
+		for n := range problems {
+			problems[n].Path = nil
+		}
+		prefix = "weight"
 	}
-	if err != nil {
-		return errkind.Wrap(errkind.PlanInvalid, err, "%s", strings.ReplaceAll(err.Error(), "\n", "; "))
+	for n := range problems {
+		problems[n].Path = append([]string{prefix}, problems[n].Path...)
 	}
-	return nil
+	return problems
 }
--- a/internal/decide/config/plan.go
+++ b/internal/decide/config/plan.go
@@ -61,7 +61,7 @@
 		Affected: affectedBy(hosts, intent),
 		Effects:  effects(state, after, hosts, intent),
 		InFlight: inFlight(intent),
-		Warnings: warnings(state, after, hosts, intent),
+		Warnings: warningTexts(state, after, hosts, intent),
 	}
 	p.Validity = fmt.Sprintf("until %s changes after version %d", strings.Join(p.Keys, " or "), p.Base)
 	p.Digest = p.digest()
@@ -75,7 +75,7 @@
 func planKeys(hosts ListedHosts, i Intent) []string {
 	keys := i.Keys()
 	if i.Verb == Drain || i.Verb == Undrain {
-		if b, ok := hosts.backend(i.Host); ok {
+		if b, ok := hosts.Backend(i.Host); ok {
 			keys = append(keys, standing.PoolKey(b.Customer))
 		}
 	}
@@ -97,7 +97,7 @@
 			names = append(names, name)
 		}
 	}
-	if b, ok := hosts.backend(i.Host); ok && b.Customer != i.Customer {
+	if b, ok := hosts.Backend(i.Host); ok && b.Customer != i.Customer {
 		names = append(names, b.Customer)
 	}
 	if i.Zone != "" {
@@ -149,26 +149,37 @@
 // checkApplicable returns a PlanRejected error if the intent cannot be applied to
 // the state. The error's text becomes part of the stored outcome.
 func checkApplicable(state *standing.State, i Intent) *errkind.Error {
+	if p, ok := inapplicable(state, i); ok {
+		return errkind.New(errkind.PlanRejected, "%s", p.Text)
+	}
+	return nil
+}
+
+// inapplicable returns the entry for which the intent cannot be applied to the
+// state, or false if it can.
+func inapplicable(state *standing.State, i Intent) (standing.Problem, bool) {
 	customer, known := state.Customers[i.Customer]
 	switch i.Verb {
 	case Drain, SetCustomer, EvacuateZone:
-		return nil
+		return standing.Problem{}, false
 	case ReadmitZone:
-		if !state.Evacuated(i.Zone) {
-			return errkind.New(errkind.PlanRejected, "zone %q is not evacuated", i.Zone)
-		}
-		return nil
+		return standing.Problem{
+			Path: []string{"zone"}, Text: fmt.Sprintf("zone %q is not evacuated", i.Zone), Fix: "name an evacuated zone",
+		}, !state.Evacuated(i.Zone)
 	case Undrain:
-		if _, ok := state.Drains[i.Host]; !ok {
-			return errkind.New(errkind.PlanRejected, "%s is not drained", i.Host)
-		}
-		return nil
+		_, drained := state.Drains[i.Host]
+		return standing.Problem{
+			Path: []string{"host"}, Text: fmt.Sprintf("%s is not drained", i.Host), Fix: "name a drained host",
+		}, !drained
 	}
 	if !known {
-		return errkind.New(errkind.PlanRejected, "no customer %q", i.Customer)
-	}
-	if _, ok := customer.Teams[i.Team]; i.Verb == RemoveTeam && !ok {
-		return errkind.New(errkind.PlanRejected, "no team %q", i.Team)
-	}
-	return nil
+		return standing.Problem{
+			Path: []string{"customer"}, Text: fmt.Sprintf("no customer %q", i.Customer),
+			Fix: "name a customer in force, or set its rules first",
+		}, true
+	}
+	_, listed := customer.Teams[i.Team]
+	return standing.Problem{
+		Path: []string{"team"}, Text: fmt.Sprintf("no team %q", i.Team), Fix: "name a team of the customer",
+	}, i.Verb == RemoveTeam && !listed
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -45,17 +45,10 @@
 // ReadStrict decodes a JSON body of at most limit bytes into v. Unknown fields
 // and data after the document are errors. It writes no answer.
 func ReadStrict(w http.ResponseWriter, r *http.Request, limit int64, v any) *errkind.Error {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	if err == nil {
-		if _, err = dec.Token(); err == nil {
-			err = errors.New("unexpected data after the document")
-		}
-	}
+	err := DecodeStrict(http.MaxBytesReader(w, r.Body, limit), v)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, io.EOF) && dec.InputOffset() > 0:
+	case err == nil:
 		return nil
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the document is larger than %d bytes", limit)
@@ -63,3 +56,21 @@
 		return errkind.New(errkind.BadRequest, "decode document: %v", err)
 	}
 }
+
+// DecodeStrict decodes one JSON document into v. Unknown fields and data after
+// the document are errors.
+func DecodeStrict(r io.Reader, v any) error {
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	switch _, err := dec.Token(); {
+	case err == nil:
+		return errors.New("unexpected data after the document")
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
