Check a change of the configuration before it is planned

Cause: faults of an intent showed only when an entry host refused its plan, one kind at a time, and some never: a rule set to zero takes its default, a weight may name a server that is not listed, a repeated entry replaces the first one.

Change: package configcheck finds them, with path, line and fix, and gives the difference from the version in force. Its errors are those of config.Inspect. 'parsleyhill config check' reads the file and the sources. Entry hosts serve the host list that plans are checked against on the operators' port, GET /v1/hosts; TestOperatorPathsAreRefusedOnCallersPort covers the new path too.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -19,15 +19,18 @@
 	exitOK = 0
 	// exitViolation reports a load run that observed a broken guarantee.
 	exitViolation = 1
-	// exitUsage reports invalid arguments.
+	// exitFindings reports a check that has findings.
+	exitFindings = 1
+	// exitUsage reports invalid arguments, or a check that was not complete.
 	exitUsage = 2
 )
 
 const rootHelp = `Commands print text; with -json they print one JSON document instead. Errors go
 to standard error, with the error kind and whether the work was run.
 
-Exit status: 0 success; 1 a load run observed a broken guarantee; 2 invalid
-arguments; 10 and above identify the error kind, see "parsleyhill kinds".
+Exit status: 0 success; 1 a load run observed a broken guarantee, or a check has
+findings; 2 invalid arguments, or a check was not complete; 10 and above identify
+the error kind, see "parsleyhill kinds".
 
 Flags can be set through environment variables: PARSLEYHILL_CALLERS_URL sets
 -url for request, ids, job, ready and load, PARSLEYHILL_OPERATORS_URL for the
@@ -63,7 +66,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			t.requestCommand(), t.idsCommand(), t.jobCommand(), t.loadCommand(), t.readyCommand(),
-			t.planCommand(), t.confirmCommand(), t.explainCommand(), t.statusCommand(), t.kindsCommand(),
+			t.planCommand(), t.confirmCommand(), t.configCommand(), t.explainCommand(), t.statusCommand(), t.kindsCommand(),
 		},
 		Exec: unknownCommand,
 	}
@@ -97,6 +100,9 @@
 		return exitOK
 	case errors.As(err, &failed):
 		return failed.report(t.Err)
+	case errors.Is(err, errFindings):
+		// The report of the check is printed already.
+		return exitFindings
 	case errors.Is(err, errViolation{}):
 		_, _ = fmt.Fprintln(t.Err, "parsleyhill:", err)
 		return exitViolation
--- a/internal/daemon/follower/listedhosts.go
+++ b/internal/daemon/follower/listedhosts.go
@@ -20,8 +20,13 @@
 	case <-ctx.Done():
 	case <-time.After(firstListTimeout):
 	}
+	return Listed(h.Hosts())
+}
+
+// Listed converts the platform's host list for the validation of plans.
+func Listed(hosts []platform.Host) config.ListedHosts {
 	var listed config.ListedHosts
-	for _, host := range h.Hosts() {
+	for _, host := range hosts {
 		if !slices.Contains(listed.Zones, host.Zone) {
 			listed.Zones = append(listed.Zones, host.Zone)
 		}
--- a/internal/daemon/operator/confirm.go
+++ b/internal/daemon/operator/confirm.go
@@ -55,7 +55,7 @@
 
 func (s *Service) serveConfirm(w http.ResponseWriter, r *http.Request) {
 	var plan config.Plan
-	if err := httpjson.ReadStrict(w, r, maxDocumentBytes, &plan); err != nil {
+	if err := httpjson.ReadStrict(w, r, MaxDocumentBytes, &plan); err != nil {
 		errkind.Write(w, "", err, 0)
 		return
 	}
--- a/internal/daemon/operator/operator.go
+++ b/internal/daemon/operator/operator.go
@@ -25,6 +25,7 @@
 	PathExplain  = "/v1/explain"
 	PathStatus   = "/v1/status"
 	PathFleet    = "/v1/fleet"
+	PathHosts    = "/v1/hosts"
 	PathMetrics  = "/debug/vars"
 )
 
@@ -121,6 +122,9 @@
 	mux.HandleFunc("POST "+PathConfirms, s.serveConfirm)
 	mux.HandleFunc("GET "+PathExplain+"/{subject}", s.serveExplain)
 	mux.HandleFunc("GET "+PathFleet, s.serveFleet)
+	mux.HandleFunc("GET "+PathHosts, func(w http.ResponseWriter, r *http.Request) {
+		httpjson.Write(w, http.StatusOK, s.listedHosts(r.Context()))
+	})
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.status())
 	})
@@ -132,7 +136,7 @@
 
 func (s *Service) servePlan(w http.ResponseWriter, r *http.Request) {
 	var intent config.Intent
-	if err := httpjson.ReadStrict(w, r, maxDocumentBytes, &intent); err != nil {
+	if err := httpjson.ReadStrict(w, r, MaxDocumentBytes, &intent); err != nil {
 		errkind.Write(w, "", err, 0)
 		return
 	}
@@ -164,5 +168,5 @@
 	})
 }
 
-// maxDocumentBytes bounds the size of a document that an operator sends.
-const maxDocumentBytes = 1 << 20
+// MaxDocumentBytes bounds the size of a document that an operator sends.
+const MaxDocumentBytes = 1 << 20
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -44,7 +44,7 @@
 	}
 	paths := []string{
 		operator.PathPlans, operator.PathPlans + "/", operator.PathConfirms, operator.PathExplain + "/",
-		operator.PathStatus, operator.PathFleet, operator.PathMetrics,
+		operator.PathStatus, operator.PathFleet, operator.PathHosts, operator.PathMetrics,
 	}
 	for _, path := range paths {
 		mux.HandleFunc(path, refuse)
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -19,7 +19,7 @@
 	refuseOperatorPaths(mux)
 	paths := []string{
 		operator.PathPlans, operator.PathPlans + "/plan-1", operator.PathConfirms, operator.PathExplain + "/request-1",
-		operator.PathStatus, operator.PathFleet, operator.PathMetrics,
+		operator.PathStatus, operator.PathFleet, operator.PathHosts, operator.PathMetrics,
 	}
 	for _, path := range paths {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
--- a/internal/decide/config/inspect.go
+++ b/internal/decide/config/inspect.go
@@ -14,7 +14,8 @@
 
 // Inspect checks an intent by the rules of MakePlan. If state is nil, the
 // version in force is not known: the intent is checked on its own and applied to
-// an empty state. If no host is listed, there are no warnings.
+// an empty state. There are no warnings if no host is listed, or if there are
+// errors: warnings that follow from invalid values would mislead.
 func Inspect(state *standing.State, hosts ListedHosts, i Intent) Inspection {
 	if problems := i.Problems(); len(problems) > 0 {
 		return Inspection{Errors: problems}
