--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -12,7 +12,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/tailscale/hujson"
 
+	"github.com/parsleyhill/parsleyhill/internal/daemon/follower"
 	"github.com/parsleyhill/parsleyhill/internal/decide/config"
+	"github.com/parsleyhill/parsleyhill/internal/decide/configcheck"
+	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/platform"
 	"github.com/parsleyhill/parsleyhill/internal/settings"
 	"github.com/parsleyhill/parsleyhill/internal/standin"
@@ -71,3 +74,22 @@
 		require.Equal(t, deployment, intent.Customer)
 	}
 }
+
+// TestCustomersHaveNoFindings checks the example intents against the hosts of
+// their sites, with the expected run time of a request.
+func TestCustomersHaveNoFindings(t *testing.T) {
+	for deployment := range deployments {
+		raw, err := os.ReadFile(filepath.Join(deployment, "customer.json"))
+		require.NoError(t, err)
+		plain, err := hujson.Standardize(raw)
+		require.NoError(t, err)
+		var site standin.Site
+		load(t, filepath.Join(deployment, "site.json"), &site)
+		report, err := configcheck.Check(configcheck.Input{
+			Document: plain, InForce: &standing.State{}, Hosts: follower.Listed(site.Hosts), RunMs: 80,
+		})
+		require.NoError(t, err)
+		require.Empty(t, report.Findings, deployment)
+		require.Empty(t, report.Missing, deployment)
+	}
+}
--- a/internal/daemon/operator/operator_test.go
+++ b/internal/daemon/operator/operator_test.go
@@ -240,3 +240,14 @@
 		require.Contains(t, host.follower.State().Drains, "b1")
 	})
 }
+
+// TestHostsAreThoseThatPlansAreCheckedAgainst reads the host list that a check
+// outside the entry host uses.
+func TestHostsAreThoseThatPlansAreCheckedAgainst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := newTestHost(t, "e1", &faultyLog{Log: standinplatform.NewLog()})
+		var got config.ListedHosts
+		require.Empty(t, host.call(http.MethodGet, PathHosts, nil, &got).Kind)
+		require.Equal(t, config.ListedHosts{Backends: []config.Backend{{Name: "b1", Customer: "tamarind"}}, EntryHosts: []string{"e1"}}, got)
+	})
+}
--- a/internal/decide/configcheck/check.go
+++ b/internal/decide/configcheck/check.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 
@@ -353,11 +352,7 @@
 	if len(text) <= maxTextBytes {
 		return text
 	}
-	end := maxTextBytes
-	for !utf8.RuneStart(text[end]) {
-		end--
-	}
-	return text[:end] + "..."
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
 }
 
 // describeType describes the JSON values that can be decoded into a type.
