Decide admission by shares of routes while work waits

Cause: in a burst of one route, jobs are accepted that are expected to take up to 1.5 times their objective, whatever their route uses of the capacity, so that all routes become late together.

Change: while routes of different priority wait for capacity, the job's host decides by the expected start of the last task of the first step, the shares of the routes by usual rate, and their use of the capacity (sharing.Decide). The second check uses the same rule. A returned job that can no longer be on time is recalled instead of offered again. Retry-After of these refusals is spread in whole seconds by the job's ID. Refusals are counted by reason (parsleyhill_refusals_total). A frame without a report confirms the host's last one.

Measured: go test ./internal/decide/sharing ./internal/decide/coordinator passes.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -119,7 +119,15 @@
 		kind = a.Err.Kind
 	}
 	d.metrics.answered(a.Summary.Route, string(kind), a.Summary.Elapsed)
-	d.logger.Info("job answered", "job", a.Job, "route", a.Summary.Route, "outcome", kind, "tasks", a.Summary.Tasks,
+	if a.Summary.Refusal != "" {
+		d.metrics.refusals.WithLabelValues(a.Summary.Route, string(a.Summary.Refusal)).Inc()
+	}
+	logger := d.logger
+	if a.Summary.Sharing.Decided() && a.Summary.Refusal == "" {
+		// The reason of a refusal names the inputs.
+		logger = logger.With("sharing", a.Summary.Sharing.String())
+	}
+	logger.Info("job answered", "job", a.Job, "route", a.Summary.Route, "outcome", kind, "tasks", a.Summary.Tasks,
 		"runs", a.Summary.Runs, "took", a.Summary.Elapsed, "objective", a.Summary.Objective, "expected_wait", a.Summary.ExpectedWait, "why", a.Summary.Why)
 	w.result <- platform.Result{Err: a.Err, RetryAfter: a.RetryAfter}
 }
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -34,6 +34,7 @@
 	saturated, delay, startLimit prometheus.Gauge
 	nearDecisions                *prometheus.CounterVec
 	nearWaits                    *prometheus.HistogramVec
+	refusals                     *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -100,9 +101,12 @@
 		nearWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "parsleyhill_near_wait_seconds", Help: "Time that tasks which name a rack waited at the owner before they started or went elsewhere.", Buckets: latencyBuckets,
 		}, []string{"action"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_refusals_total", Help: "Jobs refused as not run, by reason.",
+		}, []string{"route", "reason"}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits, m.refusals)
 	return m
 }
 
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -352,6 +352,8 @@
 			p.dispatcher.wakeMemberships()
 		}
 		p.dispatcher.core.UpdateHost(now, l.host.Name, l.host.Zone, capacityReportFromProto(r))
+	} else {
+		p.dispatcher.core.Coordinator.HostHeard(now, l.host.Name)
 	}
 }
 
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -7,6 +7,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -105,8 +106,10 @@
 	}
 	if bestWorker != nil {
 		bestWorker.Free = bestWorker.Free.Sub(step.Size)
+		c.chargeRoute(best, j.route.Name, 0, int64(step.Size.MilliCPU))
 	} else {
 		best.addOfferedWork(j.route.Priority, cpuWork(step.Size, step.Estimate))
+		c.chargeRoute(best, j.route.Name, cpuWork(step.Size, step.Estimate), 0)
 	}
 	return best
 }
@@ -243,29 +246,56 @@
 // expectedWait estimates how long a new job waits until the last task of its
 // first step starts, as if all hosts shared one queue.
 func (c *Coordinator) expectedWait(j *job) time.Duration {
-	var ahead, capacity, rate int64
-	startable := 0
-	first := j.spec.Steps[0]
+	return c.loadFor(j.arrived, j, nil).expectedWait(j)
+}
+
+// fleetLoad is the capacity and the load of all hosts, as seen by one job.
+type fleetLoad struct {
+	// ahead is in thousandths of a core times milliseconds, capacity in thousandths
+	// of a core, and rate in thousandths of a core freed per second.
+	ahead, capacity, rate int64
+	// startable is the number of tasks of the job's first step that free workers can
+	// start, and staleStartable how many of these follow from outdated reports.
+	startable, staleStartable int
+	hosts                     int
+}
+
+// loadFor returns the load of all hosts for a job, and adds that of each route to
+// routes.
+func (c *Coordinator) loadFor(now time.Time, j *job, routes []sharing.RouteState) fleetLoad {
+	var l fleetLoad
 	for _, h := range c.sortedHosts {
 		if !h.connected || h.report.Leaving {
 			continue
 		}
-		capacity += int64(c.capacityOf(h))
-		rate += h.report.FreeingRate
-		ahead += h.workAhead(j.route.Priority)
-		startable += startableTasks(c.servedWorkers(h.report.Workers), j.route.Service, first.Size)
+		l.hosts++
+		l.capacity += int64(c.capacityOf(h))
+		l.rate += h.report.FreeingRate
+		l.ahead += h.workAhead(j.route.Priority)
+		startable := startableTasks(c.servedWorkers(h.report.Workers), j.route.Service, j.spec.Steps[0].Size)
+		l.startable += startable
+		if now.Sub(h.confirmedAt) > maxReportAge {
+			l.staleStartable += startable
+		}
+		h.addSharedLoad(routes)
 	}
-	if startable >= first.Count {
+	return l
+}
+
+// expectedWait returns the time until the last task of a job's first step starts.
+func (l fleetLoad) expectedWait(j *job) time.Duration {
+	first := j.spec.Steps[0]
+	if l.startable >= first.Count {
 		return 0
 	}
-	if capacity == 0 {
+	if l.capacity == 0 {
 		return noCapacityWait
 	}
-	return waitFor(ahead, capacity, int64((first.Count-startable)*first.Size.MilliCPU), rate)
+	return waitFor(l.ahead, l.capacity, int64((first.Count-l.startable)*first.Size.MilliCPU), l.rate)
 }
 
 // noCapacityWait is returned as the expected wait if no host has capacity.
-const noCapacityWait = time.Hour
+const noCapacityWait = sharing.NoCapacityWait
 
 // startableTasks returns how many tasks of a size the workers have free cores for.
 func startableTasks(workers []offer.WorkerCapacity, service string, size fleet.Size) int {
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -161,8 +162,26 @@
 	Objective    time.Duration
 	ExpectedWait time.Duration
 	Why          string
+	// Refusal is the reason for which the job was refused, or empty.
+	Refusal Refusal
+	// Sharing is the last decision by the shares of routes, or the zero value.
+	Sharing sharing.Decision
 }
 
+// Refusal is the reason for which a job was refused as not run. While routes share
+// scarce capacity it is a sharing.Reason.
+type Refusal string
+
+// The other reasons.
+const (
+	// NoCapacity means that the job would wait too long.
+	NoCapacity Refusal = "no_capacity"
+	// Evacuated means that the job has nowhere to run because of evacuated zones.
+	Evacuated Refusal = "evacuated"
+	// Saturated means that this host cannot send the job's tasks in time.
+	Saturated Refusal = "saturated"
+)
+
 func (Offer) action()        {}
 func (Withdraw) action()     {}
 func (Recall) action()       {}
@@ -181,10 +200,16 @@
 	zone       string
 	report     offer.CapacityReport
 	reportedAt time.Time
-	connected  bool
+	// confirmedAt is when the host last sent a report, or a frame without one: its
+	// report has not changed much.
+	confirmedAt time.Time
+	connected   bool
 	// offeredWork is the work charged to the host's queue since its last report, by
 	// priority, in thousandths of a core times milliseconds.
 	offeredWork map[int]int64
+	// offeredRoutes is the work offered to the host since its last report, by route.
+	// It is empty unless capacity is shared.
+	offeredRoutes []offer.RouteLoad
 	// offeredExclusive is the number of exclusive tasks offered to the host since
 	// its last report.
 	offeredExclusive int
@@ -212,6 +237,7 @@
 	logReadAt time.Time
 	// evacuating is set while any zone is evacuated.
 	evacuating bool
+	sharing    sharingState
 }
 
 // New returns a coordinator without jobs.
@@ -264,8 +290,9 @@
 		c.sortedHosts = append(c.sortedHosts, h)
 		slices.SortFunc(c.sortedHosts, func(a, b *host) int { return cmp.Compare(a.name, b.name) })
 	}
-	h.report, h.reportedAt, h.connected = r, now, true
+	h.report, h.reportedAt, h.confirmedAt, h.connected = r, now, now, true
 	h.offeredWork = nil
+	h.offeredRoutes = h.offeredRoutes[:0]
 	h.offeredExclusive = 0
 	if c.hasUnplaced {
 		c.offerIdleTasks(now)
--- a/internal/decide/coordinator/evacuation.go
+++ b/internal/decide/coordinator/evacuation.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	j.expectedWait = noCapacityWait
-	c.refuse(now, j, why)
+	c.refuse(now, j, Evacuated, why)
 	return true
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -29,6 +30,7 @@
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
 	c.jobs[spec.ID] = j
+	c.observeArrival(now, j)
 	if err := c.checkServable(j); err != nil {
 		c.answer(now, j, err, 0)
 		return true
@@ -43,9 +45,8 @@
 	if c.refuseSaturated(now, j) {
 		return true
 	}
-	j.expectedWait = c.expectedWait(j)
-	if j.expectedWait > c.maxExpectedWait(j, limit) {
-		c.refuse(now, j, noCapacity)
+	if !c.admit(now, j, limit) {
+		c.refuseOverloaded(now, j)
 		return true
 	}
 	c.offerJob(now, j)
@@ -81,14 +82,25 @@
 )
 
 // refuse answers a job none of whose tasks has run.
-func (c *Coordinator) refuse(now time.Time, j *job, why string) {
+func (c *Coordinator) refuse(now time.Time, j *job, reason Refusal, why string) {
+	j.refusal = reason
 	c.answer(now, j, errkind.New(errkind.Overloaded, "%s", why+c.evacuationNote()), j.retryAfter())
 }
 
+// refuseOverloaded refuses a job for want of capacity.
+func (c *Coordinator) refuseOverloaded(now time.Time, j *job) {
+	reason, why := j.overloadedWhy()
+	c.refuse(now, j, reason, why)
+}
+
 // retryAfter returns the delay after which the caller of a refused job may
 // retry: when capacity is expected to be free.
 func (j *job) retryAfter() time.Duration {
-	return min(max(j.expectedWait, minRetryAfter), maxRetryAfter)
+	delay := min(max(j.expectedWait, minRetryAfter), maxRetryAfter)
+	if j.sharing.Decided() {
+		delay = sharing.SpreadRetryAfter(j.spec.ID, delay)
+	}
+	return delay
 }
 
 // answer removes a job, emits its answer and withdraws its remaining tasks.
@@ -114,7 +126,7 @@
 		Failed: err != nil && err.Kind == errkind.TaskFailed,
 		Summary: Summary{
 			Route: j.route.Name, Tasks: len(j.tasks), Runs: j.runCount(), Elapsed: now.Sub(j.arrived),
-			Objective: j.objective, ExpectedWait: j.expectedWait, Why: why,
+			Objective: j.objective, ExpectedWait: j.expectedWait, Why: why, Refusal: j.refusal, Sharing: j.sharing,
 		},
 	})
 }
@@ -162,6 +174,7 @@
 		if o.Loss != nil {
 			c.addLoss(now, j, t, *o.Loss)
 		}
+		c.recallLate(now, j)
 		c.review(now, j)
 	case offer.Orphaned:
 		t.state, t.host, t.orphanEndsAt = taskOrphaned, "", now.Add(min(o.MaxRemaining+orphanMargin, c.orphanTimeout()))
@@ -353,7 +366,7 @@
 // not run only if none of its tasks can have run.
 func (c *Coordinator) abandon(now time.Time, j *job) {
 	if j.notRun() {
-		c.refuse(now, j, noCapacity)
+		c.refuseOverloaded(now, j)
 		return
 	}
 	c.answer(now, j, errkind.New(errkind.Timeout, "tasks were lost with their owner or worker"), 0)
@@ -386,12 +399,16 @@
 	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout))
 	if !due && !j.waitRechecked && waited >= time.Duration(recallObjectiveShare*float64(j.objective))-crossZoneDelay {
 		j.waitRechecked = true
-		j.expectedWait = c.expectedWait(j)
-		due = waited+j.expectedWait+j.criticalPath > time.Duration(recallObjectiveFactor*float64(j.objective))
+		due = c.willBeLate(now, j)
 	}
 	if !due || j.started || now.Sub(j.recalledAt) < recallInterval {
 		return
 	}
+	c.emitRecalls(now, j)
+}
+
+// emitRecalls asks hosts to return the waiting tasks of a job.
+func (c *Coordinator) emitRecalls(now time.Time, j *job) {
 	j.recalledAt = now
 	for _, name := range j.currentHosts() {
 		c.flushOffers(name)
--- a/internal/decide/coordinator/flow.go
+++ b/internal/decide/coordinator/flow.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	j.expectedWait = wait
-	c.refuse(now, j, saturatedHost)
+	c.refuse(now, j, Saturated, saturatedHost)
 	return true
 }
 
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
+	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -90,6 +91,10 @@
 	expectedWait time.Duration
 	// expectedEnd is when the last task placed by speed is expected to end.
 	expectedEnd time.Time
+	// sharing is the last decision by the shares of routes, or the zero value.
+	sharing sharing.Decision
+	// refusal is the reason for which the job is refused, or empty.
+	refusal Refusal
 }
 
 // currentRun returns the number of the run that a host has, or will start, of the
--- a/internal/decide/coordinator/speed.go
+++ b/internal/decide/coordinator/speed.go
@@ -38,11 +38,13 @@
 	switch {
 	case later.host != nil && (best.host == nil && need.Meets(later.Place) || best.host != nil && need.Waits(best.Place, later.Place)):
 		later.worker.Ends = takeEnds(later.worker.Ends, step.Size.MilliCPU-max(0, later.worker.Free.MilliCPU))
+		c.chargeRoute(later.host, j.route.Name, cpuWork(step.Size, step.Estimate), 0)
 		best = later
 	case best.host == nil:
 		return nil
 	default:
 		best.worker.Free = best.worker.Free.Sub(step.Size)
+		c.chargeRoute(best.host, j.route.Name, 0, int64(step.Size.MilliCPU))
 	}
 	if end := now.Add(need.Finish(best.Place)); end.After(j.expectedEnd) {
 		j.expectedEnd = end
