--- a/internal/decide/sharing/admission.go
+++ b/internal/decide/sharing/admission.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -71,6 +72,8 @@
 	Tasks, Startable int
 	// TaskCPU is the size of one of them, in thousandths of a core.
 	TaskCPU int64
+	// TaskTime is the declared run time of one of them.
+	TaskTime time.Duration
 	// Waited is the time since the job's arrival.
 	Waited time.Duration
 	// Chain is the expected time from the start of the last task of the first step to
@@ -107,6 +110,8 @@
 	// Share and Use are the route's parts of the arriving work and of the capacity in
 	// use, from 0 to 1.
 	Share, Use float64
+	// Limit is the part of the capacity that the route may use before it gives way.
+	Limit float64
 	// Ahead is the waiting work that is served before the job, in thousandths of a
 	// core times milliseconds.
 	Ahead int64
@@ -122,8 +127,8 @@
 
 // String returns the decision with its inputs, for logs and refusals.
 func (d Decision) String() string {
-	return fmt.Sprintf("%s: route %s, priority %d, share %.2f, use %.2f, expected wait %v, slack %v, ahead %d ms of %d milli-CPU, %d of %d tasks startable",
-		d.Reason, d.Route, d.Priority, d.Share, d.Use, d.Wait.Round(time.Millisecond), d.Slack.Round(time.Millisecond),
+	return fmt.Sprintf("%s: route %s, priority %d, share %.2f, use %.2f of %.2f, expected wait %v, slack %v, ahead %d ms of %d milli-CPU, %d of %d tasks startable",
+		d.Reason, d.Route, d.Priority, d.Share, d.Use, d.Limit, d.Wait.Round(time.Millisecond), d.Slack.Round(time.Millisecond),
 		d.Ahead/max(1, d.Available), d.Available, d.Startable, d.Tasks)
 }
 
@@ -137,15 +142,22 @@
 func Decide(j Job, f Fleet) Decision {
 	own := f.Routes[f.Own]
 	d := Decision{
-		Route: own.Route, Priority: own.Priority, Share: own.Share, Use: f.use(f.Own),
+		Route: own.Route, Priority: own.Priority, Share: own.Share,
 		Tasks: j.Tasks, Startable: min(j.Startable, j.Tasks), Slack: j.Objective - j.Chain - j.Waited,
 	}
-	below := d.Use < d.Share
+	d.Use, d.Limit = Limits(f.Routes, f.Own)
+	below := d.Use < d.Limit
 	d.Ahead, d.Available = f.ahead(below)
+	guaranteed := f.guaranteed(d.Limit)
+	freed := guaranteed
+	if below {
+		freed = d.Available
+	}
+	start := f.startTime(j, freed)
+	ownWait := f.waitFor(f.backlog(j, d), guaranteed) + start
 	if d.Startable < j.Tasks {
-		d.Wait = f.wait(d.Ahead, d.Available, j)
+		d.Wait = min(max(f.waitFor(d.Ahead, d.Available)+start, ownWait), NoCapacityWait)
 	}
-	ownWait := f.wait(own.WaitingWork, int64(own.Share*float64(f.Capacity)), j)
 	switch {
 	case j.Waited+d.Wait+j.Chain > j.Timeout:
 		d.Reason = PastDeadline
@@ -179,21 +191,46 @@
 	return false
 }
 
-// use returns a route's part of the capacity in use by the service. If no host
-// reports that, it is the route's part of the waiting work.
-func (f Fleet) use(route int) float64 {
-	var running, waiting int64
-	for i := range f.Routes {
-		running += f.Routes[i].RunningCPU
-		waiting += f.Routes[i].WaitingWork
+// urgentMargin is the part of the other routes' shares that routes of the most urgent
+// priority may use beyond their own. Their use varies most in proportion, since their
+// tasks are short, and the others keep 0.9 of their shares.
+const urgentMargin = 0.1
+
+// Limits returns the parts of the capacity, from 0 to 1, that a route uses and that
+// it may use before it gives way to others. Routes of the most urgent priority
+// may exceed their share by urgentMargin. The others divide what these leave by their
+// shares. If no running work is known, waiting work stands for it.
+func Limits(routes []RouteState, route int) (use, limit float64) {
+	used := func(r *RouteState) int64 { return r.RunningCPU }
+	if !slices.ContainsFunc(routes, func(r RouteState) bool { return r.RunningCPU > 0 }) {
+		used = func(r *RouteState) int64 { return r.WaitingWork }
+	}
+	top := routes[0].Priority
+	for i := range routes {
+		top = min(top, routes[i].Priority)
+	}
+	var total, topUsed int64
+	topShare := 0.0
+	for i := range routes {
+		r := &routes[i]
+		total += used(r)
+		if r.Priority == top {
+			topUsed += used(r)
+			topShare += r.Share
+		}
+	}
+	own := &routes[route]
+	if total == 0 {
+		return 0, own.Share
 	}
+	use = float64(used(own)) / float64(total)
 	switch {
-	case running > 0:
-		return float64(f.Routes[route].RunningCPU) / float64(running)
-	case waiting > 0:
-		return float64(f.Routes[route].WaitingWork) / float64(waiting)
+	case own.Priority == top && topShare > 0:
+		limit = own.Share * (1 + urgentMargin*(1-topShare)/topShare)
+	case topShare < 1:
+		limit = own.Share * (1 - float64(topUsed)/float64(total)) / (1 - topShare)
 	}
-	return 0
+	return use, limit
 }
 
 // ahead returns the waiting work of the same or a higher precedence than the job's
@@ -212,26 +249,55 @@
 			// If more work than the capacity usually arrives, each route gets its share.
 			higher += min(r.MilliCPU, r.Share*float64(f.Capacity))
 		}
-		if i == f.Own || !below || f.use(i) < r.Share {
+		if use, limit := Limits(f.Routes, i); i == f.Own || !below || use < limit {
 			ahead += r.WaitingWork
 		}
 	}
 	return ahead, f.Capacity - int64(higher)
 }
 
-// wait returns the expected time until the work ahead has been served and the
-// capacity for the missing tasks is free. Of the capacity that becomes free, the job
-// gets the available part.
-func (f Fleet) wait(ahead, available int64, j Job) time.Duration {
-	if f.Capacity <= 0 || available <= 0 {
+// guaranteed returns the capacity that serves the job's route while the others use
+// theirs: the limit of the route, or more if others need less than their shares.
+func (f Fleet) guaranteed(limit float64) int64 {
+	left := float64(f.Capacity)
+	for i := range f.Routes {
+		r := &f.Routes[i]
+		if i == f.Own {
+			continue
+		}
+		share := r.Share * float64(f.Capacity)
+		if r.WaitingWork == 0 {
+			share = min(share, r.MilliCPU)
+		}
+		left -= share
+	}
+	return int64(max(left, limit*float64(f.Capacity)))
+}
+
+// backlog returns the waiting work of the job's route beyond what starts before the
+// route reaches its limit.
+func (f Fleet) backlog(j Job, d Decision) int64 {
+	headroom := max(0, d.Limit-d.Use) * float64(f.Capacity)
+	return max(0, f.Routes[f.Own].WaitingWork-int64(headroom*float64(j.TaskTime.Milliseconds())))
+}
+
+// waitFor returns the expected time in which a capacity serves waiting work.
+func (f Fleet) waitFor(work, capacity int64) time.Duration {
+	if f.Capacity <= 0 || capacity <= 0 {
 		return NoCapacityWait
 	}
-	missing := float64(max(0, j.Tasks-j.Startable)) * float64(j.TaskCPU)
-	wait := time.Duration(float64(ahead) / float64(available) * float64(time.Millisecond))
-	if rate := float64(f.FreeingRate) * float64(available) / float64(f.Capacity); rate > 0 {
-		wait += time.Duration(missing / rate * float64(time.Second))
+	return time.Duration(float64(work) / float64(capacity) * float64(time.Millisecond))
+}
+
+// startTime returns the time until the capacity for the tasks that free workers cannot
+// start becomes free, if the job's route gets as much of it as of the whole capacity.
+func (f Fleet) startTime(j Job, capacity int64) time.Duration {
+	rate := float64(f.FreeingRate) * float64(capacity) / float64(max(1, f.Capacity))
+	if rate <= 0 {
+		return 0
 	}
-	return min(wait, NoCapacityWait)
+	missing := float64(max(0, j.Tasks-j.Startable)) * float64(j.TaskCPU)
+	return time.Duration(missing / rate * float64(time.Second))
 }
 
 // retryJitter is the largest part of its delay by which a retry is put off, so that
