Recall returned late jobs only if none of their tasks can have run

Cause: the answer to a job whose start was not answered is a timeout instead of a refusal once it is recalled; before, the task was offered again.

Change: such jobs are not recalled when a task is returned. Shorter tests of sharing.

Measured: go test ./internal/decide/sharing ./internal/decide/coordinator passes.

--- a/internal/decide/coordinator/sharing.go
+++ b/internal/decide/coordinator/sharing.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
@@ -156,6 +157,10 @@
 		now.Sub(j.arrived)+j.criticalPath+crossZoneDelay <= j.objective {
 		return
 	}
+	if slices.ContainsFunc(j.tasks, func(t *task) bool { return t.mayHaveRun || t.state == taskOrphaned }) {
+		// The answer could not say that the job has not run.
+		return
+	}
 	if c.estimate(now, j) && !j.sharing.Accept {
 		c.emitRecalls(now, j)
 	}
