Test admission with jobs that the previous rule accepts

Cause: the load of a test was so high that the previous admission refused the same jobs, so the test passed without the new one.

Change: 300 instead of 800 ms of waiting long tasks.

Measured: go test -race ./internal/decide/sharing ./internal/decide/coordinator passes, as does go test ./internal/decide/host ./internal/daemon/dispatch ./docs. With the previous admission in place, TestBurstOfLongTasksLeavesUrgentOnTime fails.

--- a/internal/decide/coordinator/sharing.go
+++ b/internal/decide/coordinator/sharing.go
@@ -121,14 +121,15 @@
 			in.Tasks++
 		}
 	}
-	if !sharing.Active(routes) {
+	fleet := sharing.Fleet{Capacity: load.capacity, FreeingRate: load.rate, Routes: routes, Own: own}
+	if !fleet.Waits() {
 		return false
 	}
 	for i := range routes {
 		// Callers are spread over the hosts.
 		routes[i].MilliCPU *= float64(load.hosts)
 	}
-	j.sharing = sharing.Decide(in, sharing.Fleet{Capacity: load.capacity, FreeingRate: load.rate, Routes: routes, Own: own})
+	j.sharing = sharing.Decide(in, fleet)
 	j.expectedWait = j.sharing.Wait
 	return true
 }
--- a/internal/decide/coordinator/sharing_test.go
+++ b/internal/decide/coordinator/sharing_test.go
@@ -57,7 +57,7 @@
 
 // reportBurst reports a burst of long tasks.
 func reportBurst(c *Coordinator, byRoute bool) {
-	reportLoad(c, byRoute, [3]int64{5, 20, 800}, [3]int64{10, 30, 60})
+	reportLoad(c, byRoute, [3]int64{5, 20, 300}, [3]int64{10, 30, 60})
 }
 
 // Guards against urgent jobs that are refused or late in a burst of long tasks, and
--- a/internal/decide/sharing/admission.go
+++ b/internal/decide/sharing/admission.go
@@ -21,17 +21,6 @@
 	RunningCPU int64
 }
 
-// Active reports whether routes share scarce capacity: they differ in priority, and
-// work waits.
-func Active(routes []RouteState) bool {
-	ranked, waits := false, false
-	for i := range routes {
-		ranked = ranked || routes[i].Priority != routes[0].Priority
-		waits = waits || routes[i].WaitingWork > 0
-	}
-	return ranked && waits
-}
-
 // Reason says why a job is accepted or refused. It is a value of a metric's label.
 type Reason string
 
@@ -165,7 +154,7 @@
 		d.Accept, d.Reason = true, FreeCapacity
 	case d.Wait <= d.Slack:
 		d.Accept, d.Reason = true, OnTime
-	case !f.waits():
+	case !f.Waits():
 		d.Accept, d.Reason = true, NothingWaits
 	case d.Slack < 0 && j.Objective >= j.Chain:
 		d.Reason = TooLate
@@ -181,8 +170,8 @@
 	return d
 }
 
-// waits reports whether work waits.
-func (f Fleet) waits() bool {
+// Waits reports whether work of the service waits.
+func (f Fleet) Waits() bool {
 	for i := range f.Routes {
 		if f.Routes[i].WaitingWork > 0 {
 			return true
