Check configurations of routes and services

The configuration check covers intents only. A configuration of the users' platform goes into force unchecked: a route that another one hides is never selected, max_attempts below 1 is raised silently, and a version that is not higher is ignored.

CheckRoutes reports errors, entries that can never match, limits that contradict each other and the difference from the version in force. It works on fleet.Config and shares findings, changes and reports with the check of intents. platform/ decodes, and provides the names of the fields in its format. Positions in documents now cover the elements of lists. The daemon's own bound of a header moves to platform/, so that a higher configured limit is found.

Tests: 34 table cases of single faults and valid documents; the findings on hidden routes equal the routes that fleet.Config.Route never selects, for all 216 combinations of three out of six prefixes.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -33,9 +33,8 @@
 	tickInterval = 20 * time.Millisecond
 	// eventBuffer is the number of events that can wait while the loop is busy.
 	eventBuffer = 1024
-	// maxHeaderBytes bounds a request's header. It is the limit that operators
-	// usually configure; the configuration may set a lower one.
-	maxHeaderBytes = 16384
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = platform.MaxHeaderBytes
 	// readHeaderTimeout and idleTimeout are also the limits that operators
 	// usually configure. The timeouts of an http.Server cannot change while it
 	// serves, so the limits of a later configuration do not apply.
--- a/internal/decide/configcheck/changes.go
+++ b/internal/decide/configcheck/changes.go
@@ -36,7 +36,12 @@
 // addChanges adds the differences between the version in force and the state
 // after the intent, in order of the field.
 func (c *check) addChanges(after *standing.State) {
-	old, current := fields(c.InForce), fields(after)
+	c.addDifference(fields(c.InForce), fields(after), c.entryOf)
+}
+
+// addDifference adds the differences between two sets of fields, in order of the
+// field. entryOf returns the path of the entry in the document that sets a field.
+func (c *check) addDifference(old, current map[string]any, entryOf func(field string) []string) {
 	all := maps.Clone(old)
 	maps.Copy(all, current)
 	for _, field := range slices.Sorted(maps.Keys(all)) {
@@ -51,7 +56,7 @@
 		} else if !now {
 			change.Action = Removed
 		}
-		path, line := c.doc.position(c.entryOf(field))
+		path, line := c.doc.position(entryOf(field))
 		change.Path, change.Line = cut(path), line
 		c.report.Changes = append(c.report.Changes, change)
 	}
@@ -98,6 +103,11 @@
 func toTree(v any) any {
 	// Encoding cannot fail: rules hold only types that JSON can encode.
 	data, _ := json.Marshal(v)
+	return decodeTree(data)
+}
+
+// decodeTree decodes valid JSON. Numbers keep their text.
+func decodeTree(data []byte) any {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	var tree any
--- a/internal/decide/configcheck/check.go
+++ b/internal/decide/configcheck/check.go
@@ -1,5 +1,6 @@
 // Package configcheck checks a change of the standing configuration before it is
-// sent to an entry host. It does no I/O: the document, the version in force and
+// sent to an entry host, and a configuration of routes before the operators of the
+// users' platform write it. It does no I/O: the document, the version in force and
 // the host list are passed in.
 package configcheck
 
@@ -366,6 +367,8 @@
 		return "a number"
 	case reflect.Int, reflect.Int64:
 		return "a whole number"
+	case reflect.Slice:
+		return "a list"
 	default:
 		return "an object"
 	}
--- a/internal/decide/configcheck/document.go
+++ b/internal/decide/configcheck/document.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -19,8 +20,9 @@
 	prefix []string
 	// newlines are the offsets of the newlines, in order.
 	newlines []int
-	// entries are the members of all objects by JSON pointer. Of several members
-	// with the same name the last one counts.
+	// entries are the members of all objects and the elements of all arrays by JSON
+	// pointer. Of several members with the same name the last one counts. Elements
+	// have their value in place of a name.
 	entries map[string]hujson.ObjectMember
 }
 
@@ -40,15 +42,24 @@
 }
 
 func (d *document) index(at string, v hujson.Value, depth int) {
-	o, ok := v.Value.(*hujson.Object)
-	if !ok || depth == maxDepth {
+	if depth == maxDepth {
 		return
 	}
-	for _, m := range o.Members {
-		child := at + pointer([]string{nameOf(m)})
+	add := func(name string, m hujson.ObjectMember) {
+		child := at + pointer([]string{name})
 		d.entries[child] = m
 		d.index(child, m.Value, depth+1)
 	}
+	switch container := v.Value.(type) {
+	case *hujson.Object:
+		for _, m := range container.Members {
+			add(nameOf(m), m)
+		}
+	case *hujson.Array:
+		for n, element := range container.Elements {
+			add(strconv.Itoa(n), hujson.ObjectMember{Name: element, Value: element})
+		}
+	}
 }
 
 // lineOf returns the line number of a byte offset, counted from 1.
@@ -98,21 +109,33 @@
 	path := slices.Clone(d.prefix)
 	value := d.root
 	for {
-		o, ok := value.Value.(*hujson.Object)
-		if !ok {
-			return path
+		name, found := "", false
+		switch container := value.Value.(type) {
+		case *hujson.Object:
+			for _, m := range container.Members {
+				if around(m.Value, offset) {
+					name, value, found = nameOf(m), m.Value, true
+					break
+				}
+			}
+		case *hujson.Array:
+			for n, element := range container.Elements {
+				if around(element, offset) {
+					name, value, found = strconv.Itoa(n), element, true
+					break
+				}
+			}
 		}
-		i := slices.IndexFunc(o.Members, func(m hujson.ObjectMember) bool {
-			return m.Value.StartOffset < offset && offset <= m.Value.EndOffset
-		})
-		if i < 0 {
+		if !found {
 			return path
 		}
-		path = append(path, nameOf(o.Members[i]))
-		value = o.Members[i].Value
+		path = append(path, name)
 	}
 }
 
+// around reports whether a decoder that stopped at a byte offset was in a value.
+func around(v hujson.Value, offset int) bool { return v.StartOffset < offset && offset <= v.EndOffset }
+
 // walk calls visit for each member of the objects of the document, in its order.
 // The type is that of the Go value that the document is decoded into.
 func (d *document) walk(typ reflect.Type, visit func(v visited)) {
@@ -133,8 +156,17 @@
 	for typ != nil && typ.Kind() == reflect.Pointer {
 		typ = typ.Elem()
 	}
+	if typ == nil {
+		return
+	}
+	if a, ok := v.Value.(*hujson.Array); ok && typ.Kind() == reflect.Slice {
+		for n, element := range a.Elements {
+			walkValue(element, typ.Elem(), append(slices.Clone(path), strconv.Itoa(n)), visit)
+		}
+		return
+	}
 	o, ok := v.Value.(*hujson.Object)
-	if !ok || typ == nil {
+	if !ok {
 		return
 	}
 	last := map[string]*hujson.ObjectMember{}
