Add -platform to config check

Operators of the users' platform have no command for the check of routes.

"parsleyhill config check -platform FILE" decodes FILE with the daemon's decoder and prints the report as for intents. -against names a file of the same form. Flags for sources that do not apply are usage errors.

--- a/internal/cli/configcheck.go
+++ b/internal/cli/configcheck.go
@@ -23,13 +23,17 @@
 const configCheckHelp = `Checks a change of the configuration before it is planned. The file holds an
 intent, as "plan intent" takes it, or with -customer the rules of that customer, as
 "plan set-customer" takes them. "-" reads standard input. Nothing is sent to an
-entry host but queries.
+entry host but queries. With -platform the file holds a configuration of routes and
+services, as the operators of the users' platform write it.
 
   parsleyhill config check -against http://10.1.0.1:7201 customer.json
+  parsleyhill config check -platform -against in-force.json routes.json
 
 -against names the source of the version in force: the operators' URL of an entry
 host, or a file with its "status -json" or the "state" in it. An entry host
 provides the host list too; -hosts names a file with the platform's list instead.
+With -platform, -against is a file of the same form, and the other sources do not
+apply.
 Checks without their source are listed as not made.
 
 Exit status: 0 no finding; 1 findings; 2 the file or a source that is named cannot
@@ -46,6 +50,8 @@
 	hosts    string
 	runMs    int64
 	asJSON   bool
+	// platform is set if the file holds a configuration of the users' platform.
+	platform bool
 }
 
 func (t *Tool) configCommand() *ffcli.Command {
@@ -77,6 +83,9 @@
 			if c.runMs < 0 {
 				return usageErrorf("config check: -run-ms is negative")
 			}
+			if c.platform {
+				return c.runPlatform(args[0])
+			}
 			return c.run(ctx, args[0])
 		},
 	}
@@ -87,6 +96,7 @@
 	flags.StringVar(&c.against, "against", "", "operators' `URL` of an entry host, several separated by commas, or a file with the version in force")
 	flags.StringVar(&c.hosts, "hosts", "", "`file` with the platform's host list")
 	flags.Int64Var(&c.runMs, "run-ms", 0, "expected run `time` of the customer's requests in milliseconds")
+	flags.BoolVar(&c.platform, "platform", false, "the file holds routes and services, as the operators of the users' platform write them")
 	flags.BoolVar(&c.asJSON, "json", false, "print one JSON document")
 }
 
@@ -103,6 +113,12 @@
 	if err != nil {
 		return usageErrorf("%s: %v", file, err)
 	}
+	return c.finish(file, report, sourceErr)
+}
+
+// finish prints the report. It returns sourceErr, or errFindings if all sources
+// were read and the report has findings.
+func (c *configChecker) finish(file string, report configcheck.Report, sourceErr error) error {
 	if err := c.print(file, report); err != nil {
 		return err
 	}
@@ -137,10 +153,15 @@
 	return errors.Join(errs...)
 }
 
+// namesHosts reports whether -against names entry hosts instead of a file.
+func (c *configChecker) namesHosts() bool {
+	return strings.HasPrefix(c.against, "http://") || strings.HasPrefix(c.against, "https://")
+}
+
 // client returns a client to the entry hosts that -against names, or nil if it
 // names none.
 func (c *configChecker) client() (*client, error) {
-	if !strings.HasPrefix(c.against, "http://") && !strings.HasPrefix(c.against, "https://") {
+	if !c.namesHosts() {
 		return nil, nil
 	}
 	client := &client{transport: c.tool.Transport, asJSON: c.asJSON}
--- a/internal/cli/configcheck_test.go
+++ b/internal/cli/configcheck_test.go
@@ -54,6 +54,9 @@
 	rules := write("rules.json", `{"queue_limit": 300}`)
 	stateFile, statusFile := write("state.json", string(stateJSON)), write("status.json", `{"host": "entry-1", "state": `+string(stateJSON)+`}`)
 	hostsFile := write("hosts.json", `{"hosts": [{"name": "b1", "role": "backend", "customer": "t", "slots": 4}]}`)
+	const routes = `"routes": [{"name": "r", "host": "h", "path_prefix": "/a/", "slo_ms": 60, "service": "s"}], "services": [{"name": "s"}]}`
+	platform, platformInForce := write("routes.json", `{"version": 8, `+routes), write("inforce.json", `{"version": 7, `+routes)
+	platformComment := write("comment.json", `{"version": 8, `+routes+" // none")
 	const difference = "changed /customers/t/queue_limit from 200 to 300"
 	cases := []struct {
 		args   string
@@ -77,6 +80,14 @@
 		{"-hosts " + filepath.Join(dir, "none") + " " + good, exitUsage, "not checked: the checks against the host list"},
 		{filepath.Join(dir, "none"), exitUsage, ""},
 		{write("broken.json", "{"), exitUsage, ""},
+		{"-platform " + platform, exitOK, "not checked: the difference from the version in force: -against is not given"},
+		{"-platform -against " + platformInForce + " " + platform, exitOK, platform + ":1: /version: changed /version from 7 to 8"},
+		{"-platform -against " + platform + " " + platformInForce, exitFindings, "/version: error: version 7 is not above version 8 in force"},
+		{"-platform " + platformComment, exitFindings, ":1: error: decode configuration"},
+		{"-platform -against " + platformComment + " " + platform, exitUsage, "not checked: the difference"},
+		{"-platform -against http://ok:1 " + platform, exitUsage, ""},
+		{"-platform -customer t " + platform, exitUsage, ""},
+		{"-platform " + filepath.Join(dir, "broken.json"), exitUsage, ""},
 	}
 	for _, c := range cases {
 		got := run(t, f, "", append([]string{"config", "check"}, strings.Fields(c.args)...)...)
