Hold jobs that arrive during a start

Cause: jobs that arrive before a host is ready are refused, although capacity usually follows within their slack. Change: with fast_recovery, the dispatcher holds such jobs by recovery.Holder and submits them when the host is ready. A planned stop refuses held jobs with Retry-After 1 s. The times of the steps of a start are metrics and one log line. With the policy off, nothing is held or logged. The test fleet gives access to its dispatchers, and can add a worker later. No restart of a fleet was measured.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -10,6 +10,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/coordinator"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+	"github.com/parsleyhill/parsleyhill/internal/decide/recovery"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -23,6 +24,12 @@
 		d.execute(ctx, now, a)
 	}
 	d.updateReadiness()
+	if d.advanceStart(now) {
+		for _, a := range d.core.Reconcile(now) {
+			d.execute(ctx, now, a)
+		}
+		d.updateReadiness()
+	}
 	d.peers.flush(now)
 }
 
@@ -118,9 +125,10 @@
 	if a.Err != nil {
 		kind = a.Err.Kind
 	}
-	d.metrics.answered(a.Summary.Route, string(kind), a.Summary.Elapsed)
+	elapsed, objective := a.Summary.Elapsed+w.heldFor, a.Summary.Objective+w.heldFor
+	d.metrics.answered(a.Summary.Route, string(kind), elapsed)
 	d.logger.Info("job answered", "job", a.Job, "route", a.Summary.Route, "outcome", kind, "tasks", a.Summary.Tasks,
-		"runs", a.Summary.Runs, "took", a.Summary.Elapsed, "objective", a.Summary.Objective, "expected_wait", a.Summary.ExpectedWait, "why", a.Summary.Why)
+		"runs", a.Summary.Runs, "took", elapsed, "objective", objective, "expected_wait", a.Summary.ExpectedWait, "why", a.Summary.Why)
 	w.result <- platform.Result{Err: a.Err, RetryAfter: a.RetryAfter}
 }
 
@@ -147,7 +155,12 @@
 	}
 	d.logger.Log(level, "start answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
 		"verdict", verdict, "fence", a.Fence, "took", time.Since(sent), "error", err)
-	d.post(func(now time.Time) { d.core.Pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock) })
+	d.post(func(now time.Time) {
+		d.core.Pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock)
+		if verdict == fleet.StartAccepted {
+			d.stepEnded(now, recovery.FirstRun)
+		}
+	})
 }
 
 func (d *Dispatcher) sendStop(ctx context.Context, a workerpool.Stop) {
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -91,6 +91,9 @@
 	// ends.
 	watchers      map[string][]chan struct{}
 	workersListed bool
+	// start holds jobs and records the steps while the host starts. It is nil if
+	// fast_recovery is off, and once the start is over.
+	start *start
 
 	// membershipWakeups holds, by zone, the channel that triggers an immediate
 	// join or leave of the zone's group.
@@ -100,6 +103,8 @@
 // waiter is a caller's request that waits for its best-effort job.
 type waiter struct {
 	result chan platform.Result
+	// heldFor is how long the job was held before it was submitted.
+	heldFor time.Duration
 }
 
 // New returns a dispatcher that is idle until Run is called.
@@ -123,7 +128,10 @@
 		d.membershipWakeups[zone] = make(chan struct{}, 1)
 	}
 	d.peers = newPeers(self, logger.WithPrefix("peers"), d, network.Dial)
-	d.peers.keepStreams = policies.FastRecovery.Enabled()
+	if policies.FastRecovery.Enabled() {
+		d.peers.keepStreams = true
+		d.start = newStart(time.Now())
+	}
 	d.ready.Store(errkind.New(errkind.NotReady, "starting"))
 	return d
 }
@@ -260,7 +268,11 @@
 		d.waiters[job.ID] = old
 		return
 	}
+	d.replaceHeld(now, job.ID)
 	if err := d.ready.Load(); err != nil {
+		if d.hold(now, heldJob{spec: job, route: route, timeout: timeout, arrived: now, result: result}) {
+			return
+		}
 		d.logger.Warn("job refused", "job", job.ID, "route", route.Name, "why", err.Detail)
 		result <- platform.Result{Err: err, RetryAfter: time.Second}
 		return
@@ -277,6 +289,9 @@
 		d.core.Coordinator.Cancel(now, job)
 		return
 	}
+	if d.cancelHeld(now, job, result) {
+		return
+	}
 	select {
 	case result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the caller disconnected")}:
 	default:
@@ -290,7 +305,9 @@
 		_, found = d.waiters[job]
 		if found {
 			d.core.Coordinator.Cancel(now, job)
+			return
 		}
+		found = d.cancelHeld(now, job, nil)
 	})
 	if found || !d.hasStoredJobs.Load() {
 		return found, nil
@@ -301,7 +318,10 @@
 // State implements platform.Dispatcher.
 func (d *Dispatcher) State(ctx context.Context, job string) (ledger.State, *errkind.Error) {
 	bestEffort := false
-	d.postAndWait(func(time.Time) { _, bestEffort = d.waiters[job] })
+	d.postAndWait(func(time.Time) {
+		_, bestEffort = d.waiters[job]
+		bestEffort = bestEffort || d.isHeld(job)
+	})
 	switch {
 	case bestEffort:
 		return ledger.Running, nil
@@ -315,7 +335,7 @@
 func (d *Dispatcher) WaitingJobs(route string) int {
 	n := 0
 	d.postAndWait(func(time.Time) {
-		n = d.core.Coordinator.WaitingJobs(route) + d.core.Ledger.Waiting(route)
+		n = d.core.Coordinator.WaitingJobs(route) + d.core.Ledger.Waiting(route) + d.heldJobs(route)
 	})
 	return n
 }
@@ -346,7 +366,10 @@
 func (d *Dispatcher) drain() {
 	d.logger.Info("planned stop begins", "grace", d.settings.Grace)
 	d.leaving.Store(true)
-	d.post(func(time.Time) { d.core.Leave() })
+	d.post(func(now time.Time) {
+		d.core.Leave()
+		d.refuseHeldForStop(now)
+	})
 	d.wakeMemberships()
 	time.Sleep(stopAccepting)
 }
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -38,9 +38,14 @@
 	net     *memnet.Network
 	store   *store.Store
 	workers []*taskworker.Worker
+	// hosts are the dispatchers by name of their host, also after their stop.
+	hosts   map[string]*Dispatcher
 	stops   map[string]func()
 	servers []*http.Server
 	client  *http.Client
+	// policies and logOutput apply to hosts that are started later.
+	policies  policy.Settings
+	logOutput io.Writer
 }
 
 func newFleet(t *testing.T, hosts, workers int) *testFleet {
@@ -49,19 +54,12 @@
 
 // newFleetInZones returns a fleet whose hosts and workers take turns in the zones.
 func newFleetInZones(t *testing.T, zones []string, hosts, workers int) *testFleet {
-	f := &testFleet{t: t, zones: zones, net: memnet.New(), store: store.New(partitions), stops: map[string]func(){}}
+	f := &testFleet{t: t, zones: zones, net: memnet.New(), store: store.New(partitions), hosts: map[string]*Dispatcher{}, stops: map[string]func(){}, logOutput: logOutput}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.Dial, DisableKeepAlives: true}}
 	f.serve("store:1", f.store)
 	f.configure(1, "/jobs/")
 	for i := range workers {
-		id := fmt.Sprintf("worker-%d", i)
-		w := taskworker.New(id, taskTime)
-		f.workers = append(f.workers, w)
-		f.serve(id+":1", w)
-		f.store.PutWorker(id, f.encode(map[string]any{
-			"service": "s", "addr": id + ":1", "zone": zones[i%len(zones)], "state": "ready",
-			"capacity": map[string]int{"cpu": 32000, "mem_mb": 1024}, "labels": []string{"a"},
-		}))
+		f.addWorker(zones[i%len(zones)])
 	}
 	for i := range hosts {
 		f.startIn(fmt.Sprintf("host-%d", i), zones[i%len(zones)])
@@ -70,6 +68,18 @@
 	return f
 }
 
+// addWorker starts a worker and announces it in the store.
+func (f *testFleet) addWorker(zone string) {
+	id := fmt.Sprintf("worker-%d", len(f.workers))
+	w := taskworker.New(id, taskTime)
+	f.workers = append(f.workers, w)
+	f.serve(id+":1", w)
+	f.store.PutWorker(id, f.encode(map[string]any{
+		"service": "s", "addr": id + ":1", "zone": zone, "state": "ready",
+		"capacity": map[string]int{"cpu": 32000, "mem_mb": 1024}, "labels": []string{"a"},
+	}))
+}
+
 func (f *testFleet) encode(v any) []byte {
 	data, err := json.Marshal(v)
 	require.NoError(f.t, err)
@@ -109,7 +119,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	d := New(s, policy.Settings{}, log.New(logOutput), network)
+	d := New(s, f.policies, log.New(f.logOutput), network)
+	f.hosts[name] = d
 	go func() { done <- d.Run(ctx) }()
 	f.stops[name] = func() {
 		cancel()
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -34,6 +34,8 @@
 	saturated, delay, startLimit prometheus.Gauge
 	nearDecisions                *prometheus.CounterVec
 	nearWaits                    *prometheus.HistogramVec
+	heldJobs                     *prometheus.CounterVec
+	startSteps                   *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -100,9 +102,16 @@
 		nearWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "parsleyhill_near_wait_seconds", Help: "Time that tasks which name a rack waited at the owner before they started or went elsewhere.", Buckets: latencyBuckets,
 		}, []string{"action"}),
+		heldJobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_held_jobs_total", Help: "Jobs that arrived during the start of this host, by what happened to them.",
+		}, []string{"event"}),
+		startSteps: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_start_step_seconds", Help: "Age of the process at the end of each step of its start.",
+		}, []string{"step"}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
+		m.heldJobs, m.startSteps)
 	return m
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -18,13 +18,7 @@
 	if _, ok := c.jobs[spec.ID]; ok {
 		return false
 	}
-	limit := defaultTimeout
-	if route.Timeout > 0 {
-		limit = route.Timeout
-	}
-	if callerTimeout > 0 {
-		limit = callerTimeout
-	}
+	limit := timeLimit(route, callerTimeout)
 	c.cfg.Speeds.ObserveStretch(route.Service, route.Stretch)
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -141,7 +141,7 @@
 		}
 	}
 	j.criticalPath = j.longestPath()
-	j.objective = time.Duration(float64(j.criticalPath)*route.Stretch) + route.LatencySlack
+	j.objective = route.Objective(j.criticalPath)
 	return j
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -112,6 +112,12 @@
 	MaxAttempts int
 }
 
+// Objective returns how long a job may take to be on time, given the estimated
+// duration of its longest chain of steps.
+func (r Route) Objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(float64(criticalPath)*r.Stretch) + r.LatencySlack
+}
+
 // Limits bounds the requests of callers. Zero means no bound.
 type Limits struct {
 	HeaderBytes int
