Submit held jobs as there is room for them

Cause: a host is ready with the first usable worker of any host. Change: held jobs stay held, for at most their share of the slack, until the coordinator would accept them. Jobs that arrive meanwhile are held behind them. No restart of a fleet was measured.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -269,10 +269,10 @@
 		return
 	}
 	d.replaceHeld(now, job.ID)
+	if d.hold(now, heldJob{spec: job, route: route, timeout: timeout, arrived: now, result: result}) {
+		return
+	}
 	if err := d.ready.Load(); err != nil {
-		if d.hold(now, heldJob{spec: job, route: route, timeout: timeout, arrived: now, result: result}) {
-			return
-		}
 		d.logger.Warn("job refused", "job", job.ID, "route", route.Name, "why", err.Detail)
 		result <- platform.Result{Err: err, RetryAfter: time.Second}
 		return
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -59,7 +59,7 @@
 	f.serve("store:1", f.store)
 	f.configure(1, "/jobs/")
 	for i := range workers {
-		f.addWorker(zones[i%len(zones)])
+		f.addWorker(zones[i%len(zones)], taskTime)
 	}
 	for i := range hosts {
 		f.startIn(fmt.Sprintf("host-%d", i), zones[i%len(zones)])
@@ -68,10 +68,11 @@
 	return f
 }
 
-// addWorker starts a worker and announces it in the store.
-func (f *testFleet) addWorker(zone string) {
+// addWorker starts a worker whose tasks run for the given time, and announces it in
+// the store.
+func (f *testFleet) addWorker(zone string, runTime time.Duration) {
 	id := fmt.Sprintf("worker-%d", len(f.workers))
-	w := taskworker.New(id, taskTime)
+	w := taskworker.New(id, runTime)
 	f.workers = append(f.workers, w)
 	f.serve(id+":1", w)
 	f.store.PutWorker(id, f.encode(map[string]any{
--- a/internal/daemon/dispatch/held_test.go
+++ b/internal/daemon/dispatch/held_test.go
@@ -99,12 +99,13 @@
 	return answers
 }
 
-// announceWorker starts a worker and reports its entry to the host, which would read
+// announceWorker starts a worker whose tasks run for the given time, and reports its entry to the host, which would read
 // it up to workersReadInterval (0.7 s) later.
-func (f *startingFleet) announceWorker() {
-	f.addWorker("z")
+func (f *startingFleet) announceWorker(runTime time.Duration) {
+	id := fmt.Sprintf("worker-%d", len(f.workers))
+	f.addWorker("z", runTime)
 	f.hosts["host-0"].WorkerChanged(fleet.Worker{
-		ID: "worker-0", Address: "worker-0:1", Zone: "z", Service: "s", Labels: []string{"a"},
+		ID: id, Address: id + ":1", Zone: "z", Service: "s", Labels: []string{"a"},
 		Capacity: fleet.Size{MilliCPU: 32000, MemoryMB: 1024},
 	})
 }
@@ -164,7 +165,7 @@
 		assert.Equal(t, http.StatusOK, status)
 		assert.JSONEq(t, `{"waiting":1}`, waiting)
 		f.sleepUntil(100 * time.Millisecond)
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		a := <-long
 		require.NoError(t, a.err)
 		assert.Equal(t, http.StatusOK, a.status, a.body)
@@ -185,6 +186,68 @@
 	})
 }
 
+// Workers are adopted one after another, and the first has room for two of the jobs.
+// Submitted at once, the others would be refused although workers for them follow. A
+// job that arrives meanwhile must wait behind them and not be refused either.
+func TestHeldJobsWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStartingFleet(t, policy.Settings{}, false)
+		defer f.stopAll()
+		var held []<-chan heldAnswer
+		for i := range 11 {
+			held = append(held, f.post(t.Context(), i+1, longJob))
+		}
+		f.sleepUntil(100 * time.Millisecond)
+		for i := range 6 {
+			f.announceWorker(taskTime)
+			time.Sleep(15 * time.Millisecond)
+			if i == 1 {
+				held = append(held, f.post(t.Context(), 12, longJob))
+			}
+		}
+		for _, answers := range held {
+			a := <-answers
+			require.NoError(t, a.err)
+			assert.Equal(t, http.StatusOK, a.status, a.body)
+		}
+		for task, n := range f.startCounts() {
+			assert.Equal(t, 1, n, task)
+		}
+		assert.Len(t, f.startCounts(), 12)
+		f.assertEvents(map[string]int{eventHeld: 12, eventSubmitted: 12})
+	})
+}
+
+// The fleet has less capacity than its callers need: the jobs without room are refused
+// while they have slack left, and none of them runs.
+func TestHeldJobsWithoutRoomAreRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStartingFleet(t, policy.Settings{}, false)
+		defer f.stopAll()
+		var held []<-chan heldAnswer
+		for i := range 12 {
+			held = append(held, f.post(t.Context(), i+1, longJob))
+		}
+		f.announceWorker(longJob)
+		served := 0
+		for _, answers := range held {
+			a := <-answers
+			if a.status == http.StatusOK {
+				served++
+				continue
+			}
+			require.NoError(t, a.err)
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+			assert.NotEmpty(t, a.retryAfter)
+			assert.Less(t, a.took, 2*longShare, "refused with slack left, when its share has passed or at the second check")
+		}
+		time.Sleep(2 * time.Second)
+		assert.Len(t, f.startCounts(), served)
+		assert.Equal(t, 2, served, "the worker has room for two")
+		f.assertEvents(map[string]int{eventHeld: 12, eventSubmitted: 12})
+	})
+}
+
 // Capacity that comes after the hold time: the caller was told that nothing ran, and
 // may have submitted the job elsewhere.
 func TestHeldJobRefusedInTimeNeverRuns(t *testing.T) {
@@ -192,7 +255,7 @@
 		f := newStartingFleet(t, policy.Settings{}, false)
 		defer f.stopAll()
 		assertRefused(t, <-f.post(t.Context(), 1, longJob), longShare)
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		f.sleepUntil(1500 * time.Millisecond)
 		assert.Empty(t, f.startCounts())
 		f.assertEvents(map[string]int{eventHeld: 1, eventRefused: 1})
@@ -214,7 +277,7 @@
 		assertRefused(t, <-f.post(t.Context(), 3, longJob), 250*time.Millisecond)
 		assertRefused(t, <-f.post(t.Context(), 4, longJob), 0)
 		f.assertEvents(map[string]int{eventHeld: 2, eventRefused: 2, eventNotHeld: 1})
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		f.store.SetDown(false)
 		f.sleepUntil(5 * time.Second)
 		assert.Empty(t, f.startCounts())
@@ -243,7 +306,7 @@
 		assert.Equal(t, http.StatusGatewayTimeout, (<-cancelled).status)
 		last := f.post(t.Context(), 3, longJob)
 		assert.Equal(t, http.StatusGatewayTimeout, (<-again).status, "as for a job that is submitted again while it runs")
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		assert.Equal(t, http.StatusOK, (<-last).status)
 		f.sleepUntil(2 * time.Second)
 		assert.Equal(t, map[string]int{"0000000000000003.0.0.0": 1}, f.startCounts())
@@ -267,7 +330,7 @@
 		for _, answers := range held {
 			assertRefused(t, <-answers, 90*time.Millisecond)
 		}
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		assertRefused(t, <-f.post(t.Context(), 3, longJob), 0)
 		<-stopped
 		f.assertEvents(map[string]int{eventHeld: 2, eventRefused: 2, eventNotHeld: 1})
@@ -283,7 +346,7 @@
 		f := newStartingFleet(t, policy.Settings{FastRecovery: policy.Off}, false)
 		defer f.stopAll()
 		assertRefused(t, <-f.post(t.Context(), 1, longJob), 0)
-		f.announceWorker()
+		f.announceWorker(taskTime)
 		f.sleepUntil(1500 * time.Millisecond)
 		assert.Empty(t, f.startCounts())
 		f.assertEvents(map[string]int{})
--- a/internal/daemon/dispatch/startup.go
+++ b/internal/daemon/dispatch/startup.go
@@ -62,10 +62,11 @@
 	d.metrics.heldJobs.WithLabelValues(event).Inc()
 }
 
-// hold holds a job that arrived before this host was ready, and reports whether it
-// did so.
+// hold holds a job if this host is not ready, or if jobs that arrived earlier are still
+// held. It reports whether it did so.
 func (d *Dispatcher) hold(now time.Time, j heldJob) bool {
-	if d.start == nil {
+	ready := d.ready.Load() == nil
+	if d.start == nil || ready && len(d.start.jobs) == 0 {
 		return false
 	}
 	bounds := coordinator.JobBounds(j.spec, j.route, j.timeout)
@@ -73,20 +74,19 @@
 	reason := d.start.holder.Add(now, recovery.Job{
 		ID: j.spec.ID, Arrived: now, Objective: bounds.Objective, CriticalPath: bounds.CriticalPath, Deadline: now.Add(bounds.Timeout),
 	})
-	if reason == recovery.PeriodOver {
-		return false
-	}
-	if reason != recovery.Held {
-		d.countHeld(eventNotHeld)
-		d.logger.Info("job not held", "job", j.spec.ID, "why", reason, "capacity_expected_in", expected,
-			"objective", bounds.Objective, "critical_path", bounds.CriticalPath, "timeout", bounds.Timeout)
+	message, event := "job held", eventHeld
+	switch {
+	case reason == recovery.Held:
+		d.start.jobs[j.spec.ID] = j
+	case ready || reason == recovery.PeriodOver:
 		return false
+	default:
+		message, event = "job not held", eventNotHeld
 	}
-	d.start.jobs[j.spec.ID] = j
-	d.countHeld(eventHeld)
-	d.logger.Info("job held", "job", j.spec.ID, "route", j.route.Name, "capacity_expected_in", expected,
+	d.countHeld(event)
+	d.logger.Info(message, "job", j.spec.ID, "route", j.route.Name, "why", reason, "capacity_expected_in", expected,
 		"objective", bounds.Objective, "critical_path", bounds.CriticalPath, "timeout", bounds.Timeout)
-	return true
+	return reason == recovery.Held
 }
 
 // isHeld reports whether a job is held.
@@ -155,7 +155,7 @@
 }
 
 // advanceStart records the steps of the start that have ended, submits the held jobs
-// if this host is ready, and refuses those that cannot be held longer. It reports
+// for which there is room if this host is ready, and refuses those that cannot be held longer. It reports
 // whether it submitted any.
 func (d *Dispatcher) advanceStart(now time.Time) bool {
 	if d.start == nil {
@@ -163,9 +163,13 @@
 	}
 	d.recordSteps(now)
 	why := d.ready.Load()
-	var submit, refuse []recovery.Job
+	submitted := 0
+	var refuse []recovery.Job
 	if why == nil {
-		submit, refuse = d.start.holder.CapacityKnown(now)
+		refuse = d.start.holder.CapacityKnown(now, func(j recovery.Job) bool { return d.hasRoom(now, j.ID) }, func(j recovery.Job) {
+			d.submitHeld(now, j.ID)
+			submitted++
+		})
 	} else {
 		refuse = d.start.holder.Due(now)
 	}
@@ -176,11 +180,14 @@
 		}
 		d.endHeld(now, j.ID, eventRefused, err)
 	}
-	for _, j := range submit {
-		d.submitHeld(now, j.ID)
-	}
 	d.logSteps(now, why == nil)
-	return len(submit) > 0
+	return submitted > 0
+}
+
+// hasRoom reports whether the coordinator would accept a held job.
+func (d *Dispatcher) hasRoom(now time.Time, job string) bool {
+	j := d.start.jobs[job]
+	return d.core.Coordinator.HasRoom(now.Sub(j.arrived), j.spec, j.route, j.timeout)
 }
 
 func (d *Dispatcher) submitHeld(now time.Time, job string) {
--- a/internal/decide/coordinator/held.go
+++ b/internal/decide/coordinator/held.go
@@ -25,6 +25,19 @@
 	}
 }
 
+// HasRoom reports whether SubmitHeld would accept a job by its expected wait. It
+// returns true if waiting cannot help, because all workers are evacuated.
+func (c *Coordinator) HasRoom(heldFor time.Duration, spec fleet.Job, route fleet.Route, callerTimeout time.Duration) bool {
+	if c.AllEvacuated() {
+		return true
+	}
+	route.LatencySlack -= heldFor
+	j := &job{spec: spec, route: route}
+	j.criticalPath = j.longestPath()
+	j.objective = route.Objective(j.criticalPath)
+	return c.expectedWait(j) <= c.maxExpectedWait(j, timeLimit(route, callerTimeout)-heldFor)
+}
+
 // SubmitHeld is Submit for a job that was held since its arrival. Objective and
 // deadline count from the arrival; the times in its answer count from now.
 func (c *Coordinator) SubmitHeld(now time.Time, heldFor time.Duration, spec fleet.Job, route fleet.Route, callerTimeout time.Duration) bool {
--- a/internal/decide/recovery/holder.go
+++ b/internal/decide/recovery/holder.go
@@ -54,6 +54,9 @@
 	// slackDivisor is the part of a job's slack, as a divisor, for which it may be
 	// held. The rest is a reserve for the queue that forms behind the first workers.
 	slackDivisor = 2
+	// maxWithoutRoom bounds the jobs found without room in one round. A check reads
+	// the reports of all hosts, and a round follows each event.
+	maxWithoutRoom = 16
 
 	// readsBound, adoptBound and pollBound are the expected times of the reads of
 	// the store, of a join with the rebalance that follows, and of the first poll.
@@ -189,14 +192,29 @@
 	return h.take(func(j Job) bool { return !now.Before(h.holdUntil(j)) })
 }
 
-// CapacityKnown removes all jobs. It returns the jobs to submit, in order of arrival,
-// and those to refuse, whose deadline cannot be met any more. A job whose hold time
-// has passed unnoticed, because the process was delayed, is submitted: it is better
-// served late than refused.
-func (h *Holder) CapacityKnown(now time.Time) (submit, refuse []Job) {
-	refuse = h.take(func(j Job) bool { return now.After(j.latestStart()) })
-	submit, h.jobs = h.jobs, nil
-	return submit, refuse
+// CapacityKnown is called while capacity is known. In order of arrival it submits the
+// jobs for which there is room, and removes them; the first workers of a start have
+// room for few. It returns the jobs to refuse, whose deadline cannot be met any more. A
+// job whose hold time has passed is submitted without room, because only the
+// coordinator can tell whether it is still better served late than refused.
+func (h *Holder) CapacityKnown(now time.Time, hasRoom func(Job) bool, submit func(Job)) (refuse []Job) {
+	withoutRoom := 0
+	h.jobs = slices.DeleteFunc(h.jobs, func(j Job) bool {
+		switch {
+		case now.After(j.latestStart()):
+			refuse = append(refuse, j)
+			return true
+		case !now.Before(h.holdUntil(j)):
+		case withoutRoom >= maxWithoutRoom:
+			return false
+		case !hasRoom(j):
+			withoutRoom++
+			return false
+		}
+		submit(j)
+		return true
+	})
+	return refuse
 }
 
 // Remove removes a job, for instance because its caller disconnected.
--- a/internal/decide/recovery/holder_test.go
+++ b/internal/decide/recovery/holder_test.go
@@ -114,26 +114,58 @@
 	assert.Zero(t, h.Len())
 }
 
-// A later job must not get the first capacity, and a job that cannot meet its deadline
-// must not take any.
+// capacityKnown returns the IDs of the jobs that are submitted and refused if there is
+// room for the given number of jobs.
+func capacityKnown(h *Holder, now time.Time, room int) (submitted, refused []string) {
+	refuse := h.CapacityKnown(now, func(Job) bool { return room > 0 }, func(j Job) {
+		room--
+		submitted = append(submitted, j.ID)
+	})
+	return submitted, ids(refuse)
+}
+
+// A later job must not get the first capacity, jobs must not be refused because the
+// first workers have room for few, and a job that cannot meet its deadline must not
+// take any.
 func TestCapacityKnownSubmitsInOrderOfArrival(t *testing.T) {
 	h := holderAfter(with(readsAt(40*ms), Worker, 160*ms))
-	for i, path := range []time.Duration{900, 200, 60, 200} {
+	for i, path := range []time.Duration{900, 200, 60, 200, 900} {
 		arrived := 165*ms + time.Duration(i)*ms
 		assert.Equal(t, Held, h.Add(at(arrived), job(fmt.Sprint(i), arrived, path*ms, 400*ms+path*ms)))
 	}
 	h.Remove("1")
 	h.Remove("unknown")
-	submit, refuse := h.CapacityKnown(at(190 * ms))
-	assert.Equal(t, []string{"0", "2", "3"}, ids(submit))
-	assert.Empty(t, refuse)
-	assert.Zero(t, h.Len())
-
+	submitted, refused := capacityKnown(h, at(190*ms), 1)
+	assert.Equal(t, []string{"0"}, submitted)
+	assert.Empty(t, refused)
+	submitted, _ = capacityKnown(h, at(200*ms), 1)
+	assert.Equal(t, []string{"2"}, submitted)
+	submitted, refused = capacityKnown(h, at(270*ms), 0)
+	assert.Equal(t, []string{"3"}, submitted, "its share has passed")
+	assert.Empty(t, refused)
+	assert.Equal(t, 1, h.Len())
+
+	h = holderAfter(with(readsAt(40*ms), Worker, 160*ms))
 	assert.Equal(t, Held, h.Add(at(200*ms), job("short timeout", 200*ms, 200*ms, 300*ms)))
 	assert.Equal(t, Held, h.Add(at(201*ms), job("long timeout", 201*ms, 200*ms, 900*ms)))
-	submit, refuse = h.CapacityKnown(at(301 * ms))
-	assert.Equal(t, []string{"long timeout"}, ids(submit), "its share has passed while the process was delayed")
-	assert.Equal(t, []string{"short timeout"}, ids(refuse))
+	submitted, refused = capacityKnown(h, at(301*ms), 1)
+	assert.Equal(t, []string{"long timeout"}, submitted, "the process was delayed")
+	assert.Equal(t, []string{"short timeout"}, refused)
+}
+
+// A round follows each event, so a round that checks all held jobs would occupy the
+// loop during the start.
+func TestRoundChecksFewJobsWithoutRoom(t *testing.T) {
+	h := holderAfter(readsAt(40 * ms))
+	for i := range MaxHeld {
+		assert.Equal(t, Held, h.Add(at(50*ms), job(fmt.Sprint(i), 50*ms, 900*ms, 5000*ms)))
+	}
+	checks := 0
+	h.CapacityKnown(at(60*ms), func(Job) bool { checks++; return false }, func(Job) { t.Error("submitted") })
+	assert.Equal(t, maxWithoutRoom, checks)
+	assert.Equal(t, MaxHeld, h.Len())
+	submitted, _ := capacityKnown(h, at(350*ms), 0)
+	assert.Len(t, submitted, MaxHeld, "their shares have passed")
 }
 
 // A stopping host must answer held jobs while their callers can still try elsewhere.
