--- a/internal/daemon/dispatch/held_test.go
+++ b/internal/daemon/dispatch/held_test.go
@@ -75,16 +75,19 @@
 	return f
 }
 
-// post submits a job of one task of the given estimated length.
+// post submits a job of one task of the given estimated length. The request ends after
+// 10 s, so that a job that is never answered fails the test.
 func (f *startingFleet) post(ctx context.Context, id int, estimate time.Duration) <-chan heldAnswer {
 	answers := make(chan heldAnswer, 1)
 	body := f.encode(map[string]any{"best_effort": true, "steps": []any{
 		map[string]any{"count": 1, "cpu": 14000, "mem_mb": 64, "est_runtime_ms": estimate.Milliseconds()},
 	}})
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://host-0:1/jobs/%016x", id), bytes.NewReader(body))
 	require.NoError(f.t, err)
 	req.Host = "jobs.example"
 	go func() {
+		defer cancel()
 		sent := time.Now()
 		resp, err := f.client.Do(req)
 		a := heldAnswer{took: time.Since(sent), err: err}
