--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -34,7 +34,8 @@
 	saturated, delay, startLimit prometheus.Gauge
 	nearDecisions                *prometheus.CounterVec
 	nearWaits                    *prometheus.HistogramVec
-	refusals                     *prometheus.CounterVec
+	refusals, heldJobs           *prometheus.CounterVec
+	startSteps                   *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -104,9 +105,16 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_refusals_total", Help: "Jobs refused as not run, by reason.",
 		}, []string{"route", "reason"}),
+		heldJobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_held_jobs_total", Help: "Jobs that arrived during the start of this host, by what happened to them.",
+		}, []string{"event"}),
+		startSteps: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_start_step_seconds", Help: "Age of the process at the end of each step of its start.",
+		}, []string{"step"}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits, m.refusals)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
+		m.refusals, m.heldJobs, m.startSteps)
 	return m
 }
 
