Order an owner's queue by the shares of routes while capacity is scarce

Cause: under overload the queue was ordered by latest start plus 40 ms per priority level, so that all classes became late together.

Change: while a task of a service whose routes have different priorities waits for capacity, the order is: pressing tasks of started jobs, routes below their share, others in time, late ones; within a group priority and latest start. Tasks that became late here return to their jobs' hosts while others can be on time. A worker is held for a large task that smaller ones could overtake. Reports carry the load of each route. Otherwise the previous order applies. worker.canStart tests the size before the state of the worker, and tasks larger than the largest free capacity are not compared with each worker: in the burst model nearly all time went into these comparisons.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -58,6 +58,8 @@
 		d.slowRun(a)
 	case workerpool.SpeedSpread:
 		d.speedSpread(a)
+	case workerpool.SharedOrder:
+		d.sharedOrder(a)
 	case workerpool.WaitForFast:
 		d.waitForFast(a)
 	case workerpool.NearDecision:
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -32,6 +32,8 @@
 	fastWaits     prometheus.Counter
 	// saturated, delay and startLimit show the state of the limiter.
 	saturated, delay, startLimit prometheus.Gauge
+	sharedOrder                  *prometheus.GaugeVec
+	returnedLate                 *prometheus.CounterVec
 	nearDecisions                *prometheus.CounterVec
 	nearWaits                    *prometheus.HistogramVec
 }
@@ -94,6 +96,12 @@
 		startLimit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "parsleyhill_start_limit", Help: "Unanswered starts allowed during saturation; 0 means no limit.",
 		}),
+		sharedOrder: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "parsleyhill_shared_order_active", Help: "1 while waiting tasks of the service are ordered by the shares of their routes, else 0.",
+		}, []string{"service"}),
+		returnedLate: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "parsleyhill_tasks_returned_late_total", Help: "Tasks returned to the hosts of their jobs because they were late while others could be on time.",
+		}, []string{"service", "route"}),
 		nearDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_near_decisions_total", Help: "Decisions about tasks that name a rack.",
 		}, []string{"by", "action", "reason"}),
@@ -102,7 +110,7 @@
 		}, []string{"action"}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
-		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits)
+		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.sharedOrder, m.returnedLate, m.nearDecisions, m.nearWaits)
 	return m
 }
 
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -393,6 +393,7 @@
 		p.tickWorker(now, w)
 	}
 	p.tickFlow(now)
+	p.tickSharing(now)
 	p.returnUnstartable(now)
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -16,6 +16,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/evacuation"
 	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -179,6 +180,11 @@
 	waitsForFast bool
 	// nearUntil is when a wait for a worker of the task's rack is reviewed, or zero.
 	nearUntil time.Time
+	// waited is set once the task could not start for lack of capacity.
+	waited bool
+	// place is the task's place in the order by shares; it counts if shared is set.
+	place  sharing.Waiting
+	shared bool
 }
 
 // Pool is the set of workers that this host owns. It is not safe for
@@ -205,6 +211,7 @@
 	// timeouts estimates how long the answer to an order may take.
 	timeouts TimeoutEstimator
 	near     nearState
+	sharing  sharingState
 }
 
 // NewPool returns a pool without workers.
@@ -312,6 +319,9 @@
 	if p.reserved == w {
 		p.reserved = nil
 	}
+	if p.sharing.held == w {
+		p.sharing.held = nil
+	}
 	p.emit(Released{Worker: w.info.ID, Why: why})
 }
 
@@ -319,6 +329,7 @@
 func (p *Pool) Offer(now time.Time, t offer.Task) {
 	t.NextRun = max(1, t.NextRun)
 	p.observeRack(now, t.Affinity)
+	p.observeArrival(now, &t)
 	p.queue = append(p.queue, &queuedTask{Task: t, offeredAt: now})
 }
 
@@ -426,13 +437,13 @@
 // Report returns the free capacity and the queued work of this host.
 func (p *Pool) Report(now time.Time) offer.CapacityReport {
 	r := offer.CapacityReport{QueuedWork: map[int]int64{}}
-	r.Exclusive = p.exclusiveTasks()
+	r.Exclusive, r.Routes = p.exclusiveTasks(), p.routeLoads()
 	for _, w := range p.order {
 		if !w.usable(now) || w == p.reserved || w.hasExclusiveRun() {
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
-		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: w.free(), Ends: p.nearEnds(now, w)}
+		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: p.reportedFree(w), Ends: p.nearEnds(now, w)}
 		p.reportSpeed(now, w, &capacity)
 		r.Workers = append(r.Workers, capacity)
 		for _, run := range w.sortedRuns() {
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -11,22 +11,28 @@
 // schedule starts the waiting tasks that fit into free capacity.
 func (p *Pool) schedule(now time.Time) {
 	if len(p.queue) == 0 {
-		p.reserved = nil
+		p.reserved, p.sharing.held = nil, nil
 		return
 	}
-	slices.SortStableFunc(p.queue, func(a, b *queuedTask) int { return compareQueued(now, a, b) })
+	p.orderQueue(now)
 	p.reserveWorker(now)
 	for _, w := range p.order {
 		w.awaited = false
 	}
 	rest := make([]*queuedTask, 0, len(p.queue))
 	unanswered := p.unansweredStarts()
+	mostFree := p.mostFreeCPU()
 	for _, q := range p.queue {
-		if w := p.pickWorker(now, q); w != nil && p.cfg.Flow.MayStart(unanswered) && !p.waitsNear(now, q, w, rest) {
+		var w *worker
+		if !q.shared || q.Size.MilliCPU <= mostFree {
+			w = p.pickWorker(now, q)
+		}
+		if w != nil && p.cfg.Flow.MayStart(unanswered) && !p.waitsNear(now, q, w, rest) {
 			p.startRun(now, w, q)
 			unanswered++
 			p.TaskStarted(q.Host, q.Name.Job)
 		} else {
+			q.waited = q.waited || w == nil && !q.waitsForFast
 			rest = append(rest, q)
 		}
 	}
@@ -79,7 +85,7 @@
 	var best *worker
 	q.need, q.speedsDecide = p.needOf(now, &q.Task)
 	for _, w := range p.order {
-		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) {
+		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
 			continue
 		}
 		if best == nil || p.prefers(now, q, w, best) {
@@ -95,7 +101,7 @@
 // canStart reports whether a task may start on the worker now.
 func (w *worker) canStart(now time.Time, t *offer.Task) bool {
 	switch {
-	case w.info.Service != t.Service || !w.usable(now) || !t.Size.Fits(w.free()):
+	case w.info.Service != t.Service || !t.Size.Fits(w.free()) || !w.usable(now):
 		return false
 	case (w.health.trial || t.Exclusive) && len(w.runs) > 0 || w.hasExclusiveRun():
 		return false
@@ -144,6 +150,7 @@
 		p.reserved = nil
 	}
 	w.addRun(r)
+	p.taskStartedHere(now, q)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
 		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w),
--- a/internal/decide/workerpool/sim_test.go
+++ b/internal/decide/workerpool/sim_test.go
@@ -69,6 +69,9 @@
 	stoppedAt, probations []time.Time
 	// onDone is called when a task is done; it may be nil.
 	onDone func(fleet.TaskName)
+	// keep reports whether the job's host offers a returned task again; nil means that
+	// it always does.
+	keep func(offer.Task) bool
 }
 
 func newPoolSim(pool *Pool, cores int, speeds ...float64) *poolSim {
@@ -217,6 +220,9 @@
 		}
 	case offer.Returned:
 		t := s.tasks[o.Task]
+		if s.keep != nil && !s.keep(t) {
+			return
+		}
 		t.NextRun, t.Avoid = o.Run+1, o.Worker
 		s.pool.Offer(s.now, t)
 	}
