Let late tasks yield on unequal workers; long tasks use idle fast ones

Cause at 90% use: tasks of started jobs counted as in time although they were late, and so came before tasks that could still be in time. Cause at 30% use: among slow workers with inexact learned speeds, long tasks were placed on those with the lowest values although fast workers were free.

Change: where speeds decide, a task past its latest start yields also if its job has started. While over 0.4 of the fast workers' capacity is free, slow workers count as in time with a margin of 1.4 instead of 1.25. Owner and job's host use the same rule.

--- a/internal/decide/coordinator/speed.go
+++ b/internal/decide/coordinator/speed.go
@@ -33,7 +33,7 @@
 		// An earlier end of this task would not make the job end earlier.
 		due = j.expectedEnd
 	}
-	need := speed.Need{Estimate: step.Estimate, Left: due.Sub(now), Middle: service.Middle}
+	need := speed.Need{Estimate: step.Estimate, Left: due.Sub(now), Middle: service.Middle, FastFree: c.fastFree(service)}
 	best, later := c.bestPlaces(now, j, t, step, need)
 	switch {
 	case later.host != nil && (best.host == nil && need.Meets(later.Place) || best.host != nil && need.Waits(best.Place, later.Place)):
@@ -50,6 +50,32 @@
 	return best.host
 }
 
+// fastFree returns the free share of the capacity of a service's fast workers, by the
+// last reports.
+func (c *Coordinator) fastFree(service *speed.Service) float64 {
+	var share speed.FreeShare
+	for _, h := range c.sortedHosts {
+		if !h.connected || h.report.Leaving {
+			continue
+		}
+		for i := range h.report.Workers {
+			w := &h.report.Workers[i]
+			if w.Service == service.Name && c.relativeTime(w) < service.Middle && !c.isEvacuated(w.ID) {
+				share.Add(w.Free.MilliCPU, c.workers.byID[w.ID].Capacity.MilliCPU)
+			}
+		}
+	}
+	return share.Share()
+}
+
+// relativeTime returns a worker's reported relative run time, or the known one.
+func (c *Coordinator) relativeTime(w *offer.WorkerCapacity) float64 {
+	if w.RelativeTime > 0 {
+		return w.RelativeTime
+	}
+	return c.cfg.Speeds.Relative(w.ID)
+}
+
 // bestPlaces returns the best place with free capacity for a task of a step, and
 // the fast worker that is expected to end it first once its capacity is free.
 func (c *Coordinator) bestPlaces(now time.Time, j *job, t *task, step *fleet.Step, need speed.Need) (best, later fastPlace) {
@@ -63,10 +89,7 @@
 			if w.Service != j.route.Service || !c.workers.hasLabel(w.ID, step.RequiredLabel) || c.isEvacuated(w.ID) {
 				continue
 			}
-			p := fastPlace{Place: speed.Place{Relative: w.RelativeTime, Wait: reach}, host: h, worker: w}
-			if w.RelativeTime <= 0 {
-				p.Relative = c.cfg.Speeds.Relative(w.ID)
-			}
+			p := fastPlace{Place: speed.Place{Relative: c.relativeTime(w), Wait: reach}, host: h, worker: w}
 			if step.Size.Fits(w.Free) {
 				p.cold = c.isCold(now, w.ID)
 				if best.host == nil || c.comparePlaces(need, p, best) < 0 {
--- a/internal/decide/speed/choice.go
+++ b/internal/decide/speed/choice.go
@@ -7,6 +7,16 @@
 // by up to a tenth.
 const runTimeMargin = 1.25
 
+const (
+	// idleMargin replaces runTimeMargin on slow workers while fast ones are plentiful.
+	// Of many slow workers with inexact values, those on which a long task just seems
+	// to be in time are mostly underestimated.
+	idleMargin = 1.4
+	// plentiful is the free share of the fast workers' capacity above which they do
+	// not need to be kept free for other tasks.
+	plentiful = 0.4
+)
+
 // sameFinish is the share of the estimate by which two expected ends may differ and
 // still count as equal, since learned speeds are not more exact.
 const sameFinish = 0.1
@@ -20,8 +30,22 @@
 	Left time.Duration
 	// Middle separates the fast workers of the service from the slow ones.
 	Middle float64
+	// FastFree is the free share of the fast workers' capacity.
+	FastFree float64
+}
+
+// FreeShare sums up the capacity of the fast workers of a service, in thousandths
+// of a core.
+type FreeShare struct{ free, capacity int }
+
+// Add adds a worker.
+func (s *FreeShare) Add(free, capacity int) {
+	s.free, s.capacity = s.free+free, s.capacity+capacity
 }
 
+// Share returns the free share of the capacity, zero without any.
+func (s *FreeShare) Share() float64 { return float64(s.free) / float64(max(s.capacity, 1)) }
+
 // Place is a worker on which a task could start after Wait.
 type Place struct {
 	// Relative is the expected run time divided by the estimate.
@@ -39,7 +63,11 @@
 
 // Meets reports whether the task is expected to end in time, with a margin.
 func (n Need) Meets(p Place) bool {
-	return p.Wait+time.Duration(runTimeMargin*float64(n.RunTime(p.Relative))) <= n.Left
+	margin := runTimeMargin
+	if p.Relative >= n.Middle && n.FastFree > plentiful {
+		margin = idleMargin
+	}
+	return p.Wait+time.Duration(margin*float64(n.RunTime(p.Relative))) <= n.Left
 }
 
 // Compare returns a negative number if place a is preferred to b, and zero if the
--- a/internal/decide/speed/model_test.go
+++ b/internal/decide/speed/model_test.go
@@ -46,3 +46,15 @@
 	assert.InDelta(t, 0.6, m.Relative("0"), 0.06)
 	assert.InDelta(t, 1.4, m.Relative("1"), 0.14)
 }
+
+// Guards against long tasks on underestimated slow workers while fast ones are idle,
+// and against short tasks on fast ones.
+func TestIdleFastWorkersTakeLongTasks(t *testing.T) {
+	slow, fast := Place{Relative: 1.25}, Place{Relative: 0.6}
+	long := Need{Estimate: estimate, Left: 168 * estimate / 100, Middle: 0.95, FastFree: 0.9}
+	assert.Positive(t, long.Compare(slow, fast))
+	long.FastFree = 0.1
+	assert.Negative(t, long.Compare(slow, fast))
+	short := Need{Estimate: estimate, Left: 278 * estimate / 100, Middle: 0.95, FastFree: 0.9}
+	assert.Negative(t, short.Compare(slow, fast))
+}
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -14,6 +14,9 @@
 		p.reserved = nil
 		return
 	}
+	for _, q := range p.queue {
+		q.speedsDecide = p.speedsDecideFor(&q.Task)
+	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedTask) int { return compareQueued(now, a, b) })
 	p.reserveWorker(now)
 	for _, w := range p.order {
@@ -42,16 +45,23 @@
 	startedJobBonus = 60 * time.Millisecond
 )
 
-// compareQueued orders the queue. Tasks that can still be in time or belong to a
-// started job come before late ones, and more urgent tasks first within each
-// group.
+// compareQueued orders the queue. Late tasks come last, and more urgent tasks first
+// within each group.
 func compareQueued(now time.Time, a, b *queuedTask) int {
-	if c := trueFirst(a.JobStarted || !now.After(a.StartBy), b.JobStarted || !now.After(b.StartBy)); c != 0 {
+	if c := trueFirst(!a.isLate(now), !b.isLate(now)); c != 0 {
 		return c
 	}
 	return a.urgency().Compare(b.urgency())
 }
 
+// isLate reports whether a task yields to those that can still be in time. Tasks of
+// a started job do so only where speeds decide: there, jobs with a task on a slow
+// worker are late more often, and under overload the rest of such jobs would take
+// the capacity that others need to be in time.
+func (q *queuedTask) isLate(now time.Time) bool {
+	return now.After(q.StartBy) && (q.speedsDecide || !q.JobStarted)
+}
+
 // urgency returns the time by which the task should start, adjusted by its
 // priority and by whether its job has started.
 func (q *queuedTask) urgency() time.Time {
--- a/internal/decide/workerpool/speed.go
+++ b/internal/decide/workerpool/speed.go
@@ -61,11 +61,29 @@
 // needOf returns what a task needs to be on time. It returns false if the speeds of
 // the service's workers do not decide that.
 func (p *Pool) needOf(now time.Time, t *offer.Task) (speed.Need, bool) {
-	s := p.cfg.Speeds.Active(t.Service)
-	if s == nil || t.Exclusive {
+	if !p.speedsDecideFor(t) {
 		return speed.Need{}, false
 	}
-	return speed.Need{Estimate: t.Estimate, Left: t.StartBy.Add(t.Estimate).Sub(now), Middle: s.Middle}, true
+	s := p.cfg.Speeds.Active(t.Service)
+	return speed.Need{
+		Estimate: t.Estimate, Left: t.StartBy.Add(t.Estimate).Sub(now), Middle: s.Middle, FastFree: p.fastFree(now, s),
+	}, true
+}
+
+// speedsDecideFor reports whether the speeds of workers decide about a task.
+func (p *Pool) speedsDecideFor(t *offer.Task) bool {
+	return !t.Exclusive && p.cfg.Speeds.Active(t.Service) != nil
+}
+
+// fastFree returns the free share of the capacity of a service's fast workers.
+func (p *Pool) fastFree(now time.Time, s *speed.Service) float64 {
+	var share speed.FreeShare
+	for _, w := range p.order {
+		if w.info.Service == s.Name && w.usable(now) && p.cfg.Speeds.Relative(w.info.ID) < s.Middle {
+			share.Add(w.free().MilliCPU, w.info.Capacity.MilliCPU)
+		}
+	}
+	return share.Share()
 }
 
 // compareSpeeds compares two workers that can both start a task, by its need.
