--- a/internal/daemon/dispatch/startup_test.go
+++ b/internal/daemon/dispatch/startup_test.go
@@ -73,7 +73,8 @@
 			f.store.Put(store.TopicHosts, store.Record{Key: "host-9", Value: f.encode(fleet.Host{
 				Name: "host-9", Zone: "z", Address: "host-9:3", Incarnation: c.incarnation,
 			})})
-			time.Sleep(peerTimeout / 2)
+			// Hosts read the entries up to 500 ms after a change.
+			time.Sleep(peerTimeout)
 			assert.Equal(t, c.streams, peer.streams.Load(), c.incarnation)
 		}
 	})
