--- a/internal/daemon/dispatch/startup.go
+++ b/internal/daemon/dispatch/startup.go
@@ -155,8 +155,8 @@
 }
 
 // advanceStart records the steps of the start that have ended, submits the held jobs
-// for which there is room if this host is ready, and refuses those that cannot be held longer. It reports
-// whether it submitted any.
+// for which there is room if this host is ready, and refuses those that cannot be
+// held longer. It reports whether it submitted any.
 func (d *Dispatcher) advanceStart(now time.Time) bool {
 	if d.start == nil {
 		return false
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -65,13 +65,13 @@
 // worker are late more often, and under overload the rest of such jobs would take
 // the capacity that others need to be in time.
 func (q *queuedTask) isLate(now time.Time) bool {
-	return now.After(q.StartBy) && (!q.JobStarted || q.speedsDecide && !q.needsRescue(now))
+	return now.After(q.StartBy) && (!q.JobStarted || q.speedsDecide && !q.isStarving(now))
 }
 
-// needsRescue reports whether half of the time is over in which a late answer still
+// isStarving reports whether half of the time is over in which a late answer still
 // reaches the caller. Without it, under long overload the rest of a started job waits
 // until its caller leaves, and what has run of the job is lost.
-func (q *queuedTask) needsRescue(now time.Time) bool {
+func (q *queuedTask) isStarving(now time.Time) bool {
 	lastUseful := q.Deadline.Add(-q.Estimate)
 	return q.Stored || now.After(q.StartBy.Add(lastUseful.Sub(q.StartBy)/2))
 }
