--- a/internal/daemon/dispatch/evacuation_test.go
+++ b/internal/daemon/dispatch/evacuation_test.go
@@ -17,16 +17,13 @@
 	"github.com/parsleyhill/parsleyhill/internal/standin/store"
 )
 
-// operatorTopic is the topic of the operator's records.
-const operatorTopic = "keyed.op"
-
 // evacuate writes the operator's record that evacuates or readmits a zone.
 func (f *testFleet) evacuate(zone string, active bool) {
 	record := store.Record{Key: "evacuate/" + zone}
 	if active {
 		record.Value = []byte("{}")
 	}
-	f.store.Put(operatorTopic, record)
+	f.store.PutOperator(record)
 }
 
 // startsIn returns how many tasks were started on workers of the zone with an index.
@@ -115,7 +112,7 @@
 		assert.Equal(t, http.StatusServiceUnavailable, status)
 		status, answer := f.submit("host-1", "00000000000000a1", 2)
 		assert.Equal(t, http.StatusOK, status, answer)
-		f.store.Compact(operatorTopic)
+		f.store.CompactOperator()
 		f.store.SetDown(false)
 		time.Sleep(2 * time.Second)
 		status, answer = f.submit("host-0", "00000000000000a2", 4)
--- a/internal/daemon/dispatch/startup.go
+++ b/internal/daemon/dispatch/startup.go
@@ -166,7 +166,7 @@
 	submitted := 0
 	var refuse []recovery.Job
 	if why == nil {
-		refuse = d.start.holder.CapacityKnown(now, func(j recovery.Job) bool { return d.hasRoom(now, j.ID) }, func(j recovery.Job) {
+		refuse = d.start.holder.CapacityKnown(now, func(j recovery.Job) bool { return d.wouldAccept(now, j.ID) }, func(j recovery.Job) {
 			d.submitHeld(now, j.ID)
 			submitted++
 		})
@@ -184,10 +184,10 @@
 	return submitted > 0
 }
 
-// hasRoom reports whether the coordinator would accept a held job.
-func (d *Dispatcher) hasRoom(now time.Time, job string) bool {
+// wouldAccept reports whether the coordinator would accept a held job.
+func (d *Dispatcher) wouldAccept(now time.Time, job string) bool {
 	j := d.start.jobs[job]
-	return d.core.Coordinator.HasRoom(now.Sub(j.arrived), j.spec, j.route, j.timeout)
+	return d.core.Coordinator.WouldAccept(now.Sub(j.arrived), j.spec, j.route, j.timeout)
 }
 
 func (d *Dispatcher) submitHeld(now time.Time, job string) {
--- a/internal/decide/configcheck/check_test.go
+++ b/internal/decide/configcheck/check_test.go
@@ -43,6 +43,17 @@
 	return r
 }
 
+// requireFinding checks that a report has one finding, with a path and line, a part
+// of its text, and a fix.
+func requireFinding(t *testing.T, r Report, kind, path, text string) {
+	t.Helper()
+	require.Len(t, r.Findings, 1)
+	f := r.Findings[0]
+	require.Equal(t, kind+" "+path, fmt.Sprintf("%s %s:%d", f.Kind, f.Path, f.Line))
+	require.Contains(t, f.Text, text)
+	require.NotEmpty(t, f.Fix)
+}
+
 // TestFindings covers each fault that the check must find: its kind, path and
 // line, and a part of the text. A document without a fault has no finding.
 func TestFindings(t *testing.T) {
@@ -91,11 +102,7 @@
 				require.Empty(t, r.Missing)
 				return
 			}
-			require.Len(t, r.Findings, 1)
-			f := r.Findings[0]
-			require.Equal(t, c.kind+" "+c.path, fmt.Sprintf("%s %s:%d", f.Kind, f.Path, f.Line))
-			require.Contains(t, f.Text, c.text)
-			require.NotEmpty(t, f.Fix)
+			requireFinding(t, r, c.kind, c.path, c.text)
 		})
 	}
 }
--- a/internal/decide/configcheck/routes_test.go
+++ b/internal/decide/configcheck/routes_test.go
@@ -112,11 +112,7 @@
 				require.Empty(t, r.Findings)
 				return
 			}
-			require.Len(t, r.Findings, 1)
-			f := r.Findings[0]
-			require.Equal(t, c.kind+" "+c.path, fmt.Sprintf("%s %s:%d", f.Kind, f.Path, f.Line))
-			require.Contains(t, f.Text, c.text)
-			require.NotEmpty(t, f.Fix)
+			requireFinding(t, r, c.kind, c.path, c.text)
 		})
 	}
 }
--- a/internal/decide/coordinator/held.go
+++ b/internal/decide/coordinator/held.go
@@ -25,9 +25,9 @@
 	}
 }
 
-// HasRoom reports whether SubmitHeld would accept a job by its expected wait. It
+// WouldAccept reports whether SubmitHeld would accept a job by its expected wait. It
 // returns true if waiting cannot help, because all workers are evacuated.
-func (c *Coordinator) HasRoom(heldFor time.Duration, spec fleet.Job, route fleet.Route, callerTimeout time.Duration) bool {
+func (c *Coordinator) WouldAccept(heldFor time.Duration, spec fleet.Job, route fleet.Route, callerTimeout time.Duration) bool {
 	if c.AllEvacuated() {
 		return true
 	}
--- a/internal/decide/recovery/holder.go
+++ b/internal/decide/recovery/holder.go
@@ -54,9 +54,9 @@
 	// slackDivisor is the part of a job's slack, as a divisor, for which it may be
 	// held. The rest is a reserve for the queue that forms behind the first workers.
 	slackDivisor = 2
-	// maxWithoutRoom bounds the jobs found without room in one round. A check reads
+	// maxUnacceptable bounds the jobs found without room in one round. A check reads
 	// the reports of all hosts, and a round follows each event.
-	maxWithoutRoom = 16
+	maxUnacceptable = 16
 
 	// readsBound, adoptBound and pollBound are the expected times of the reads of
 	// the store, of a join with the rebalance that follows, and of the first poll.
@@ -197,7 +197,7 @@
 // room for few. It returns the jobs to refuse, whose deadline cannot be met any more. A
 // job whose hold time has passed is submitted without room, because only the
 // coordinator can tell whether it is still better served late than refused.
-func (h *Holder) CapacityKnown(now time.Time, hasRoom func(Job) bool, submit func(Job)) (refuse []Job) {
+func (h *Holder) CapacityKnown(now time.Time, wouldAccept func(Job) bool, submit func(Job)) (refuse []Job) {
 	withoutRoom := 0
 	h.jobs = slices.DeleteFunc(h.jobs, func(j Job) bool {
 		switch {
@@ -205,9 +205,9 @@
 			refuse = append(refuse, j)
 			return true
 		case !now.Before(h.holdUntil(j)):
-		case withoutRoom >= maxWithoutRoom:
+		case withoutRoom >= maxUnacceptable:
 			return false
-		case !hasRoom(j):
+		case !wouldAccept(j):
 			withoutRoom++
 			return false
 		}
--- a/internal/decide/recovery/holder_test.go
+++ b/internal/decide/recovery/holder_test.go
@@ -162,7 +162,7 @@
 	}
 	checks := 0
 	h.CapacityKnown(at(60*ms), func(Job) bool { checks++; return false }, func(Job) { t.Error("submitted") })
-	assert.Equal(t, maxWithoutRoom, checks)
+	assert.Equal(t, maxUnacceptable, checks)
 	assert.Equal(t, MaxHeld, h.Len())
 	submitted, _ := capacityKnown(h, at(350*ms), 0)
 	assert.Len(t, submitted, MaxHeld, "their shares have passed")
--- a/internal/decide/sharing/order.go
+++ b/internal/decide/sharing/order.go
@@ -12,15 +12,15 @@
 	// work: a route keeps its share over each two-second window, which callers are
 	// rated by, while the tasks of one wide job do not exceed it.
 	startedTimeConstant = 2 * time.Second
-	// guaranteed is the part of its share, from 0 to 1, up to which a route precedes
+	// guaranteedPart is the part of its share, from 0 to 1, up to which a route precedes
 	// others; the remaining capacity goes to the most urgent tasks. A burst of x 2.1
 	// raises the moving mean of its route by half in 6.7 s, and with it a share of 0.28
 	// by a fifth: 0.75 of that share is 0.9 of the usual one.
-	guaranteed = 0.75
-	// pressing is the time before its latest start from which a task of a started job
+	guaranteedPart = 0.75
+	// pressingSlack is the time before its latest start from which a task of a started job
 	// precedes the tasks of routes below their share. A longer time lets the started
 	// jobs of a long class, which have hundreds of milliseconds left, delay urgent ones.
-	pressing = 50 * time.Millisecond
+	pressingSlack = 50 * time.Millisecond
 )
 
 // Group is the group of a waiting task. Lower groups start first.
@@ -75,7 +75,7 @@
 	switch {
 	case now.After(startBy):
 		w.Group = Late
-	case jobStarted && (s.below(route) || startBy.Sub(now) < pressing):
+	case jobStarted && (s.below(route) || startBy.Sub(now) < pressingSlack):
 		w.Group = StartedInTime
 	case s.below(route):
 		w.Group = BelowShare
@@ -166,7 +166,7 @@
 				share, started = share+o.Share, started+o.Started
 			}
 		}
-		own.Below = own.Started < guaranteed*own.Share || started > guaranteed*share
+		own.Below = own.Started < guaranteedPart*own.Share || started > guaranteedPart*share
 	}
 	return standings
 }
--- a/internal/decide/sharing/order_test.go
+++ b/internal/decide/sharing/order_test.go
@@ -40,7 +40,7 @@
 	assert.Equal(t, StartedInTime, group("below", true, time.Second))
 	assert.Equal(t, BelowShare, group("below", false, time.Second))
 	assert.Equal(t, InTime, group("above", true, time.Second))
-	assert.Equal(t, StartedInTime, group("above", true, pressing/2))
+	assert.Equal(t, StartedInTime, group("above", true, pressingSlack/2))
 	assert.Equal(t, Late, group("below", true, -1))
 	urgent, sooner := Waiting{InTime, 0, now.Add(time.Second)}, Waiting{InTime, 1, now}
 	assert.Negative(t, urgent.Compare(sooner))
--- a/internal/decide/speed/choice.go
+++ b/internal/decide/speed/choice.go
@@ -12,9 +12,9 @@
 	// Of many slow workers with inexact values, those on which a long task just seems
 	// to be in time are mostly underestimated.
 	idleMargin = 1.4
-	// plentiful is the free share of the fast workers' capacity above which they do
+	// plentifulFreeShare is the free share of the fast workers' capacity above which they do
 	// not need to be kept free for other tasks.
-	plentiful = 0.4
+	plentifulFreeShare = 0.4
 )
 
 // sameFinish is the share of the estimate by which two expected ends may differ and
@@ -64,7 +64,7 @@
 // Meets reports whether the task is expected to end in time, with a margin.
 func (n Need) Meets(p Place) bool {
 	margin := runTimeMargin
-	if p.Relative >= n.Middle && n.FastFree > plentiful {
+	if p.Relative >= n.Middle && n.FastFree > plentifulFreeShare {
 		margin = idleMargin
 	}
 	return p.Wait+time.Duration(margin*float64(n.RunTime(p.Relative))) <= n.Left
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -70,7 +70,9 @@
 
 // isStarving reports whether half of the time is over in which a late answer still
 // reaches the caller. Without it, under long overload the rest of a started job waits
-// until its caller leaves, and what has run of the job is lost.
+// until its caller leaves, and what has run of the job is lost. Tasks of stored jobs
+// always count as starving: their deadline is an hour away, and nobody submits them
+// again.
 func (q *queuedTask) isStarving(now time.Time) bool {
 	lastUseful := q.Deadline.Add(-q.Estimate)
 	return q.Stored || now.After(q.StartBy.Add(lastUseful.Sub(q.StartBy)/2))
--- a/internal/decide/workerpool/sharing.go
+++ b/internal/decide/workerpool/sharing.go
@@ -19,19 +19,20 @@
 	// is held for it. Afterwards two thirds of the slack are left for the worker's
 	// capacity to become free.
 	holdAfterShare = 3
-	// underestimate is the factor by which a task may exceed its declared run time.
+	// underestimate is the factor by which a task may exceed its declared run time:
+	// declared times are off by up to 40%.
 	underestimate = 1.4
 	// returnedLateReason is the reason that the job's host receives.
 	returnedLateReason = "late, and others can be on time"
 )
 
 // SharedOrder reports, for the process log and the metrics, that the tasks of a
-// service are ordered by the shares of their routes. It is reported at the begin and
+// service are ordered by the shares of their routes. It is reported at the beginning and
 // the end, and every sharedOrderPause between.
 type SharedOrder struct {
 	Service string
 	Active  bool
-	// Changed is set if the order has begun or ended to act, For ago.
+	// Changed is set if the order has started or stopped being used, For ago.
 	Changed bool
 	For     time.Duration
 	// Waiting is the number of waiting tasks, Late the number of late ones among them
--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -44,7 +44,7 @@
 		// soon as they read it.
 		f.ledger.locked(func() { delete(f.ledger.evacuated, zone) })
 	}
-	f.store.Put("keyed.op", record)
+	f.store.PutOperator(record)
 }
 
 // checkZone checks that a start on a worker is not in a zone that has been evacuated
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -103,11 +103,18 @@
 // PutConfig publishes a configuration, as an operator would.
 func (s *Store) PutConfig(config []byte) { s.Put(topicOperator, Record{Key: "config", Value: config}) }
 
+// PutOperator publishes a record with a key, as an operator would. An empty value
+// removes the key.
+func (s *Store) PutOperator(r Record) { s.Put(topicOperator, r) }
+
 // PutWorker publishes a worker's entry, as the worker would.
 func (s *Store) PutWorker(id string, entry []byte) {
 	s.Put(topicWorkers, Record{Key: id, Value: entry})
 }
 
+// CompactOperator compacts the topic of the operator's records.
+func (s *Store) CompactOperator() { s.Compact(topicOperator) }
+
 // CompactWorkers compacts the topic of the workers' entries.
 func (s *Store) CompactWorkers() { s.Compact(topicWorkers) }
 
