--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -92,9 +92,9 @@
 			}()
 		}
 	}()
-	for i := range 11 {
+	for i := range 16 {
 		h := r.hosts[i%2*3] // the two machines of the first zone
-		time.Sleep(2 * time.Second)
+		time.Sleep(500 * time.Millisecond)
 		poison.Store(true)
 		time.AfterFunc(3*time.Second, func() { poison.Store(false) })
 		time.Sleep(time.Second)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,6 +15,7 @@
 	"budget": playBudget,
 	"cancel": playCancel,
 	"crash":  playCrash,
+	"stop":   playStop,
 }
 
 func main() {
