--- /dev/null
+++ b/review/rig/claim.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// playClaim: a machine is stopped as planned while another one stands still for half a
+// second.
+func playClaim(r *rig, trouble bool) {
+	const jobs, ms, finishS = 100, 3000, 14
+	r.deployment(6, 24, maxAttempts)
+	c := r.newClient()
+	for n := range jobs {
+		s := step(1, 2000, ms)
+		s["required_label"] = labelOfFirstZone
+		if !c.submit(n, jobID(n), job(ms, 2000, false, s)) {
+			r.finish(2, "a job was not accepted")
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	stopped, frozen := r.hosts[0], r.hosts[1]
+	if trouble {
+		frozen.signal(syscall.SIGSTOP)
+		time.AfterFunc(600*time.Millisecond, func() { frozen.signal(syscall.SIGCONT) })
+		time.Sleep(100 * time.Millisecond)
+		stopped.stop()
+		stopped.start()
+	}
+	// The traffic has ended: jobs are asked for finish_s later, and three seconds more.
+	time.Sleep((finishS + ms/1000 + 3) * time.Second)
+	stuck, first := 0, ""
+	for n := range jobs {
+		a := c.call(r.hosts[2], "GET", jobID(n), nil)
+		if a.err == nil && a.status == http.StatusOK && a.state() == "completed" {
+			continue
+		}
+		var last event
+		for _, e := range r.seen() {
+			if jobOf(e.task) == jobID(n) && e.kind != "noted" {
+				last = e
+			}
+		}
+		if stuck++; first == "" {
+			first = fmt.Sprintf("%s is shown as %q; its task's last run was %s %v ago", jobID(n), a.state(), last.kind, time.Since(last.at).Round(time.Second))
+		}
+	}
+	if stuck > 0 {
+		r.finish(1, "LOST is broken: %d of %d jobs are not completed, and nothing of them runs; the first: %s", stuck, jobs, first)
+	}
+	r.finish(0, "LOST held: %d jobs are completed", jobs)
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -16,6 +16,7 @@
 	"cancel": playCancel,
 	"crash":  playCrash,
 	"stop":   playStop,
+	"claim":  playClaim,
 }
 
 func main() {
