--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -272,8 +272,17 @@
 	for _, h := range r.hosts {
 		for !h.isReady() {
 			if time.Now().After(limit) {
+				log, _ := os.ReadFile(h.output)
+				r.logf("output of %s:\n%s", h.name, log)
 				r.finish(2, "%s is not ready", h.name)
 			}
+			select {
+			case <-h.ended:
+				// The platform starts a process that has ended again.
+				r.logf("%s has ended by itself", h.name)
+				h.start()
+			default:
+			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
