--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -36,9 +36,9 @@
 		r.finish(2, "the long job was not accepted")
 	}
 	time.Sleep(500 * time.Millisecond)
-	// 1,800 tasks that end within 0.4 s, a few jobs at a time.
+	// 1,800 tasks that end within 0.3 s, a few jobs at a time.
 	for i := range 30 {
-		ms := 2400 + 12*i
+		ms := 2400 + 8*i
 		go c.submit(0, jobID(10+i), job(ms, 50, false, step(60, 50, ms)))
 		time.Sleep(5 * time.Millisecond)
 	}
