--- a/review/rig/claim.go
+++ b/review/rig/claim.go
@@ -8,9 +8,9 @@
 )
 
 // playClaim: a machine is stopped as planned while another one stands still for less
-// than half a second; some seconds later the same happens with two other machines.
+// than half a second; some seconds later the same happens with two others, and again.
 func playClaim(r *rig, trouble bool) {
-	const rounds, each, ms, finishS = 2, 100, 3000, 14
+	const rounds, each, ms, finishS = 3, 100, 3000, 14
 	const jobs = rounds * each
 	r.deployment(6, 24, maxAttempts)
 	c := r.newClient()
@@ -24,7 +24,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		// The machine that is stopped is of the first zone, the other one is not.
-		stopped, frozen := r.hosts[round*3], r.hosts[round*3+1]
+		stopped, frozen := r.hosts[round%2*3], r.hosts[[]int{1, 4, 2}[round]]
 		if trouble {
 			frozen.signal(syscall.SIGSTOP)
 			time.AfterFunc(450*time.Millisecond, func() { frozen.signal(syscall.SIGCONT) })
