Log and count the processor time and the event loop's work

The logs could not tell a host that is short of processor time from one whose link or workers are slow. Once a second each host now logs its processor time, collections, events, rounds, frames, reports, queue and the longest round; two counters carry the processor time and the loop's time.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -85,6 +85,7 @@
 
 	// The fields below are accessed only by the loop.
 	core    *host.Core
+	load    loadSample
 	waiters map[string]waiter
 	// watchers holds, by job, the channels that are closed when a stored job
 	// ends.
@@ -184,22 +185,34 @@
 func (d *Dispatcher) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	lastTick := time.Now()
 	for {
+		var began time.Time
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case event := <-d.events:
-			event(time.Now())
+			began = time.Now()
+			event(began)
+			d.load.events++
 			d.drainEvents()
 		case planned := <-ticker.C:
 			now := time.Now()
+			began = now
+			// The time in the channel is that of the delivery, which is late as well
+			// while the process does not run.
+			late := now.Sub(lastTick) - tickInterval
+			lastTick = now
+			d.load.late = max(d.load.late, late)
 			d.core.Flow.LoopDelayed(now, now.Sub(planned))
 			d.core.Tick(now)
 			d.metrics.flow(d.core.Flow)
 			d.peers.closeSilent(now)
 			d.peers.report(now)
+			d.reportLoad(now)
 		}
 		d.executeActions(ctx, time.Now())
+		d.load.round(time.Since(began))
 	}
 }
 
@@ -210,6 +223,7 @@
 		select {
 		case event := <-d.events:
 			event(time.Now())
+			d.load.events++
 		default:
 			return
 		}
--- /dev/null
+++ b/internal/daemon/dispatch/load.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	runtimemetrics "runtime/metrics"
+	"syscall"
+	"time"
+)
+
+// loadInterval is the time between two reports of the host's load.
+const loadInterval = time.Second
+
+// loadSample counts what the event loop did since the last report. It is accessed
+// only by the loop.
+type loadSample struct {
+	since time.Time
+	// processor is the processor time of the process at since.
+	processor time.Duration
+	gcCycles  uint64
+	// events counts the events that were handled, rounds the times that the actions
+	// were executed.
+	events, rounds int
+	// busy is the time spent in the loop, longest that of its longest round, and
+	// late the longest time by which a tick was handled later than planned.
+	busy, longest, late   time.Duration
+	framesIn, framesOut   int
+	reportsIn, reportsOut int
+	offersIn              int
+}
+
+// round records one round of the loop.
+func (s *loadSample) round(took time.Duration) {
+	s.rounds++
+	s.busy += took
+	s.longest = max(s.longest, took)
+}
+
+// reportLoad logs and counts the load of this host once in loadInterval, so that
+// lack of processor time can be told from a slow link and from slow workers.
+func (d *Dispatcher) reportLoad(now time.Time) {
+	s := &d.load
+	elapsed := now.Sub(s.since)
+	if elapsed < loadInterval {
+		return
+	}
+	processor, cycles := processorTime(), gcCycles()
+	if !s.since.IsZero() {
+		used := processor - s.processor
+		d.metrics.processor.Add(used.Seconds())
+		d.metrics.loopBusy.Add(s.busy.Seconds())
+		d.logger.Info("host load", "seconds", elapsed.Seconds(), "processor", used, "gc_cycles", cycles-s.gcCycles,
+			"events", s.events, "rounds", s.rounds, "busy", s.busy, "longest_round", s.longest, "tick_late", s.late,
+			"frames_in", s.framesIn, "frames_out", s.framesOut, "reports_in", s.reportsIn, "reports_out", s.reportsOut,
+			"offers_in", s.offersIn, "queue", d.core.Pool.QueueLength(), "jobs", d.core.Coordinator.Len())
+	}
+	*s = loadSample{since: now, processor: processor, gcCycles: cycles}
+}
+
+// processorTime returns the processor time that this process has used, or zero if
+// the system does not tell it.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// gcCycles returns the number of completed cycles of the garbage collector.
+func gcCycles() uint64 {
+	sample := []runtimemetrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	runtimemetrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -38,6 +38,7 @@
 	nearWaits                    *prometheus.HistogramVec
 	refusals, heldJobs           *prometheus.CounterVec
 	startSteps                   *prometheus.GaugeVec
+	processor, loopBusy          prometheus.Counter
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -119,10 +120,16 @@
 		startSteps: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "parsleyhill_start_step_seconds", Help: "Age of the process at the end of each step of its start.",
 		}, []string{"step"}),
+		processor: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "parsleyhill_processor_seconds_total", Help: "Processor time that this process has used.",
+		}),
+		loopBusy: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "parsleyhill_loop_seconds_total", Help: "Time that the event loop was busy.",
+		}),
 	}
 	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
 		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
-		m.refusals, m.heldJobs, m.startSteps, m.sharedOrder, m.returnedLate)
+		m.refusals, m.heldJobs, m.startSteps, m.sharedOrder, m.returnedLate, m.processor, m.loopBusy)
 	return m
 }
 
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -342,11 +342,14 @@
 		return
 	}
 	l.lastContact = now
+	p.dispatcher.load.framesIn++
+	p.dispatcher.load.offersIn += len(f.GetOffers())
 	for _, m := range messagesFromProto(now, p.self.Name, f) {
 		l.exchanged = true
 		p.dispatcher.core.Receive(now, l.host.Name, m)
 	}
 	if r := f.GetRoom(); r != nil {
+		p.dispatcher.load.reportsIn++
 		if r.GetLeaving() != l.leaving {
 			l.leaving = r.GetLeaving()
 			p.dispatcher.wakeMemberships()
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -65,6 +65,7 @@
 			}
 			p.addReport(now, l)
 		}
+		p.dispatcher.load.framesOut++
 		wake(l.wake)
 	}
 }
@@ -112,6 +113,7 @@
 		return
 	}
 	l.fullReport = now
+	p.dispatcher.load.reportsOut++
 	l.reportVersion, l.exchanged = p.capacity.version, false
 	l.mu.Lock()
 	l.pending.Room = p.capacity.room
