Look through the queue only when a waiting task can start

What callers saw: a host with a fifth of a core that once had some hundred waiting tasks refused all its jobs as saturated for up to 14 s, and tasks that were offered to it waited there until their callers left.

Cause: after each event, every waiting task was compared with every worker, also while the limit on starts was reached or no worker had capacity; and at each tick with each of the 350 workers of other hosts.

Now the queue is left alone while nothing in it can start, for 20 ms at most, tasks larger than the largest free capacity are skipped, and the search ends at the first start that the limit holds back.

--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -212,6 +212,10 @@
 	timeouts TimeoutEstimator
 	near     nearState
 	sharing  sharingState
+	// scheduledAt is when the queue was last looked through, and considered counts the
+	// workers that were considered for waiting tasks.
+	scheduledAt time.Time
+	considered  int
 }
 
 // NewPool returns a pool without workers.
@@ -394,10 +398,15 @@
 // HandOff returns waiting tasks that fit into the free capacity of other hosts'
 // workers. It reduces the free capacities in others accordingly.
 func (p *Pool) HandOff(now time.Time, others []offer.WorkerCapacity) {
+	mostFree := map[string]int{}
+	for _, o := range others {
+		mostFree[o.Service] = max(mostFree[o.Service], o.Free.MilliCPU)
+	}
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool {
-		if now.Sub(q.offeredAt) < handOffAfter || q.Exclusive {
+		if now.Sub(q.offeredAt) < handOffAfter || q.Exclusive || q.Size.MilliCPU > mostFree[q.Service] {
 			return false
 		}
+		p.considered += len(others)
 		for i := range others {
 			if others[i].Service == q.Service && q.Size.Fits(others[i].Free) && !q.staysForSpeed(others[i]) {
 				if p.keepsNear(now, q, others) {
@@ -412,6 +421,10 @@
 	})
 }
 
+// Considered returns the number of workers, counted again for each task and time,
+// that were considered for waiting tasks.
+func (p *Pool) Considered() int { return p.considered }
+
 // QueueLength returns the number of waiting tasks.
 func (p *Pool) QueueLength() int { return len(p.queue) }
 
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -8,12 +8,22 @@
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
+// rescheduleInterval is the longest time after which the queue is looked through
+// although nothing can start.
+const rescheduleInterval = 20 * time.Millisecond
+
 // schedule starts the waiting tasks that fit into free capacity.
 func (p *Pool) schedule(now time.Time) {
 	if len(p.queue) == 0 {
 		p.reserved, p.sharing.held = nil, nil
 		return
 	}
+	unanswered := p.unansweredStarts()
+	mostFree := p.mostFreeCPU(now)
+	if p.isBlocked(now, unanswered, mostFree) {
+		return
+	}
+	p.scheduledAt = now
 	for _, q := range p.queue {
 		q.speedsDecide = p.speedsDecideFor(&q.Task)
 	}
@@ -23,16 +33,21 @@
 		w.awaited = false
 	}
 	rest := make([]*queuedTask, 0, len(p.queue))
-	unanswered := p.unansweredStarts()
-	mostFree := p.mostFreeCPU()
+	limited := false
 	for _, q := range p.queue {
+		if limited {
+			rest = append(rest, q)
+			continue
+		}
 		var w *worker
-		if !q.shared || q.Size.MilliCPU <= mostFree {
+		if q.Size.MilliCPU <= mostFree || q.Exclusive {
 			w = p.pickWorker(now, q)
 		}
-		if w != nil && p.cfg.Flow.MayStart(unanswered) && !p.waitsNear(now, q, w, rest) {
+		limited = w != nil && !p.cfg.Flow.MayStart(unanswered)
+		if w != nil && !limited && !p.waitsNear(now, q, w, rest) {
 			p.startRun(now, w, q)
 			unanswered++
+			mostFree = p.mostFreeCPU(now)
 			p.TaskStarted(q.Host, q.Name.Job)
 		} else {
 			q.waited = q.waited || w == nil && !q.waitsForFast
@@ -42,6 +57,25 @@
 	p.queue = rest
 }
 
+// isBlocked reports whether no waiting task can start now: the limit on unanswered
+// starts is reached, or no worker has capacity for the smallest of them. The queue
+// of a host that is short of processor time may hold hundreds of tasks, and each
+// answer would otherwise be followed by a look through all of them.
+func (p *Pool) isBlocked(now time.Time, unanswered, mostFree int) bool {
+	if p.cfg.Sharing || now.Sub(p.scheduledAt) >= rescheduleInterval {
+		return false
+	}
+	if limit := p.cfg.Flow.Limit(); limit > 0 && unanswered >= limit {
+		return true
+	}
+	for _, q := range p.queue {
+		if q.Size.MilliCPU <= mostFree || q.Exclusive {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	// priorityPenalty is how much later, per priority level, a task counts as
 	// urgent: about the length of the shortest tasks.
@@ -104,6 +138,7 @@
 func (p *Pool) pickWorker(now time.Time, q *queuedTask) *worker {
 	var best *worker
 	q.need, q.speedsDecide = p.needOf(now, &q.Task)
+	p.considered += len(p.order)
 	for _, w := range p.order {
 		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
 			continue
--- a/internal/decide/workerpool/sharing.go
+++ b/internal/decide/workerpool/sharing.go
@@ -322,12 +322,14 @@
 	return list
 }
 
-// mostFreeCPU returns the largest free capacity of a worker, in thousandths of a
-// core. Tasks that need more are not compared with each worker.
-func (p *Pool) mostFreeCPU() int {
+// mostFreeCPU returns the largest free capacity of a worker that may start tasks, in
+// thousandths of a core. Tasks that need more are not compared with each worker.
+func (p *Pool) mostFreeCPU(now time.Time) int {
 	most := 0
 	for _, w := range p.order {
-		most = max(most, w.free().MilliCPU)
+		if free := w.free().MilliCPU; free > most && w.usable(now) {
+			most = free
+		}
 	}
 	return most
 }
