Compare and encode capacity reports only when they change

A busy host computed its report at each round of the event loop, encoded it and compared the messages by reflection: a quarter of the loop's processor time in a virtual fleet of 29 hosts (2.1 of 8.0 s of the profile). A report now serves all frames of 5 ms, is compared before it is encoded, and its runs are not sorted. Labels of workers are looked up only for tasks that name one.

--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -7,21 +7,29 @@
 	"google.golang.org/protobuf/proto"
 
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 )
 
+// sharedReportAge is how long a computed report serves the frames to all peers. A
+// busy host sends frames to some peer every few milliseconds.
+const sharedReportAge = 5 * time.Millisecond
+
 // versionedReport is this host's last capacity report. It is accessed only by the
 // loop.
 type versionedReport struct {
+	report offer.CapacityReport
+	// room is the report as it is sent.
 	room *dispatchv1.Room
-	// version counts the changes of room.
-	version int64
+	// version counts the changes of the report.
+	version    int64
+	computedAt time.Time
 }
 
 // update replaces the report if it differs from the last one.
-func (r *versionedReport) update(room *dispatchv1.Room) {
-	if r.version == 0 || !proto.Equal(r.room, room) {
-		r.room = room
+func (r *versionedReport) update(report offer.CapacityReport) {
+	if r.version == 0 || !r.report.Equal(report) {
+		r.report, r.room = report, capacityReportToProto(report)
 		r.version++
 	}
 }
@@ -70,12 +78,18 @@
 	}
 }
 
+// updateReport computes this host's report, unless it was computed less than
+// sharedReportAge ago.
 func (p *peers) updateReport(now time.Time) {
-	room := capacityReportToProto(p.dispatcher.core.Report(now))
-	if p.dispatcher.core.Flow.Saturated() && nearlyEqual(room, p.capacity.room) {
+	if now.Sub(p.capacity.computedAt) < sharedReportAge {
+		return
+	}
+	p.capacity.computedAt = now
+	report := p.dispatcher.core.Report(now)
+	if p.dispatcher.core.Flow.Saturated() && p.capacity.version > 0 && nearlyEqual(report, p.capacity.report) {
 		return
 	}
-	p.capacity.update(room)
+	p.capacity.update(report)
 }
 
 // nearChange is the part of the capacity by which the free capacity of nearly equal
@@ -85,19 +99,19 @@
 
 // nearlyEqual reports whether two reports name the same workers and differ little
 // in their free capacity.
-func nearlyEqual(a, b *dispatchv1.Room) bool {
-	if a.GetCapacity() != b.GetCapacity() || a.GetLeaving() != b.GetLeaving() || a.GetSaturated() != b.GetSaturated() ||
-		a.GetExclusive() != b.GetExclusive() || len(a.GetWorkers()) != len(b.GetWorkers()) {
+func nearlyEqual(a, b offer.CapacityReport) bool {
+	if a.Capacity != b.Capacity || a.Leaving != b.Leaving || a.Saturated != b.Saturated ||
+		a.Exclusive != b.Exclusive || len(a.Workers) != len(b.Workers) {
 		return false
 	}
 	change := 0.0
-	for i, w := range a.GetWorkers() {
-		if w.GetId() != b.GetWorkers()[i].GetId() {
+	for i, w := range a.Workers {
+		if w.ID != b.Workers[i].ID {
 			return false
 		}
-		change += math.Abs(float64(w.GetFree().GetMilliCpu() - b.GetWorkers()[i].GetFree().GetMilliCpu()))
+		change += math.Abs(float64(w.Free.MilliCPU - b.Workers[i].Free.MilliCPU))
 	}
-	return change <= nearChange*float64(a.GetCapacity())
+	return change <= nearChange*float64(a.Capacity)
 }
 
 // addReport adds the report to the link's next frame. An unchanged report is left
--- a/internal/decide/coordinator/losses.go
+++ b/internal/decide/coordinator/losses.go
@@ -52,7 +52,9 @@
 // WorkerAt implements quarantine.Registry.
 func (r *registry) WorkerAt(address string) string { return r.byAddress[address] }
 
-func (r *registry) hasLabel(id, label string) bool { return r.byID[id].HasLabel(label) }
+func (r *registry) hasLabel(id, label string) bool {
+	return label == "" || r.byID[id].HasLabel(label)
+}
 
 // addLoss records that a run of a task was lost with its worker.
 func (c *Coordinator) addLoss(now time.Time, j *job, t *task, l quarantine.Loss) {
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -4,6 +4,7 @@
 package offer
 
 import (
+	"maps"
 	"cmp"
 	"slices"
 	"time"
@@ -189,6 +190,21 @@
 	Saturated bool
 }
 
+// Equal reports whether two reports are the same on the wire, which carries times in
+// milliseconds.
+func (r CapacityReport) Equal(o CapacityReport) bool {
+	return r.Capacity == o.Capacity && r.FreeingRate == o.FreeingRate && r.Exclusive == o.Exclusive &&
+		r.Leaving == o.Leaving && r.Saturated == o.Saturated && maps.Equal(r.QueuedWork, o.QueuedWork) &&
+		slices.Equal(r.Routes, o.Routes) && slices.EqualFunc(r.Workers, o.Workers, WorkerCapacity.equal)
+}
+
+func (w WorkerCapacity) equal(o WorkerCapacity) bool {
+	return w.ID == o.ID && w.Service == o.Service && w.Free == o.Free && w.RelativeTime == o.RelativeTime &&
+		w.RelativeTimeRuns == o.RelativeTimeRuns && slices.EqualFunc(w.Ends, o.Ends, func(a, b ExpectedEnd) bool {
+		return a.In.Milliseconds() == b.In.Milliseconds() && a.MilliCPU == b.MilliCPU
+	})
+}
+
 // RouteLoad is the work of one route at an owner.
 type RouteLoad struct {
 	Route string
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -449,7 +449,7 @@
 
 // Report returns the free capacity and the queued work of this host.
 func (p *Pool) Report(now time.Time) offer.CapacityReport {
-	r := offer.CapacityReport{QueuedWork: map[int]int64{}}
+	r := offer.CapacityReport{QueuedWork: map[int]int64{}, Workers: make([]offer.WorkerCapacity, 0, len(p.order))}
 	r.Exclusive, r.Routes = p.exclusiveTasks(), p.routeLoads()
 	for _, w := range p.order {
 		if !w.usable(now) || w == p.reserved || w.hasExclusiveRun() {
@@ -459,7 +459,7 @@
 		capacity := offer.WorkerCapacity{ID: w.info.ID, Service: w.info.Service, Free: p.reportedFree(w), Ends: p.nearEnds(now, w)}
 		p.reportSpeed(now, w, &capacity)
 		r.Workers = append(r.Workers, capacity)
-		for _, run := range w.sortedRuns() {
+		for _, run := range w.runs {
 			if run.task != nil {
 				length := max(minRunTime, p.paces.expectedRunTime(w, run.task.Estimate))
 				r.FreeingRate += int64(run.size.MilliCPU) * int64(time.Second) / int64(length)
