Choose the host of a task without searching the fleet

Each task of a job was compared with all workers of all hosts that report to this one, with two copies of a worker's registration for each, although the host with the least time to reach it comes first when it has capacity. The search goes from the nearest host outwards and ends where no farther one can be reached as early; registrations are not copied; the free share of fast workers is computed once for the tasks that are offered together.

--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -73,7 +73,11 @@
 	var bestWorker *offer.WorkerCapacity
 	var bestWait time.Duration
 	bestFree := false
-	for _, h := range c.sortedHosts {
+	for _, h := range c.nearestHosts {
+		if bestFree && c.reachTime(h) > bestWait {
+			// Neither this host nor one farther away can be reached as early.
+			break
+		}
 		if !h.connected || h.report.Leaving || now.Before(t.skipUntil[h.name]) {
 			continue
 		}
@@ -169,6 +173,7 @@
 // fits a task of the step, or nil. Cold workers come last.
 func (c *Coordinator) workerWithCapacity(now time.Time, h *host, service string, step fleet.Step) *offer.WorkerCapacity {
 	var best *offer.WorkerCapacity
+	c.considered += len(h.report.Workers)
 	for i := range h.report.Workers {
 		w := &h.report.Workers[i]
 		if w.Service != service || !step.Size.Fits(w.Free) || !c.workers.hasLabel(w.ID, step.RequiredLabel) || c.isEvacuated(w.ID) {
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -221,9 +221,11 @@
 	cfg         Config
 	hosts       map[string]*host
 	sortedHosts []*host
-	jobs        map[string]*job
-	workers     registry
-	actions     []Action
+	// nearestHosts are the hosts by the time to reach them, then by name.
+	nearestHosts []*host
+	jobs         map[string]*job
+	workers      registry
+	actions      []Action
 	// pendingOffers holds the tasks of offers that are not emitted yet, by host.
 	pendingOffers map[string][]offer.Task
 	// hasUnplaced is set while no host could be chosen for some idle task.
@@ -238,6 +240,9 @@
 	// evacuating is set while any zone is evacuated.
 	evacuating bool
 	sharing    sharingState
+	fastShare  fastShare
+	// considered counts the workers of all hosts that were considered for tasks.
+	considered int
 }
 
 // New returns a coordinator without jobs.
@@ -253,8 +258,10 @@
 
 // PopActions returns and clears the actions since the last call.
 func (c *Coordinator) PopActions() []Action {
-	for _, h := range c.sortedHosts {
-		c.flushOffers(h.name)
+	if len(c.pendingOffers) > 0 {
+		for _, h := range c.sortedHosts {
+			c.flushOffers(h.name)
+		}
 	}
 	actions := c.actions
 	c.actions = nil
@@ -271,6 +278,10 @@
 
 func (c *Coordinator) emit(a Action) { c.actions = append(c.actions, a) }
 
+// Considered returns the number of workers, counted again for each task, that were
+// considered for offers.
+func (c *Coordinator) Considered() int { return c.considered }
+
 // Len returns the number of unanswered jobs.
 func (c *Coordinator) Len() int { return len(c.jobs) }
 
@@ -289,6 +300,8 @@
 		c.hosts[name] = h
 		c.sortedHosts = append(c.sortedHosts, h)
 		slices.SortFunc(c.sortedHosts, func(a, b *host) int { return cmp.Compare(a.name, b.name) })
+		c.nearestHosts = slices.Clone(c.sortedHosts)
+		slices.SortStableFunc(c.nearestHosts, func(a, b *host) int { return cmp.Compare(c.reachTime(a), c.reachTime(b)) })
 	}
 	h.report, h.reportedAt, h.confirmedAt, h.connected = r, now, now, true
 	h.offeredWork = nil
--- a/internal/decide/coordinator/evacuation.go
+++ b/internal/decide/coordinator/evacuation.go
@@ -24,7 +24,7 @@
 // isEvacuated reports whether a worker is in an evacuated zone. Its owner may not
 // know that yet.
 func (c *Coordinator) isEvacuated(worker string) bool {
-	return c.evacuating && c.cfg.Evacuations.Active(c.workers.byID[worker].Zone)
+	return c.evacuating && c.cfg.Evacuations.Active(c.workers.get(worker).Zone)
 }
 
 // capacityOf returns the reported capacity of a host without that of workers in
@@ -36,7 +36,7 @@
 	}
 	for _, w := range h.report.Workers {
 		if c.isEvacuated(w.ID) {
-			capacity -= c.workers.byID[w.ID].Capacity.MilliCPU
+			capacity -= c.workers.get(w.ID).Capacity.MilliCPU
 		}
 	}
 	return max(0, capacity)
--- a/internal/decide/coordinator/losses.go
+++ b/internal/decide/coordinator/losses.go
@@ -17,26 +17,26 @@
 // registry holds the present registrations of workers. It implements
 // quarantine.Registry.
 type registry struct {
-	byID map[string]registration
+	byID map[string]*registration
 	// byAddress holds the ID of the worker that started last at an address.
 	byAddress map[string]string
 }
 
 func newRegistry() registry {
-	return registry{byID: map[string]registration{}, byAddress: map[string]string{}}
+	return registry{byID: map[string]*registration{}, byAddress: map[string]string{}}
 }
 
 func (r *registry) empty() bool { return len(r.byID) == 0 }
 
 func (r *registry) update(now time.Time, w fleet.Worker) {
-	r.byID[w.ID] = registration{w, now}
+	r.byID[w.ID] = &registration{w, now}
 	if holder, ok := r.byID[r.byAddress[w.Address]]; !ok || holder.Address != w.Address || holder.StartTime <= w.StartTime {
 		r.byAddress[w.Address] = w.ID
 	}
 }
 
 func (r *registry) remove(id string) {
-	address := r.byID[id].Address
+	address := r.get(id).Address
 	delete(r.byID, id)
 	if r.byAddress[address] == id {
 		delete(r.byAddress, address)
@@ -46,14 +46,25 @@
 // Worker implements quarantine.Registry.
 func (r *registry) Worker(id string) (fleet.Worker, time.Time, bool) {
 	w, ok := r.byID[id]
-	return w.Worker, w.heardAt, ok
+	if !ok {
+		return fleet.Worker{}, time.Time{}, false
+	}
+	return w.Worker, w.heardAt, true
+}
+
+// get returns the registration of a worker, or an empty one.
+func (r *registry) get(id string) *registration {
+	if w, ok := r.byID[id]; ok {
+		return w
+	}
+	return &registration{}
 }
 
 // WorkerAt implements quarantine.Registry.
 func (r *registry) WorkerAt(address string) string { return r.byAddress[address] }
 
 func (r *registry) hasLabel(id, label string) bool {
-	return label == "" || r.byID[id].HasLabel(label)
+	return label == "" || r.get(id).HasLabel(label)
 }
 
 // addLoss records that a run of a task was lost with its worker.
--- a/internal/decide/coordinator/speed.go
+++ b/internal/decide/coordinator/speed.go
@@ -33,7 +33,7 @@
 		// An earlier end of this task would not make the job end earlier.
 		due = j.expectedEnd
 	}
-	need := speed.Need{Estimate: step.Estimate, Left: due.Sub(now), Middle: service.Middle, FastFree: c.fastFree(service)}
+	need := speed.Need{Estimate: step.Estimate, Left: due.Sub(now), Middle: service.Middle, FastFree: c.fastFree(now, service)}
 	best, later := c.bestPlaces(now, j, t, step, need)
 	switch {
 	case later.host != nil && (best.host == nil && need.Meets(later.Place) || best.host != nil && need.Waits(best.Place, later.Place)):
@@ -53,8 +53,11 @@
 }
 
 // fastFree returns the free share of the capacity of a service's fast workers, by the
-// last reports.
-func (c *Coordinator) fastFree(service *speed.Service) float64 {
+// last reports. It is computed once for the tasks that are offered together.
+func (c *Coordinator) fastFree(now time.Time, service *speed.Service) float64 {
+	if f := &c.fastShare; f.at.Equal(now) && f.service == service.Name {
+		return f.share
+	}
 	var share speed.FreeShare
 	for _, h := range c.sortedHosts {
 		if !h.connected || h.report.Leaving {
@@ -63,11 +66,19 @@
 		for i := range h.report.Workers {
 			w := &h.report.Workers[i]
 			if w.Service == service.Name && c.relativeTime(w) < service.Middle && !c.isEvacuated(w.ID) {
-				share.Add(w.Free.MilliCPU, c.workers.byID[w.ID].Capacity.MilliCPU)
+				share.Add(w.Free.MilliCPU, c.workers.get(w.ID).Capacity.MilliCPU)
 			}
 		}
 	}
-	return share.Share()
+	c.fastShare = fastShare{at: now, service: service.Name, share: share.Share()}
+	return c.fastShare.share
+}
+
+// fastShare is the free share of the capacity of a service's fast workers at a time.
+type fastShare struct {
+	at      time.Time
+	service string
+	share   float64
 }
 
 // relativeTime returns a worker's reported relative run time, or the known one.
@@ -86,6 +97,7 @@
 			continue
 		}
 		reach := c.reachTime(h)
+		c.considered += len(h.report.Workers)
 		for i := range h.report.Workers {
 			w := &h.report.Workers[i]
 			if w.Service != j.route.Service || !c.workers.hasLabel(w.ID, step.RequiredLabel) || c.isEvacuated(w.ID) {
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -4,8 +4,8 @@
 package offer
 
 import (
-	"maps"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
