Report the starts of tasks together with the next message or tick

That a task has started changes only how urgent the rest of its job is and whether the job is recalled, but each report was a frame of its own. The test fails on the former code: eight frames for eight tasks that were offered within 8 ms, bound two.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -13,6 +13,7 @@
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/recovery"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -78,7 +79,9 @@
 	pending *dispatchv1.Frame
 
 	// The fields below are accessed only by the loop.
-	dirty       bool
+	dirty bool
+	// deferred is set if the next frame holds messages that the next tick sends.
+	deferred    bool
 	leaving     bool
 	lastContact time.Time
 	// lastReport is when a report was last sent, or left out because nothing had
@@ -304,6 +307,15 @@
 	l.dirty = true
 }
 
+// addLater calls put with the next frame, which is sent with the next message that
+// cannot wait, or at the next tick.
+func (l *link) addLater(put func(*dispatchv1.Frame)) {
+	l.mu.Lock()
+	put(l.pending)
+	l.mu.Unlock()
+	l.deferred = true
+}
+
 // streamOpened registers a new stream and closes an older one to the same host.
 func (p *peers) streamOpened(now time.Time, l *link) {
 	if old, ok := p.links[l.host.Name]; ok {
@@ -370,7 +382,24 @@
 		p.dispatcher.core.Coordinator.HostLost(now, name)
 		return
 	}
-	l.add(func(f *dispatchv1.Frame) { addMessage(f, now, m) })
+	put := func(f *dispatchv1.Frame) { addMessage(f, now, m) }
+	if mayWait(m) {
+		l.addLater(put)
+		return
+	}
+	l.add(put)
+}
+
+// mayWait reports whether a message may wait for the next tick: that a task has
+// started changes only how urgent the rest of its job is, and whether it is recalled.
+func mayWait(m host.Message) bool {
+	switch m := m.(type) {
+	case host.JobStarted:
+		return true
+	case offer.Outcome:
+		return m.Result == offer.Started
+	}
+	return false
 }
 
 // broadcast adds an inventory, log records or evacuations to the next frame to every host.
--- a/internal/daemon/dispatch/peers_test.go
+++ b/internal/daemon/dispatch/peers_test.go
@@ -12,6 +12,7 @@
 
 	dispatchv1 "github.com/parsleyhill/parsleyhill/gen/dispatch/v1"
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 )
 
@@ -92,3 +93,42 @@
 		require.NoError(t, stream.CloseResponse())
 	})
 }
+
+// The start of each task was reported to the job's host in a frame of its own, which
+// cost a send, a reception and a wake-up on both hosts.
+func TestStartsOfTasksShareAFrame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 4)
+		defer f.stopAll()
+		stream := dialPeer(t, f)
+		const tasks = 8
+		go func() {
+			for i := range tasks {
+				assert.NoError(t, stream.Send(&dispatchv1.Frame{Offers: []*dispatchv1.Offer{{
+					Job: "00000000000000a1", Service: "s", Size: &dispatchv1.Size{MilliCpu: 14000, MemoryMb: 64},
+					EstimateMs: int32(taskTime.Milliseconds()), StartInMs: 500, UsefulMs: 2000, MaxAttempts: 3,
+					Tasks: []*dispatchv1.OfferedTask{{Index: int32(i), NextRun: 1}},
+				}}}))
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		offered := time.Now()
+		started, frames := 0, 0
+		for started < tasks {
+			frame, err := stream.Receive()
+			require.NoError(t, err)
+			n := 0
+			for _, o := range frame.GetOutcomes() {
+				if offer.Result(o.GetResult()) == offer.Started {
+					n++
+				}
+			}
+			started += n
+			frames += min(n, 1)
+		}
+		assert.LessOrEqual(t, time.Since(offered), tasks*time.Millisecond+tickInterval+time.Millisecond)
+		assert.LessOrEqual(t, frames, 2)
+		require.NoError(t, stream.CloseRequest())
+		require.NoError(t, stream.CloseResponse())
+	})
+}
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -39,6 +39,7 @@
 func (p *peers) report(now time.Time) {
 	updated := false
 	for _, l := range p.links {
+		l.dirty = l.dirty || l.deferred
 		interval := topology.ReportInterval(len(p.links), l.host.Zone == p.self.Zone)
 		if p.dispatcher.core.Flow.Saturated() {
 			interval = topology.HeartbeatInterval
@@ -65,7 +66,7 @@
 		if !l.dirty {
 			continue
 		}
-		l.dirty, l.lastFrame = false, now
+		l.dirty, l.deferred, l.lastFrame = false, false, now
 		if now.Sub(l.lastReport) >= topology.MinReportInterval {
 			if !updated {
 				p.updateReport(now)
