--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -195,6 +196,9 @@
 			began = time.Now()
 			event(began)
 			d.load.events++
+			// Goroutines that are ready to post an event do so first: each round has a
+			// fixed cost.
+			runtime.Gosched()
 			d.drainEvents()
 		case planned := <-ticker.C:
 			now := time.Now()
