Collect garbage half as often

The collector took 11% of the processor time of a virtual fleet under load, on hosts that use 24 of 184 MB. The heap may now grow to five times the live heap; the limit at 0.7 of the host's memory stays.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -148,9 +148,10 @@
 	// limit of the Go runtime, near which the garbage collector runs more often.
 	// The rest is for stacks and for data not yet read from the network.
 	memoryLimitShare = 0.7
-	// gcPercent lets the heap grow to three times the live heap, which is some
-	// ten megabytes on a host with hundreds of megabytes of memory.
-	gcPercent  = 200
+	// gcPercent lets the heap grow to five times the live heap, which is some ten
+	// megabytes on a host with hundreds of megabytes of memory and little processor
+	// time.
+	gcPercent  = 400
 	bytesPerMB = 1 << 20
 )
 
