Expect starts of a saturated host to be answered as they are

A host that reports saturation after a short burst of starts refused jobs that it could have started: it expected the two starts of its limit to take 60 ms each, although they were answered after 5 ms. The expected rate is now the limit divided by the measured answer time.

The test fails on the former code: 390 ms expected for 12 tasks, bound 96.

--- a/internal/decide/flow/flow.go
+++ b/internal/decide/flow/flow.go
@@ -48,6 +48,9 @@
 	// clearIncrease is the factor by which the limit grows while the delay is below
 	// clearBound: from minLimit to 60 within half a second.
 	clearIncrease = 1.5
+	// minAnswerTime bounds the rate of starts that is expected while no answer time is
+	// known.
+	minAnswerTime = time.Millisecond
 	// minWindow is the time that the long-term minimum covers, at least. Routes and
 	// workers change within minutes.
 	minWindow = time.Minute
@@ -342,9 +345,10 @@
 	if !l.Saturated() || ahead == 0 {
 		return 0
 	}
-	// With few starts lately, the allowed ones are expected to be answered within
-	// twice the bound.
-	perSecond := max(l.StartRate(now), l.limit/(2*max(l.delay, DelayBound)).Seconds())
+	// With few starts lately, the allowed ones are answered after the present answer
+	// time.
+	answerTime := max(l.floor.minimum(), minAnswerTime) + l.delay
+	perSecond := max(l.StartRate(now), l.limit/answerTime.Seconds())
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
--- a/internal/decide/flow/flow_test.go
+++ b/internal/decide/flow/flow_test.go
@@ -186,3 +186,26 @@
 	assert.Equal(t, 200*time.Millisecond, Backoff(3))
 	assert.Equal(t, time.Second, Backoff(40))
 }
+
+// A host whose delay had passed after a burst of starts refused jobs for half a second:
+// it expected the starts that its limit allows to be answered after 60 ms, whatever
+// their answers took.
+func TestExpectedWaitFollowsAnswersAfterABurst(t *testing.T) {
+	l := &Limiter{}
+	now := time.Unix(1000, 0)
+	l.Answered(now, 3*time.Millisecond)
+	for range windowSize {
+		l.Answered(now, 40*time.Millisecond)
+	}
+	l.Tick(now, 0)
+	require.True(t, l.Saturated())
+	require.Equal(t, minLimit, l.Limit())
+	now = now.Add(100 * time.Millisecond)
+	for range windowSize {
+		l.Answered(now, 5*time.Millisecond)
+	}
+	l.Tick(now, 0)
+	require.True(t, l.Saturated())
+	// The slack of a job of 60 ms, see DelayBound.
+	assert.LessOrEqual(t, l.StartWait(now, 12), 96*time.Millisecond)
+}
