Measure the delay of ticks from the last tick

It is now the time since the former tick beyond the interval. Virtual time stalls no process, so no test shows it; the trace does.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -200,7 +200,7 @@
 			// fixed cost.
 			runtime.Gosched()
 			d.drainEvents()
-		case planned := <-ticker.C:
+		case <-ticker.C:
 			now := time.Now()
 			began = now
 			// The time in the channel is that of the delivery, which is late as well
@@ -208,7 +208,7 @@
 			late := now.Sub(lastTick) - tickInterval
 			lastTick = now
 			d.load.late = max(d.load.late, late)
-			d.core.Flow.LoopDelayed(now, now.Sub(planned))
+			d.core.Flow.LoopDelayed(now, late)
 			d.core.Tick(now)
 			d.metrics.flow(d.core.Flow)
 			d.peers.closeSilent(now)
