Answer claims of runs that are not known any more

The owner now answers with the run orphaned: over if it ended here, or for a lease longer if the worker has gone to another owner; the host of a stored job then looks for the end in the log before it starts the task again. A failed end that came between the first list and the claim was recorded without a report; the claim now attaches the task to it.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -98,14 +98,23 @@
 }
 
 // Claimed records a host's claim of a run found on a worker, in progress or ended.
+// The host waits for the run's end, so that a claim of a run that is not known any more
+// is answered.
 func (p *Pool) Claimed(now time.Time, c offer.Claim) {
 	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
 	w, ok := p.workers[c.Worker]
 	if !ok {
+		// The run may go on under its lease, and the worker's next owner finds it.
+		p.returnClaim(c.Task, id.Run, "worker released before the claim", p.cfg.MaxLease)
 		return
 	}
 	if !w.unclaimed[id] {
-		p.confirmEnd(now, w, id, c.Task)
+		if r, running := w.runs[id]; running && r.task != nil {
+			return
+		}
+		if !p.confirmEnd(now, w, id, c.Task) {
+			p.returnClaim(c.Task, id.Run, "run ended before the claim", 0)
+		}
 		return
 	}
 	r := w.runs[id]
@@ -115,6 +124,16 @@
 	w.addRun(r)
 }
 
+// returnClaim tells the host of a task that a run that it claimed is over, or goes on
+// without an owner for a time. The host of a stored job looks for the run's end in the
+// log before it starts the task again.
+func (p *Pool) returnClaim(t offer.Task, run int, why string, remaining time.Duration) {
+	p.emit(SendOutcome{offer.Outcome{
+		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
+		Why: why, MaxRemaining: remaining,
+	}})
+}
+
 // handleEnd handles one end that the worker lists.
 func (p *Pool) handleEnd(now time.Time, w *worker, e fleet.RunEnd) {
 	r, ok := w.runs[e.RunID]
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -118,8 +118,9 @@
 }
 
 // confirmEnd handles a host's claim of a run that had ended when the worker was
-// taken over.
-func (p *Pool) confirmEnd(now time.Time, w *worker, id fleet.RunID, task offer.Task) {
+// taken over, or has since. It reports whether the end is still to be recorded, so that
+// it will be reported.
+func (p *Pool) confirmEnd(now time.Time, w *worker, id fleet.RunID, task offer.Task) bool {
 	for seq, found := range w.unclassified {
 		if found.end.RunID == id && task.Stored {
 			delete(w.unclassified, seq)
@@ -127,13 +128,16 @@
 		}
 	}
 	for _, u := range w.unrecorded {
-		if u.end.RunID != id || u.confirmed {
+		if u.end.RunID != id {
 			continue
 		}
-		u.confirmed, u.task = true, &task
-		p.acknowledgeIfSafe(now, w, u)
-		return
+		if u.task == nil {
+			u.confirmed, u.task = true, &task
+			p.acknowledgeIfSafe(now, w, u)
+		}
+		return true
 	}
+	return false
 }
 
 // mustRecord reports whether an end must be in the log before it is
