Do not deny jobs before the job log has been read

DELETE and GET of a job that this host does not hold now get 503 with Retry-After until the log has been read to its end. The test fails on the former code: 410 for both.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -331,8 +331,14 @@
 		}
 		found = d.cancelHeld(now, job, nil)
 	})
-	if found || !d.hasStoredJobs.Load() {
-		return found, nil
+	if found {
+		return true, nil
+	}
+	if err := d.logNotRead(); err != nil {
+		return false, err
+	}
+	if !d.hasStoredJobs.Load() {
+		return false, nil
 	}
 	return d.cancelStored(ctx, job)
 }
@@ -344,15 +350,27 @@
 		_, bestEffort = d.waiters[job]
 		bestEffort = bestEffort || d.isHeld(job)
 	})
-	switch {
-	case bestEffort:
+	if bestEffort {
 		return ledger.Running, nil
-	case !d.hasStoredJobs.Load():
+	}
+	if err := d.logNotRead(); err != nil {
+		return "", err
+	}
+	if !d.hasStoredJobs.Load() {
 		return "", nil
 	}
 	return d.storedState(ctx, job)
 }
 
+// logNotRead returns an error until the job log has been read to its end: before, this
+// host cannot tell that a job does not exist.
+func (d *Dispatcher) logNotRead() *errkind.Error {
+	if d.logRead.Load() {
+		return nil
+	}
+	return errkind.New(errkind.LogUnavailable, "the job log has not been read yet")
+}
+
 // WaitingJobs implements platform.Dispatcher.
 func (d *Dispatcher) WaitingJobs(route string) int {
 	n := 0
--- a/internal/daemon/dispatch/stored_test.go
+++ b/internal/daemon/dispatch/stored_test.go
@@ -181,3 +181,24 @@
 		assert.Equal(t, http.StatusOK, status, answer)
 	})
 }
+
+// A host that had just started answered 410 to the DELETE, and to the GET, of an accepted
+// job until it had read the job log; its callers took the job as gone, and it ran on.
+func TestStartingHostDoesNotDenyJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 4)
+		defer f.stopAll()
+		d := f.hosts["host-0"]
+		d.logRead.Store(false)
+		d.hasStoredJobs.Store(false)
+		for _, method := range []string{http.MethodDelete, http.MethodGet} {
+			status, answer := f.call(method, "host-0", "/jobs/00000000000000a1", nil)
+			assert.Equal(t, http.StatusServiceUnavailable, status, "%s: %s", method, answer)
+		}
+		d.logRead.Store(true)
+		for _, method := range []string{http.MethodDelete, http.MethodGet} {
+			status, answer := f.call(method, "host-0", "/jobs/00000000000000a1", nil)
+			assert.Equal(t, http.StatusGone, status, "%s: %s", method, answer)
+		}
+	})
+}
