Count a failed run once, and compare it with the attempts on every path

An end recorded in the log by another host was not counted at all.

A task now counts each failed run once, whether the end comes from the owner, from an inventory or from the log, and every review of a job compares the count before it offers anything.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -148,7 +148,7 @@
 	if o.Worker != "" {
 		t.worker, t.fence = o.Worker, o.Fence
 	}
-	t.failedRuns = max(t.failedRuns, o.FailedRuns)
+	t.atLeastFailed(o.FailedRuns, o.Run)
 	switch o.Result {
 	case offer.Started:
 		c.cfg.Flow.Started(now)
@@ -158,8 +158,7 @@
 	case offer.Done:
 		c.taskDone(now, j, t, o.Run)
 	case offer.Failed:
-		c.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s",
-			o.Task, o.FailedRuns, o.Worker), 0)
+		c.answerFailed(now, j, t, o.Worker)
 	case offer.Returned:
 		t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
 		if o.Worker == "" {
@@ -268,7 +267,7 @@
 			continue
 		}
 		if e.Reason == fleet.EndedFailed && t.worker == inv.Worker && !listed[e.Task] {
-			t.failedRuns++
+			t.runFailed(e.Run)
 		}
 		t.lastRun = max(t.lastRun, e.Run)
 	}
@@ -324,6 +323,8 @@
 		}
 	}
 	switch {
+	case c.giveUpFailed(now, j):
+		return
 	case c.giveUpDeadly(now, j):
 		return
 	case c.refuseEvacuated(now, j):
@@ -338,6 +339,22 @@
 	c.offerJob(now, j)
 }
 
+// giveUpFailed answers a job with a task that has failed as often as its queue allows
+// and reports whether it did. It does not matter how the ends became known.
+func (c *Coordinator) giveUpFailed(now time.Time, j *job) bool {
+	for _, t := range j.tasks {
+		if t.state != taskDone && t.state != taskStarted && j.route.MaxAttempts > 0 && t.failedRuns >= j.route.MaxAttempts {
+			c.answerFailed(now, j, t, t.worker)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) answerFailed(now time.Time, j *job, t *task, worker string) {
+	c.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s", t.name, t.failedRuns, worker), 0)
+}
+
 // cannotFinish reports whether a job can no longer be done before its deadline.
 func (c *Coordinator) cannotFinish(now time.Time, j *job) bool {
 	for _, t := range j.tasks {
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -38,8 +38,10 @@
 	// fence is the fence under which the owner owns that worker.
 	fence int64
 	// lastRun is the number of the last known run.
-	lastRun    int
-	failedRuns int
+	lastRun int
+	// failedRuns counts the runs that failed, lastFailedRun is the latest of them. Ends
+	// come from owners, from inventories and from the log, the same one perhaps from all.
+	failedRuns, lastFailedRun int
 	// mayHaveRun is set once a run has, or may have, started.
 	mayHaveRun bool
 	// lastEndedRun is the number of the last run known to have ended.
@@ -119,6 +121,21 @@
 	return t.atWorker() && t.worker != "" && t.worker != worker
 }
 
+// runFailed counts the failure of a run, unless it was counted before.
+func (t *task) runFailed(run int) {
+	if run > t.lastFailedRun {
+		t.failedRuns, t.lastFailedRun = t.failedRuns+1, run
+	}
+}
+
+// atLeastFailed records that another host, or the log, counts a number of failed runs
+// up to a run.
+func (t *task) atLeastFailed(count, run int) {
+	if count > t.failedRuns {
+		t.failedRuns, t.lastFailedRun = count, max(t.lastFailedRun, run)
+	}
+}
+
 // markOffered records that the task was offered to a host. The worker of its
 // next run is unknown until the start is reported.
 func (t *task) markOffered(host string) {
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// FailureRecorded records that the log holds a number of failed runs of a task, up to
+// a run.
+func (c *Coordinator) FailureRecorded(now time.Time, run fleet.RunID, failed int) {
+	if j, t := c.find(run.Task); t != nil && t.state != taskDone {
+		t.atLeastFailed(failed, run.Run)
+		c.review(now, j)
+	}
+}
+
 // SetLogReadTime sets the time at which the last read of the log was requested.
 // Every end that had been recorded by then is known.
 func (c *Coordinator) SetLogReadTime(sent time.Time) { c.logReadAt = sent }
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -386,6 +386,8 @@
 			c.Coordinator.ReleaseStored(now, a.Job, a.Why)
 		case ledger.TaskDone:
 			c.Coordinator.TaskRecorded(now, a.RunID)
+		case ledger.RunFailed:
+			c.Coordinator.FailureRecorded(now, a.RunID, a.Failed)
 		case ledger.JobEnded:
 			c.emit(a)
 		case ledger.AppendEntries:
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -62,6 +62,13 @@
 // TaskDone reports that the log records a task as done by a run.
 type TaskDone struct{ fleet.RunID }
 
+// RunFailed reports that the log records a run of a driven job as failed. Failed is the
+// number of failed runs of the task.
+type RunFailed struct {
+	fleet.RunID
+	Failed int
+}
+
 // JobEnded reports that a job has ended. Driven is set if this host drove it.
 type JobEnded struct {
 	Job    string
@@ -84,6 +91,7 @@
 func (Drive) action()         {}
 func (Release) action()       {}
 func (TaskDone) action()      {}
+func (RunFailed) action()     {}
 func (JobEnded) action()      {}
 func (AppendEntries) action() {}
 func (LogEvent) action()      {}
@@ -295,6 +303,9 @@
 			j.failedRuns[e.Task] = map[int]bool{}
 		}
 		j.failedRuns[e.Task][e.Run] = true
+		if j.driven {
+			l.emit(RunFailed{RunID: e.RunID, Failed: len(j.failedRuns[e.Task])})
+		}
 		return
 	}
 	if j.doneTasks[e.Task] {
