Revert: Let a host that stays saturated give its work to others

Five slow hosts gave up their work after a second as intended, but two busy ones did, too, and the slow ones took theirs up again while still slow: neither the answer delay nor the lateness of ticks tells a slow host from a busy one.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -58,8 +58,6 @@
 		d.runsLost(a)
 	case workerpool.SaturationChanged:
 		d.saturationChanged(a)
-	case host.YieldChanged:
-		d.yieldChanged(a)
 	case workerpool.PollLost:
 		d.metrics.pollsLost.Inc()
 		d.logger.Info("poll lost", "worker", a.Worker, "number", a.Number, "age", a.Age)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -71,9 +71,7 @@
 
 	events  chan func(time.Time)
 	leaving atomic.Bool
-	// yielding is set while other hosts have this host's workers and callers.
-	yielding atomic.Bool
-	config   atomic.Pointer[fleet.Config]
+	config  atomic.Pointer[fleet.Config]
 	// hasStoredJobs is set once any stored job is known, and logRead once the
 	// job log has been read to its end.
 	hasStoredJobs atomic.Bool
@@ -260,9 +258,6 @@
 	if d.leaving.Load() {
 		return errkind.New(errkind.Stopping, "the host is stopping")
 	}
-	if d.yielding.Load() {
-		return errkind.New(errkind.NotReady, "the host is saturated and others are not")
-	}
 	return d.ready.Load()
 }
 
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -126,8 +126,6 @@
 		// workers cannot be distinguished from those of best-effort jobs. Before the
 		// evacuated zones are read, tasks could be started in one of them.
 		return false
-	case d.yielding.Load():
-		return false
 	case zone == d.settings.Zone:
 		return true
 	case uptime < foreignZoneDelay:
--- a/internal/decide/coordinator/flow.go
+++ b/internal/decide/coordinator/flow.go
@@ -43,21 +43,6 @@
 	return n
 }
 
-// ZoneHosts returns the number of the other hosts of this host's zone that are
-// connected and not leaving, and how many of them report saturation.
-func (c *Coordinator) ZoneHosts() (others, saturated int) {
-	for _, h := range c.sortedHosts {
-		if !h.connected || h.report.Leaving || h.name == c.cfg.Self || h.zone != c.cfg.Zone {
-			continue
-		}
-		others++
-		if h.report.Saturated {
-			saturated++
-		}
-	}
-	return others, saturated
-}
-
 // avoidSaturated reports whether a host should be offered less because it is
 // saturated. This host's own tasks don't pass its link before they are started.
 func (c *Coordinator) avoidSaturated(h *host) bool {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -132,7 +132,6 @@
 	// Flow limits the work in flight while the host is saturated; nil if the policy
 	// is off.
 	Flow    *flow.Limiter
-	yield   flow.Yield
 	leaving bool
 	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
@@ -208,9 +207,6 @@
 	c.applyLedger(now)
 	c.Pool.Tick(now)
 	c.Coordinator.Tick(now)
-	if c.Flow != nil {
-		c.tickYield(now)
-	}
 	// During saturation the pool returns only tasks that would be late here: each
 	// task that is offered again is sent over the link again.
 	if c.Pool.QueueLength() > 0 && !c.Flow.Saturated() {
@@ -218,27 +214,6 @@
 	}
 }
 
-// YieldChanged reports that the host, because it is saturated, gives its workers and
-// its callers to other hosts, or that it takes up work again.
-type YieldChanged struct {
-	Active bool
-	// For is how long the host yields, or has yielded.
-	For time.Duration
-	// Others is the number of other hosts in the zone, SaturatedOthers how many of them
-	// are saturated.
-	Others, SaturatedOthers int
-}
-
-// Yielding reports whether the host gives its workers and its callers to others.
-func (c *Core) Yielding() bool { return c.yield.Active() }
-
-func (c *Core) tickYield(now time.Time) {
-	others, saturated := c.Coordinator.ZoneHosts()
-	if c.yield.Update(now, c.Flow.Saturated() && !c.leaving, others, saturated) {
-		c.emit(YieldChanged{Active: c.yield.Active(), For: c.yield.Length(), Others: others, SaturatedOthers: saturated})
-	}
-}
-
 // maxReportAge bounds the age of the coordinator's view of the host's own workers
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
@@ -291,7 +266,7 @@
 // Report returns this host's report of its free capacity and queue.
 func (c *Core) Report(now time.Time) offer.CapacityReport {
 	r := c.Pool.Report(now)
-	r.Leaving, r.Saturated = c.leaving, c.Flow.Saturated() || c.yield.Active()
+	r.Leaving, r.Saturated = c.leaving, c.Flow.Saturated()
 	return r
 }
 
