Conclude nothing from what a truncated list of ends lacks

An answer with 500 ends now counts as truncated: a run that is in neither list stays as it is, also after a restart of the worker, until an answer is complete. The test fails on the former code: the run beyond the list is returned, and its end is not recorded.

Ends beyond the first 500 of a worker that is just taken over are not covered: the inventory that goes to the hosts of jobs cannot say that it is partial.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -45,13 +45,14 @@
 	}
 	w.advanceAcknowledged()
 	if !outdated {
-		p.reconcileRuns(now, w, number, l.Running)
+		p.reconcileRuns(now, w, number, l)
 	}
 }
 
 // handleRestart returns the tasks of runs of a former incarnation. It keeps runs
 // that the new incarnation lists, and those whose start has not been answered:
-// they may have started in the new one.
+// they may have started in the new one. Of a truncated list, nothing is concluded from
+// what is missing.
 func (p *Pool) handleRestart(now time.Time, w *worker, l fleet.PollResponse) {
 	present := map[fleet.RunID]bool{}
 	for _, r := range l.Running {
@@ -60,7 +61,9 @@
 	for _, e := range l.Ended {
 		present[e.RunID] = true
 	}
-	p.loseRuns(now, w, "worker restarted", quarantine.Crashed, func(r *run) bool { return !present[r.id] && r.state != runStarting })
+	p.loseRuns(now, w, "worker restarted", quarantine.Crashed, func(r *run) bool {
+		return !present[r.id] && r.state != runStarting && !l.Truncated
+	})
 	w.resetEndNumbers(0)
 	p.emit(LogEvent{Message: "worker-restarted", Worker: w.info.ID, Why: "start time changed"})
 }
@@ -208,8 +211,9 @@
 
 // reconcileRuns compares the worker's list of active runs with the expected
 // ones. A run's absence counts only in answers to polls sent after the last order
-// on it was answered.
-func (p *Pool) reconcileRuns(now time.Time, w *worker, number int64, running []fleet.RunProgress) {
+// on it was answered, and only if the list of ended runs is complete.
+func (p *Pool) reconcileRuns(now time.Time, w *worker, number int64, l fleet.PollResponse) {
+	running := l.Running
 	listed := make(map[fleet.RunID]bool, len(running))
 	for _, r := range running {
 		listed[r.RunID] = true
@@ -217,7 +221,7 @@
 	for _, r := range w.sortedRuns() {
 		id := r.id
 		settled := r.state == runRunning || r.stopAnswered
-		if listed[id] || !settled || number <= r.answeredAtPoll {
+		if listed[id] || !settled || l.Truncated || number <= r.answeredAtPoll {
 			continue
 		}
 		p.endWithoutResult(w, r, "not listed")
--- /dev/null
+++ b/internal/decide/workerpool/truncated_test.go
@@ -0,0 +1,78 @@
+package workerpool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// runsOf starts two stored tasks on the worker of a pool and returns their runs.
+func runsOf(t *testing.T, p *Pool) []fleet.RunID {
+	t.Helper()
+	p.cfg.IsStored = func(string) bool { return true }
+	for i := range 2 {
+		task := testTask(1, i, 8, epoch)
+		task.Stored = true
+		p.Offer(epoch, task)
+	}
+	var runs []fleet.RunID
+	for _, s := range actionsOf[Start](p.PopActions(epoch)) {
+		p.StartAnswered(epoch, "w", s.Run, 7, fleet.StartAccepted, time.Minute)
+		runs = append(runs, s.Run)
+	}
+	require.Len(t, runs, 2)
+	p.PopActions(epoch)
+	return runs
+}
+
+// answerPoll answers the next poll of the pool's worker.
+func answerPoll(t *testing.T, p *Pool, now time.Time, l fleet.PollResponse) {
+	t.Helper()
+	p.Tick(now)
+	polls := actionsOf[Poll](p.PopActions(now))
+	require.NotEmpty(t, polls)
+	l.Clock, l.StartTime = time.Minute+now.Sub(epoch), 1
+	p.PollAnswered(now, "w", polls[0].Number, l)
+}
+
+// While the store was slow, over 500 ends waited on one worker, which lists 500 at a
+// time. The runs beyond were taken as gone, and their tasks ran twice.
+func TestRunMissingFromATruncatedListIsNotGone(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	runs := runsOf(t, p)
+	now := epoch.Add(10 * time.Millisecond)
+	answerPoll(t, p, now, fleet.PollResponse{Truncated: true, Ended: []fleet.RunEnd{{RunID: runs[0], Seq: 1, Reason: fleet.EndedDone}}})
+	actions := p.PopActions(now)
+	assert.Empty(t, actionsOf[SendOutcome](actions), "the second run may have ended")
+	records := actionsOf[RecordEnd](actions)
+	require.Len(t, records, 1)
+	p.EndRecorded(now, records[0])
+	now = now.Add(10 * time.Millisecond)
+	answerPoll(t, p, now, fleet.PollResponse{Ended: []fleet.RunEnd{{RunID: runs[1], Seq: 2, Reason: fleet.EndedDone}}})
+	records = actionsOf[RecordEnd](p.PopActions(now))
+	require.Len(t, records, 1)
+	assert.Equal(t, runs[1], records[0].End.RunID, "its end is recorded before it is acknowledged")
+	p.EndRecorded(now, records[0])
+	assert.Equal(t, []offer.Result{offer.Done}, resultsOf(p, now))
+}
+
+// A run that is missing from both lists of a complete answer is gone.
+func TestRunMissingFromACompleteListIsReturned(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	runsOf(t, p)
+	now := epoch.Add(10 * time.Millisecond)
+	answerPoll(t, p, now, fleet.PollResponse{})
+	assert.Equal(t, []offer.Result{offer.Returned, offer.Returned}, resultsOf(p, now))
+}
+
+func resultsOf(p *Pool, now time.Time) (results []offer.Result) {
+	for _, o := range outcomes(p, now) {
+		results = append(results, o.Result)
+	}
+	return results
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -261,8 +261,11 @@
 	// StartTime is Worker.StartTime of the incarnation that answered.
 	StartTime int64
 	Running   []RunProgress
-	// Ended lists the ends that are not acknowledged yet.
+	// Ended lists the ends that are not acknowledged yet, the oldest first.
 	Ended []RunEnd
+	// Truncated is set if there may be more ends than Ended lists. A run in neither
+	// list may then have ended.
+	Truncated bool
 }
 
 // StartVerdict is a worker's answer to a start.
