--- a/internal/decide/host/cost_test.go
+++ b/internal/decide/host/cost_test.go
@@ -135,7 +135,7 @@
 // runs on own workers.
 func BenchmarkJob(b *testing.B) {
 	benchmarkFleets(b, func(b *testing.B, c *Core, now time.Time, polls []workerpool.Poll) {
-		clock, seq := time.Minute, int64(0)
+		seq := int64(0)
 		pending, ended := map[string]workerpool.Poll{}, map[string][]fleet.RunEnd{}
 		starts := func(at time.Time) (started []workerpool.Start) {
 			for _, a := range c.Reconcile(at) {
@@ -153,7 +153,7 @@
 		}
 		for i := 0; b.Loop(); i++ {
 			at := now.Add(time.Duration(i) * time.Millisecond)
-			clock = time.Minute + time.Duration(i)*time.Millisecond
+			clock := time.Minute + time.Duration(i)*time.Millisecond
 			c.Coordinator.Submit(at, costJob(i+1), costRoute, 2*time.Second)
 			for _, s := range starts(at) {
 				c.Pool.StartAnswered(at, s.Worker.ID, s.Run, s.Fence, fleet.StartAccepted, clock)
