Never count processor time backwards

A counter of the metrics library panics when a negative amount is added, which would have ended the host if the system failed to tell the processor time once. The failure is logged, and the time counts as none.

--- a/internal/daemon/dispatch/load.go
+++ b/internal/daemon/dispatch/load.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	runtimemetrics "runtime/metrics"
 	"syscall"
 	"time"
@@ -42,9 +43,13 @@
 	if elapsed < loadInterval {
 		return
 	}
-	processor, cycles := processorTime(), gcCycles()
+	processor, err := processorTime()
+	if err != nil {
+		d.logger.Warn("processor time is unknown", "error", err)
+	}
+	cycles := gcCycles()
 	if !s.since.IsZero() {
-		used := processor - s.processor
+		used := max(0, processor-s.processor)
 		d.metrics.processor.Add(used.Seconds())
 		d.metrics.loopBusy.Add(s.busy.Seconds())
 		d.logger.Info("host load", "seconds", elapsed.Seconds(), "processor", used, "gc_cycles", cycles-s.gcCycles,
@@ -55,14 +60,13 @@
 	*s = loadSample{since: now, processor: processor, gcCycles: cycles}
 }
 
-// processorTime returns the processor time that this process has used, or zero if
-// the system does not tell it.
-func processorTime() time.Duration {
+// processorTime returns the processor time that this process has used.
+func processorTime() (time.Duration, error) {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
+		return 0, fmt.Errorf("read the processor time of the process: %w", err)
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
 }
 
 // gcCycles returns the number of completed cycles of the garbage collector.
