Soak: resume a suspended host that is being stopped

Its log has no line between 1.3 and 9.5 s: the soak forgot the process at the SIGTERM, so that the SIGCONT never reached it, and it was killed while suspended. The checks count the host as resumed. Signals now reach a process until it has ended, which also lets suspensions hit a host under its planned stop; no check is changed.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -48,6 +48,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// ending is the process that is being stopped or killed, or nil.
+	ending *exec.Cmd
 	// disruptedAt is when the host last began or ended an unplanned fault.
 	disruptedAt time.Time
 	frozen      bool
@@ -209,12 +211,15 @@
 	h.mu.Unlock()
 }
 
-// signal sends a signal to a host's process.
+// signal sends a signal to a host's process, also while it is being stopped: a process
+// that was suspended before has to be resumed, or it never handles the SIGTERM.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd != nil {
-		_ = h.cmd.Process.Signal(s)
+	for _, cmd := range []*exec.Cmd{h.cmd, h.ending} {
+		if cmd != nil {
+			_ = cmd.Process.Signal(s)
+		}
 	}
 }
 
@@ -246,7 +251,9 @@
 func (f *fleet) restart(h *host, s syscall.Signal) {
 	h.mu.Lock()
 	cmd := h.cmd
-	h.cmd = nil
+	if cmd != nil {
+		h.cmd, h.ending = nil, cmd
+	}
 	h.mu.Unlock()
 	if cmd == nil {
 		return
@@ -271,6 +278,7 @@
 	_ = cmd.Process.Kill()
 	<-done
 	h.mu.Lock()
+	h.ending = nil
 	h.stoppedAt = time.Now()
 	h.mu.Unlock()
 	time.Sleep(restartDelay)
