Ignore late reports of former runs when a task is offered again

Callers of stored jobs could have a task run twice at the same time. The end of a stored job's run is recorded in the log before its owner reports it. Meanwhile the driver may have given the run up and offered the task to the same host again. The late report ("returned", run 1) then ended the new offer of run 3, the task was offered once more, and the host started run 3 on two workers, 40 ms apart. A late "failed" or "orphaned" ended the offer as well.

Reports about a run below the current one now only count failures and losses.

TestLateReportOfAFormerRunEndsNoOffer failed before for "returned" (a second offer) and "failed" (the job was given up).

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -143,6 +143,10 @@
 	if t.host != from && o.Result != offer.Done {
 		return
 	}
+	if o.MayHaveRun && o.Run < t.currentRun() && o.Result != offer.Done {
+		c.formerRunEnded(now, j, t, o)
+		return
+	}
 	t.lastRun = max(t.lastRun, o.Run)
 	t.mayHaveRun = t.mayHaveRun || o.MayHaveRun
 	if o.Worker != "" {
@@ -175,6 +179,16 @@
 	}
 }
 
+// formerRunEnded handles an owner's report about a run that is not the task's current
+// one. The report may be late, because the end of a stored job's run is recorded first,
+// and the owner may have been offered the task again since.
+func (c *Coordinator) formerRunEnded(now time.Time, j *job, t *task, o offer.Outcome) {
+	t.atLeastFailed(o.FailedRuns, o.Run)
+	if o.Loss != nil {
+		c.addLoss(now, j, t, *o.Loss)
+	}
+}
+
 // returnedPause is how long a task is not offered again to a host that returned
 // it.
 const returnedPause = 100 * time.Millisecond
--- a/internal/decide/coordinator/recorded_test.go
+++ b/internal/decide/coordinator/recorded_test.go
@@ -65,3 +65,29 @@
 	c.TaskRecorded(epoch, run)
 	assert.Len(t, actionsOf[Answer](c.PopActions()), 1)
 }
+
+// Guards against two runs of a task at the same time: the host that the task was offered
+// to reported the end of an earlier run late, and the task was offered once more.
+func TestLateReportOfAFormerRunEndsNoOffer(t *testing.T) {
+	for _, result := range []offer.Result{offer.Returned, offer.Orphaned, offer.Failed} {
+		t.Run(result.String(), func(t *testing.T) {
+			c := storedCoordinator(t)
+			offered := actionsOf[Offer](c.PopActions())
+			require.Len(t, offered, 1)
+			owner := offered[0].Host
+			lost := outcome(0, offer.Returned, "w-"+owner, 1)
+			c.HandleOutcome(epoch, owner, lost)
+			again := actionsOf[Offer](c.PopActions())
+			require.Len(t, again, 1)
+			require.Equal(t, 2, again[0].Tasks[0].NextRun)
+			late := outcome(0, result, "w-"+again[0].Host, 1)
+			late.FailedRuns = 1
+			c.HandleOutcome(epoch, again[0].Host, late)
+			c.Tick(epoch.Add(time.Minute))
+			assert.Empty(t, actionsOf[Offer](c.PopActions()))
+			assert.Empty(t, actionsOf[Answer](c.PopActions()))
+			_, task := c.find(late.Task)
+			assert.Equal(t, 1, task.failedRuns, "the failure counts all the same")
+		})
+	}
+}
