--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -75,6 +75,9 @@
 		d.nearDecision("job_host", a.Report)
 	case ledger.JobEnded:
 		d.jobEnded(a)
+	case ledger.RunsHandedOver:
+		d.logger.Info("shard has been handed over", "by", a.Host, "runs", len(a.Runs))
+		wake(d.shardWakeup)
 	case host.Append:
 		d.queueAppend(a, nil)
 	case host.LogEvent:
--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -13,6 +13,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/platform"
 )
 
 var (
@@ -55,6 +56,42 @@
 	assert.Nil(t, dropped.Value)
 }
 
+// A handover that is misread starts tasks twice. An older version reads the number of a
+// takeover only.
+func TestHandoverIsRecorded(t *testing.T) {
+	handed := ledger.HandedOver{
+		Shard: 3, Takeovers: 2, Host: "h", Nonce: -5, Part: 1, Parts: 2, RemainingWait: time.Second,
+		Running:   []ledger.HandedRun{{RunID: fleet.RunID{Task: lostTask, Run: 4}, Owner: "o", Worker: "w", Fence: 1 << 52, Exclusive: true}},
+		Unsettled: []fleet.TaskName{lostTask},
+	}
+	taken := ledger.TakenOver{Shard: 3, Takeovers: 2, Host: "h/1", Nonce: 1 << 62}
+	for _, e := range []ledger.Entry{handed, taken} {
+		records, err := encodeEntry(e)
+		require.NoError(t, err)
+		entry, err := decodeRecord(records[0])
+		require.NoError(t, err)
+		assert.Equal(t, e, entry)
+	}
+	records, err := encodeEntry(taken)
+	require.NoError(t, err)
+	require.Len(t, records, 2)
+	entry, err := decodeRecord(records[1])
+	require.NoError(t, err)
+	assert.Equal(t, ledger.TakenOver{Shard: 3, Takeovers: 2}, entry)
+
+	for _, r := range []platform.KeyedRecord{
+		{Key: "h/3/0", Value: []byte(`{"Shard":-1,"Parts":1}`)},
+		{Key: "h/3/0", Value: []byte(`{"Shard":1}`)},
+		{Key: "h/3/0", Value: []byte("x")},
+		{Key: "t/-1/h", Value: []byte(`{}`)},
+		{Key: "t/x/h", Value: []byte(`{}`)},
+		{Key: "t/1/h", Value: []byte("1")},
+	} {
+		_, err := decodeRecord(r)
+		assert.Error(t, err, "%s %s", r.Key, r.Value)
+	}
+}
+
 // A task whose end became known late is taken back, also if its offer has not
 // been sent yet.
 func TestTaskWithdrawalIsSentAndRemovesItsOffer(t *testing.T) {
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -76,6 +76,8 @@
 	// job log has been read to its end.
 	hasStoredJobs atomic.Bool
 	logRead       atomic.Bool
+	// takingOver is set while a takeover of a shard waits for reads of the job log.
+	takingOver atomic.Bool
 	// evacuationsListed is set once the evacuated zones have been read in full.
 	evacuationsListed atomic.Bool
 	appends           *appendQueue
@@ -99,6 +101,8 @@
 	// membershipWakeups holds, by zone, the channel that triggers an immediate
 	// join or leave of the zone's group.
 	membershipWakeups map[string]chan struct{}
+	// shardWakeup does the same for the group of the stored jobs' shards.
+	shardWakeup chan struct{}
 }
 
 // waiter is a caller's request that waits for its best-effort job.
@@ -124,6 +128,7 @@
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[string]chan struct{}{},
+		shardWakeup: make(chan struct{}, 1),
 	}
 	for _, zone := range s.Zones {
 		d.membershipWakeups[zone] = make(chan struct{}, 1)
@@ -210,6 +215,7 @@
 			d.load.late = max(d.load.late, late)
 			d.core.Flow.LoopDelayed(now, late)
 			d.core.Tick(now)
+			d.takingOver.Store(d.core.Ledger.AwaitsLog())
 			d.metrics.flow(d.core.Flow)
 			d.peers.closeSilent(now)
 			d.peers.report(now)
@@ -406,5 +412,6 @@
 		d.refuseHeldForStop(now)
 	})
 	d.wakeMemberships()
+	wake(d.shardWakeup)
 	time.Sleep(stopAccepting)
 }
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -19,8 +19,10 @@
 	keyEnded     = "b"
 	keyCancelled = "c"
 	keyClosed    = "d"
+	keyHandover  = "h"
 	keyLost      = "l"
 	keyShard     = "s"
+	keyTaker     = "t"
 )
 
 type acceptedRecord struct {
@@ -34,6 +36,14 @@
 	State ledger.State `json:"state"`
 }
 
+// takerRecord tells which process has taken over a shard. An older version writes only
+// the record of the number of takeovers.
+type takerRecord struct {
+	Takeovers int    `json:"takeovers"`
+	Host      string `json:"host"`
+	Nonce     int64  `json:"nonce"`
+}
+
 // presentValue is the value of a record whose key carries all the information.
 var presentValue = []byte("1")
 
@@ -75,11 +85,29 @@
 	case ledger.Forgotten:
 		return []platform.KeyedRecord{{Key: key(keyClosed, e.Job)}, {Key: key(keyAccepted, e.Job)}, {Key: key(keyCancelled, e.Job)}}, nil
 	case ledger.TakenOver:
-		return []platform.KeyedRecord{{Key: key(keyShard, strconv.Itoa(e.Shard)), Value: []byte(strconv.Itoa(e.Takeovers))}}, nil
+		return encodeTakenOver(e)
+	case ledger.HandedOver:
+		value, err := json.Marshal(e)
+		if err != nil {
+			return nil, fmt.Errorf("encode handover of shard %d: %w", e.Shard, err)
+		}
+		return []platform.KeyedRecord{{Key: key(keyHandover, strconv.Itoa(e.Shard), strconv.Itoa(e.Part)), Value: value}}, nil
 	}
 	return nil, fmt.Errorf("unknown job log entry type %T", entry)
 }
 
+func encodeTakenOver(e ledger.TakenOver) ([]platform.KeyedRecord, error) {
+	taker, err := json.Marshal(takerRecord{e.Takeovers, e.Host, e.Nonce})
+	if err != nil {
+		return nil, fmt.Errorf("encode takeover of shard %d: %w", e.Shard, err)
+	}
+	shard := strconv.Itoa(e.Shard)
+	return []platform.KeyedRecord{
+		{Key: key(keyTaker, shard, e.Host), Value: taker},
+		{Key: key(keyShard, shard), Value: []byte(strconv.Itoa(e.Takeovers))},
+	}, nil
+}
+
 func key(parts ...string) string { return strings.Join(parts, "/") }
 
 func runKey(kind string, r fleet.RunID) string {
@@ -121,10 +149,34 @@
 			return nil, fmt.Errorf("record %q: %w", r.Key, err)
 		}
 		return ledger.TakenOver{Shard: numbers[0], Takeovers: numbers[1]}, nil
+	case keyTaker:
+		return decodeTaker(r.Key, rest, r.Value)
+	case keyHandover:
+		var e ledger.HandedOver
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			return nil, fmt.Errorf("record %q: %w", r.Key, err)
+		}
+		if e.Shard < 0 || e.Part < 0 || e.Part >= e.Parts {
+			return nil, fmt.Errorf("record %q has no part %d of %d of shard %d", r.Key, e.Part, e.Parts, e.Shard)
+		}
+		return e, nil
 	}
 	return nil, fmt.Errorf("record %q has an unknown kind", r.Key)
 }
 
+func decodeTaker(name, rest string, value []byte) (ledger.Entry, error) {
+	text, _, _ := strings.Cut(rest, "/")
+	shard, err := strconv.Atoi(text)
+	if err != nil || shard < 0 {
+		return nil, fmt.Errorf("the key of record %q does not identify a shard", name)
+	}
+	var v takerRecord
+	if err := json.Unmarshal(value, &v); err != nil {
+		return nil, fmt.Errorf("record %q: %w", name, err)
+	}
+	return ledger.TakenOver{Shard: shard, Takeovers: v.Takeovers, Host: v.Host, Nonce: v.Nonce}, nil
+}
+
 func decodeRunEnded(name, rest string, value []byte) (ledger.Entry, error) {
 	run, err := parseRun(name, rest)
 	if err != nil {
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -70,8 +70,8 @@
 	group string
 	// onAssigned handles the reply to a join that was sent at the given time.
 	onAssigned func(now, sent time.Time, reply platform.Membership)
-	// onLeave releases all partitions.
-	onLeave    func()
+	// onLeave gives up all partitions.
+	onLeave    func(now time.Time)
 	generation int64
 	// lastChange is when the generation last changed.
 	lastChange time.Time
@@ -84,7 +84,7 @@
 func (d *Dispatcher) runZoneMembership(ctx context.Context, zone string) error {
 	m := &membership{group: zoneGroup(zone), onAssigned: func(_, _ time.Time, r platform.Membership) {
 		d.core.Ownership.Joined(zone, r.Generation, r.Partitions)
-	}, onLeave: func() { d.core.Ownership.Left(zone) }}
+	}, onLeave: func(time.Time) { d.core.Ownership.Left(zone) }}
 	started := time.Now()
 	return d.maintainMembership(ctx, m, d.membershipWakeups[zone], func() bool { return d.shouldJoin(ctx, zone, time.Since(started)) })
 }
@@ -181,7 +181,7 @@
 // leave releases the assigned partitions and ends the membership, so that other
 // members get the partitions with their next join.
 func (d *Dispatcher) leave(m *membership) {
-	d.postAndWait(func(time.Time) { m.onLeave() })
+	d.postAndWait(m.onLeave)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.store.Leave(ctx, m.group, d.self.Name); err != nil {
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -39,6 +39,10 @@
 	// a stream between them send each other their appends; the appends of other
 	// hosts arrive with the next read.
 	readInterval = 100 * time.Millisecond
+	// takeoverLogWait and takeoverReadInterval apply while a takeover of a shard waits
+	// for the end of a read: the shard's tasks have no driver until then.
+	takeoverLogWait      = 20 * time.Millisecond
+	takeoverReadInterval = 20 * time.Millisecond
 )
 
 // ledgerConfig returns the configuration of the ledger of stored jobs.
@@ -233,6 +237,8 @@
 		return platform.Pace{}
 	case !d.hasStoredJobs.Load():
 		return platform.Pace{Wait: idleLogWait}
+	case d.takingOver.Load():
+		return platform.Pace{Wait: takeoverLogWait, Pause: takeoverReadInterval}
 	}
 	return platform.Pace{Wait: busyLogWait, Pause: readInterval}
 }
@@ -251,7 +257,9 @@
 			continue
 		}
 		entries = append(entries, e)
-		if _, ok := e.(ledger.TakenOver); !ok {
+		switch e.(type) {
+		case ledger.TakenOver, ledger.HandedOver:
+		default:
 			jobs = true
 		}
 	}
@@ -410,6 +418,6 @@
 func (d *Dispatcher) runShardMembership(ctx context.Context) error {
 	m := &membership{group: jobsGroup, onAssigned: func(now, sent time.Time, r platform.Membership) {
 		d.core.Ledger.Assigned(now, sent, r.Partitions)
-	}, onLeave: func() { d.core.Ledger.MembershipEnded("planned stop") }}
-	return d.maintainMembership(ctx, m, nil, func() bool { return d.logRead.Load() && !d.leaving.Load() })
+	}, onLeave: d.core.Ledger.Leave}
+	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.leaving.Load() })
 }
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -115,6 +115,10 @@
 			c.emit(Withdraw{Host: name, Job: j.spec.ID})
 		}
 	}
+	c.emitAnswer(now, j, err, retryAfter, why)
+}
+
+func (c *Coordinator) emitAnswer(now time.Time, j *job, err *errkind.Error, retryAfter time.Duration, why string) {
 	c.emit(Answer{
 		Job: j.spec.ID, Stored: j.stored, Err: err, RetryAfter: retryAfter,
 		Failed: err != nil && err.Kind == errkind.TaskFailed,
@@ -263,7 +267,7 @@
 	}
 	for _, e := range inv.Ended {
 		j, t := c.find(e.Task)
-		if t == nil || t.state == taskDone || t.lastRun > e.Run || t.atOtherWorker(inv.Worker) {
+		if t == nil || j.handover == handoverListed || t.state == taskDone || t.lastRun > e.Run || t.atOtherWorker(inv.Worker) {
 			continue
 		}
 		t.mayHaveRun = true
@@ -316,7 +320,7 @@
 func (c *Coordinator) claimRun(from string, inv offer.Inventory, r fleet.RunID) {
 	worker := inv.Worker
 	j, t := c.find(r.Task)
-	if t == nil || t.state == taskDone || t.state == taskIdle || t.lastRun > r.Run || t.lastEndedRun >= r.Run || t.atOtherWorker(worker) {
+	if t == nil || j.handover == handoverListed || t.state == taskDone || t.state == taskIdle || t.lastRun > r.Run || t.lastEndedRun >= r.Run || t.atOtherWorker(worker) {
 		return
 	}
 	if t.fence > inv.Fence && t.atWorker() || t.fence == inv.Fence && t.state == taskStarted {
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -97,6 +97,8 @@
 	sharing sharing.Decision
 	// refusal is the reason for which the job is refused, or empty.
 	refusal Refusal
+	// handover is how far the handover of a stored job to its next driver is.
+	handover handoverStage
 }
 
 // currentRun returns the number of the run that a host has, or will start, of the
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -38,6 +38,7 @@
 			j.remaining[name.Step]--
 		}
 	}
+	c.adoptHanded(now, j, stored)
 	for _, t := range j.tasks {
 		for _, l := range stored.Lost[t.name] {
 			t.losses.Add(now, l)
--- a/internal/decide/host/group_test.go
+++ b/internal/decide/host/group_test.go
@@ -83,3 +83,9 @@
 		}
 	}
 }
+
+// leave ends a membership. The other members get its partitions with their next joins.
+func (g *simGroup) leave(member string) {
+	delete(g.lastJoin, member)
+	g.assign()
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -53,8 +53,8 @@
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
 // workerpool.Stop, workerpool.Poll), a message to other hosts (Send, Broadcast),
 // an answer to a caller (coordinator.Answer), an append to the log of stored
-// jobs (Append), or a report of a stored job's end (ledger.JobEnded), of a task
-// that was not done (TaskNotDone), of a decision (LogEvent),
+// jobs (Append), or a report of a stored job's end (ledger.JobEnded), of a shard that
+// was handed over (ledger.RunsHandedOver), of a task that was not done (TaskNotDone), of a decision (LogEvent),
 // or of an evacuated or readmitted zone (ZoneChanged).
 type Action any
 
@@ -140,6 +140,7 @@
 
 // New returns a host that owns no workers and drives no jobs.
 func New(cfg Config) *Core {
+	cfg.Ledger.Host, cfg.Ledger.Nonce = cfg.Name, cfg.Nonce
 	jobLog := ledger.New(cfg.Ledger)
 	poolConfig := workerpool.DefaultConfig(cfg.MaxLease)
 	poolConfig.IsStored = jobLog.Contains
@@ -204,6 +205,7 @@
 // capacity.
 func (c *Core) Tick(now time.Time) {
 	c.Ledger.Tick(now)
+	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
 	c.Pool.Tick(now)
 	c.Coordinator.Tick(now)
@@ -292,6 +294,11 @@
 	case LogAppended:
 		c.Ledger.Apply(now, m.Entries)
 	case offer.Claim:
+		if m.Task.Stored && c.Ledger.HasHandedOver(from, m.Task.Name.Job) {
+			// The claim was sent before the handover. The next driver claims the run.
+			c.emit(LogEvent{Message: "late claim ignored", Worker: m.Worker, Why: "handed over by " + from})
+			return
+		}
 		m.Task.Host = from
 		c.Pool.Claimed(now, m)
 	case offer.Outcome:
@@ -359,6 +366,15 @@
 			c.Coordinator.SubmitStored(now, a)
 		case ledger.Release:
 			c.Coordinator.ReleaseStored(now, a.Job, a.Why)
+		case ledger.Pause:
+			c.Coordinator.PauseStored(a.Jobs)
+		case ledger.HandoverListed:
+			c.Coordinator.HandoverListed(a.Jobs)
+		case ledger.LetGo:
+			c.Coordinator.LetGoStored(now, a.Jobs)
+		case ledger.RunsHandedOver:
+			c.Pool.HandedOver(now, a.Host, a.Runs)
+			c.emit(a)
 		case ledger.TaskDone:
 			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.RunFailed:
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -32,6 +32,9 @@
 	// crashes counts the workers that crashed under a task, and startsAfterLimit
 	// its starts after crashLimit of them; failures counts its ends as failed.
 	crashes, startsAfterLimit, failures map[fleet.TaskName]int
+	// idleSince holds when the last run of a task was stopped or lapsed, until the task
+	// starts again.
+	idleSince map[fleet.TaskName]time.Time
 }
 
 // submit submits a job to a host.
@@ -96,6 +99,10 @@
 	}
 	j.started, j.lastStarts[id.Task] = w.now, w.now
 	if !j.spec.BestEffort {
+		if since, ok := j.idleSince[id.Task]; ok {
+			w.longestIdle = max(w.longestIdle, w.now.Sub(since))
+			delete(j.idleSince, id.Task)
+		}
 		w.checkStored(j, id)
 		w.checkCrashes(j, id)
 	}
@@ -121,6 +128,11 @@
 		w.jobs[id.Task.Job].done[id.Task] = true
 	case fleet.EndedFailed:
 		w.jobs[id.Task.Job].failures[id.Task]++
+	default:
+		if j := w.jobs[id.Task.Job]; !j.spec.BestEffort && !j.done[id.Task] {
+			w.stoppedRuns++
+			j.idleSince[id.Task] = w.now
+		}
 	}
 }
 
@@ -153,6 +165,7 @@
 	j := &simJob{
 		id: fmt.Sprintf("%016x", w.rng.Uint64()), done: map[fleet.TaskName]bool{}, acknowledged: map[fleet.TaskName]bool{}, lastStarts: map[fleet.TaskName]time.Time{},
 		crashes: map[fleet.TaskName]int{}, startsAfterLimit: map[fleet.TaskName]int{}, failures: map[fleet.TaskName]int{},
+		idleSince: map[fleet.TaskName]time.Time{},
 	}
 	j.spec = fleet.Job{ID: j.id, BestEffort: true, Steps: []fleet.Step{{
 		Count: width, Size: fleet.Size{MilliCPU: 11000 + w.rng.IntN(5000), MemoryMB: 64}, Estimate: estimate,
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -62,6 +62,9 @@
 	generation       int64
 	storeUnreachable bool
 	appendsRejected  bool
+	// leaving is set during a planned stop, and frozenUntil is the end of a standstill.
+	leaving     bool
+	frozenUntil time.Time
 	// shardGeneration is the generation that the host last joined in the group of
 	// the shards, and logPosition how far it has read the log of stored jobs.
 	shardGeneration int64
@@ -86,6 +89,10 @@
 	problems []string
 	// racks holds the racks and the tasks' places if jobs name racks.
 	racks rackLoad
+	// stoppedRuns counts the runs of stored jobs that ended by a stop or a lapse, and
+	// longestIdle is the longest time from such an end to the task's next start.
+	stoppedRuns int
+	longestIdle time.Duration
 }
 
 var (
@@ -153,6 +160,7 @@
 func (w *world) boot(h *simHost) {
 	h.incarnation++
 	h.up, h.generation, h.shardGeneration, h.logPosition = true, 0, 0, 0
+	h.leaving, h.frozenUntil = false, time.Time{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
 		RemoteSlowdown: w.racks.slowdown,
@@ -194,15 +202,21 @@
 }
 
 // on returns a callback that runs do and reconciles the host, unless the host
-// has stopped or restarted by then.
+// has stopped or restarted by then. While the host stands still, the callback waits.
 func (w *world) on(h *simHost, do func()) func() {
 	incarnation := h.incarnation
-	return func() {
-		if h.up && h.incarnation == incarnation {
+	var run func()
+	run = func() {
+		switch {
+		case !h.up || h.incarnation != incarnation:
+		case w.now.Before(h.frozenUntil):
+			w.after(h.frozenUntil.Sub(w.now), run)
+		default:
 			do()
 			w.reconcile(h)
 		}
 	}
+	return run
 }
 
 func (w *world) tick() {
@@ -212,7 +226,7 @@
 		}
 	}
 	for _, h := range w.hosts {
-		if !h.up {
+		if !h.up || w.now.Before(h.frozenUntil) {
 			continue
 		}
 		h.core.Tick(w.now)
@@ -229,7 +243,7 @@
 
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
-		if !h.storeUnreachable && h.core.Ledger.Loaded() {
+		if !h.storeUnreachable && !h.leaving && h.core.Ledger.Loaded() {
 			generation, parts := w.groups[h.zone].join(w.now, h.name, h.generation)
 			h.generation = generation
 			h.core.Ownership.Joined(h.zone, generation, parts)
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -7,7 +7,8 @@
 // The log holds everything that must survive the failure of a host: that a job
 // was accepted or cancelled, which of its runs ended or were lost with their
 // worker, and that it was closed.
-// It does not hold which runs are in progress; the workers report those.
+// It does not hold which runs are in progress; the workers report those. Only a driver
+// that hands its shard over records them, for the next driver.
 package ledger
 
 import (
@@ -62,6 +63,10 @@
 	Shard int
 	// Takeovers is the number of takeovers of the shard, including this one.
 	Takeovers int
+	// Host and Nonce identify the host and its process. They are empty in an entry of
+	// an older version.
+	Host  string
+	Nonce int64
 }
 
 func (Accepted) entry()  {}
--- /dev/null
+++ b/internal/decide/ledger/handover.go
@@ -0,0 +1,346 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const (
+	// handoverRecordTime is the part of the time for a handover that is reserved for
+	// its append and for the reading of it.
+	handoverRecordTime = 250 * time.Millisecond
+	// maxHandedTasks bounds the tasks of one HandedOver entry, so that its record stays
+	// below the size that the store accepts.
+	maxHandedTasks = 1000
+)
+
+// HandedOver records that the driver of a shard has stopped driving it, and what goes
+// on of its work. A handover of many tasks has several entries.
+type HandedOver struct {
+	Shard int
+	// Takeovers is the number of the driver's takeover of the shard.
+	Takeovers int
+	// Host and Nonce identify the driver and its process.
+	Host  string
+	Nonce int64
+	// Part numbers the entries of a handover from zero; Parts is their count.
+	Part, Parts int
+	// Running are the runs that go on, or may.
+	Running []HandedRun
+	// RemainingWait is zero, or how long the host that gives up the shard, and has not
+	// driven it, would still have had to wait for the runs of an earlier driver.
+	RemainingWait time.Duration
+	// Unsettled are the tasks that may start after this entry, since the driver does not
+	// know whether the host to which it had offered them has started them.
+	Unsettled []fleet.TaskName
+}
+
+func (HandedOver) entry() {}
+
+// HandedRun is a run that its driver leaves to the next one.
+type HandedRun struct {
+	fleet.RunID
+	// Owner is the host that owns the worker, or empty if the run's owner has lost
+	// contact with it.
+	Owner  string
+	Worker string
+	// Fence is the one under which the owner owns the worker.
+	Fence int64
+	// Exclusive is set if no other run may start on the worker beside it.
+	Exclusive bool
+}
+
+// Pause asks the host to offer no further tasks of jobs that it is to hand over, and to
+// take back those that have not started.
+type Pause struct{ Jobs []string }
+
+// LetGo asks the host to forget jobs that are handed over, without stopping their runs.
+type LetGo struct{ Jobs []string }
+
+// RunsHandedOver reports that a host does not wait for the given runs any more and that
+// the next driver will claim them.
+type RunsHandedOver struct {
+	Host string
+	Runs []fleet.RunID
+}
+
+func (Pause) action()          {}
+func (LetGo) action()          {}
+func (RunsHandedOver) action() {}
+
+// handing is the state of a shard that this host hands over.
+type handing struct {
+	// settleBy is when the handover is recorded even if some tasks are unsettled. At
+	// endBy another host may take over the shard, so that the runs are stopped.
+	settleBy, endBy time.Time
+	recorded        bool
+}
+
+// handover is what has been read of the latest handover of a shard.
+type handover struct {
+	takeovers int
+	host      string
+	nonce     int64
+	parts     map[int]HandedOver
+	complete  bool
+	// readAt is when the last part was read, and wait how long the next driver waits
+	// from then on.
+	readAt time.Time
+	wait   time.Duration
+}
+
+// takers holds, by number of a takeover, the processes that requested it, with the
+// names of their hosts. Two processes may request the same number.
+type takers map[int]map[int64]string
+
+func (t takers) add(number int, nonce int64, host string) {
+	if t[number] == nil {
+		t[number] = map[int64]string{}
+	}
+	t[number][nonce] = host
+	maps.DeleteFunc(t, func(n int, _ map[int64]string) bool { return n < number-1 })
+}
+
+// only reports whether the process alone has requested the takeover.
+func (t takers) only(number int, nonce int64) bool {
+	_, ok := t[number][nonce]
+	return ok && len(t[number]) == 1
+}
+
+// Leave begins the handover of all shards of this host, for a planned stop.
+func (l *Ledger) Leave(now time.Time) {
+	for n, s := range l.shards {
+		if s.assigned {
+			l.leaveShard(now, n, l.confirmed, "planned stop")
+		}
+	}
+}
+
+// leaveShard ends this host's assignment to a shard. If it drives the shard, it hands
+// the shard over; confirmed is when the assignment was confirmed last.
+func (l *Ledger) leaveShard(now time.Time, n int, confirmed time.Time, why string) {
+	s := l.shards[n]
+	endBy := confirmed.Add(l.cfg.MemberTTL)
+	s.assigned = false
+	switch {
+	case s.handing != nil:
+		return
+	case !s.driving:
+		l.leaveUndriven(now, n)
+		l.releaseShard(n, why)
+		return
+	case len(l.jobs) == 0 || !now.Before(endBy):
+		l.releaseShard(n, why)
+		return
+	}
+	s.handing = &handing{settleBy: endBy.Add(-handoverRecordTime), endBy: endBy}
+	l.emit(LogEvent{Message: "shard handover begins", Shard: n, Why: why})
+	l.emit(Pause{Jobs: l.drivenJobs(n)})
+}
+
+// leaveUndriven tells the next driver of a shard that this host has taken it over but
+// has not driven it, so that the wait for an earlier driver does not begin anew.
+func (l *Ledger) leaveUndriven(now time.Time, n int) {
+	s := l.shards[n]
+	if s.ownTakeover == 0 || s.takeovers != s.ownTakeover || s.takenAt.IsZero() || len(l.jobs) == 0 {
+		return
+	}
+	l.emit(AppendEntries{[]Entry{HandedOver{
+		Shard: n, Takeovers: s.ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Parts: 1, RemainingWait: max(0, l.waitUntil(s).Sub(now)),
+	}}})
+}
+
+// drivenJobs returns the jobs of a shard that this host drives, in the order of their
+// acceptance.
+func (l *Ledger) drivenJobs(shard int) []string {
+	var ids []string
+	for _, j := range l.openJobs(shard) {
+		if j.driven {
+			ids = append(ids, j.spec.ID)
+		}
+	}
+	return ids
+}
+
+// Handovers calls record for each shard whose handover is not recorded yet, with the
+// jobs that this host drives there, and records what it returns: the runs that go on and
+// the unsettled tasks. It waits for the latter as long as there is time.
+func (l *Ledger) Handovers(now time.Time, list func(jobs []string) (running []HandedRun, unsettled []fleet.TaskName)) {
+	for n, s := range l.shards {
+		if s.handing == nil || s.handing.recorded {
+			continue
+		}
+		jobs := l.drivenJobs(n)
+		running, unsettled := list(jobs)
+		lost := slices.ContainsFunc(running, func(r HandedRun) bool { return r.Owner == "" })
+		if (len(unsettled) > 0 || lost) && now.Before(s.handing.settleBy) {
+			continue
+		}
+		s.handing.recorded = true
+		l.emit(HandoverListed{Jobs: jobs})
+		l.emit(AppendEntries{l.handoverEntries(n, running, unsettled)})
+	}
+}
+
+// HandoverListed reports that the handover of jobs is being recorded: from now on the
+// host claims no run of them.
+type HandoverListed struct{ Jobs []string }
+
+func (HandoverListed) action() {}
+
+func (l *Ledger) handoverEntries(n int, running []HandedRun, unsettled []fleet.TaskName) []Entry {
+	var parts []HandedOver
+	for len(parts) == 0 || len(running)+len(unsettled) > 0 {
+		part := HandedOver{Shard: n, Takeovers: l.shards[n].ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Part: len(parts)}
+		part.Running, running = cut(running, maxHandedTasks)
+		part.Unsettled, unsettled = cut(unsettled, maxHandedTasks-len(part.Running))
+		parts = append(parts, part)
+	}
+	entries := make([]Entry, 0, len(parts))
+	for _, part := range parts {
+		part.Parts = len(parts)
+		entries = append(entries, part)
+	}
+	return entries
+}
+
+// cut splits a list after at most n elements.
+func cut[T any](list []T, n int) (first, rest []T) {
+	n = min(n, len(list))
+	return list[:n:n], list[n:]
+}
+
+// handedOver applies one entry of a handover. It acts on the first reading of the last
+// part.
+func (l *Ledger) handedOver(now time.Time, e HandedOver) {
+	n := e.Shard % len(l.shards)
+	s := l.shards[n]
+	h := &s.handover
+	if e.Takeovers < h.takeovers || e.Takeovers == h.takeovers && (h.complete || h.nonce != e.Nonce) {
+		return
+	}
+	if e.Takeovers > h.takeovers {
+		*h = handover{takeovers: e.Takeovers, host: e.Host, nonce: e.Nonce, parts: map[int]HandedOver{}}
+	}
+	h.parts[e.Part] = e
+	if len(h.parts) < e.Parts {
+		return
+	}
+	h.complete, h.readAt, h.wait = true, now, e.RemainingWait
+	if s.handing != nil && s.handing.recorded && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
+		l.finishHandover(n)
+	}
+	runs := RunsHandedOver{Host: e.Host}
+	for _, part := range h.parts {
+		for _, r := range part.Running {
+			runs.Runs = append(runs.Runs, r.RunID)
+		}
+	}
+	slices.SortFunc(runs.Runs, fleet.RunID.Compare)
+	l.emit(runs)
+}
+
+// finishHandover ends the driving of a shard whose handover is in the log.
+func (l *Ledger) finishHandover(n int) {
+	jobs := l.drivenJobs(n)
+	for _, id := range jobs {
+		l.jobs[id].driven = false
+	}
+	l.emit(LetGo{Jobs: jobs})
+	l.emit(LogEvent{Message: "shard handed over", Shard: n})
+	l.shards[n].reset()
+}
+
+// expireHandovers stops the runs of the shards that could not be handed over in time.
+func (l *Ledger) expireHandovers(now time.Time) {
+	for n, s := range l.shards {
+		if s.handing != nil && !now.Before(s.handing.endBy) {
+			l.releaseShard(n, "handover not recorded in time")
+		}
+	}
+}
+
+// isHandedToSelf reports whether the previous driver of a shard has handed it over and
+// this host alone has taken it over since. All that precedes both entries in the log has
+// been read.
+func (l *Ledger) isHandedToSelf(s *shard) bool {
+	h := &s.handover
+	return h.complete && h.takeovers == s.ownTakeover-1 && s.takeovers == s.ownTakeover &&
+		s.takers.only(h.takeovers, h.nonce) && s.takers.only(s.ownTakeover, l.cfg.Nonce) &&
+		l.asOf.After(h.readAt) && !s.takenAt.IsZero() && l.asOf.After(s.takenAt)
+}
+
+// AwaitsLog reports whether a takeover goes on with the next reads of the log: it is to
+// be requested, or read, or the previous driver has handed over.
+func (l *Ledger) AwaitsLog() bool {
+	for _, s := range l.shards {
+		if !s.assigned || s.driving {
+			continue
+		}
+		handed := s.handover.complete && s.handover.takeovers == s.ownTakeover-1 && s.handover.wait == 0
+		if s.takeovers < s.ownTakeover || s.ownTakeover == 0 || handed {
+			return true
+		}
+	}
+	return false
+}
+
+// waitUntil returns when this host, which has taken over a shard, may drive it.
+func (l *Ledger) waitUntil(s *shard) time.Time {
+	until := s.assignedAt.Add(l.cfg.TakeoverDelay)
+	if handed := s.handover.readAt.Add(s.handover.wait); l.isHandedToSelf(s) && handed.Before(until) {
+		return handed
+	}
+	return until
+}
+
+// HasHandedOver reports whether a host is known to have handed over the shard of a job
+// and not to have taken it over since.
+func (l *Ledger) HasHandedOver(host, job string) bool {
+	s := l.shards[l.Shard(job)]
+	if !s.handover.complete || s.handover.host != host {
+		return false
+	}
+	for number, processes := range s.takers {
+		if number <= s.handover.takeovers {
+			continue
+		}
+		for _, name := range processes {
+			if name == host {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// handedWork is what a handover says of one job.
+type handedWork struct {
+	running   []HandedRun
+	unsettled []fleet.TaskName
+}
+
+// byJob returns what a handover says of each job.
+func (h *handover) byJob() map[string]*handedWork {
+	work := map[string]*handedWork{}
+	get := func(job string) *handedWork {
+		if work[job] == nil {
+			work[job] = &handedWork{}
+		}
+		return work[job]
+	}
+	for _, n := range slices.Sorted(maps.Keys(h.parts)) {
+		for _, r := range h.parts[n].Running {
+			w := get(r.Task.Job)
+			w.running = append(w.running, r)
+		}
+		for _, t := range h.parts[n].Unsettled {
+			w := get(t.Job)
+			w.unsettled = append(w.unsettled, t)
+		}
+	}
+	return work
+}
--- /dev/null
+++ b/internal/decide/ledger/handover_test.go
@@ -0,0 +1,179 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+func newHandoverLedger(host string, nonce int64) *Ledger {
+	return New(Config{Host: host, Nonce: nonce, Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+}
+
+func handedRun(run int) HandedRun {
+	return HandedRun{RunID: fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: run}, Owner: "o", Worker: "w", Fence: 7}
+}
+
+// takeOver assigns the only shard to a ledger, and records its takeover in the log.
+func takeOver(t *testing.T, l *Ledger, log *[]Entry, now time.Time) {
+	t.Helper()
+	l.Assigned(now, now, []int{0})
+	l.Apply(now, *log)
+	l.LogRead(now.Add(time.Millisecond))
+	appended := actionsOf[AppendEntries](l.PopActions())
+	require.Len(t, appended, 1)
+	*log = append(*log, appended[0].Entries...)
+	l.Apply(now, appended[0].Entries)
+}
+
+// The jobs of a host that is stopped as planned had no driver for 3 to 6 s, and their
+// runs were stopped.
+func TestNextDriverContinuesHandedOverRuns(t *testing.T) {
+	now := testEpoch
+	var log []Entry
+	first, next := newHandoverLedger("a", 1), newHandoverLedger("b", 2)
+	takeOver(t, first, &log, now)
+	log = append(log, acceptedTwoSteps(testJob))
+	first.Apply(now, log)
+	require.Len(t, actionsOf[Drive](first.PopActions()), 1)
+
+	first.Leave(now.Add(100 * time.Millisecond))
+	actions := first.PopActions()
+	assert.Equal(t, []Pause{{Jobs: []string{testJob}}}, actionsOf[Pause](actions))
+	require.Empty(t, actionsOf[Release](actions), "the runs go on")
+	first.Handovers(now.Add(120*time.Millisecond), func(jobs []string) ([]HandedRun, []fleet.TaskName) {
+		assert.Equal(t, []string{testJob}, jobs)
+		return []HandedRun{handedRun(3)}, nil
+	})
+	appended := actionsOf[AppendEntries](first.PopActions())
+	require.Len(t, appended, 1)
+
+	now = now.Add(150 * time.Millisecond)
+	takeOver(t, next, &log, now)
+	next.LogRead(now.Add(10 * time.Millisecond))
+	require.Empty(t, actionsOf[Drive](next.PopActions()), "nothing has been handed over yet")
+	log = append(log, appended[0].Entries...)
+	for _, l := range []*Ledger{first, next} {
+		l.Apply(now.Add(20*time.Millisecond), appended[0].Entries)
+	}
+	actions = first.PopActions()
+	assert.Equal(t, []LetGo{{Jobs: []string{testJob}}}, actionsOf[LetGo](actions))
+	assert.Empty(t, actionsOf[Release](actions))
+	actions = next.PopActions()
+	assert.Equal(t, []RunsHandedOver{{Host: "a", Runs: []fleet.RunID{handedRun(3).RunID}}}, actionsOf[RunsHandedOver](actions))
+	require.Empty(t, actionsOf[Drive](actions), "earlier entries of other hosts may be unread")
+	assert.True(t, next.AwaitsLog())
+	assert.True(t, next.HasHandedOver("a", testJob))
+	next.LogRead(now.Add(30 * time.Millisecond))
+	drives := actionsOf[Drive](next.PopActions())
+	require.Len(t, drives, 1)
+	assert.Equal(t, []HandedRun{handedRun(3)}, drives[0].Running)
+	assert.Equal(t, runsPerTakeover+1, drives[0].FirstRun)
+	assert.False(t, next.AwaitsLog())
+}
+
+// Two drivers of a shard would run its tasks twice.
+func TestUncertainHandoverWaitsForThePreviousDriver(t *testing.T) {
+	handover := HandedOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1, Parts: 1, Running: []HandedRun{handedRun(3)}}
+	changed := func(change func(*HandedOver)) HandedOver {
+		h := handover
+		change(&h)
+		return h
+	}
+	taken := TakenOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1}
+	for name, c := range map[string]struct {
+		entries []Entry
+		at      bool
+	}{
+		"handed over":                       {[]Entry{taken, handover}, true},
+		"read twice":                        {[]Entry{taken, handover, handover}, true},
+		"not handed over":                   {[]Entry{taken}, false},
+		"a part is missing":                 {[]Entry{taken, changed(func(h *HandedOver) { h.Parts = 2 })}, false},
+		"by an earlier driver":              {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 2, Host: "c", Nonce: 3}, handover}, false},
+		"by one of two drivers":             {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 1, Host: "c", Nonce: 3}, handover}, false},
+		"by another process of that host":   {[]Entry{taken, changed(func(h *HandedOver) { h.Nonce = 9 })}, false},
+		"the driver's version is older":     {[]Entry{TakenOver{Shard: 0, Takeovers: 1}, handover}, false},
+		"another host has taken over, too":  {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 2, Host: "c", Nonce: 3}}, false},
+		"another host has taken over since": {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 3, Host: "c", Nonce: 3}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newHandoverLedger("b", 2)
+			l.Apply(testEpoch, []Entry{c.entries[0], acceptedTwoSteps(testJob)})
+			l.Assigned(testEpoch, testEpoch, []int{0})
+			l.LogRead(testEpoch.Add(time.Millisecond))
+			appended := actionsOf[AppendEntries](l.PopActions())
+			require.Len(t, appended, 1)
+			l.Apply(testEpoch, appended[0].Entries)
+			l.Apply(testEpoch, c.entries[1:])
+			l.LogRead(testEpoch.Add(time.Second))
+			assert.Equal(t, c.at, len(actionsOf[Drive](l.PopActions())) == 1)
+			l.Assigned(testEpoch.Add(takeoverDelay), testEpoch.Add(takeoverDelay), []int{0})
+			l.LogRead(testEpoch.Add(takeoverDelay + time.Millisecond))
+			assert.Equal(t, !c.at, len(actionsOf[Drive](l.PopActions())) == 1, "after the delay")
+		})
+	}
+}
+
+// A run that neither goes on under its driver nor is known to the next one would go on
+// beside the next run of its task.
+func TestHandoverThatIsNotRecordedStopsTheRuns(t *testing.T) {
+	l := newDriver(t, testEpoch)
+	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob)})
+	l.PopActions()
+	l.Leave(testEpoch.Add(100 * time.Millisecond))
+	unsettled := func([]string) ([]HandedRun, []fleet.TaskName) { return nil, []fleet.TaskName{{Job: testJob}} }
+	l.Handovers(testEpoch.Add(memberTTL-handoverRecordTime-time.Millisecond), unsettled)
+	require.Empty(t, actionsOf[AppendEntries](l.PopActions()), "the tasks may settle")
+	l.Handovers(testEpoch.Add(memberTTL-handoverRecordTime), unsettled)
+	require.Len(t, actionsOf[AppendEntries](l.PopActions()), 1)
+	l.Apply(testEpoch, []Entry{acceptedTwoSteps("00000000000000a2")})
+	assert.Empty(t, actionsOf[Drive](l.PopActions()), "a new job is left to the next driver")
+	l.Tick(testEpoch.Add(memberTTL - time.Millisecond))
+	require.Empty(t, actionsOf[Release](l.PopActions()))
+	l.Tick(testEpoch.Add(memberTTL))
+	assert.Len(t, actionsOf[Release](l.PopActions()), 1)
+}
+
+// Each change of the group began the wait for an earlier driver anew, and jobs waited for
+// up to 6 s.
+func TestWaitForAnEarlierDriverDoesNotBeginAnew(t *testing.T) {
+	now := testEpoch
+	var log []Entry
+	first, second, third := newHandoverLedger("a", 1), newHandoverLedger("b", 2), newHandoverLedger("c", 3)
+	takeOver(t, first, &log, now)
+	log = append(log, acceptedTwoSteps(testJob))
+	takeOver(t, second, &log, now)
+	now = now.Add(2 * time.Second)
+	second.Assigned(now, now, nil)
+	appended := actionsOf[AppendEntries](second.PopActions())
+	require.Len(t, appended, 1)
+	log = append(log, appended[0].Entries...)
+	takeOver(t, third, &log, now)
+	third.LogRead(now.Add(takeoverDelay - 2*time.Second))
+	require.Empty(t, actionsOf[Drive](third.PopActions()))
+	third.LogRead(now.Add(takeoverDelay - 2*time.Second + time.Millisecond))
+	assert.Len(t, actionsOf[Drive](third.PopActions()), 1)
+}
+
+// The record of a handover of many tasks must not exceed what the store accepts.
+func TestLargeHandoverHasSeveralEntries(t *testing.T) {
+	l := newDriver(t, testEpoch)
+	running := make([]HandedRun, 2*maxHandedTasks+1)
+	unsettled := make([]fleet.TaskName, maxHandedTasks)
+	listed := 0
+	entries := l.handoverEntries(0, running, unsettled)
+	assert.Len(t, entries, 4)
+	for i, e := range entries {
+		part := e.(HandedOver)
+		assert.Equal(t, i, part.Part)
+		assert.Equal(t, 4, part.Parts)
+		assert.LessOrEqual(t, len(part.Running)+len(part.Unsettled), maxHandedTasks)
+		listed += len(part.Running) + len(part.Unsettled)
+	}
+	assert.Equal(t, 3*maxHandedTasks+1, listed)
+	assert.Len(t, l.handoverEntries(0, nil, nil), 1)
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -14,6 +14,9 @@
 
 // Config holds the number of shards and the durations of a ledger.
 type Config struct {
+	// Host is the name of this host. Nonce identifies its process.
+	Host  string
+	Nonce int64
 	// Shards is the number of shards that the jobs are divided into.
 	Shards int
 	// MemberTTL is how long the store keeps a member that does not renew its
@@ -29,7 +32,8 @@
 
 // runsPerTakeover is the size of the range of run numbers that each driver of a
 // shard has for a task. It exceeds the number of runs that a driver starts of
-// one task while it has the shard.
+// one task while it has the shard. A driver that goes on with a run that was handed
+// over stays in the former driver's range.
 const runsPerTakeover = 100
 
 // maxLogAge bounds the age of the last completed log read from which the ledger
@@ -51,6 +55,10 @@
 	Lost map[fleet.TaskName][]quarantine.Loss
 	// FirstRun is higher than the number of any run of a previous driver.
 	FirstRun int
+	// Running are the runs that the previous driver has handed over, and Unsettled the
+	// tasks of which it did not know whether they run.
+	Running   []HandedRun
+	Unsettled []fleet.TaskName
 }
 
 // Release asks the host to stop driving a job and to stop its runs.
@@ -131,6 +139,20 @@
 	// firstDriver is set if the shard has had no driver before.
 	firstDriver bool
 	driving     bool
+	// handing is set while this host hands the shard over. Until then it goes on
+	// driving its jobs, without offering tasks.
+	handing *handing
+	// handover is the last handover that was read, takers who has taken the shard over
+	// lately, and takenAt when this host's own takeover was read.
+	handover handover
+	takers   takers
+	takenAt  time.Time
+}
+
+// reset ends the present assignment, or the driving under a former one, but keeps what
+// the log says.
+func (s *shard) reset() {
+	*s = shard{takeovers: s.takeovers, takers: s.takers, handover: s.handover, assigned: s.assigned, assignedAt: s.assignedAt}
 }
 
 // Ledger is this host's replica of the log. It is not safe for concurrent use.
@@ -157,7 +179,7 @@
 func New(cfg Config) *Ledger {
 	l := &Ledger{cfg: cfg, jobs: map[string]*job{}, cancelledEarly: map[string]bool{}, unclosed: map[string]*job{}}
 	for range cfg.Shards {
-		l.shards = append(l.shards, &shard{})
+		l.shards = append(l.shards, &shard{takers: takers{}})
 	}
 	return l
 }
@@ -251,6 +273,14 @@
 		case TakenOver:
 			s := l.shards[e.Shard%len(l.shards)]
 			s.takeovers = max(s.takeovers, e.Takeovers)
+			if e.Nonce != 0 {
+				s.takers.add(e.Takeovers, e.Nonce, e.Host)
+			}
+			if s.takenAt.IsZero() && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
+				s.takenAt = now
+			}
+		case HandedOver:
+			l.handedOver(now, e)
 		}
 	}
 	l.takeOverShards()
@@ -284,8 +314,8 @@
 		l.cancel(now, e.Job.ID)
 		return
 	}
-	if l.shards[l.Shard(e.Job.ID)].driving {
-		l.drive(j)
+	if s := l.shards[l.Shard(e.Job.ID)]; s.driving && s.handing == nil {
+		l.drive(j, nil)
 	}
 }
 
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -12,6 +12,7 @@
 // Assigned applies the store's answer to a join request that was sent at the
 // given time: the shards that this host is to drive. It releases the others.
 func (l *Ledger) Assigned(now, sent time.Time, shards []int) {
+	confirmed := l.confirmed
 	if sent.After(l.confirmed) {
 		l.confirmed = sent
 	}
@@ -24,18 +25,24 @@
 	for n, s := range l.shards {
 		switch {
 		case assigned[n] && !s.assigned:
-			*s = shard{takeovers: s.takeovers, assigned: true, assignedAt: now}
+			// A shard that is being handed over is taken over like any other afterwards.
+			s.assigned, s.assignedAt = true, now
+			if s.handing == nil {
+				s.reset()
+			}
 		case !assigned[n] && s.assigned:
-			l.releaseShard(n, "assigned to another host")
+			l.leaveShard(now, n, confirmed, "assigned to another host")
 		}
 	}
 	l.takeOverShards()
 }
 
-// MembershipEnded releases all shards of this host.
+// MembershipEnded releases all shards of this host and stops its runs there: another
+// host may drive the shards.
 func (l *Ledger) MembershipEnded(why string) {
 	for n, s := range l.shards {
-		if s.assigned {
+		if s.assigned || s.handing != nil {
+			s.assigned = false
 			l.releaseShard(n, why)
 		}
 	}
@@ -53,6 +60,7 @@
 // shards, and drops the jobs whose retention is over.
 func (l *Ledger) Tick(now time.Time) {
 	l.Expire(now)
+	l.expireHandovers(now)
 	l.closeEnded()
 	l.pruneRetained(now)
 }
@@ -67,7 +75,7 @@
 		}
 	}
 	l.emit(LogEvent{Message: "shard given up", Shard: n, Why: why})
-	*s = shard{takeovers: s.takeovers}
+	s.reset()
 }
 
 // stopDriving ends this host's driving of a job, if it drives it, and makes the
@@ -81,8 +89,8 @@
 }
 
 // takeOverShards starts driving the assigned shards for which that is safe: the
-// takeover is in the log, the runs of the previous driver are over, and their
-// ends have been read.
+// takeover is in the log, and either the previous driver has handed the shard over, or
+// its runs are over and their ends have been read.
 func (l *Ledger) takeOverShards() {
 	for n, s := range l.shards {
 		if !s.assigned || s.driving || !l.asOf.After(s.assignedAt) {
@@ -91,21 +99,33 @@
 		if s.ownTakeover == 0 {
 			s.firstDriver = s.takeovers == 0
 			s.ownTakeover = s.takeovers + 1
-			l.emit(AppendEntries{[]Entry{TakenOver{Shard: n, Takeovers: s.ownTakeover}}})
+			l.emit(AppendEntries{[]Entry{TakenOver{Shard: n, Takeovers: s.ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce}}})
 			continue
 		}
-		if s.takeovers < s.ownTakeover || !s.firstDriver && !l.asOf.After(s.assignedAt.Add(l.cfg.TakeoverDelay)) {
+		if s.takeovers < s.ownTakeover {
 			continue
 		}
+		var handed map[string]*handedWork
+		why := "the previous driver has ended"
+		switch {
+		case s.firstDriver:
+			why = "first driver"
+		case !l.asOf.After(l.waitUntil(s)):
+			continue
+		case l.isHandedToSelf(s):
+			handed, why = s.handover.byJob(), "handed over by "+s.handover.host
+		}
 		s.driving = true
-		l.emit(LogEvent{Message: "shard taken over", Shard: n})
+		l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: why})
 		for _, j := range l.openJobs(n) {
-			l.drive(j)
+			l.drive(j, handed[j.spec.ID])
 		}
 	}
 }
 
-func (l *Ledger) drive(j *job) {
+// drive asks the host to drive a job. Handed is what the previous driver has handed
+// over of it, or nil.
+func (l *Ledger) drive(j *job, handed *handedWork) {
 	if j.state.Ended() || j.closing || j.driven {
 		return
 	}
@@ -132,6 +152,9 @@
 			d.FailedRuns[task] = len(runs)
 		}
 	}
+	if handed != nil {
+		d.Running, d.Unsettled = handed.running, handed.unsettled
+	}
 	for _, run := range j.lostRuns() {
 		if d.Lost == nil {
 			d.Lost = map[fleet.TaskName][]quarantine.Loss{}
--- a/internal/decide/workerpool/claim_test.go
+++ b/internal/decide/workerpool/claim_test.go
@@ -178,6 +178,31 @@
 	assert.Empty(t, announced[0].Inventory.Running)
 }
 
+// The runs of a host that is stopped as planned were stopped when its process ended.
+func TestHandedOverRunWaitsForTheNextDriver(t *testing.T) {
+	for _, claimed := range []bool{false, true} {
+		p, id := startedRun(t, "former", true)
+		p.HandedOver(epoch, "other", []fleet.RunID{id})
+		p.HandedOver(epoch, "former", []fleet.RunID{id})
+		p.HostLost(epoch, "former")
+		end := epoch.Add(p.cfg.HandoverHold)
+		require.Empty(t, stopsAt(p, end))
+		if !claimed {
+			assert.Len(t, stopsAt(p, end.Add(time.Millisecond)), 1)
+			continue
+		}
+		task := testTask(1, 0, 8, epoch)
+		task.Host, task.Stored, task.NextRun = "next", true, id.Run+1
+		p.Claimed(end, offer.Claim{Worker: "w", Task: task})
+		sent := outcomes(p, end)
+		require.Len(t, sent, 1)
+		assert.Equal(t, "former", sent[0].Host, "a host that still waits must not do so for good")
+		assert.Equal(t, offer.Orphaned, sent[0].Result)
+		p.HostLost(end, "former")
+		assert.Empty(t, stopsAt(p, end.Add(time.Millisecond)))
+	}
+}
+
 // A driver that stood still for half a second came back and found all its runs stopped.
 func TestRunOfASilentDriverGoesOnForAWhile(t *testing.T) {
 	p, id := startedRun(t, "driver", true)
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -144,6 +144,18 @@
 	r.task, r.claimBy = &task, time.Time{}
 }
 
+// HandedOver records that a host does not wait for runs any more, because it has handed
+// them over to another one, which will claim them.
+func (p *Pool) HandedOver(now time.Time, host string, runs []fleet.RunID) {
+	for _, w := range p.order {
+		for _, id := range runs {
+			if r := w.runs[id]; r != nil && r.task != nil && r.task.Host == host {
+				r.claimBy = now.Add(p.cfg.HandoverHold)
+			}
+		}
+	}
+}
+
 const (
 	// announceInterval is how often the runs of stored jobs are announced until their
 	// drivers claim them. A driver may have missed an announcement because the stream
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -59,9 +59,10 @@
 	// until its driver claims it. The driver may stand still; it starts the task again
 	// takeoverTime (coordinator) after the run's lease at the earliest.
 	FoundRunHold time.Duration
-	// SilentHostHold is the same for a run whose driver contact was lost with. The driver
-	// starts the task again after more than twice that.
-	SilentHostHold time.Duration
+	// HandoverHold is the same for a run that its driver has handed over to the next
+	// one, and SilentHostHold for a run whose driver contact was lost with. A driver
+	// that hears nothing of either starts the task again after more than twice that.
+	HandoverHold, SilentHostHold time.Duration
 	// RemoteSlowdown is the factor on the run time of a task away from the rack that
 	// it names, unitless. Tasks wait for their racks only if it is above 1.
 	RemoteSlowdown float64
@@ -79,6 +80,7 @@
 		MaxLease:       maxLease,
 		ClaimTimeout:   150 * time.Millisecond,
 		FoundRunHold:   800 * time.Millisecond,
+		HandoverHold:   900 * time.Millisecond,
 		SilentHostHold: 450 * time.Millisecond,
 		RenewBefore:    maxLease * 55 / 100,
 		LongPollWait:   2 * time.Second,
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -64,7 +64,8 @@
 	confirmed bool
 	// claimBy is when the run is stopped unless a host claims it, or zero if a host
 	// waits for it. Hosts may claim the run until then because it was found on the
-	// worker, or because contact was lost with its driver, which may come back.
+	// worker, because its driver handed it over, or because contact was lost with the
+	// driver, which may come back.
 	claimBy time.Time
 	// exclusive is set if no other run may start on the worker beside it, and
 	// shared once another run has been on the worker with it.
