Cancel best-effort jobs whose caller waits at another host

A client that cancelled its best-effort job while its host was being stopped got a confirmation from another host, and the tasks ran on for up to 4 s. That host looked for the job among its own callers only, appended a cancellation to the log of stored jobs, or denied the job if no stored one was known. No host looked for best-effort jobs in the cancellations that it read.

Every host now reports a cancellation of a job that it does not know as stored, and the one where the caller waits stops it; a request that arrives later is refused. The cancellation is appended even if no stored job is known, and is dropped after the time for which jobs are kept. It does not make hosts read the log as often as stored jobs do.

TestBestEffortJobIsCancelledAtAnotherHost fails on the former code.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -75,6 +75,10 @@
 		d.nearDecision("job_host", a.Report)
 	case ledger.JobEnded:
 		d.jobEnded(a)
+	case ledger.UnknownCancelled:
+		if d.cancelBestEffort(now, a.Job) {
+			d.logger.Info("job cancelled at another host", "job", a.Job)
+		}
 	case ledger.RunsHandedOver:
 		d.logger.Info("shard has been handed over", "by", a.Host, "runs", len(a.Runs))
 		wake(d.shardWakeup)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -292,6 +292,11 @@
 		return
 	}
 	d.replaceHeld(now, job.ID)
+	if d.core.Ledger.IsCancelled(job.ID) {
+		d.logger.Info("job refused", "job", job.ID, "route", route.Name, "why", "cancelled")
+		result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the job was cancelled")}
+		return
+	}
 	if d.hold(now, heldJob{spec: job, route: route, timeout: timeout, arrived: now, result: result}) {
 		return
 	}
@@ -324,24 +329,28 @@
 // Cancel implements platform.Dispatcher.
 func (d *Dispatcher) Cancel(ctx context.Context, job string) (bool, *errkind.Error) {
 	found := false
-	d.postAndWait(func(now time.Time) {
-		_, found = d.waiters[job]
-		if found {
-			d.core.Coordinator.Cancel(now, job)
-			return
-		}
-		found = d.cancelHeld(now, job, nil)
-	})
+	d.postAndWait(func(now time.Time) { found = d.cancelBestEffort(now, job) })
 	if found {
 		return true, nil
 	}
 	if err := d.logNotRead(); err != nil {
 		return false, err
 	}
-	if !d.hasStoredJobs.Load() {
-		return false, nil
+	// The job may be a best-effort one whose caller waits at another host, which reads
+	// the cancellation in the log.
+	stored := d.hasStoredJobs.Load()
+	cancelled, err := d.cancelStored(ctx, job)
+	return cancelled && stored, err
+}
+
+// cancelBestEffort cancels a job whose caller waits at this host. It reports whether
+// there is such a job.
+func (d *Dispatcher) cancelBestEffort(now time.Time, job string) bool {
+	if _, ok := d.waiters[job]; ok {
+		d.core.Coordinator.Cancel(now, job)
+		return true
 	}
-	return d.cancelStored(ctx, job)
+	return d.cancelHeld(now, job, nil)
 }
 
 // State implements platform.Dispatcher.
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -320,6 +320,37 @@
 	})
 }
 
+// The cancellation of a best-effort job was confirmed by another host than the one where
+// its caller waits, and stopped nothing.
+func TestBestEffortJobIsCancelledAtAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		defer f.stopAll()
+		step := func(after ...int) map[string]any {
+			return map[string]any{"count": 1, "cpu": 14000, "est_runtime_ms": 100, "after": after}
+		}
+		const id = "00000000000000a1"
+		body := f.encode(map[string]any{"best_effort": true, "steps": []any{step(), step(0), step(1), step(2)}})
+		answered := make(chan int, 1)
+		go func() {
+			status, _ := f.call(http.MethodPost, "host-0", "/jobs/"+id, body)
+			answered <- status
+		}()
+		time.Sleep(taskTime / 2)
+		status, _ := f.call(http.MethodDelete, "host-1", "/jobs/"+id, nil)
+		assert.Contains(t, []int{http.StatusOK, http.StatusGone}, status)
+		assert.Equal(t, http.StatusGatewayTimeout, <-answered)
+		time.Sleep(20 * time.Millisecond)
+		for _, w := range f.workers {
+			assert.Zero(t, w.Running())
+		}
+		// A repeated request that arrives late must not start the job.
+		status, _ = f.call(http.MethodPost, "host-0", "/jobs/"+id, body)
+		assert.Equal(t, http.StatusGatewayTimeout, status)
+		assert.Len(t, f.startCounts(), 1)
+	})
+}
+
 // A host writes its entry only once, because each write makes all other hosts
 // read. It writes the entry again if the entry was removed.
 func TestHostEntryIsWrittenAgainOnlyAfterItsRemoval(t *testing.T) {
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -258,7 +258,8 @@
 		}
 		entries = append(entries, e)
 		switch e.(type) {
-		case ledger.TakenOver, ledger.HandedOver:
+		case ledger.TakenOver, ledger.HandedOver, ledger.Cancelled, ledger.Forgotten:
+			// These say nothing of a stored job that this host does not know.
 		default:
 			jobs = true
 		}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -86,6 +86,10 @@
 	Driven bool
 }
 
+// UnknownCancelled reports that a job was cancelled that is not a stored one, as far as
+// is known. The host stops it if it answers the job's caller.
+type UnknownCancelled struct{ Job string }
+
 // AppendEntries asks for entries to be appended to the log.
 type AppendEntries struct{ Entries []Entry }
 
@@ -96,13 +100,14 @@
 	Why     string
 }
 
-func (Drive) action()         {}
-func (Release) action()       {}
-func (TaskDone) action()      {}
-func (RunFailed) action()     {}
-func (JobEnded) action()      {}
-func (AppendEntries) action() {}
-func (LogEvent) action()      {}
+func (Drive) action()            {}
+func (Release) action()          {}
+func (TaskDone) action()         {}
+func (RunFailed) action()        {}
+func (JobEnded) action()         {}
+func (UnknownCancelled) action() {}
+func (AppendEntries) action()    {}
+func (LogEvent) action()         {}
 
 type job struct {
 	spec  fleet.Job
@@ -160,9 +165,11 @@
 	cfg    Config
 	jobs   map[string]*job
 	shards []*shard
-	// cancelledEarly are jobs whose cancellation was read before their
-	// acceptance.
-	cancelledEarly map[string]bool
+	// cancelledUnknown holds when the cancellation of a job was read whose acceptance was
+	// not: it is a best-effort job, or is accepted later. cancelledOrder lists them by
+	// that time.
+	cancelledUnknown map[string]time.Time
+	cancelledOrder   []string
 	// unclosed are the ended jobs whose Closed entry has not been read.
 	unclosed map[string]*job
 	// retained are the ended jobs in the order of their ends.
@@ -177,7 +184,7 @@
 
 // New returns an empty ledger.
 func New(cfg Config) *Ledger {
-	l := &Ledger{cfg: cfg, jobs: map[string]*job{}, cancelledEarly: map[string]bool{}, unclosed: map[string]*job{}}
+	l := &Ledger{cfg: cfg, jobs: map[string]*job{}, cancelledUnknown: map[string]time.Time{}, unclosed: map[string]*job{}}
 	for range cfg.Shards {
 		l.shards = append(l.shards, &shard{takers: takers{}})
 	}
@@ -269,7 +276,7 @@
 		case Forgotten:
 			delete(l.jobs, e.Job)
 			delete(l.unclosed, e.Job)
-			delete(l.cancelledEarly, e.Job)
+			delete(l.cancelledUnknown, e.Job)
 		case TakenOver:
 			s := l.shards[e.Shard%len(l.shards)]
 			s.takeovers = max(s.takeovers, e.Takeovers)
@@ -309,8 +316,8 @@
 		j.remaining += step.Count
 	}
 	l.jobs[e.Job.ID] = j
-	if l.cancelledEarly[e.Job.ID] {
-		delete(l.cancelledEarly, e.Job.ID)
+	if l.IsCancelled(e.Job.ID) {
+		delete(l.cancelledUnknown, e.Job.ID)
 		l.cancel(now, e.Job.ID)
 		return
 	}
@@ -354,8 +361,11 @@
 func (l *Ledger) cancel(now time.Time, id string) {
 	j := l.jobs[id]
 	switch {
+	case j == nil && !l.IsCancelled(id):
+		l.cancelledUnknown[id] = now
+		l.cancelledOrder = append(l.cancelledOrder, id)
+		l.emit(UnknownCancelled{Job: id})
 	case j == nil:
-		l.cancelledEarly[id] = true
 	case !j.state.Ended():
 		driven := j.driven
 		l.stopDriving(j, "cancelled")
@@ -363,6 +373,10 @@
 	}
 }
 
+// IsCancelled reports whether the log holds the cancellation of a job that it does not
+// hold otherwise.
+func (l *Ledger) IsCancelled(id string) bool { return !l.cancelledUnknown[id].IsZero() }
+
 // jobClosed applies a Closed entry of this or another host. Such an entry may
 // name a job whose acceptance is not in the log any more.
 func (l *Ledger) jobClosed(now time.Time, e Closed) {
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -193,3 +193,21 @@
 	require.Len(t, writes, 1)
 	assert.Equal(t, []fleet.RunID{{Task: task, Run: 1}}, writes[0].Entries[0].(Closed).LostRuns)
 }
+
+// The cancellation of a best-effort job stays in the log and in memory no longer than a
+// job would.
+func TestCancellationOfAnUnknownJobIsReportedAndForgotten(t *testing.T) {
+	l := newDriver(t, testEpoch)
+	for range 2 {
+		l.Apply(testEpoch, []Entry{Cancelled{Job: testJob}})
+	}
+	assert.Equal(t, []UnknownCancelled{{Job: testJob}}, actionsOf[UnknownCancelled](l.PopActions()))
+	assert.True(t, l.IsCancelled(testJob))
+	later := testEpoch.Add(retention)
+	l.Assigned(later, later, []int{0})
+	l.Tick(later)
+	require.Empty(t, actionsOf[AppendEntries](l.PopActions()))
+	l.Tick(later.Add(time.Millisecond))
+	assert.Equal(t, []AppendEntries{{[]Entry{Forgotten{Job: testJob}}}}, actionsOf[AppendEntries](l.PopActions()))
+	assert.False(t, l.IsCancelled(testJob))
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// pruneRetained drops the jobs whose retention is over. Those of this host's
-// shards are removed from the log too.
+// pruneRetained drops the jobs, and the cancellations of unknown ones, whose retention is
+// over. Those of this host's shards are removed from the log too.
 func (l *Ledger) pruneRetained(now time.Time) {
 	var entries []Entry
 	for len(l.retained) > 0 && now.Sub(l.retained[0].closedAt) > l.cfg.Retention {
@@ -195,6 +195,14 @@
 		delete(l.jobs, id)
 		delete(l.unclosed, id)
 	}
+	for len(l.cancelledOrder) > 0 && now.Sub(l.cancelledUnknown[l.cancelledOrder[0]]) > l.cfg.Retention {
+		id := l.cancelledOrder[0]
+		l.cancelledOrder = l.cancelledOrder[1:]
+		if l.IsCancelled(id) && l.shards[l.Shard(id)].driving {
+			entries = append(entries, Forgotten{Job: id})
+		}
+		delete(l.cancelledUnknown, id)
+	}
 	if len(entries) > 0 {
 		l.emit(AppendEntries{entries})
 	}
