Report how long tasks of stored jobs have nothing running, and why

Neither logs nor metrics could tell for how long a task of a stored job had no run, nor which wait was the cause. The driver now measures the time from the end of a run that was not done to the next start, by how it learned of the end: parsleyhill_task_interruption_seconds, and a line in the process log from one second on. A run that is claimed again is no interruption.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -54,6 +54,8 @@
 	case coordinator.TaskJudged:
 		d.metrics.verdicts.WithLabelValues(a.Verdict.String()).Inc()
 		d.logger.Warn("task judged by its lost workers", "task", a.Task, "verdict", a.Verdict, "crashes", a.Crashes)
+	case coordinator.TaskResumed:
+		d.taskResumed(a)
 	case workerpool.RunsLost:
 		d.runsLost(a)
 	case workerpool.SaturationChanged:
@@ -93,6 +95,18 @@
 	}
 }
 
+// longInterruption is how long a task of a stored job may have nothing running without a
+// line in the process log.
+const longInterruption = time.Second
+
+// taskResumed counts the time for which a task of a stored job had nothing running.
+func (d *Dispatcher) taskResumed(a coordinator.TaskResumed) {
+	d.metrics.interruptions.WithLabelValues(string(a.Interruption)).Observe(a.Idle.Seconds())
+	if a.Idle >= longInterruption {
+		d.logger.Warn("task had nothing running", "task", a.Task, "for", a.Idle, "why", a.Interruption)
+	}
+}
+
 // maxLoggedRuns bounds the runs in one line of the process log.
 const maxLoggedRuns = 16
 
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -22,7 +22,9 @@
 	polls        prometheus.Counter
 	pollsLost    prometheus.Counter
 	runsLost     *prometheus.CounterVec
-	verdicts     *prometheus.CounterVec
+	// interruptions holds the times for which tasks of stored jobs had nothing running.
+	interruptions *prometheus.HistogramVec
+	verdicts      *prometheus.CounterVec
 	// zoneEvacuated has a value for each zone that was ever evacuated.
 	zoneEvacuated *prometheus.GaugeVec
 	slowRuns      *prometheus.CounterVec
@@ -66,6 +68,10 @@
 		pollsLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "parsleyhill_polls_lost_total", Help: "Polls that were not answered although a run had ended.",
 		}),
+		interruptions: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "parsleyhill_task_interruption_seconds", Help: "Time from the end of a run of a stored job's task that was not done to the next start, by how the run ended.",
+			Buckets: []float64{.01, .05, .2, .5, 1, 2, 3, 5, 10},
+		}, []string{"why"}),
 		runsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "parsleyhill_runs_lost_total", Help: "Runs lost together with their worker, by how the loss was found.",
 		}, []string{"why"}),
@@ -127,7 +133,7 @@
 			Name: "parsleyhill_loop_seconds_total", Help: "Time that the event loop was busy.",
 		}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.verdicts, m.zoneEvacuated, m.slowRuns,
+	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.interruptions, m.verdicts, m.zoneEvacuated, m.slowRuns,
 		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
 		m.refusals, m.heldJobs, m.startSteps, m.sharedOrder, m.returnedLate, m.processor, m.loopBusy)
 	return m
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -323,6 +323,7 @@
 	for _, j := range c.jobsByArrival() {
 		for _, t := range j.tasks {
 			if t.host == name && (t.state == taskOffered || t.state == taskStarted) {
+				c.interrupted(now, j, t, OwnerLost)
 				t.state, t.orphanEndsAt, t.host = taskOrphaned, endsAt, ""
 			}
 		}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -159,6 +159,7 @@
 	t.atLeastFailed(o.FailedRuns, o.Run)
 	switch o.Result {
 	case offer.Started:
+		c.resumed(now, t)
 		c.cfg.Flow.Started(now)
 		t.state = taskStarted
 		t.incarnation, _, _ = c.workers.Worker(o.Worker)
@@ -168,6 +169,7 @@
 	case offer.Failed:
 		c.answerFailed(now, j, t, o.Worker)
 	case offer.Returned:
+		c.interrupted(now, j, t, RunReturned)
 		t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
 		if o.Worker == "" {
 			t.skipHost(from, now)
@@ -178,6 +180,7 @@
 		c.recallLate(now, j)
 		c.review(now, j)
 	case offer.Orphaned:
+		c.interrupted(now, j, t, RunOrphaned)
 		if j.stored && t.lastFailedRun >= o.Run {
 			// The log has the run's end.
 			t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
@@ -301,6 +304,7 @@
 				continue
 			}
 			lost = true
+			c.interrupted(now, j, t, RunNotListed)
 			if j.stored {
 				// The run may have ended, been recorded in the log and been removed
 				// from the worker's list.
@@ -327,6 +331,7 @@
 		return
 	}
 	t.lastRun, t.state, t.host, t.worker, t.fence, t.mayHaveRun = r.Run, taskStarted, from, worker, inv.Fence, true
+	t.interruptedAt = time.Time{}
 	j.addOfferedHost(from)
 	c.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: c.offerTask(j, t)}})
 }
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -59,6 +59,10 @@
 	// skipUntil holds, for each host that returned the task, the time until which
 	// the task is not offered to it again.
 	skipUntil map[string]time.Time
+	// interruptedAt is when the run of a stored job's task ended without being done, as
+	// far as is known, until the task starts again; interruption tells how.
+	interruptedAt time.Time
+	interruption  Interruption
 	// nearSince is when the task was first offered to wait for its rack, or zero.
 	nearSince time.Time
 }
