Let stronger hosts own more workers

Each host owned as many workers as any other, whatever its processor. Small hosts with 18 workers were the first to be late, and the shortest jobs (`pick`) were hurt first.

A host is now a member of its zone's group once for each quarter of a core, one to four times. The store divides the workers evenly over the members.

TestStrongerHostOwnsMoreWorkers does not build on the former code, which knows no processor time; there all hosts own alike.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/daemon/supervise"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/decide/policy"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -98,9 +99,9 @@
 	// fast_recovery is off, and once the start is over.
 	start *start
 
-	// membershipWakeups holds, by zone, the channel that triggers an immediate
+	// membershipWakeups holds, by seat, the channel that triggers an immediate
 	// join or leave of the zone's group.
-	membershipWakeups map[string]chan struct{}
+	membershipWakeups map[ownership.Seat]chan struct{}
 	// shardWakeup does the same for the group of the stored jobs' shards.
 	shardWakeup chan struct{}
 }
@@ -127,11 +128,13 @@
 			Ledger: ledgerConfig(s), Policy: policies, RemoteSlowdown: s.RemoteSlowdown,
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
-		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[string]chan struct{}{},
+		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[ownership.Seat]chan struct{}{},
 		shardWakeup: make(chan struct{}, 1),
 	}
 	for _, zone := range s.Zones {
-		d.membershipWakeups[zone] = make(chan struct{}, 1)
+		for number := range d.seats(zone) {
+			d.membershipWakeups[ownership.Seat{Zone: zone, Number: number}] = make(chan struct{}, 1)
+		}
 	}
 	d.peers = newPeers(self, logger.WithPrefix("peers"), d, network.Dial)
 	if policies.FastRecovery.Enabled() {
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -46,6 +46,8 @@
 	// policies and logOutput apply to hosts that are started later.
 	policies  policy.Settings
 	logOutput io.Writer
+	// cores is the processor time of hosts that are started later, in cores.
+	cores float64
 }
 
 func newFleet(t *testing.T, hosts, workers int) *testFleet {
@@ -116,7 +118,7 @@
 	s := platform.Settings{
 		Host: name, Zone: zone, Zones: f.zones, CallersAddress: name + ":1", ReadyAddress: name + ":2",
 		PeersAddress: name + ":3", MetricsAddress: name + ":4", StoreAddress: "store:1",
-		MaxLease: time.Second, Grace: 6 * time.Second, Partitions: partitions, JobRetention: 2 * time.Minute,
+		MaxLease: time.Second, Grace: 6 * time.Second, Partitions: partitions, Cores: f.cores, JobRetention: 2 * time.Minute,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -351,6 +353,45 @@
 	})
 }
 
+// Each host owned as many workers as any other, and those with a fifth of a core were at
+// their limit while those with four times as much idled.
+func TestStrongerHostOwnsMoreWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0, 120)
+		defer f.stopAll()
+		f.cores = 0.192
+		f.start("weak-1")
+		f.start("weak-2")
+		f.cores = 0.8
+		f.start("strong")
+		time.Sleep(3 * time.Second)
+		owned := map[string]int{}
+		for name, d := range f.hosts {
+			d.postAndWait(func(time.Time) { owned[name] = len(d.core.Pool.WorkerIDs()) })
+		}
+		assert.Equal(t, 120, owned["strong"]+owned["weak-1"]+owned["weak-2"])
+		assert.Greater(t, owned["strong"], 2*max(owned["weak-1"], owned["weak-2"]))
+		f.stops["strong"]()
+		time.Sleep(time.Second)
+		owned["weak-1"] = 0
+		for name, d := range f.hosts {
+			if name != "strong" {
+				d.postAndWait(func(time.Time) { owned[name] = len(d.core.Pool.WorkerIDs()) })
+			}
+		}
+		assert.Equal(t, 120, owned["weak-1"]+owned["weak-2"])
+	})
+}
+
+func TestMemberNamesLeadBackToTheirHost(t *testing.T) {
+	for member, host := range map[string]string{
+		memberName("a", 0): "a", memberName("a", 3): "a", memberName("b~x", 2): "b~x", "b~x": "b~x", "~1": "~1", "b~0": "b~0", "": "",
+	} {
+		assert.Equal(t, host, hostOfMember(member), member)
+	}
+	assert.NotEqual(t, memberName("a", 0), memberName("a", 1))
+}
+
 // A host writes its entry only once, because each write makes all other hosts
 // read. It writes the entry again if the entry was removed.
 func TestHostEntryIsWrittenAgainOnlyAfterItsRemoval(t *testing.T) {
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 	"github.com/parsleyhill/parsleyhill/platform"
 )
@@ -40,11 +43,51 @@
 func (d *Dispatcher) runMemberships(ctx context.Context) error {
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, zone := range d.settings.Zones {
-		loops.Go(func() error { return d.runZoneMembership(ctx, zone) })
+		for number := range d.seats(zone) {
+			loops.Go(func() error { return d.runZoneMembership(ctx, ownership.Seat{Zone: zone, Number: number}) })
+		}
 	}
 	return loops.Wait()
 }
 
+const (
+	// seatCores is the processor time, in cores, for each membership of a host in the
+	// group of its zone. The store divides the workers evenly over the members, and an
+	// owner uses some 5 ms of processor time a second for each busy worker.
+	seatCores = 0.25
+	// maxSeats bounds the workers that are without an owner after the loss of one host.
+	maxSeats = 4
+	// seatSeparator separates a host's name from the number of a further seat in the
+	// names of members.
+	seatSeparator = "~"
+)
+
+// seats returns how many members this host is in the group of a zone.
+func (d *Dispatcher) seats(zone string) int {
+	if zone != d.settings.Zone {
+		return 1
+	}
+	return min(maxSeats, max(1, int(d.settings.Cores/seatCores)))
+}
+
+// memberName returns the name of a host as a member of a group.
+func memberName(host string, seat int) string {
+	if seat == 0 {
+		return host
+	}
+	return host + seatSeparator + strconv.Itoa(seat)
+}
+
+// hostOfMember returns the host of a member, the inverse of memberName.
+func hostOfMember(member string) string {
+	if i := strings.LastIndex(member, seatSeparator); i > 0 {
+		if n, err := strconv.Atoi(member[i+len(seatSeparator):]); err == nil && n > 0 {
+			return member[:i]
+		}
+	}
+	return member
+}
+
 // wake sends a wake-up on a channel with a buffer of one. It does nothing if
 // one is already pending.
 func wake(wakeups chan<- struct{}) {
@@ -67,7 +110,7 @@
 
 // membership is this host's membership in a group.
 type membership struct {
-	group string
+	group, member string
 	// onAssigned handles the reply to a join that was sent at the given time.
 	onAssigned func(now, sent time.Time, reply platform.Membership)
 	// onLeave gives up all partitions.
@@ -81,12 +124,13 @@
 
 // runZoneMembership keeps this host a member of a zone's group while shouldJoin
 // returns true, until ctx is done.
-func (d *Dispatcher) runZoneMembership(ctx context.Context, zone string) error {
-	m := &membership{group: zoneGroup(zone), onAssigned: func(_, _ time.Time, r platform.Membership) {
-		d.core.Ownership.Joined(zone, r.Generation, r.Partitions)
-	}, onLeave: func(time.Time) { d.core.Ownership.Left(zone) }}
+func (d *Dispatcher) runZoneMembership(ctx context.Context, seat ownership.Seat) error {
+	zone := seat.Zone
+	m := &membership{group: zoneGroup(zone), member: memberName(d.self.Name, seat.Number), onAssigned: func(_, _ time.Time, r platform.Membership) {
+		d.core.Ownership.Joined(seat, r.Generation, r.Partitions)
+	}, onLeave: func(time.Time) { d.core.Ownership.Left(seat) }}
 	started := time.Now()
-	return d.maintainMembership(ctx, m, d.membershipWakeups[zone], func() bool { return d.shouldJoin(ctx, zone, time.Since(started)) })
+	return d.maintainMembership(ctx, m, d.membershipWakeups[seat], func() bool { return d.shouldJoin(ctx, zone, time.Since(started)) })
 }
 
 // maintainMembership joins a group repeatedly while wanted returns true and
@@ -148,7 +192,7 @@
 		return true
 	}
 	for _, owner := range owners {
-		if d.peers.zoneOf(owner) == zone {
+		if d.peers.zoneOf(hostOfMember(owner)) == zone {
 			return true
 		}
 	}
@@ -159,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := d.store.Join(ctx, m.group, d.self.Name, timeToLive(d.settings), m.generation)
+	reply, err := d.store.Join(ctx, m.group, m.member, timeToLive(d.settings), m.generation)
 	if (err != nil) != m.failed {
 		m.failed = err != nil
 		d.logger.Info("membership", "group", m.group, "lost", m.failed, "error", err)
@@ -184,7 +228,7 @@
 	d.postAndWait(m.onLeave)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := d.store.Leave(ctx, m.group, d.self.Name); err != nil {
+	if err := d.store.Leave(ctx, m.group, m.member); err != nil {
 		d.logger.Warn("failed to leave group", "group", m.group, "error", err)
 		return
 	}
--- a/internal/decide/host/capacity_test.go
+++ b/internal/decide/host/capacity_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -61,7 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c0 := New(Config{Name: "h", Zone: "z0", MaxLease: testLease, Partitions: 1, Ledger: testLedger()})
-			c0.Ownership.Joined("z0", 1, []int{0})
+			c0.Ownership.Joined(ownership.Seat{Zone: "z0"}, 1, []int{0})
 			c0.UpdateWorker(testEpoch, entry(5, 7, 16))
 			c0.UpdateWorker(testEpoch, c.later)
 			for range 2 {
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 )
 
@@ -28,8 +29,10 @@
 		h.leaving = true
 		h.core.Leave()
 		if !h.storeUnreachable {
-			h.core.Ownership.Left(h.zone)
-			w.groups[h.zone].leave(h.name)
+			for number := range h.seats {
+				h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
+				w.groups[h.zone].leave(seatName(h, number))
+			}
 			h.core.Ledger.Leave(w.now)
 			w.log.group.leave(h.name)
 		}
@@ -133,6 +136,8 @@
 	for seed := range uint64(*histories) / 2 {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			w := newWorld(seed, 2, 3, 8)
+			// The first host of each zone is to own half of its workers.
+			w.hosts[0].seats, w.hosts[3].seats = 2, 2
 			w.run(2 * time.Second)
 			w.lossRate, w.lateRate = 0.01, 0.01
 			w.loadStored(15, w.now.Add(12*time.Second))
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/coordinator"
+	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
 	"github.com/parsleyhill/parsleyhill/internal/decide/workerpool"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -57,9 +58,12 @@
 	core       *Core
 	// incarnation counts the starts of the host. Events of an earlier incarnation
 	// are dropped.
-	incarnation      int
-	up               bool
-	generation       int64
+	incarnation int
+	up          bool
+	// seats is the number of the host's memberships in its zone's group, and generations
+	// holds the generation that each has joined last.
+	seats            int
+	generations      map[int]int64
 	storeUnreachable bool
 	appendsRejected  bool
 	// leaving is set during a planned stop, and frozenUntil is the end of a standstill.
@@ -126,7 +130,7 @@
 	}
 	for z := range zones {
 		for i := range hostsPerZone {
-			h := &simHost{name: fmt.Sprintf("h-z%d-%d", z, i), zone: fmt.Sprintf("z%d", z)}
+			h := &simHost{name: fmt.Sprintf("h-z%d-%d", z, i), zone: fmt.Sprintf("z%d", z), seats: 1}
 			w.hosts = append(w.hosts, h)
 			w.boot(h)
 		}
@@ -159,7 +163,7 @@
 // boot starts a host's process.
 func (w *world) boot(h *simHost) {
 	h.incarnation++
-	h.up, h.generation, h.shardGeneration, h.logPosition = true, 0, 0, 0
+	h.up, h.generations, h.shardGeneration, h.logPosition = true, map[int]int64{}, 0, 0
 	h.leaving, h.frozenUntil = false, time.Time{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
@@ -244,14 +248,19 @@
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
 		if !h.storeUnreachable && !h.leaving && h.core.Ledger.Loaded() {
-			generation, parts := w.groups[h.zone].join(w.now, h.name, h.generation)
-			h.generation = generation
-			h.core.Ownership.Joined(h.zone, generation, parts)
+			for number := range h.seats {
+				generation, parts := w.groups[h.zone].join(w.now, seatName(h, number), h.generations[number])
+				h.generations[number] = generation
+				h.core.Ownership.Joined(ownership.Seat{Zone: h.zone, Number: number}, generation, parts)
+			}
 		}
 		w.after(joinInterval, func() { w.join(h) })
 	})()
 }
 
+// seatName returns the name of a host as a member of its zone's group.
+func seatName(h *simHost, number int) string { return fmt.Sprintf("%s~%d", h.name, number) }
+
 func pair(a, b string) string { return min(a, b) + "|" + max(a, b) }
 
 func (w *world) linked(a, b string) bool { return w.cuts[pair(a, b)] == 0 }
--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -52,13 +52,17 @@
 func (Release) action() {}
 func (Update) action()  {}
 
-// membership is the state of this host's membership in one zone's group.
+// Seat is one of a host's memberships in the group of a zone. A host has several
+// there if it is to own more workers than a weaker one.
+type Seat struct {
+	Zone   string
+	Number int
+}
+
+// membership is the state of one of this host's memberships in a zone's group.
 type membership struct {
 	generation int64
 	partitions []int
-	// attempts counts the adoptions of each worker of the zone since the
-	// generation last rose.
-	attempts map[string]int64
 	// unsettled is set if a worker of the zone was released that may still be
 	// assigned to this host.
 	unsettled bool
@@ -71,8 +75,10 @@
 type Tracker struct {
 	partitions  int
 	nonce       int64
-	memberships map[string]*membership
+	memberships map[Seat]*membership
 	workers     map[string]fleet.Worker
+	// adoptions holds the last adoption of each worker.
+	adoptions map[string]adoption
 	// held contains the workers that this host owns or is taking over.
 	held map[string]bool
 	// replaced holds the workers at whose address another worker has answered,
@@ -86,7 +92,7 @@
 func New(partitions int, nonce int64) *Tracker {
 	return &Tracker{
 		partitions: partitions, nonce: nonce & (1<<nonceBits - 1),
-		memberships: map[string]*membership{}, workers: map[string]fleet.Worker{},
+		memberships: map[Seat]*membership{}, workers: map[string]fleet.Worker{}, adoptions: map[string]adoption{},
 		held: map[string]bool{}, replaced: map[string]fleet.Worker{},
 	}
 }
@@ -105,38 +111,39 @@
 
 // Joined records the generation and the partitions that the store assigned when
 // this host joined a zone's group.
-func (t *Tracker) Joined(zone string, generation int64, partitions []int) {
-	g := t.memberships[zone]
+func (t *Tracker) Joined(s Seat, generation int64, partitions []int) {
+	g := t.memberships[s]
 	if g == nil {
-		g = &membership{attempts: map[string]int64{}}
-		t.memberships[zone] = g
+		g = &membership{}
+		t.memberships[s] = g
 	}
 	if generation == g.generation && slices.Equal(partitions, g.partitions) && !g.unsettled {
 		return
 	}
-	if generation > g.generation {
-		g.attempts = map[string]int64{}
-	}
 	g.generation, g.unsettled = generation, false
 	g.partitions = slices.Clone(partitions)
-	t.reconcileZone(zone, "assigned to another host")
+	t.reconcileZone(s.Zone, "assigned to another host")
 }
 
-// Left records the end of a membership and releases the workers of the zone.
-func (t *Tracker) Left(zone string) {
-	if g := t.memberships[zone]; g != nil {
+// Left records the end of a membership and releases the workers that it assigned to
+// this host.
+func (t *Tracker) Left(s Seat) {
+	if g := t.memberships[s]; g != nil {
 		g.partitions = nil
-		t.reconcileZone(zone, "membership ended")
+		t.reconcileZone(s.Zone, "membership ended")
 	}
 }
 
-// Generation returns the generation to send when joining a zone's group, or
-// zero. The workers that it assigns to other hosts have been released.
-func (t *Tracker) Generation(zone string) int64 {
-	if g := t.memberships[zone]; g != nil {
-		return g.generation
+// assigned returns the membership that assigns a worker to this host, or nil.
+func (t *Tracker) assigned(w fleet.Worker) *membership {
+	partition := t.Partition(w.ID)
+	var found *membership
+	for s, g := range t.memberships {
+		if s.Zone == w.Zone && g.owns(partition) && (found == nil || g.generation > found.generation) {
+			found = g
+		}
 	}
-	return 0
+	return found
 }
 
 // UpdateWorker records a worker's registration, and adopts or releases the
@@ -167,6 +174,7 @@
 func (t *Tracker) RemoveWorker(id string) {
 	delete(t.workers, id)
 	delete(t.replaced, id)
+	delete(t.adoptions, id)
 	t.release(id, "registration removed")
 }
 
@@ -193,8 +201,10 @@
 // assigns it to this host, the next join adopts it again.
 func (t *Tracker) Released(id string) {
 	delete(t.held, id)
-	if g := t.memberships[t.workers[id].Zone]; g != nil {
-		g.unsettled = true
+	for s, g := range t.memberships {
+		if s.Zone == t.workers[id].Zone {
+			g.unsettled = true
+		}
 	}
 }
 
@@ -219,24 +229,30 @@
 
 // reconcile adopts or releases a worker according to the assigned partitions.
 func (t *Tracker) reconcile(w fleet.Worker, why string) {
-	g := t.memberships[w.Zone]
-	ours := g != nil && g.owns(t.Partition(w.ID))
+	g := t.assigned(w)
 	switch {
-	case ours && !t.held[w.ID]:
+	case g != nil && !t.held[w.ID]:
 		if _, gone := t.replaced[w.ID]; gone {
 			return
 		}
 		t.held[w.ID] = true
 		t.adopt(w, g)
-	case !ours:
+	case g == nil:
 		t.release(w.ID, why)
 	}
 }
 
+// adoption is a takeover of a worker: the generation of its zone's group, and how
+// often the worker was taken over in that generation before.
+type adoption struct{ generation, attempt int64 }
+
 func (t *Tracker) adopt(w fleet.Worker, g *membership) {
-	attempt := min(g.attempts[w.ID], maxAttempt)
-	g.attempts[w.ID] = attempt + 1
-	fence := (g.generation<<attemptBits|attempt)<<nonceBits | t.nonce
+	a := adoption{generation: g.generation}
+	if last, ok := t.adoptions[w.ID]; ok && last.generation >= g.generation {
+		a = adoption{last.generation, min(last.attempt+1, maxAttempt)}
+	}
+	t.adoptions[w.ID] = a
+	fence := (a.generation<<attemptBits|a.attempt)<<nonceBits | t.nonce
 	t.actions = append(t.actions, Adopt{Worker: w, Fence: fence})
 }
 
--- a/internal/decide/ownership/ownership_test.go
+++ b/internal/decide/ownership/ownership_test.go
@@ -27,14 +27,14 @@
 func TestChangeInOneZoneKeepsTheFencesOfAnotherRising(t *testing.T) {
 	tracker := New(1, 7)
 	tracker.UpdateWorker(fleet.Worker{ID: "w", Zone: "a"})
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	first := fences(tracker.PopActions(), "w")
 	require.Len(t, first, 1)
 
 	tracker.Released("w")
-	tracker.Joined("b", 1, []int{0})
-	tracker.Joined("b", 2, []int{0})
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "b"}, 1, []int{0})
+	tracker.Joined(Seat{Zone: "b"}, 2, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	second := fences(tracker.PopActions(), "w")
 	require.Len(t, second, 1)
 	assert.Greater(t, second[0], first[0])
@@ -47,11 +47,11 @@
 	for i := range 1100 {
 		tracker.UpdateWorker(fleet.Worker{ID: fmt.Sprintf("w%d", i), Zone: fmt.Sprintf("z%d", i%5)})
 	}
-	tracker.Joined("z0", 1, []int{3, 4})
+	tracker.Joined(Seat{Zone: "z0"}, 1, []int{3, 4})
 	assert.NotEmpty(t, tracker.PopActions())
 	result := testing.Benchmark(func(b *testing.B) {
 		for b.Loop() {
-			tracker.Joined("z0", 1, []int{3, 4})
+			tracker.Joined(Seat{Zone: "z0"}, 1, []int{3, 4})
 		}
 	})
 	assert.Less(t, result.AllocedBytesPerOp(), int64(1100), "less than a byte a worker")
@@ -61,11 +61,11 @@
 func TestReleasedWorkerIsAdoptedAgainWithTheNextJoin(t *testing.T) {
 	tracker := New(1, 7)
 	tracker.UpdateWorker(fleet.Worker{ID: "w", Zone: "a"})
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	tracker.PopActions()
 	tracker.Released("w")
 	assert.Empty(t, tracker.PopActions())
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	assert.Len(t, fences(tracker.PopActions(), "w"), 1)
 }
 
@@ -75,11 +75,11 @@
 	tracker := New(1, 7)
 	entry := fleet.Worker{ID: "w", Zone: "a", StartTime: 5, Heartbeat: 3}
 	tracker.UpdateWorker(entry)
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	require.Len(t, fences(tracker.PopActions(), "w"), 1)
 	tracker.Replaced("w")
 	tracker.Released("w")
-	tracker.Joined("a", 3, []int{0})
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
 	tracker.UpdateWorker(entry)
 	assert.Empty(t, fences(tracker.PopActions(), "w"))
 
@@ -92,3 +92,38 @@
 	tracker.RemoveWorker("w")
 	assert.Empty(t, tracker.replaced)
 }
+
+// The partitions of a host's seats are its own together, and a worker that moves from
+// one seat to the other must get a higher fence, whichever seat's answer is older.
+func TestSeatsOfAHostAddUp(t *testing.T) {
+	tracker := New(2, 7)
+	ids := map[int]string{}
+	for i := 0; len(ids) < 2; i++ {
+		id := fmt.Sprintf("w%d", i)
+		ids[tracker.Partition(id)] = id
+	}
+	for _, id := range ids {
+		tracker.UpdateWorker(fleet.Worker{ID: id, Zone: "a"})
+	}
+	first, second := Seat{Zone: "a"}, Seat{Zone: "a", Number: 1}
+	tracker.Joined(first, 4, []int{0})
+	tracker.Joined(second, 5, []int{1})
+	actions := tracker.PopActions()
+	before := fences(actions, ids[0])
+	require.Len(t, before, 1)
+	require.Len(t, fences(actions, ids[1]), 1)
+
+	tracker.Joined(first, 6, nil)
+	assert.Equal(t, []Action{Release{Worker: ids[0], Why: "assigned to another host"}}, tracker.PopActions())
+	tracker.Joined(second, 6, []int{0, 1})
+	after := fences(tracker.PopActions(), ids[0])
+	require.Len(t, after, 1)
+	assert.Greater(t, after[0], before[0])
+
+	tracker.Left(second)
+	assert.Len(t, tracker.PopActions(), 2)
+	tracker.Joined(first, 3, []int{0})
+	late := fences(tracker.PopActions(), ids[0])
+	require.Len(t, late, 1)
+	assert.Greater(t, late[0], after[0], "an answer that was delayed")
+}
