--- a/internal/decide/host/evacuation_test.go
+++ b/internal/decide/host/evacuation_test.go
@@ -120,6 +120,7 @@
 func TestEvacuationHistories(t *testing.T) {
 	for seed := range uint64((*histories + 1) / 2) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newEvacuationWorld(seed)
 			w.run(2 * time.Second)
 			w.lossRate, w.lateRate = 0.02, 0
--- a/internal/decide/host/handover_test.go
+++ b/internal/decide/host/handover_test.go
@@ -23,6 +23,7 @@
 func TestEndsThatOutliveSeveralOwners(t *testing.T) {
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(seed, 2, 3, 6)
 			w.run(2 * time.Second)
 			w.loadStored(12, w.now.Add(8*time.Second))
--- a/internal/decide/host/history_test.go
+++ b/internal/decide/host/history_test.go
@@ -17,6 +17,7 @@
 func TestHistories(t *testing.T) {
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(seed, 2, 2, 8)
 			w.run(2 * time.Second)
 			w.lossRate, w.lateRate = 0.02, 0.02
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -159,6 +159,7 @@
 func TestStoredHistories(t *testing.T) {
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(seed, 2, 2, 8)
 			w.run(2 * time.Second)
 			w.lossRate, w.lateRate = 0.02, 0.02
--- a/internal/decide/host/racks_test.go
+++ b/internal/decide/host/racks_test.go
@@ -66,6 +66,7 @@
 func TestHistoriesWithAHotRack(t *testing.T) {
 	for seed := range uint64(*histories) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newRackWorld(seed, 8, 0.6)
 			w.run(2 * time.Second)
 			w.lossRate, w.lateRate = 0.02, 0.02
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -86,6 +86,7 @@
 func TestPlannedStopEndsNoRunOfAStoredJob(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(seed, 3, 2, 8)
 			w.run(4 * time.Second)
 			w.submitLong(60, 3*time.Second)
@@ -109,6 +110,7 @@
 		standstill := d * time.Millisecond
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%v/seed=%d", standstill, seed), func(t *testing.T) {
+				t.Parallel()
 				w := newWorld(seed, 3, 2, 8)
 				w.run(4 * time.Second)
 				w.submitLong(60, 3*time.Second)
@@ -135,6 +137,7 @@
 func TestStoredHistoriesWithPlannedStops(t *testing.T) {
 	for seed := range uint64(*histories) / 2 {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(seed, 2, 3, 8)
 			// The first host of each zone is to own half of its workers.
 			w.hosts[0].seats, w.hosts[3].seats = 2, 2
