--- /dev/null
+++ b/internal/decide/workerpool/claims.go
@@ -0,0 +1,111 @@
+package workerpool
+
+import (
+	"maps"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+const (
+	// announceInterval is how often the runs of stored jobs are announced until their
+	// drivers claim them. A driver may have missed an announcement because the stream
+	// to it was replaced.
+	announceInterval = 200 * time.Millisecond
+	// announceStopped is how long it is announced that runs were stopped unclaimed.
+	announceStopped = 2 * time.Second
+	// maxEndedUnclaimed bounds the runs of which it is remembered that they ended
+	// unclaimed, and endedUnclaimedMemory how long.
+	maxEndedUnclaimed    = 1024
+	endedUnclaimedMemory = 10 * time.Second
+)
+
+// Claimed records a host's claim of a run found on a worker, in progress or ended.
+// The host waits for the run's end, so that a claim of a run that is not known any more
+// is answered.
+func (p *Pool) Claimed(now time.Time, c offer.Claim) {
+	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
+	w, ok := p.workers[c.Worker]
+	if !ok {
+		// The run may go on under its lease, and the worker's next owner finds it.
+		p.returnClaim(c.Task, id.Run, "worker released before the claim", p.cfg.MaxLease)
+		return
+	}
+	r, running := w.runs[id]
+	switch {
+	case w.unclaimed[id]:
+		w.removeRun(r)
+		task := c.Task
+		r.task, r.size, r.claimed, r.exclusive, r.stored = &task, task.Size, true, task.Exclusive, task.Stored
+		r.claimBy = time.Time{}
+		w.addRun(r)
+	case running:
+		p.claimAgain(r, c.Task)
+	case p.confirmEnd(now, w, id, c.Task):
+	case !p.endedUnclaimed[id].IsZero():
+		delete(p.endedUnclaimed, id)
+		p.sendOutcome(c.Task, w, id.Run, offer.Returned, "run was stopped before the claim")
+	default:
+		p.returnClaim(c.Task, id.Run, "run ended before the claim", 0)
+	}
+}
+
+// claimAgain makes a run report its end to the host that claims it. A host that waited
+// for it until then is told that the run is not its own any more.
+func (p *Pool) claimAgain(r *run, task offer.Task) {
+	if r.task != nil && r.task.Host != task.Host {
+		p.returnClaim(*r.task, r.id.Run, "claimed by "+task.Host, p.cfg.MaxLease)
+	}
+	r.task, r.claimBy = &task, time.Time{}
+}
+
+// HandedOver records that a host does not wait for runs any more, because it has handed
+// them over to another one, which will claim them.
+func (p *Pool) HandedOver(now time.Time, host string, runs []fleet.RunID) {
+	for _, w := range p.order {
+		for _, id := range runs {
+			if r := w.runs[id]; r != nil && r.task != nil && r.task.Host == host {
+				r.claimBy = now.Add(p.cfg.HandoverHold)
+			}
+		}
+	}
+}
+
+// announceAgain announces the runs of a worker while some of stored jobs wait to be
+// claimed, and after some were stopped, so that their drivers do not wait for them.
+func (p *Pool) announceAgain(now time.Time, w *worker) {
+	if now.Before(w.nextAnnouncement) || !w.awaitsDriver(now) && !now.Before(w.announceUntil) {
+		return
+	}
+	w.nextAnnouncement = now.Add(announceInterval)
+	inventory := offer.Inventory{Worker: w.info.ID, Fence: w.fence, Ended: w.heldEnds()}
+	for _, r := range w.sortedRuns() {
+		inventory.Running = append(inventory.Running, r.id)
+	}
+	p.emit(AnnounceInventory{inventory})
+}
+
+// endedWithoutClaim remembers that a run ended without a result while no host waited
+// for it.
+func (p *Pool) endedWithoutClaim(now time.Time, w *worker, r *run) {
+	if r.stored && w.unclaimed[r.id] {
+		w.nextAnnouncement, w.announceUntil = now, now.Add(announceStopped)
+	}
+	if len(p.endedUnclaimed) >= maxEndedUnclaimed {
+		maps.DeleteFunc(p.endedUnclaimed, func(_ fleet.RunID, at time.Time) bool { return now.Sub(at) > endedUnclaimedMemory })
+	}
+	if len(p.endedUnclaimed) < maxEndedUnclaimed {
+		p.endedUnclaimed[r.id] = now
+	}
+}
+
+// returnClaim tells the host of a task that a run that it claimed is over, or goes on
+// without an owner for a time. The host of a stored job looks for the run's end in the
+// log before it starts the task again.
+func (p *Pool) returnClaim(t offer.Task, run int, why string, remaining time.Duration) {
+	p.emit(SendOutcome{offer.Outcome{
+		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
+		Why: why, MaxRemaining: remaining,
+	}})
+}
