Keep the fence of a worker rising when its registration returns

Since hosts have several seats, the removal of a worker's registration also dropped its last adoption. A registration that was removed and came back in the same generation, as after an outage of the store, was adopted under the fence of its first adoption, so that late orders of that one counted again. Found on reading the change.

Adoptions now stay until all seats in the zone have a higher generation.

TestWorkerThatRegistersAgainGetsAHigherFence failed before: twice.

--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -11,6 +11,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,7 +79,8 @@
 	nonce       int64
 	memberships map[Seat]*membership
 	workers     map[string]fleet.Worker
-	// adoptions holds the last adoption of each worker.
+	// adoptions holds the last adoption of each worker. A worker whose registration was
+	// removed may return in the same generation and then needs a higher fence.
 	adoptions map[string]adoption
 	// held contains the workers that this host owns or is taking over.
 	held map[string]bool
@@ -122,9 +125,22 @@
 	}
 	g.generation, g.unsettled = generation, false
 	g.partitions = slices.Clone(partitions)
+	t.forgetAdoptions(s.Zone)
 	t.reconcileZone(s.Zone, "assigned to another host")
 }
 
+// forgetAdoptions drops the adoptions in a zone that precede the generations of all its
+// seats: a later adoption there has a higher generation.
+func (t *Tracker) forgetAdoptions(zone string) {
+	oldest := int64(math.MaxInt64)
+	for s, g := range t.memberships {
+		if s.Zone == zone {
+			oldest = min(oldest, g.generation)
+		}
+	}
+	maps.DeleteFunc(t.adoptions, func(_ string, a adoption) bool { return a.zone == zone && a.generation < oldest })
+}
+
 // Left records the end of a membership and releases the workers that it assigned to
 // this host.
 func (t *Tracker) Left(s Seat) {
@@ -174,7 +190,6 @@
 func (t *Tracker) RemoveWorker(id string) {
 	delete(t.workers, id)
 	delete(t.replaced, id)
-	delete(t.adoptions, id)
 	t.release(id, "registration removed")
 }
 
@@ -242,14 +257,18 @@
 	}
 }
 
-// adoption is a takeover of a worker: the generation of its zone's group, and how
-// often the worker was taken over in that generation before.
-type adoption struct{ generation, attempt int64 }
+// adoption is a takeover of a worker: its zone, the generation of the zone's group, and
+// how often the worker was taken over in that generation before.
+type adoption struct {
+	zone                string
+	generation, attempt int64
+}
 
 func (t *Tracker) adopt(w fleet.Worker, g *membership) {
-	a := adoption{generation: g.generation}
-	if last, ok := t.adoptions[w.ID]; ok && last.generation >= g.generation {
-		a = adoption{last.generation, min(last.attempt+1, maxAttempt)}
+	a := adoption{zone: w.Zone, generation: g.generation}
+	if last, ok := t.adoptions[w.ID]; ok && last.zone == w.Zone && last.generation >= g.generation {
+		// The answer to another seat may be newer than that to this one.
+		a.generation, a.attempt = last.generation, min(last.attempt+1, maxAttempt)
 	}
 	t.adoptions[w.ID] = a
 	fence := (a.generation<<attemptBits|a.attempt)<<nonceBits | t.nonce
--- a/internal/decide/ownership/ownership_test.go
+++ b/internal/decide/ownership/ownership_test.go
@@ -127,3 +127,22 @@
 	require.Len(t, late, 1)
 	assert.Greater(t, late[0], after[0], "an answer that was delayed")
 }
+
+// A registration that was removed and is back gave its worker the fence of the first
+// adoption again, so that late orders of that one counted.
+func TestWorkerThatRegistersAgainGetsAHigherFence(t *testing.T) {
+	tracker := New(1, 7)
+	tracker.Joined(Seat{Zone: "a"}, 3, []int{0})
+	tracker.UpdateWorker(fleet.Worker{ID: "w", Zone: "a"})
+	first := fences(tracker.PopActions(), "w")
+	require.Len(t, first, 1)
+	tracker.RemoveWorker("w")
+	tracker.UpdateWorker(fleet.Worker{ID: "w", Zone: "a"})
+	second := fences(tracker.PopActions(), "w")
+	require.Len(t, second, 1)
+	assert.Greater(t, second[0], first[0])
+
+	tracker.RemoveWorker("w")
+	tracker.Joined(Seat{Zone: "a"}, 4, []int{0})
+	assert.Empty(t, tracker.adoptions, "a later adoption has a higher generation")
+}
