Do not take an orphaned run for a failed one

The count of failed runs in the same report was applied first and marked the run as the last failed one, so that a report with a higher count than the driver's started the task again at once, perhaps beside the run.

What the driver knew before the report decides now.

TestCountOfFailuresDoesNotEndAnOrphanedRun failed before with an offer of run 2.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -151,6 +151,7 @@
 		c.formerRunEnded(now, j, t, o)
 		return
 	}
+	failureRecorded := j.stored && t.lastFailedRun >= o.Run
 	t.lastRun = max(t.lastRun, o.Run)
 	t.mayHaveRun = t.mayHaveRun || o.MayHaveRun
 	if o.Worker != "" {
@@ -181,8 +182,7 @@
 		c.review(now, j)
 	case offer.Orphaned:
 		c.interrupted(now, j, t, RunOrphaned)
-		if j.stored && t.lastFailedRun >= o.Run {
-			// The log has the run's end.
+		if failureRecorded {
 			t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
 		} else {
 			t.state, t.host, t.orphanEndsAt = taskOrphaned, "", now.Add(min(o.MaxRemaining+orphanMargin, c.orphanTimeout()))
--- a/internal/decide/coordinator/recorded_test.go
+++ b/internal/decide/coordinator/recorded_test.go
@@ -91,3 +91,18 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: a report that a run may go on, with a
+// higher count of failed runs than the driver's, must not be taken for the end of that run.
+func TestCountOfFailuresDoesNotEndAnOrphanedRun(t *testing.T) {
+	c := storedCoordinator(t)
+	offered := actionsOf[Offer](c.PopActions())
+	require.Len(t, offered, 1)
+	owner := offered[0].Host
+	c.HandleOutcome(epoch, owner, outcome(0, offer.Started, "w-"+owner, 1))
+	orphaned := outcome(0, offer.Orphaned, "w-"+owner, 1)
+	orphaned.FailedRuns, orphaned.MaxRemaining = 1, time.Second
+	c.HandleOutcome(epoch, owner, orphaned)
+	c.Tick(epoch)
+	assert.Empty(t, actionsOf[Offer](c.PopActions()))
+}
