--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -82,7 +82,7 @@
 			d.logger.Info("job cancelled at another host", "job", a.Job)
 		}
 	case ledger.RunsHandedOver:
-		d.logger.Info("shard has been handed over", "by", a.Host, "runs", len(a.Runs))
+		d.logger.Info("shard handover read", "by", a.Host, "runs", len(a.Runs))
 		wake(d.shardWakeup)
 	case host.Append:
 		d.queueAppend(a, nil)
@@ -99,7 +99,7 @@
 // line in the process log.
 const longInterruption = time.Second
 
-// taskResumed counts the time for which a task of a stored job had nothing running.
+// taskResumed measures the time for which a task of a stored job had nothing running.
 func (d *Dispatcher) taskResumed(a coordinator.TaskResumed) {
 	d.metrics.interruptions.WithLabelValues(string(a.Interruption)).Observe(a.Idle.Seconds())
 	if a.Idle >= longInterruption {
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -296,7 +296,7 @@
 	}
 	d.replaceHeld(now, job.ID)
 	if d.core.Ledger.IsCancelled(job.ID) {
-		d.logger.Info("job refused", "job", job.ID, "route", route.Name, "why", "cancelled")
+		d.logger.Warn("job refused", "job", job.ID, "route", route.Name, "why", "the job was cancelled")
 		result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the job was cancelled")}
 		return
 	}
@@ -340,7 +340,8 @@
 		return false, err
 	}
 	// The job may be a best-effort one whose caller waits at another host, which reads
-	// the cancellation in the log.
+	// the cancellation in the log. Without stored jobs the answer is that there is no such
+	// job, as this host knows of none.
 	stored := d.hasStoredJobs.Load()
 	cancelled, err := d.cancelStored(ctx, job)
 	return cancelled && stored, err
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -51,18 +51,19 @@
 }
 
 const (
-	// seatCores is the processor time, in cores, for each membership of a host in the
-	// group of its zone. The store divides the workers evenly over the members, and an
-	// owner uses some 5 ms of processor time a second for each busy worker.
+	// seatCores is the number of cores that a host has for each of its seats. The store
+	// divides the workers evenly over the members of a group, and an owner uses 4 to 6 ms
+	// of processor time a second for each busy worker (docs/incidents/2026-12-05-short.md).
 	seatCores = 0.25
-	// maxSeats bounds the workers that are without an owner after the loss of one host.
+	// maxSeats bounds a host's share of its zone's workers, which have no owner for a
+	// second or more after its loss.
 	maxSeats = 4
 	// seatSeparator separates a host's name from the number of a further seat in the
 	// names of members.
 	seatSeparator = "~"
 )
 
-// seats returns how many members this host is in the group of a zone.
+// seats returns the number of this host's memberships in the group of a zone.
 func (d *Dispatcher) seats(zone string) int {
 	if zone != d.settings.Zone {
 		return 1
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -52,7 +52,8 @@
 		Shards: s.Partitions, MemberTTL: ttl, Retention: s.JobRetention,
 		// A partitioned driver continues for its time to live, an owner to which
 		// it offers tasks continues until the stream times out, and a run continues
-		// until its lease expires.
+		// until its lease expires. The owner holds runs of a silent driver for no longer
+		// than that (workerpool.Config.SilentHostHold).
 		TakeoverDelay: ttl + peerTimeout + fleet.WithMaxClockDrift(s.MaxLease) + takeoverMargin,
 	}
 }
@@ -259,7 +260,7 @@
 		entries = append(entries, e)
 		switch e.(type) {
 		case ledger.TakenOver, ledger.HandedOver, ledger.Cancelled, ledger.Forgotten:
-			// These say nothing of a stored job that this host does not know.
+			// These are written without stored jobs, too.
 		default:
 			jobs = true
 		}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -118,6 +118,7 @@
 	c.emitAnswer(now, j, err, retryAfter, why)
 }
 
+// emitAnswer emits the answer of a job that was removed.
 func (c *Coordinator) emitAnswer(now time.Time, j *job, err *errkind.Error, retryAfter time.Duration, why string) {
 	c.emit(Answer{
 		Job: j.spec.ID, Stored: j.stored, Err: err, RetryAfter: retryAfter,
--- a/internal/decide/coordinator/handover.go
+++ b/internal/decide/coordinator/handover.go
@@ -18,7 +18,8 @@
 	notHandedOver handoverStage = iota
 	// handoverPaused means that no task is offered and that offered ones are taken back.
 	handoverPaused
-	// handoverListed means that the handover is being recorded. No run is claimed any more.
+	// handoverListed means that the list of runs is being recorded. No run is claimed any
+	// more: the next driver would not know of it.
 	handoverListed
 )
 
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -123,7 +123,9 @@
 				if standstill <= shortest {
 					assert.Zero(t, w.stoppedRuns)
 				}
-				// After a longer standstill the driver's shards may be another host's.
+				// A driver that stands still for longer may lose its shards, and the next one
+				// waits until the former one has surely ended. The rules allow that: they ask
+				// for no more than maxIdle only some time after the last disturbance.
 				if standstill <= memberTTL-2*joinInterval {
 					assert.Less(t, w.longestIdle, maxIdle)
 				}
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -10,15 +10,15 @@
 
 const (
 	// handoverRecordTime is the part of the time for a handover that is reserved for
-	// its append and for the reading of it.
+	// appending its entries and reading them back.
 	handoverRecordTime = 250 * time.Millisecond
-	// maxHandedTasks bounds the tasks of one HandedOver entry, so that its record stays
-	// below the size that the store accepts.
+	// maxHandedTasks bounds the tasks of one HandedOver entry. With some 170 bytes a
+	// run, its record stays below the 256 KB that the store accepts.
 	maxHandedTasks = 1000
 )
 
-// HandedOver records that the driver of a shard has stopped driving it, and what goes
-// on of its work. A handover of many tasks has several entries.
+// HandedOver records that the driver of a shard has stopped driving it, and which runs go
+// on. A handover of many tasks has several entries.
 type HandedOver struct {
 	Shard int
 	// Takeovers is the number of the driver's takeover of the shard.
@@ -30,12 +30,13 @@
 	Part, Parts int
 	// Running are the runs that go on, or may.
 	Running []HandedRun
-	// RemainingWait is zero, or how long the host that gives up the shard, and has not
-	// driven it, would still have had to wait for the runs of an earlier driver.
-	RemainingWait time.Duration
 	// Unsettled are the tasks that may start after this entry, since the driver does not
 	// know whether the host to which it had offered them has started them.
 	Unsettled []fleet.TaskName
+	// RemainingWait is zero in the entry of a driver. A host that gives up the shard before
+	// it has driven it states how long it would still have waited for the runs of an
+	// earlier driver.
+	RemainingWait time.Duration
 }
 
 func (HandedOver) entry() {}
@@ -57,6 +58,10 @@
 // take back those that have not started.
 type Pause struct{ Jobs []string }
 
+// HandoverListed asks the host to claim no more runs of jobs, because the list of their
+// runs is being recorded.
+type HandoverListed struct{ Jobs []string }
+
 // LetGo asks the host to forget jobs that are handed over, without stopping their runs.
 type LetGo struct{ Jobs []string }
 
@@ -68,11 +73,12 @@
 }
 
 func (Pause) action()          {}
+func (HandoverListed) action() {}
 func (LetGo) action()          {}
 func (RunsHandedOver) action() {}
 
-// handing is the state of a shard that this host hands over.
-type handing struct {
+// outgoing is the state of a handover by this host.
+type outgoing struct {
 	// settleBy is when the handover is recorded even if some tasks are unsettled. At
 	// endBy another host may take over the shard, so that the runs are stopped.
 	settleBy, endBy time.Time
@@ -86,14 +92,14 @@
 	nonce     int64
 	parts     map[int]HandedOver
 	complete  bool
-	// readAt is when the last part was read, and wait how long the next driver waits
-	// from then on.
+	// readAt is when the last part was read, and wait is HandedOver.RemainingWait.
 	readAt time.Time
 	wait   time.Duration
 }
 
-// takers holds, by number of a takeover, the processes that requested it, with the
-// names of their hosts. Two processes may request the same number.
+// takers holds the processes that requested each takeover, by its number, with the names
+// of their hosts. Two processes may request the same number, if neither has read the
+// other's request.
 type takers map[int]map[int64]string
 
 func (t takers) add(number int, nonce int64, host string) {
@@ -126,7 +132,7 @@
 	endBy := confirmed.Add(l.cfg.MemberTTL)
 	s.assigned = false
 	switch {
-	case s.handing != nil:
+	case s.outgoing != nil:
 		return
 	case !s.driving:
 		l.leaveUndriven(now, n)
@@ -136,7 +142,7 @@
 		l.releaseShard(n, why)
 		return
 	}
-	s.handing = &handing{settleBy: endBy.Add(-handoverRecordTime), endBy: endBy}
+	s.outgoing = &outgoing{settleBy: endBy.Add(-handoverRecordTime), endBy: endBy}
 	l.emit(LogEvent{Message: "shard handover begins", Shard: n, Why: why})
 	l.emit(Pause{Jobs: l.drivenJobs(n)})
 }
@@ -165,32 +171,27 @@
 	return ids
 }
 
-// Handovers calls record for each shard whose handover is not recorded yet, with the
-// jobs that this host drives there, and records what it returns: the runs that go on and
-// the unsettled tasks. It waits for the latter as long as there is time.
+// Handovers calls list for each shard whose handover is not recorded yet, with the jobs
+// that this host drives there, and records what it returns: the runs that go on and the
+// unsettled tasks. Until settleBy it does not record unsettled tasks, nor runs whose
+// owner is unknown.
 func (l *Ledger) Handovers(now time.Time, list func(jobs []string) (running []HandedRun, unsettled []fleet.TaskName)) {
 	for n, s := range l.shards {
-		if s.handing == nil || s.handing.recorded {
+		if s.outgoing == nil || s.outgoing.recorded {
 			continue
 		}
 		jobs := l.drivenJobs(n)
 		running, unsettled := list(jobs)
-		lost := slices.ContainsFunc(running, func(r HandedRun) bool { return r.Owner == "" })
-		if (len(unsettled) > 0 || lost) && now.Before(s.handing.settleBy) {
+		ownerUnknown := slices.ContainsFunc(running, func(r HandedRun) bool { return r.Owner == "" })
+		if (len(unsettled) > 0 || ownerUnknown) && now.Before(s.outgoing.settleBy) {
 			continue
 		}
-		s.handing.recorded = true
+		s.outgoing.recorded = true
 		l.emit(HandoverListed{Jobs: jobs})
 		l.emit(AppendEntries{l.handoverEntries(n, running, unsettled)})
 	}
 }
 
-// HandoverListed reports that the handover of jobs is being recorded: from now on the
-// host claims no run of them.
-type HandoverListed struct{ Jobs []string }
-
-func (HandoverListed) action() {}
-
 func (l *Ledger) handoverEntries(n int, running []HandedRun, unsettled []fleet.TaskName) []Entry {
 	var parts []HandedOver
 	for len(parts) == 0 || len(running)+len(unsettled) > 0 {
@@ -213,8 +214,8 @@
 	return list[:n:n], list[n:]
 }
 
-// handedOver applies one entry of a handover. It acts on the first reading of the last
-// part.
+// handedOver applies one entry of a handover. It acts once, when all parts have been
+// read.
 func (l *Ledger) handedOver(now time.Time, e HandedOver) {
 	n := e.Shard % len(l.shards)
 	s := l.shards[n]
@@ -230,7 +231,7 @@
 		return
 	}
 	h.complete, h.readAt, h.wait = true, now, e.RemainingWait
-	if s.handing != nil && s.handing.recorded && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
+	if s.outgoing != nil && s.outgoing.recorded && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
 		l.finishHandover(n)
 	}
 	runs := RunsHandedOver{Host: e.Host}
@@ -257,15 +258,16 @@
 // expireHandovers stops the runs of the shards that could not be handed over in time.
 func (l *Ledger) expireHandovers(now time.Time) {
 	for n, s := range l.shards {
-		if s.handing != nil && !now.Before(s.handing.endBy) {
+		if s.outgoing != nil && !now.Before(s.outgoing.endBy) {
 			l.releaseShard(n, "handover not recorded in time")
 		}
 	}
 }
 
 // isHandedToSelf reports whether the previous driver of a shard has handed it over and
-// this host alone has taken it over since. All that precedes both entries in the log has
-// been read.
+// this host alone has taken it over since. Two drivers that went on with one handover
+// would run its tasks twice, so that each of the two takeovers must have one process, and
+// all that precedes both entries in the log must have been read.
 func (l *Ledger) isHandedToSelf(s *shard) bool {
 	h := &s.handover
 	return h.complete && h.takeovers == s.ownTakeover-1 && s.takeovers == s.ownTakeover &&
@@ -273,8 +275,8 @@
 		l.asOf.After(h.readAt) && !s.takenAt.IsZero() && l.asOf.After(s.takenAt)
 }
 
-// AwaitsLog reports whether a takeover goes on with the next reads of the log: it is to
-// be requested, or read, or the previous driver has handed over.
+// AwaitsLog reports whether the next reads of the log advance a takeover: it has not been
+// requested or not been read yet, or the previous driver has handed over.
 func (l *Ledger) AwaitsLog() bool {
 	for _, s := range l.shards {
 		if !s.assigned || s.driving {
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -86,8 +86,8 @@
 	Driven bool
 }
 
-// UnknownCancelled reports that a job was cancelled that is not a stored one, as far as
-// is known. The host stops it if it answers the job's caller.
+// UnknownCancelled reports the cancellation of a job that the ledger does not hold. The
+// host that answers the job's caller, if it is a best-effort one, stops it.
 type UnknownCancelled struct{ Job string }
 
 // AppendEntries asks for entries to be appended to the log.
@@ -144,11 +144,11 @@
 	// firstDriver is set if the shard has had no driver before.
 	firstDriver bool
 	driving     bool
-	// handing is set while this host hands the shard over. Until then it goes on
-	// driving its jobs, without offering tasks.
-	handing *handing
-	// handover is the last handover that was read, takers who has taken the shard over
-	// lately, and takenAt when this host's own takeover was read.
+	// outgoing is set while this host hands the shard over. Meanwhile it goes on
+	// driving the shard's jobs, without offering tasks.
+	outgoing *outgoing
+	// handover is the last handover that was read, by any host, takers the processes that
+	// took the shard over last, and takenAt when this host's own takeover was read.
 	handover handover
 	takers   takers
 	takenAt  time.Time
@@ -165,9 +165,9 @@
 	cfg    Config
 	jobs   map[string]*job
 	shards []*shard
-	// cancelledUnknown holds when the cancellation of a job was read whose acceptance was
-	// not: it is a best-effort job, or is accepted later. cancelledOrder lists them by
-	// that time.
+	// cancelledUnknown holds the jobs whose cancellation was read and whose acceptance was
+	// not, with the time of that reading. Such a job is a best-effort one, or its
+	// acceptance is read later. cancelledOrder lists the jobs by that time.
 	cancelledUnknown map[string]time.Time
 	cancelledOrder   []string
 	// unclosed are the ended jobs whose Closed entry has not been read.
@@ -321,7 +321,7 @@
 		l.cancel(now, e.Job.ID)
 		return
 	}
-	if s := l.shards[l.Shard(e.Job.ID)]; s.driving && s.handing == nil {
+	if s := l.shards[l.Shard(e.Job.ID)]; s.driving && s.outgoing == nil {
 		l.drive(j, nil)
 	}
 }
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -27,7 +27,7 @@
 		case assigned[n] && !s.assigned:
 			// A shard that is being handed over is taken over like any other afterwards.
 			s.assigned, s.assignedAt = true, now
-			if s.handing == nil {
+			if s.outgoing == nil {
 				s.reset()
 			}
 		case !assigned[n] && s.assigned:
@@ -41,7 +41,7 @@
 // host may drive the shards.
 func (l *Ledger) MembershipEnded(why string) {
 	for n, s := range l.shards {
-		if s.assigned || s.handing != nil {
+		if s.assigned || s.outgoing != nil {
 			s.assigned = false
 			l.releaseShard(n, why)
 		}
--- a/internal/decide/workerpool/claim_test.go
+++ b/internal/decide/workerpool/claim_test.go
@@ -115,6 +115,16 @@
 	return p, starts[0].Run
 }
 
+// foundRun returns a pool that has taken over a worker with a run of a stored job.
+func foundRun(id fleet.RunID) *Pool {
+	p := NewPool(DefaultConfig(testLease))
+	p.cfg.IsStored = func(string) bool { return true }
+	p.Adopt(epoch, testWorker("w", 16), 7)
+	poll := actionsOf[Poll](p.PopActions(epoch))[0]
+	p.PollAnswered(epoch, "w", poll.Number, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(id)})
+	return p
+}
+
 // stopsAt returns the stops that the pool orders at a time.
 func stopsAt(p *Pool, now time.Time) []Stop {
 	p.Tick(now)
@@ -125,11 +135,7 @@
 // of the worker stopped its run after 150 ms.
 func TestFoundRunOfAStoredJobWaitsForItsDriver(t *testing.T) {
 	id, claim := claimOf(true)
-	p := NewPool(DefaultConfig(testLease))
-	p.cfg.IsStored = func(string) bool { return true }
-	p.Adopt(epoch, testWorker("w", 16), 7)
-	poll := actionsOf[Poll](p.PopActions(epoch))[0]
-	p.PollAnswered(epoch, "w", poll.Number, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(id)})
+	p := foundRun(id)
 	deadline := epoch.Add(p.cfg.FoundRunHold)
 	announced := 0
 	for now := epoch; now.Before(deadline); now = now.Add(20 * time.Millisecond) {
@@ -155,11 +161,7 @@
 
 func TestFoundRunThatNoDriverClaimsIsStopped(t *testing.T) {
 	id, _ := claimOf(true)
-	p := NewPool(DefaultConfig(testLease))
-	p.cfg.IsStored = func(string) bool { return true }
-	p.Adopt(epoch, testWorker("w", 16), 7)
-	poll := actionsOf[Poll](p.PopActions(epoch))[0]
-	p.PollAnswered(epoch, "w", poll.Number, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(id)})
+	p := foundRun(id)
 	p.Tick(epoch.Add(p.cfg.FoundRunHold))
 	actions := p.PopActions(epoch)
 	assert.Empty(t, actionsOf[Stop](actions))
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -13,10 +13,12 @@
 	// drivers claim them. A driver may have missed an announcement because the stream
 	// to it was replaced.
 	announceInterval = 200 * time.Millisecond
-	// announceStopped is how long it is announced that runs were stopped unclaimed.
+	// announceStopped is how long announcements go on after a run was stopped unclaimed.
+	// Its driver may not have a stream to this host again yet.
 	announceStopped = 2 * time.Second
-	// maxEndedUnclaimed bounds the runs of which it is remembered that they ended
-	// unclaimed, and endedUnclaimedMemory how long.
+	// maxEndedUnclaimed bounds the number of remembered runs that ended unclaimed, and
+	// endedUnclaimedMemory how long they are remembered. A later claim is answered as one
+	// of an unknown run.
 	maxEndedUnclaimed    = 1024
 	endedUnclaimedMemory = 10 * time.Second
 )
@@ -51,8 +53,8 @@
 	}
 }
 
-// claimAgain makes a run report its end to the host that claims it. A host that waited
-// for it until then is told that the run is not its own any more.
+// claimAgain makes the host that claims a run the one that waits for it. The host that
+// waited for it before is told that it need not.
 func (p *Pool) claimAgain(r *run, task offer.Task) {
 	if r.task != nil && r.task.Host != task.Host {
 		p.returnClaim(*r.task, r.id.Run, "claimed by "+task.Host, p.cfg.MaxLease)
@@ -60,8 +62,8 @@
 	r.task, r.claimBy = &task, time.Time{}
 }
 
-// HandedOver records that a host does not wait for runs any more, because it has handed
-// them over to another one, which will claim them.
+// HandedOver records that a host has handed runs over: it does not wait for them any
+// more, and another host will claim them.
 func (p *Pool) HandedOver(now time.Time, host string, runs []fleet.RunID) {
 	for _, w := range p.order {
 		for _, id := range runs {
@@ -72,8 +74,8 @@
 	}
 }
 
-// announceAgain announces the runs of a worker while some of stored jobs wait to be
-// claimed, and after some were stopped, so that their drivers do not wait for them.
+// announceAgain announces the runs of a worker again while runs of stored jobs wait there
+// to be claimed, and after such runs were stopped, so that their drivers learn it.
 func (p *Pool) announceAgain(now time.Time, w *worker) {
 	if now.Before(w.nextAnnouncement) || !w.awaitsDriver(now) && !now.Before(w.announceUntil) {
 		return
--- a/internal/decide/workerpool/polls.go
+++ b/internal/decide/workerpool/polls.go
@@ -65,8 +65,9 @@
 	return l.Number
 }
 
-// leaseLength returns the length of a lease granted now. A run that is not claimed in
-// time must end although its stop is lost: its driver may start the task again.
+// leaseLength returns the length of a lease granted now. A lease is shorter while runs
+// wait to be claimed: one that is not claimed in time must end even if its stop is lost,
+// because its driver may start the task again.
 func (p *Pool) leaseLength(now time.Time, w *worker) time.Duration {
 	if until, pending := w.claimsPending(now); pending {
 		return min(p.cfg.MaxLease, until.Sub(now)+p.cfg.RenewBefore)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -56,13 +56,17 @@
 	// that nothing does.
 	Flow *flow.Limiter
 	// FoundRunHold is how long a run of a stored job that was found on a worker goes on
-	// until its driver claims it. The driver may stand still; it starts the task again
-	// takeoverTime (coordinator) after the run's lease at the earliest.
+	// until its driver claims it. A driver that hears nothing of the run starts the task
+	// again 1.5 s (coordinator.takeoverTime) after the former owner's lease; the run ends
+	// before that, also if its stop is lost: at most RenewBefore after the hold.
 	FoundRunHold time.Duration
-	// HandoverHold is the same for a run that its driver has handed over to the next
-	// one, and SilentHostHold for a run whose driver contact was lost with. A driver
-	// that hears nothing of either starts the task again after more than twice that.
-	HandoverHold, SilentHostHold time.Duration
+	// HandoverHold is the same for a run that its driver has handed over. A next driver
+	// that cannot go on with a handover waits 2.6 s (ledger.Config.TakeoverDelay), of
+	// which the former one uses up to 1 s for the handover.
+	HandoverHold time.Duration
+	// SilentHostHold is the same for a run whose driver contact was lost with. With
+	// RenewBefore it is as long as a lease, which is what TakeoverDelay allows for.
+	SilentHostHold time.Duration
 	// RemoteSlowdown is the factor on the run time of a task away from the rack that
 	// it names, unitless. Tasks wait for their racks only if it is above 1.
 	RemoteSlowdown float64
@@ -223,8 +227,8 @@
 	timeouts TimeoutEstimator
 	near     nearState
 	sharing  sharingState
-	// endedUnclaimed holds the runs that were stopped, or ended without a result, while
-	// no host waited for them, and when.
+	// endedUnclaimed holds the runs that ended without a result while no host waited for
+	// them, with the time at which their end was read.
 	endedUnclaimed map[fleet.RunID]time.Time
 	// scheduledAt is when the queue was last looked through, and considered counts the
 	// workers that were considered for waiting tasks.
@@ -351,17 +355,6 @@
 	p.queue = append(p.queue, &queuedTask{Task: t, offeredAt: now})
 }
 
-// Withdraw removes a job's waiting tasks and stops its runs, without reporting
-// outcomes.
-func (p *Pool) Withdraw(now time.Time, host, job string) {
-	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name.Job == job })
-}
-
-// WithdrawTask is Withdraw for one task.
-func (p *Pool) WithdrawTask(now time.Time, host string, name fleet.TaskName) {
-	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name == name })
-}
-
 // Recall returns the waiting tasks of a job.
 func (p *Pool) Recall(host, job string) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool {
@@ -383,39 +376,6 @@
 	}
 }
 
-// HostLost withdraws the tasks that a host has offered. The callers of best-effort jobs
-// resend them elsewhere, and the former runs must not continue beside the new ones. Runs
-// of stored jobs go on for a while, because their driver may return.
-func (p *Pool) HostLost(now time.Time, host string) {
-	for _, w := range p.order {
-		for _, r := range w.runs {
-			if r.task != nil && r.task.Host == host && r.task.Stored && r.state == runRunning && r.claimBy.IsZero() {
-				r.claimBy = now.Add(p.cfg.SilentHostHold)
-			}
-		}
-	}
-	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return q.Host == host })
-	p.stopRuns(now, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
-}
-
-func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
-	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return match(&q.Task) })
-	p.stopRuns(now, func(r *run) bool { return match(r.task) })
-}
-
-// stopRuns stops the matching runs of those for which a host waits, without reporting
-// outcomes.
-func (p *Pool) stopRuns(now time.Time, match func(*run) bool) {
-	for _, w := range p.order {
-		for _, r := range w.sortedRuns() {
-			if r.task != nil && match(r) {
-				r.task = nil
-				p.stop(now, w, r)
-			}
-		}
-	}
-}
-
 // ReturnQueue returns all waiting tasks, for a planned stop.
 func (p *Pool) ReturnQueue(why string) {
 	for _, q := range p.queue {
--- /dev/null
+++ b/internal/decide/workerpool/withdraw.go
@@ -0,0 +1,53 @@
+package workerpool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// Withdraw removes a job's waiting tasks and stops its runs, without reporting
+// outcomes.
+func (p *Pool) Withdraw(now time.Time, host, job string) {
+	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name.Job == job })
+}
+
+// WithdrawTask is Withdraw for one task.
+func (p *Pool) WithdrawTask(now time.Time, host string, name fleet.TaskName) {
+	p.withdraw(now, func(t *offer.Task) bool { return t.Host == host && t.Name == name })
+}
+
+// HostLost withdraws the tasks that a host has offered. The callers of best-effort jobs
+// resend them elsewhere, and the former runs must not continue beside the new ones. Runs
+// of stored jobs go on for Config.SilentHostHold, because their driver may return.
+func (p *Pool) HostLost(now time.Time, host string) {
+	for _, w := range p.order {
+		for _, r := range w.runs {
+			if r.task != nil && r.task.Host == host && r.task.Stored && r.state == runRunning && r.claimBy.IsZero() {
+				r.claimBy = now.Add(p.cfg.SilentHostHold)
+			}
+		}
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return q.Host == host })
+	p.stopRuns(now, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
+}
+
+func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return match(&q.Task) })
+	p.stopRuns(now, func(r *run) bool { return match(r.task) })
+}
+
+// stopRuns stops the matching runs of those for which a host waits, without reporting
+// outcomes.
+func (p *Pool) stopRuns(now time.Time, match func(*run) bool) {
+	for _, w := range p.order {
+		for _, r := range w.sortedRuns() {
+			if r.task != nil && match(r) {
+				r.task = nil
+				p.stop(now, w, r)
+			}
+		}
+	}
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -83,8 +83,8 @@
 	used  fleet.Size
 	// adopting is set until the first poll is answered.
 	adopting bool
-	// nextAnnouncement is when the runs are announced again that are to be claimed, or
-	// that were stopped unclaimed before announceUntil.
+	// nextAnnouncement is when the runs are announced again, while some wait to be
+	// claimed and until announceUntil.
 	nextAnnouncement, announceUntil time.Time
 	// unclaimed contains the runs found on the worker, whose size is unknown. They
 	// may fill the worker, so that it starts no tasks until they have ended or
@@ -222,8 +222,8 @@
 	return true
 }
 
-// claimsPending returns until when runs may still be claimed, at the earliest, and
-// whether there are any such runs.
+// claimsPending reports whether runs wait to be claimed, and returns the earliest time at
+// which one of them will be stopped.
 func (w *worker) claimsPending(now time.Time) (until time.Time, pending bool) {
 	for _, r := range w.runs {
 		if r.state == runRunning && now.Before(r.claimBy) && (until.IsZero() || r.claimBy.Before(until)) {
