Log why runs are stopped, claims of runs, and standstills

The logs could not tell apart why two runs of a task overlapped: a stopped run had no reason and no host, a claim was not logged, and neither was a host that had stood still. No decision changes.

- run stopped: reason, host of the job, how long ago that host was heard, and how long the run may go on if the order is lost; counted by reason
- run claimed: what the host knew of the task before
- host stood still: gaps of the event loop from 0.2 s on, and a histogram
- start answered: the host of the job

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -39,7 +39,9 @@
 		d.metrics.placements.WithLabelValues(string(a.Placement)).Inc()
 		go d.sendStart(ctx, a)
 	case workerpool.Stop:
-		d.logger.Info("run stopped", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID)
+		d.metrics.runsStopped.WithLabelValues(string(a.Why)).Inc()
+		d.logger.Info("run stopped", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID, "why", a.Why,
+			"job_host", a.Host, "job_host_heard_ago", d.peers.silence(now, a.Host), "lease_left", a.LeaseLeft)
 		go d.sendStop(ctx, a)
 	case workerpool.Poll:
 		go d.sendPoll(ctx, a)
@@ -47,6 +49,9 @@
 		d.peers.send(now, a.Host, a.Message)
 	case host.Broadcast:
 		d.peers.broadcast(now, a.Message)
+	case host.RunClaimed:
+		d.logger.Info("run claimed", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker, "owner", a.Owner,
+			"task_was", a.Before.State, "at_host", a.Before.Host, "on_worker", a.Before.Worker)
 	case host.TaskNotDone:
 		o := a.Outcome
 		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
@@ -185,7 +190,7 @@
 		level = log.WarnLevel
 	}
 	d.logger.Log(level, "start answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
-		"verdict", verdict, "fence", a.Fence, "took", time.Since(sent), "error", err)
+		"verdict", verdict, "fence", a.Fence, "job_host", a.Host, "took", time.Since(sent), "error", err)
 	d.post(func(now time.Time) {
 		d.core.Pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock)
 		if verdict == fleet.StartAccepted {
--- a/internal/daemon/dispatch/load.go
+++ b/internal/daemon/dispatch/load.go
@@ -60,6 +60,20 @@
 	*s = loadSample{since: now, processor: processor, gcCycles: cycles}
 }
 
+// longStandstill is the time between two rounds of the event loop from which on it is
+// logged. Ticks make a round each tickInterval.
+const longStandstill = 200 * time.Millisecond
+
+// reportStandstill logs and counts a time for which the event loop did nothing, because
+// the process did not run.
+func (d *Dispatcher) reportStandstill(lasted time.Duration) {
+	if lasted < longStandstill {
+		return
+	}
+	d.metrics.standstills.Observe(lasted.Seconds())
+	d.logger.Warn("host stood still", "for", lasted, "events_waiting", len(d.events))
+}
+
 // processorTime returns the processor time that this process has used.
 func processorTime() (time.Duration, error) {
 	var usage syscall.Rusage
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -41,6 +41,10 @@
 	refusals, heldJobs           *prometheus.CounterVec
 	startSteps                   *prometheus.GaugeVec
 	processor, loopBusy          prometheus.Counter
+	// runsStopped counts the orders to stop a run, standstills holds the times for which
+	// the event loop did nothing.
+	runsStopped *prometheus.CounterVec
+	standstills prometheus.Histogram
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -133,7 +137,14 @@
 			Name: "parsleyhill_loop_seconds_total", Help: "Time that the event loop was busy.",
 		}),
 	}
-	m.registry.MustRegister(m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.interruptions, m.verdicts, m.zoneEvacuated, m.slowRuns,
+	m.runsStopped = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyhill_run_stops_total", Help: "Orders to stop a run, repeated ones included, by the reason of the first.",
+	}, []string{"why"})
+	m.standstills = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "parsleyhill_standstill_seconds", Help: "Times for which the event loop did nothing because the process did not run.",
+		Buckets: []float64{.2, .3, .5, .75, 1, 1.5, 2, 3, 5},
+	})
+	m.registry.MustRegister(m.runsStopped, m.standstills, m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.interruptions, m.verdicts, m.zoneEvacuated, m.slowRuns,
 		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
 		m.refusals, m.heldJobs, m.startSteps, m.sharedOrder, m.returnedLate, m.processor, m.loopBusy)
 	return m
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -342,6 +342,15 @@
 	p.dispatcher.wakeMemberships()
 }
 
+// silence returns the time since the last frame from a host, or a negative time if there
+// is no stream to it.
+func (p *peers) silence(now time.Time, name string) time.Duration {
+	if l, ok := p.links[name]; ok {
+		return now.Sub(l.lastContact)
+	}
+	return -1
+}
+
 // closeSilent closes the streams that have been silent for peerTimeout.
 func (p *peers) closeSilent(now time.Time) {
 	for _, l := range p.links {
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -106,6 +106,17 @@
 type Claim struct {
 	Host  string
 	Claim offer.Claim
+	// Before is what this host knew of the task before the claim, for logs.
+	Before ClaimedTask
+}
+
+// ClaimedTask is the state of a task that is claimed, before the claim.
+type ClaimedTask struct {
+	State string
+	// Host is the host that had the task, or empty.
+	Host string
+	// Worker is the worker that its run was known to be on, or empty.
+	Worker string
 }
 
 // RecordLoss asks for the loss of a stored job's run to be recorded, so that the
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -285,8 +285,9 @@
 				continue
 			}
 			listed[e.Task] = true
+			before := t.claimedTask()
 			t.lastRun, t.state, t.host, t.worker, t.fence = e.Run, taskStarted, from, inv.Worker, inv.Fence
-			c.emit(Claim{Host: from, Claim: offer.Claim{Worker: inv.Worker, Task: c.offerTask(j, t)}})
+			c.emit(Claim{Host: from, Claim: offer.Claim{Worker: inv.Worker, Task: c.offerTask(j, t)}, Before: before})
 			continue
 		}
 		if e.Reason == fleet.EndedDone {
@@ -331,10 +332,11 @@
 	if t.fence > inv.Fence && t.atWorker() || t.fence == inv.Fence && t.state == taskStarted {
 		return
 	}
+	before := t.claimedTask()
 	t.lastRun, t.state, t.host, t.worker, t.fence, t.mayHaveRun = r.Run, taskStarted, from, worker, inv.Fence, true
 	t.interruptedAt = time.Time{}
 	j.addOfferedHost(from)
-	c.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: c.offerTask(j, t)}})
+	c.emit(Claim{Host: from, Claim: offer.Claim{Worker: worker, Task: c.offerTask(j, t)}, Before: before})
 }
 
 // review releases orphaned tasks whose runs are over, and then abandons the job
--- a/internal/decide/coordinator/handover.go
+++ b/internal/decide/coordinator/handover.go
@@ -114,7 +114,10 @@
 		}
 		t.state, t.host, j.started = taskStarted, r.Owner, true
 		j.addOfferedHost(r.Owner)
-		c.emit(Claim{Host: r.Owner, Claim: offer.Claim{Worker: r.Worker, Task: c.offerTask(j, t)}})
+		c.emit(Claim{
+			Host: r.Owner, Claim: offer.Claim{Worker: r.Worker, Task: c.offerTask(j, t)},
+			Before: ClaimedTask{State: "handed over", Host: r.Owner, Worker: r.Worker},
+		})
 	}
 	for _, name := range stored.Unsettled {
 		if _, t := c.find(name); t != nil && t.state == taskIdle {
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -27,6 +27,11 @@
 	taskDone
 )
 
+// String returns the state as it appears in logs.
+func (s taskState) String() string {
+	return [...]string{"idle", "offered", "started", "orphaned", "done"}[s]
+}
+
 type task struct {
 	name  fleet.TaskName
 	state taskState
@@ -117,6 +122,11 @@
 	return 0
 }
 
+// claimedTask returns the state of the task for the log of a claim.
+func (t *task) claimedTask() ClaimedTask {
+	return ClaimedTask{State: t.state.String(), Host: t.host, Worker: t.worker}
+}
+
 // atWorker reports whether a run of the task is, or may be, on a worker.
 func (t *task) atWorker() bool { return t.state == taskStarted || t.state == taskOrphaned }
 
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -55,7 +55,8 @@
 // an answer to a caller (coordinator.Answer), an append to the log of stored
 // jobs (Append), or a report of a stored job's end (ledger.JobEnded), of the
 // cancellation of another job (ledger.UnknownCancelled), of a shard that
-// was handed over (ledger.RunsHandedOver), of a task that was not done (TaskNotDone), of a decision (LogEvent),
+// was handed over (ledger.RunsHandedOver), of a task that was not done (TaskNotDone), of a claimed run (RunClaimed),
+// of a decision (LogEvent),
 // or of an evacuated or readmitted zone (ZoneChanged).
 type Action any
 
@@ -311,6 +312,15 @@
 	}
 }
 
+// RunClaimed reports, for the process log, that this host claims a run that a worker's
+// new owner has found.
+type RunClaimed struct {
+	Owner  string
+	Worker string
+	Run    fleet.RunID
+	Before coordinator.ClaimedTask
+}
+
 // TaskNotDone reports, for the process log, an outcome other than that a task
 // started or was done.
 type TaskNotDone struct {
@@ -442,6 +452,7 @@
 	case coordinator.JobStarted:
 		c.send(now, a.Host, JobStarted{Job: a.Job})
 	case coordinator.Claim:
+		c.emit(RunClaimed{Owner: a.Host, Worker: a.Claim.Worker, Run: a.Claim.Run(), Before: a.Before})
 		c.send(now, a.Host, a.Claim)
 	case coordinator.RecordEnd:
 		c.emit(Append{Entries: []ledger.Entry{ledger.RunEnded(a)}})
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -134,6 +134,9 @@
 	Task   Task
 }
 
+// Run returns the claimed run.
+func (c Claim) Run() fleet.RunID { return fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1} }
+
 // WorkerCapacity is the free capacity of one worker.
 type WorkerCapacity struct {
 	ID      string
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -27,7 +27,7 @@
 // The host waits for the run's end, so that a claim of a run that is not known any more
 // is answered.
 func (p *Pool) Claimed(now time.Time, c offer.Claim) {
-	id := fleet.RunID{Task: c.Task.Name, Run: c.Task.NextRun - 1}
+	id := c.Run()
 	w, ok := p.workers[c.Worker]
 	if !ok {
 		// The run may go on under its lease, and the worker's next owner finds it.
@@ -40,6 +40,7 @@
 		w.removeRun(r)
 		task := c.Task
 		r.task, r.size, r.claimed, r.exclusive, r.stored = &task, task.Size, true, task.Exclusive, task.Stored
+		r.host = task.Host
 		r.claimBy = time.Time{}
 		w.addRun(r)
 	case running:
@@ -59,7 +60,7 @@
 	if r.task != nil && r.task.Host != task.Host {
 		p.returnClaim(*r.task, r.id.Run, "claimed by "+task.Host, p.cfg.MaxLease)
 	}
-	r.task, r.claimBy = &task, time.Time{}
+	r.task, r.host, r.claimBy = &task, task.Host, time.Time{}
 }
 
 // HandedOver records that a host has handed runs over: it does not wait for them any
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -1,6 +1,7 @@
 package workerpool
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -205,7 +206,7 @@
 			continue
 		}
 		// The worker received an order of a former owner late.
-		p.stop(now, w, p.addFoundRun(now, w, id))
+		p.stop(now, w, p.addFoundRun(now, w, id), StopFormerOrder)
 	}
 	for _, progress := range running {
 		p.stopStraggler(now, w, w.runs[progress.RunID])
@@ -323,7 +324,7 @@
 		p.countMissedPoll(now, w)
 	case fleet.StartUnknown:
 		p.noAnswerInTime(now, w, r)
-		p.stop(now, w, r)
+		p.stop(now, w, r, StopNoAnswer)
 	}
 }
 
@@ -344,14 +345,18 @@
 }
 
 // stop orders the end of a run, unless a stop is pending or confirmed.
-func (p *Pool) stop(now time.Time, w *worker, r *run) {
+func (p *Pool) stop(now time.Time, w *worker, r *run, why StopReason) {
 	r.state = runStopping
+	r.stopReason = cmp.Or(r.stopReason, why)
 	if r.stopInFlight || r.stopAnswered {
 		return
 	}
 	r.stopInFlight = true
 	r.nextStop = now.Add(p.cfg.StopRetryDelay)
-	p.emit(Stop{Worker: w.info, Run: r.id, Fence: w.fence, Timeout: p.stopTimeout()})
+	p.emit(Stop{
+		Worker: w.info, Run: r.id, Fence: w.fence, Timeout: p.stopTimeout(),
+		Host: r.host, Why: r.stopReason, LeaseLeft: w.leaseExpiry().Sub(now),
+	})
 }
 
 // StopAnswered handles the answer to a stop; ok means that the worker has ended
@@ -398,9 +403,9 @@
 		switch {
 		case r.state == runRunning && !r.claimBy.IsZero() && now.After(r.claimBy):
 			r.task = nil
-			p.stop(now, w, r)
+			p.stop(now, w, r, StopUnclaimed)
 		case r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop):
-			p.stop(now, w, r)
+			p.stop(now, w, r, r.stopReason)
 		}
 	}
 	p.announceAgain(now, w)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -125,6 +125,8 @@
 	// GiveUp is how long the request may go on after all; if it is longer than
 	// Timeout, Pool.StartLate is called meanwhile.
 	GiveUp time.Duration
+	// Host is the entry host that answers the job's caller.
+	Host string
 }
 
 // Stop orders the end of a run. The answer comes back by Pool.StopAnswered.
@@ -134,8 +136,34 @@
 	Fence  int64
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
+	// Host is the entry host that answers, or answered, the job's caller; it is empty if
+	// this host does not know it.
+	Host string
+	// Why is the reason for the stop, for logs.
+	Why StopReason
+	// LeaseLeft is how long the run may still go on if the stop is lost.
+	LeaseLeft time.Duration
 }
 
+// StopReason is the reason for which a run is stopped.
+type StopReason string
+
+// The reasons.
+const (
+	// StopWithdrawn means that the host of the job does not need the run any more.
+	StopWithdrawn StopReason = "withdrawn"
+	// StopHostLost means that contact with the host of the job was lost.
+	StopHostLost StopReason = "host of the job lost"
+	// StopUnclaimed means that no host claimed the run in time.
+	StopUnclaimed StopReason = "unclaimed"
+	// StopFormerOrder means that the worker received an order of a former owner late.
+	StopFormerOrder StopReason = "order of a former owner"
+	// StopNoAnswer means that the start was not answered.
+	StopNoAnswer StopReason = "start not answered"
+	// StopStraggler means that the run is far slower than expected.
+	StopStraggler StopReason = "straggler"
+)
+
 // Poll requests a worker's lists of active and ended runs. The answer comes back
 // by Pool.PollAnswered or Pool.PollFailed with the same number.
 type Poll struct {
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -197,7 +197,7 @@
 	p.scaleAway(w, &task)
 	r := &run{
 		id: fleet.RunID{Task: task.Name, Run: task.NextRun}, size: task.Size, state: runStarting,
-		task: &task, orderedAt: now, answeredAtPoll: p.lastPoll,
+		task: &task, host: task.Host, orderedAt: now, answeredAtPoll: p.lastPoll,
 	}
 	task.NextRun++
 	r.exclusive, r.stored = task.Exclusive, task.Stored
@@ -208,7 +208,7 @@
 	p.taskStartedHere(now, q)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
-		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w),
+		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w), Host: task.Host,
 	})
 }
 
--- a/internal/decide/workerpool/straggler.go
+++ b/internal/decide/workerpool/straggler.go
@@ -238,7 +238,7 @@
 		return
 	}
 	p.recordSlowRun(now, w, total, r.task.Estimate, fmt.Sprintf("run at %d%% after %v", r.percent, took))
-	p.stop(now, w, r)
+	p.stop(now, w, r, StopStraggler)
 }
 
 // recordSlowRun counts a slow run against its worker, together with the slow run
--- a/internal/decide/workerpool/withdraw.go
+++ b/internal/decide/workerpool/withdraw.go
@@ -31,22 +31,22 @@
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return q.Host == host })
-	p.stopRuns(now, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
+	p.stopRuns(now, StopHostLost, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
 }
 
 func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return match(&q.Task) })
-	p.stopRuns(now, func(r *run) bool { return match(r.task) })
+	p.stopRuns(now, StopWithdrawn, func(r *run) bool { return match(r.task) })
 }
 
 // stopRuns stops the matching runs of those for which a host waits, without reporting
 // outcomes.
-func (p *Pool) stopRuns(now time.Time, match func(*run) bool) {
+func (p *Pool) stopRuns(now time.Time, why StopReason, match func(*run) bool) {
 	for _, w := range p.order {
 		for _, r := range w.sortedRuns() {
 			if r.task != nil && match(r) {
 				r.task = nil
-				p.stop(now, w, r)
+				p.stop(now, w, r, why)
 			}
 		}
 	}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -49,7 +49,11 @@
 	// stopAnswered is set once the worker has confirmed the stop.
 	stopAnswered bool
 	stopInFlight bool
-	nextStop     time.Time
+	// stopReason is the reason of the first stop, and host the entry host that the run
+	// was for, if known. It outlives the task.
+	stopReason StopReason
+	host       string
+	nextStop   time.Time
 	// failedStops counts the stops without an answer.
 	failedStops int
 	// late is set once the start was not answered in time but may still be.
