Keep runs that a restarted worker accepted after its list was made

Cause: when a poll shows that a worker has started again, all runs that the answer does not list were taken for lost with the former process, except those whose start was unanswered. A start that the new process accepted after it had made the list, and whose answer was read first, was lost too: its task went back to its host, which offered it elsewhere, while the run went on unseen until a later list showed it as an order of a former owner.

A run now counts as lost only if the poll was sent after the start was answered, or if the worker's clock at its acceptance was ahead of the new process's clock. Otherwise the next list decides, as it does without a restart.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -23,7 +23,7 @@
 	}
 	w.missedPolls, w.lostExclusive, w.interrupted = 0, false, false
 	if w.startTime != 0 && l.StartTime != w.startTime {
-		p.handleRestart(now, w, l)
+		p.handleRestart(now, w, number, l)
 	}
 	// Answers on different connections may overtake each other.
 	outdated := l.StartTime == w.startTime && l.Clock < w.polledClock && l.Clock > w.polledClock-maxClockRegression
@@ -51,10 +51,9 @@
 }
 
 // handleRestart returns the tasks of runs of a former incarnation. It keeps runs
-// that the new incarnation lists, and those whose start has not been answered:
-// they may have started in the new one. Of a truncated list, nothing is concluded from
-// what is missing.
-func (p *Pool) handleRestart(now time.Time, w *worker, l fleet.PollResponse) {
+// that the new incarnation lists, and those that may have started in the new one since the
+// list was made. Of a truncated list, nothing is concluded from what is missing.
+func (p *Pool) handleRestart(now time.Time, w *worker, number int64, l fleet.PollResponse) {
 	present := map[fleet.RunID]bool{}
 	for _, r := range l.Running {
 		present[r.RunID] = true
@@ -63,7 +62,7 @@
 		present[e.RunID] = true
 	}
 	p.loseRuns(now, w, "worker restarted", quarantine.Crashed, func(r *run) bool {
-		return !present[r.id] && r.state != runStarting && !l.Truncated
+		return !present[r.id] && r.state != runStarting && !l.Truncated && r.precedes(number, l.Clock)
 	})
 	w.resetEndNumbers(0)
 	p.emit(LogEvent{Message: "worker-restarted", Worker: w.info.ID, Why: "start time changed"})
@@ -95,7 +94,7 @@
 
 // addFoundRun adds a run that this host did not start.
 func (p *Pool) addFoundRun(now time.Time, w *worker, id fleet.RunID) *run {
-	r := &run{id: id, state: runRunning, confirmed: true, orderedAt: now, answeredAtPoll: p.lastPoll}
+	r := &run{id: id, state: runRunning, confirmed: true, orderedAt: now, answeredAtPoll: p.lastPoll, acceptedClock: w.clock}
 	r.claimBy = now.Add(p.cfg.ClaimTimeout)
 	if p.cfg.IsStored != nil && p.cfg.IsStored(id.Task.Job) {
 		r.stored, r.claimBy = true, now.Add(p.cfg.FoundRunHold)
@@ -301,7 +300,7 @@
 		}
 		return
 	}
-	r.answeredAtPoll = p.lastPoll
+	r.answeredAtPoll, r.acceptedClock = p.lastPoll, clock
 	switch verdict {
 	case fleet.StartAccepted:
 		w.missedPolls = 0
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -37,6 +37,8 @@
 	orderedAt time.Time
 	// acceptedAt is when the worker's acceptance of the start was read.
 	acceptedAt time.Time
+	// acceptedClock is the worker's clock when it accepted the run, or zero if unknown.
+	acceptedClock time.Duration
 	// percent is the progress that was listed last, and progressAt when it was first
 	// listed; for a run without progress, when the run was accepted.
 	percent    int
@@ -76,6 +78,13 @@
 	exclusive, shared bool
 }
 
+// precedes reports whether the answer to a poll, made when the worker's clock read clock,
+// reflects the order of the run: the poll was sent after the order was answered, or the
+// run was accepted by a former incarnation, whose clock was ahead.
+func (r *run) precedes(poll int64, clock time.Duration) bool {
+	return poll > r.answeredAtPoll || r.acceptedClock > clock+maxClockRegression
+}
+
 // worker is one worker that this host owns.
 type worker struct {
 	info fleet.Worker
