Claim no run of a former submission of a best-effort job

Two runs of one task at once: callers send a best-effort job again after a broken connection, and each submission numbers its runs from one. When a worker's new owner listed a run of the former submission late, the host of the present one claimed it if its task had merely been offered, and forgot the owner that it had offered the task to, which started it as well.

A run of a best-effort job is now claimed only on the worker that the task is known to be on; worker and number together name one run, because a worker starts no run that is not higher than one that was stopped or has ended there. A run whose start has not been reported when its worker changes its owner is stopped by the next owner, as any that nobody claims, and started again.

The new test failed before with a claim at the other owner.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -322,13 +322,18 @@
 	}
 }
 
-// claimRun claims a run found on a worker if its task is still needed.
+// claimRun claims a run found on a worker if its task is still needed. A run of a
+// best-effort job is claimed only if it is known to be on that worker: it may otherwise be
+// a run of a former submission of the job, whose runs have the same numbers.
 func (c *Coordinator) claimRun(from string, inv offer.Inventory, r fleet.RunID) {
 	worker := inv.Worker
 	j, t := c.find(r.Task)
 	if t == nil || j.handover == handoverListed || t.state == taskDone || t.state == taskIdle || t.lastRun > r.Run || t.lastEndedRun >= r.Run || t.atOtherWorker(worker) {
 		return
 	}
+	if !j.stored && t.worker != worker {
+		return
+	}
 	if t.fence > inv.Fence && t.atWorker() || t.fence == inv.Fence && t.state == taskStarted {
 		return
 	}
--- /dev/null
+++ b/internal/decide/coordinator/submissions_test.go
@@ -0,0 +1,48 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// A run of a former submission of a best-effort job, listed late, was claimed for the
+// present one, while the owner that had been offered the task ran it too.
+func TestRunOfAFormerSubmissionIsNotClaimed(t *testing.T) {
+	former := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+	for _, started := range []bool{false, true} {
+		c := coordinatorWithHosts(32)
+		c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+		offers := actionsOf[Offer](c.PopActions())
+		require.Len(t, offers, 1)
+		if started {
+			c.HandleOutcome(epoch, offers[0].Host, outcome(0, offer.Started, "w-"+offers[0].Host, 1))
+		}
+		c.HandleInventory(epoch, "other", offer.Inventory{Worker: "w9", Fence: 8, Running: []fleet.RunID{former}})
+		assert.Empty(t, actionsOf[Claim](c.PopActions()), "started: %v", started)
+
+		// The owner that has the task still reports it.
+		c.HandleOutcome(epoch, offers[0].Host, outcome(0, offer.Done, "w-"+offers[0].Host, 1))
+		answers := actionsOf[Answer](c.PopActions())
+		require.Len(t, answers, 1)
+		assert.Nil(t, answers[0].Err)
+	}
+}
+
+// A run that is known to be on a worker is claimed at the worker's next owner.
+func TestRunOfThisSubmissionIsClaimed(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+	owner := actionsOf[Offer](c.PopActions())[0].Host
+	c.HandleOutcome(epoch, owner, outcome(0, offer.Started, "w-"+owner, 1))
+	c.HostLost(epoch, owner)
+	c.HandleInventory(epoch, "other", offer.Inventory{
+		Worker: "w-" + owner, Fence: 8, Running: []fleet.RunID{{Task: fleet.TaskName{Job: testJob}, Run: 1}},
+	})
+	assert.Len(t, actionsOf[Claim](c.PopActions()), 1)
+}
