Do not say that a later attempt of an idempotent request has not run

Cause, by reading: a later attempt of an idempotent request runs without asking the other hosts. If it waits in vain, this host has not run it, and said so, although an earlier attempt may have run at another host. Requests that may not be repeated are fenced first, so that their refusals hold.

The result that an arrival gets now says unknown in that case; a first attempt still gets not_run.

--- a/internal/daemon/requests/work.go
+++ b/internal/daemon/requests/work.go
@@ -52,7 +52,10 @@
 	defer timer.Stop()
 	select {
 	case result := <-w.done:
-		return result
+		if req.handOver {
+			return result
+		}
+		return req.arrival.ResultFor(result)
 	case <-ctx.Done():
 		s.abandon(req, w)
 		return identity.Result{Err: errkind.New(errkind.Cancelled, "the caller disconnected")}
--- a/internal/decide/identity/identity.go
+++ b/internal/decide/identity/identity.go
@@ -48,6 +48,16 @@
 	return err.WithRun(errkind.Unknown)
 }
 
+// ResultFor returns a result of this host as it holds for the arrival. A later attempt of
+// an idempotent request runs without asking the other hosts, so that what this host has not
+// run may have run at the host of an earlier attempt.
+func (a Arrival) ResultFor(r Result) Result {
+	if r.Err != nil && r.Err.Run == errkind.NotRun && a.Idempotent && !a.FirstAttempt {
+		r.Err = r.Err.WithRun(errkind.Unknown)
+	}
+	return r
+}
+
 // PeerView is what this host knows about its peers when a request arrives.
 type PeerView struct {
 	// Peers names every other entry host, reachable or not.
