Show that an unclaimed stored run is renewed while its stop is lost

A task of a stored job could have two runs at once. A run that waits for its driver is to end at most RenewBefore after the hold, also if its stop is lost. Once it is being stopped, no claim is pending any more: worker.renewsLeases allows renewals, and leaseLength grants full leases.

Evidence: the test answers polls and no stop for the length of the hold and RenewBefore.

--- /dev/null
+++ b/internal/decide/workerpool/waits_test.go
@@ -0,0 +1,64 @@
+package workerpool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// latestLease ticks a pool whose only worker runs the given run and answers polls, but no
+// stop, and returns the end of the latest lease granted by then.
+func latestLease(p *Pool, run fleet.RunID, from, to time.Time) time.Time {
+	var latest time.Duration
+	for now := from; now.Before(to); now = now.Add(20 * time.Millisecond) {
+		p.Tick(now)
+		for _, a := range p.PopActions(now) {
+			switch a := a.(type) {
+			case Stop:
+				p.StopAnswered(now, "w", a.Run, false)
+			case Start:
+				latest = max(latest, a.LeaseUntil)
+			case Poll:
+				latest = max(latest, a.LeaseUntil)
+				if a.Wait == 0 {
+					p.PollAnswered(now, "w", a.Number, fleet.PollResponse{
+						Clock: time.Minute + now.Sub(epoch), StartTime: 1, Running: runningList(run),
+					})
+				}
+			}
+		}
+	}
+	return epoch.Add(latest - time.Minute)
+}
+
+// A run of a stored job that its driver had not claimed in time was renewed for as long as
+// its stop was lost, and the driver started the task again meanwhile.
+func TestUnclaimedRunOfAStoredJobEndsThoughItsStopIsLost(t *testing.T) {
+	found := runID(1, 0, 1)
+	hold := DefaultConfig(testLease)
+	for name, c := range map[string]struct {
+		setUp func() (*Pool, fleet.RunID)
+		hold  time.Duration
+	}{
+		"found": {func() (*Pool, fleet.RunID) { return foundRun(found), found }, hold.FoundRunHold},
+		"handed over": {func() (*Pool, fleet.RunID) {
+			p, id := startedRun(t, "driver", true)
+			p.HandedOver(epoch, "driver", []fleet.RunID{id})
+			return p, id
+		}, hold.HandoverHold},
+		"driver silent": {func() (*Pool, fleet.RunID) {
+			p, id := startedRun(t, "driver", true)
+			p.HostLost(epoch, "driver")
+			return p, id
+		}, hold.SilentHostHold},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, id := c.setUp()
+			bound := epoch.Add(c.hold + p.cfg.RenewBefore)
+			assert.LessOrEqual(t, latestLease(p, id, epoch, bound).Sub(epoch), bound.Sub(epoch))
+		})
+	}
+}
