Show that a start extends a run that waits for its driver

A task of a stored job could have two runs at once. The holds of runs whose driver is silent or has handed over assume a lease that ends RenewBefore after the hold (SilentHostHold + RenewBefore is a lease, which is what TakeoverDelay allows for). A start on the worker carries a full lease, and until_ms applies to everything on the worker. Only runs found at a takeover keep starts away.

It takes effect if the stop at the end of the hold is lost.

--- a/internal/decide/workerpool/waits_test.go
+++ b/internal/decide/workerpool/waits_test.go
@@ -62,3 +62,31 @@
 		})
 	}
 }
+
+// The start of another task on the worker gave a full lease to a run whose driver was
+// silent or had handed it over, so that it outlived its hold by a lease if its stop was lost.
+func TestStartDoesNotExtendARunThatAwaitsItsDriver(t *testing.T) {
+	for name, lose := range map[string]func(*Pool, fleet.RunID) time.Duration{
+		"handed over": func(p *Pool, id fleet.RunID) time.Duration {
+			p.HandedOver(epoch, "driver", []fleet.RunID{id})
+			return p.cfg.HandoverHold
+		},
+		"driver silent": func(p *Pool, _ fleet.RunID) time.Duration {
+			p.HostLost(epoch, "driver")
+			return p.cfg.SilentHostHold
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, id := startedRun(t, "driver", true)
+			hold := lose(p, id)
+			now := epoch.Add(hold)
+			latestLease(p, id, epoch, now)
+			other := testTask(2, 0, 8, now)
+			other.Host = "other"
+			p.Offer(now, other)
+			for _, start := range actionsOf[Start](p.PopActions(now)) {
+				assert.LessOrEqual(t, start.LeaseUntil-time.Minute, hold+p.cfg.RenewBefore)
+			}
+		})
+	}
+}
