Show that a claim at a worker taken over again ends the wait for its run

A task could have two runs at once. A host that releases a worker and takes it over again knows none of its runs until the first poll is answered. A claim that it reads meanwhile, for a run that it had announced before, is answered as one of a run that has ended: the host of the job waits 60 ms (and takeoverTime if the job is a stored one) instead of a lease. If the first poll is lost, or the second announcement, it starts the task again beside the run.

--- a/internal/decide/workerpool/waits_test.go
+++ b/internal/decide/workerpool/waits_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -90,3 +92,21 @@
 		})
 	}
 }
+
+// A host that had released a worker and taken it over again answered a claim, before its
+// first poll was answered, that the run had ended. The run went on under its lease, and the
+// host of its job started the task again 60 ms later.
+func TestClaimBeforeTheFirstPollDoesNotEndARun(t *testing.T) {
+	for _, stored := range []bool{false, true} {
+		id, claim := claimOf(stored)
+		p := newAdoptedPool(t, 16, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(id)})
+		p.Release(epoch, "w", "assigned to another host")
+		p.Adopt(epoch, testWorker("w", 16), 8)
+		p.PopActions(epoch)
+		p.Claimed(epoch, claim)
+		for _, o := range outcomes(p, epoch) {
+			require.Equal(t, offer.Orphaned, o.Result)
+			assert.GreaterOrEqual(t, o.MaxRemaining, p.cfg.MaxLease, "stored %t: the run may go on for a lease", stored)
+		}
+	}
+}
