Show that an owner ends runs whose lease the next owner renews

A task of a stored job had two runs at once. An owner that has reached neither the store nor a worker for a while counts the lease from its own last renewal and returns the tasks (Pool.tickWorker, "lease expired"). Meanwhile the worker's next owner has found the runs and renews their lease for FoundRunHold. A driver with a stream to the former owner only starts the tasks again at once; for an orphaned run it would wait takeoverTime.

Evidence: owner without the store from 0 s, without the worker from 0.4 s; next owner's first poll 1.1 s, tasks started again 1.7 s, runs stopped 1.9 s.

--- /dev/null
+++ b/internal/decide/host/waits_test.go
@@ -0,0 +1,75 @@
+package host
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+)
+
+// separate ends the stream between two hosts for good. Most hosts of two large zones have
+// none.
+func (w *world) separate(a, b *simHost) {
+	w.cuts[pair(a.name, b.name)]++
+	w.on(a, func() { a.core.HostLost(w.now, b.name) })()
+	w.on(b, func() { b.core.HostLost(w.now, a.name) })()
+}
+
+// separatedRun submits long stored jobs and finds a run whose driver is in another zone
+// than its worker. It returns the driver, the owner and the worker. Of the hosts of the worker's
+// zone, the driver has a stream to the owner only. The first zone has workers again 4.6 s
+// after the start of the fleet, so that all runs are in the others.
+func (w *world) separatedRun(t *testing.T) (driver, owner *simHost, worker *simWorker) {
+	t.Helper()
+	for _, sw := range w.workers {
+		if sw.info.Zone == w.hosts[0].zone {
+			w.crash(sw, 4600*time.Millisecond, false)
+		}
+	}
+	w.run(4 * time.Second)
+	w.submitLong(12, 6*time.Second)
+	w.run(500 * time.Millisecond)
+	var jobs []string
+	for _, j := range w.sortedJobs() {
+		jobs = append(jobs, j.id)
+	}
+	var r ledger.HandedRun
+	for _, h := range w.hosts {
+		running, _ := h.core.Coordinator.StoredRuns(jobs)
+		if len(running) > 0 && h.zone == w.hosts[0].zone {
+			driver, r = h, running[0]
+			break
+		}
+	}
+	require.NotNil(t, driver, "no host of the first zone drives a job")
+	owner = w.hosts[slices.IndexFunc(w.hosts, func(h *simHost) bool { return h.name == r.Owner })]
+	for _, h := range w.hosts {
+		if h.zone == owner.zone && h != owner {
+			w.separate(driver, h)
+		}
+	}
+	worker = w.workers[slices.IndexFunc(w.workers, func(sw *simWorker) bool { return sw.info.ID == r.Worker })]
+	return driver, owner, worker
+}
+
+// An owner without a connection to the store and to a worker reported the runs there as
+// ended with their lease. The worker's next owner, to which the driver had no stream, had
+// found them and renewed their lease, and the driver started the tasks again.
+func TestLeaseMayHaveBeenRenewedByTheNextOwner(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 2, 3, 3)
+			_, owner, worker := w.separatedRun(t)
+			owner.storeUnreachable = true
+			w.run(400 * time.Millisecond)
+			w.isolateWorker(owner, worker, 3*time.Second)
+			w.run(3 * time.Second)
+			require.Empty(t, w.problems)
+		})
+	}
+}
