Show that each next owner of a worker holds stored runs anew

A task of a stored job had two runs at once. The driver of an orphaned run waits for one lease and takeoverTime (1.5 s), counted from the report of the first owner. Each later owner of the worker holds the runs that it finds for FoundRunHold (0.8 s) and renews them, also if it has no stream to the driver, so that three or four owners in a row keep a run for longer than the driver waits.

--- a/internal/decide/host/waits_test.go
+++ b/internal/decide/host/waits_test.go
@@ -73,3 +73,23 @@
 		})
 	}
 }
+
+// A worker was assigned to one host after the other. Each held the runs that it found for
+// their driver anew, while the driver waited as if there were one next owner.
+func TestRunIsNotHeldByOneOwnerAfterTheOther(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 2, 4, 3)
+			driver, owner, _ := w.separatedRun(t)
+			for i := range 5 {
+				w.groups[owner.zone].reassign(i + 1)
+				w.run(600 * time.Millisecond)
+				if i == 0 {
+					w.separate(driver, owner)
+				}
+			}
+			require.Empty(t, w.problems)
+		})
+	}
+}
