Show that an end in an inventory hides the former owner's report

A task of a stored job could stay without a run. If the worker's next owner lists the end of a run (not done) before the former owner has reported the start, the driver raises the task's last run, but the task still counts as offered. The former owner's reports about that run then count as ones about an earlier run (HandleOutcome, formerRunEnded) and are dropped: the driver waits for an owner that has nothing of the task, until it loses contact with it.

--- /dev/null
+++ b/internal/decide/coordinator/inventory_test.go
@@ -0,0 +1,35 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// The worker's next owner listed the end of a run before its former owner had reported the
+// start. The report that the run was orphaned then counted as one about an earlier run, and
+// the driver waited for the former owner for good.
+func TestEndInAnInventoryDoesNotHideTheOwnersReport(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	job := jobOf(1, 900*time.Millisecond)
+	job.BestEffort = false
+	c.SubmitStored(epoch, ledger.Drive{Job: job, Route: testRoute, FirstRun: 1})
+	offers := actionsOf[Offer](c.PopActions())
+	require.Len(t, offers, 1)
+	run := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+	c.HandleInventory(epoch, "h3", offer.Inventory{
+		Worker: "w", Fence: 5, Ended: []fleet.RunEnd{{RunID: run, Seq: 1, Reason: fleet.EndedLeaseExpired}},
+	})
+	c.HandleOutcome(epoch, offers[0].Host, outcome(0, offer.Orphaned, "w", 2))
+	c.PopActions()
+	later := epoch.Add(10 * time.Second)
+	c.SetLogReadTime(later)
+	c.Tick(later)
+	assert.Len(t, actionsOf[Offer](c.PopActions()), 1, "nobody has the task")
+}
