Virtual fleet: streams, callers that leave, order after a standstill

- Hosts exchange frames on streams, as the product does: frames keep their order, each end has its own view of a stream, finds it silent after peerTimeout at a tick, and learns of the other end's view later, or not at all. world.deliver is the one place where a frame arrives.
Cuts, standstills and deaths no longer report a lost host themselves.
- After a standstill the first tick and what has waited come in an order drawn from the seed; events of one source keep theirs.
- Callers may leave after a time limit, also while their host stands still or is dead; the host learns it when it runs.
A job that its host still has is joined by the next submission, as in the dispatcher.
A host may lose power without a sign on its streams.
- peerTimeout was 600 ms; the product's is 3 x HeartbeatInterval, 750 ms.

--- a/internal/decide/host/evacuation_test.go
+++ b/internal/decide/host/evacuation_test.go
@@ -66,12 +66,15 @@
 		}
 		w.read(h)
 		for _, o := range w.hosts {
-			key := w.incarnationOf(h) + ">" + w.incarnationOf(o)
-			linked := o.up && h != o && w.linked(h.name, o.name)
-			if linked && !w.linkedPairs[key] {
+			l := h.links[o.name]
+			if l == nil {
+				continue
+			}
+			key := fmt.Sprint(h.name, " ", l.stream.number)
+			if !w.linkedPairs[key] {
 				w.send(h, o.name, Evacuations{Changes: h.core.Evacuations.Changes()})
 			}
-			w.linkedPairs[key] = linked
+			w.linkedPairs[key] = true
 		}
 	}
 	for _, sw := range w.workers {
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -16,11 +16,15 @@
 	spec      fleet.Job
 	workTimes []time.Duration
 	host      *simHost
-	arrived   time.Time
-	attempts  int
-	outcome   string
-	took      time.Duration
-	done      map[fleet.TaskName]bool
+	// next is where the caller sends the job again; nil means any host.
+	next *simHost
+	// leave breaks off the present submission.
+	leave    func()
+	arrived  time.Time
+	attempts int
+	outcome  string
+	took     time.Duration
+	done     map[fleet.TaskName]bool
 	// acknowledged are the tasks whose end was acknowledged to a worker, which
 	// then drops it from its list.
 	acknowledged map[fleet.TaskName]bool
@@ -45,22 +49,55 @@
 	}
 	j.host, j.arrived = h, w.now
 	j.attempts++
-	w.on(h, func() { h.core.Coordinator.Submit(w.now, j.spec, testRoute, 2*time.Second) })()
+	attempt, source := j.attempts, fmt.Sprint("caller ", j.id, j.attempts)
+	w.note(j.id, "submission %d to %s", attempt, h.name)
+	w.onFrom(h, source, func() {
+		h.callers[j.id] = attempt
+		// A host that still has the job answers the newer caller.
+		h.core.Coordinator.Submit(w.now, j.spec, testRoute, w.callerLimit())
+	})()
+	cancel := w.onFrom(h, source, func() {
+		if h.callers[j.id] == attempt {
+			w.note(j.id, "%s sees that caller %d has left", h.name, attempt)
+			h.core.Coordinator.Cancel(w.now, j.id)
+		}
+	})
+	j.leave = func() {
+		if j.outcome == "" && j.host == h && j.attempts == attempt {
+			w.note(j.id, "caller %d leaves %s", attempt, h.name)
+			w.resubmit(j)
+			cancel()
+		}
+	}
+	if w.callerTimeout > 0 {
+		w.after(w.callerTimeout, j.leave)
+	}
 }
 
+// callerLimit returns how long a caller says that it waits.
+func (w *world) callerLimit() time.Duration { return cmp.Or(w.callerTimeout, 2*time.Second) }
+
 // resubmit submits an unanswered job again to a random host.
 func (w *world) resubmit(j *simJob) {
 	j.host = nil
+	w.note(j.id, "submission %d is over", j.attempts)
 	if j.attempts >= 3 {
 		j.outcome = "lost"
 		return
 	}
-	w.after(resubmitDelay, func() { w.submit(j, w.hosts[w.rng.IntN(len(w.hosts))]) })
+	w.after(resubmitDelay, func() {
+		if j.next != nil {
+			w.submit(j, j.next)
+			return
+		}
+		w.submit(j, w.hosts[w.rng.IntN(len(w.hosts))])
+	})
 }
 
 func (w *world) answer(h *simHost, a coordinator.Answer) {
-	j := w.jobs[a.Job]
-	if j.host != h {
+	j, attempt := w.jobs[a.Job], h.callers[a.Job]
+	delete(h.callers, a.Job)
+	if j.host != h || j.attempts != attempt {
 		return
 	}
 	j.took = w.now.Sub(j.arrived)
@@ -73,6 +110,7 @@
 	case a.Err.Run == errkind.NotRun:
 		j.outcome = "not run"
 		if j.started.After(j.arrived) {
+			w.suspect(j)
 			w.fail("job %s is answered as not run, but a task started %v after its submission", j.id, j.started.Sub(j.arrived))
 		}
 	case a.Failed:
@@ -93,10 +131,12 @@
 	for _, o := range w.workers {
 		for other := range o.runs {
 			if other.Task == id.Task && !o.down {
+				w.suspect(j)
 				w.fail("task %s is running on %s (run %d) and also starts on %s (run %d)", id.Task, o.info.ID, other.Run, sw.info.ID, id.Run)
 			}
 		}
 	}
+	w.note(j.id, "%v starts on %s", id, sw.info.ID)
 	j.started, j.lastStarts[id.Task] = w.now, w.now
 	if !j.spec.BestEffort {
 		if since, ok := j.idleSince[id.Task]; ok {
@@ -122,7 +162,8 @@
 	}
 }
 
-func (w *world) ended(_ *simWorker, id fleet.RunID, reason fleet.EndReason) {
+func (w *world) ended(sw *simWorker, id fleet.RunID, reason fleet.EndReason) {
+	w.note(id.Task.Job, "%v ends on %s: %v", id, sw.info.ID, reason)
 	switch reason {
 	case fleet.EndedDone:
 		w.jobs[id.Task.Job].done[id.Task] = true
--- a/internal/decide/host/messages_test.go
+++ b/internal/decide/host/messages_test.go
@@ -18,6 +18,7 @@
 	switch a := a.(type) {
 	case workerpool.Start:
 		sw, id := w.workerAt(a.Worker), a.Worker.ID
+		w.note(a.Run.Task.Job, "%s orders %v on %s for %s", h.name, a.Run, id, a.Host)
 		w.sendOrder(h, sw, a.Timeout, func(answered bool) func() {
 			verdict, clock := fleet.StartUnknown, time.Duration(0)
 			switch {
@@ -34,6 +35,11 @@
 		})
 	case workerpool.Stop:
 		sw, id := w.workerAt(a.Worker), a.Worker.ID
+		if w.stopsLost {
+			w.after(a.Timeout, w.on(h, func() { h.core.Pool.StopAnswered(w.now, id, a.Run, false) }))
+			return
+		}
+		w.note(a.Run.Task.Job, "%s orders the stop of %v on %s: %s", h.name, a.Run, id, a.Why)
 		w.sendOrder(h, sw, a.Timeout, func(answered bool) func() {
 			ok := answered && sw.info.ID == id && sw.stop(a)
 			return func() { h.core.Pool.StopAnswered(w.now, id, a.Run, ok) }
@@ -48,10 +54,10 @@
 		w.send(h, a.Host, a.Message)
 	case Broadcast:
 		for _, o := range w.hosts {
-			if o != h {
-				w.send(h, o.name, a.Message)
-			}
+			w.deliver(h, o, func() { o.core.Receive(w.now, h.name, a.Message) })
 		}
+	case RunClaimed:
+		w.note(a.Run.Task.Job, "%s claims %v on %s from %s, was %+v", h.name, a.Run, a.Worker, a.Owner, a.Before)
 	case Append:
 		w.appendToLog(h, a, func() {})
 	case coordinator.Answer:
@@ -108,6 +114,9 @@
 			w.after(w.delay(), w.on(h, func() { h.core.Pool.WorkerReplaced(w.now, id) }))
 			return
 		}
+		if a.LeaseUntil > 0 && a.Fence >= sw.fence {
+			w.noteRenewal(h, sw, a.LeaseUntil)
+		}
 		if !sw.poll(a) {
 			w.after(w.delay(), w.on(h, func() { h.core.Pool.Fenced(w.now, id, a.Number, a.Fence) }))
 			return
@@ -139,12 +148,8 @@
 		if o.name != to {
 			continue
 		}
-		if !o.up {
-			w.after(time.Millisecond, w.on(h, func() { h.core.Coordinator.HostLost(w.now, to) }))
-			return
-		}
-		if w.linked(h.name, to) {
-			w.after(w.delay(), w.on(o, func() { o.core.Receive(w.now, h.name, m) }))
+		if !w.deliver(h, o, func() { o.core.Receive(w.now, h.name, m) }) {
+			h.core.Coordinator.HostLost(w.now, to)
 		}
 	}
 }
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -40,26 +40,20 @@
 	})()
 }
 
-// freeze makes a host stand still for a time. The others close their streams to it once
-// it has been silent for the peer timeout.
+// freeze makes a host stand still for a time.
 func (w *world) freeze(h *simHost, d time.Duration) {
 	if !h.up || w.now.Before(h.frozenUntil) {
 		return
 	}
 	h.frozenUntil = w.now.Add(d)
-	if d <= peerTimeout {
-		return
-	}
-	for _, o := range w.hosts {
-		if o == h {
-			continue
+	clear(h.backlog)
+	w.note("", "%s stands still for %v", h.name, d)
+	incarnation := h.incarnation
+	w.after(d+time.Duration(w.rng.Int64N(int64(thawTime))), func() {
+		if h.incarnation == incarnation {
+			w.tickHost(h)
 		}
-		// What the host sends before it has noticed that a stream ended is lost.
-		w.cuts[pair(h.name, o.name)]++
-		w.after(peerTimeout, w.on(o, func() { o.core.HostLost(w.now, h.name) }))
-		w.after(d+time.Millisecond, w.on(h, func() { h.core.HostLost(w.now, o.name) }))
-		w.after(d+2*time.Millisecond, func() { w.cuts[pair(h.name, o.name)]-- })
-	}
+	})
 }
 
 // submitLong submits stored jobs of two steps of one task of the given time.
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -9,16 +9,20 @@
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/ownership"
+	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
 const (
-	testLease      = time.Second
-	memberTTL      = time.Second
-	joinInterval   = 200 * time.Millisecond
-	tickInterval   = 20 * time.Millisecond
-	peerTimeout    = 600 * time.Millisecond
+	testLease    = time.Second
+	memberTTL    = time.Second
+	joinInterval = 200 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	peerTimeout  = 3 * topology.HeartbeatInterval
+	// thawTime is how long a host takes to handle what has waited during a standstill.
+	thawTime       = 10 * time.Millisecond
 	resubmitDelay  = 1300 * time.Millisecond
+	callerTimeout  = 1500 * time.Millisecond
 	zonePartitions = 6
 	// heartbeatInterval and registrationTTL are those of the platform.
 	heartbeatInterval = 1500 * time.Millisecond
@@ -67,6 +71,14 @@
 	// leaving is set during a planned stop, and frozenUntil is the end of a standstill.
 	leaving     bool
 	frozenUntil time.Time
+	// backlog holds when what waited during the last standstill is handled, by source.
+	backlog map[string]time.Time
+	// links holds the host's ends of streams, and redialAt when it may open one again, by
+	// the name of the other host.
+	links    map[string]*simLink
+	redialAt map[string]time.Time
+	// callers holds the attempt whose caller waits for a job.
+	callers map[string]int
 	// shardGeneration is the generation that the host last joined in the group of
 	// the shards, and logPosition how far it has read the log of stored jobs.
 	shardGeneration int64
@@ -85,16 +97,27 @@
 	jobs    map[string]*simJob
 	log     *simLog
 	// cuts is the number of present network cuts by pair of names.
-	cuts     map[string]int
-	lossRate float64
-	lateRate float64
-	problems []string
+	cuts map[string]int
+	// callerTimeout is after what time callers leave; zero means that they stay.
+	callerTimeout time.Duration
+	streams       int
+	sources       int
+	lossRate      float64
+	lateRate      float64
+	problems      []string
 	// racks holds the racks and the tasks' places if jobs name racks.
 	racks rackLoad
 	// stoppedRuns counts the runs of stored jobs that ended by a stop or a lapse, and
 	// longestIdle is the longest time from such an end to the task's next start.
 	stoppedRuns int
 	longestIdle time.Duration
+	// stopsLost makes workers receive no stops.
+	stopsLost bool
+	// suspected is the job of the first problem of a job, found at suspectedAt.
+	suspected   *simJob
+	suspectedAt time.Time
+	// notes is what happened, for the trace of a job.
+	notes []note
 }
 
 var (
@@ -162,7 +185,8 @@
 func (w *world) boot(h *simHost) {
 	h.incarnation++
 	h.up, h.generations, h.shardGeneration, h.logPosition = true, map[int]int64{}, 0, 0
-	h.leaving, h.frozenUntil = false, time.Time{}
+	h.leaving, h.frozenUntil, h.backlog = false, time.Time{}, map[string]time.Time{}
+	h.links, h.redialAt, h.callers = map[string]*simLink{}, map[string]time.Time{}, map[string]int{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
 		RemoteSlowdown: w.racks.slowdown,
@@ -175,15 +199,17 @@
 	w.joinShardGroup(h)
 }
 
-// kill ends a host's process for a time; its callers submit their jobs again.
+// kill ends a host's process for a time. The other hosts and the callers see the end of
+// their connections.
 func (w *world) kill(h *simHost, down time.Duration) {
 	if !h.up {
 		return
 	}
 	h.up = false
+	w.note("", "%s is killed for %v", h.name, down)
 	for _, o := range w.hosts {
-		if o.up && o != h {
-			w.after(time.Millisecond, w.on(o, func() { o.core.HostLost(w.now, h.name) }))
+		if l := h.links[o.name]; l != nil {
+			w.notifyEnd(h, o, l.stream)
 		}
 	}
 	for _, j := range w.sortedJobs() {
@@ -194,6 +220,16 @@
 	w.after(down, func() { w.boot(h) })
 }
 
+// losePower is kill without a sign on any connection.
+func (w *world) losePower(h *simHost, down time.Duration) {
+	if !h.up {
+		return
+	}
+	h.up = false
+	w.note("", "%s loses power for %v", h.name, down)
+	w.after(down, func() { w.boot(h) })
+}
+
 func (w *world) sortedJobs() []*simJob {
 	list := make([]*simJob, 0, len(w.jobs))
 	for _, j := range w.jobs {
@@ -206,21 +242,37 @@
 // on returns a callback that runs do and reconciles the host, unless the host
 // has stopped or restarted by then. While the host stands still, the callback waits.
 func (w *world) on(h *simHost, do func()) func() {
+	w.sources++
+	return w.onFrom(h, fmt.Sprint("#", w.sources), do)
+}
+
+// onFrom is on for an event of a source. Those of one source keep their order; after a
+// standstill those of different sources, and the first tick, come in any order.
+func (w *world) onFrom(h *simHost, source string, do func()) func() {
 	incarnation := h.incarnation
 	var run func()
 	run = func() {
-		switch {
-		case !h.up || h.incarnation != incarnation:
-		case w.now.Before(h.frozenUntil):
-			w.after(h.frozenUntil.Sub(w.now), run)
-		default:
-			do()
-			w.reconcile(h)
+		if !h.up || h.incarnation != incarnation {
+			return
+		}
+		if at := w.readyAt(h, source); w.now.Before(at) {
+			w.after(at.Sub(w.now), run)
+			return
 		}
+		do()
+		w.reconcile(h)
 	}
 	return run
 }
 
+// readyAt returns when a host handles an event of a source that is there now.
+func (w *world) readyAt(h *simHost, source string) time.Time {
+	if w.now.Before(h.frozenUntil) && h.backlog[source].Before(h.frozenUntil) {
+		h.backlog[source] = h.frozenUntil.Add(time.Duration(w.rng.Int64N(int64(thawTime))))
+	}
+	return h.backlog[source]
+}
+
 func (w *world) tick() {
 	for _, sw := range w.workers {
 		if !sw.down {
@@ -228,21 +280,27 @@
 		}
 	}
 	for _, h := range w.hosts {
-		if !h.up || w.now.Before(h.frozenUntil) {
-			continue
-		}
-		h.core.Tick(w.now)
-		w.reconcile(h)
-		for _, o := range w.hosts {
-			if o != h && o.up && w.linked(h.name, o.name) {
-				report := h.core.Report(w.now)
-				w.after(w.delay(), w.on(o, func() { o.core.UpdateHost(w.now, h.name, h.zone, report) }))
-			}
-		}
+		w.tickHost(h)
 	}
 	w.after(tickInterval, w.tick)
 }
 
+func (w *world) tickHost(h *simHost) {
+	if !h.up || w.now.Before(h.frozenUntil) {
+		return
+	}
+	h.core.Tick(w.now)
+	w.closeSilent(h)
+	w.reconcile(h)
+	w.dial(h)
+	report := h.core.Report(w.now)
+	for _, o := range w.hosts {
+		if o != h {
+			w.deliver(h, o, func() { o.core.UpdateHost(w.now, h.name, h.zone, report) })
+		}
+	}
+}
+
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
 		if !h.storeUnreachable && !h.leaving && h.core.Ledger.Loaded() {
@@ -266,19 +324,8 @@
 // partition cuts the link between two hosts for a time, at least for longer than
 // the peer timeout: a shorter cut would only delay the streams' bytes.
 func (w *world) partition(a, b *simHost, d time.Duration) {
-	d = max(d, peerTimeout+tickInterval)
+	d = max(d, peerTimeout+2*tickInterval)
 	w.cuts[pair(a.name, b.name)]++
-	w.after(peerTimeout, func() {
-		if w.linked(a.name, b.name) {
-			return
-		}
-		if a.up {
-			w.on(a, func() { a.core.HostLost(w.now, b.name) })()
-		}
-		if b.up {
-			w.on(b, func() { b.core.HostLost(w.now, a.name) })()
-		}
-	})
 	w.after(d, func() { w.cuts[pair(a.name, b.name)]-- })
 }
 
