--- a/internal/decide/host/returning_test.go
+++ b/internal/decide/host/returning_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,3 +70,104 @@
 		})
 	}
 }
+
+// runUntilRenewed runs the fleet until the lease of the worker has just been renewed and
+// the owner knows it.
+func (f *returningFleet) runUntilRenewed(t *testing.T) {
+	t.Helper()
+	for range 1000 {
+		f.run(time.Millisecond)
+		if f.worker.lease-f.worker.now() > testLease-5*time.Millisecond {
+			f.run(3 * time.Millisecond)
+			return
+		}
+	}
+	require.Fail(t, "the lease is not renewed")
+}
+
+// thawOrders is the number of seeds with which what waits during a standstill is handled
+// in another order.
+const thawOrders = 10
+
+func forThawOrders(t *testing.T, do func(t *testing.T, f *returningFleet)) {
+	t.Helper()
+	for seed := range uint64(thawOrders) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			do(t, newReturningFleet(seed))
+		})
+	}
+}
+
+// queueBehindRun makes the owner's worker full for a second, and submits a job, which then
+// waits in the owner's queue, to a host.
+func (f *returningFleet) queueBehindRun(h *simHost) *simJob {
+	blocker := f.newLongJob(time.Second)
+	blocker.spec.Steps[0].Size.MilliCPU = 32000
+	f.submit(blocker, f.owner)
+	f.run(50 * time.Millisecond)
+	j := f.newLongJob(10 * time.Second)
+	j.next = f.other
+	f.submit(j, h)
+	f.run(50 * time.Millisecond)
+	return j
+}
+
+// Guards against the start of a queued task right after a standstill of the worker's
+// owner, which has not read yet that the host of the job has died.
+func TestOwnerStartsNoTaskOfADeadHostAfterAStandstill(t *testing.T) {
+	forThawOrders(t, func(t *testing.T, f *returningFleet) {
+		f.queueBehindRun(f.entry)
+		f.freeze(f.owner, 1450*time.Millisecond)
+		f.run(50 * time.Millisecond)
+		f.kill(f.entry, time.Hour)
+		f.requireOneRun(t, 2*time.Second)
+	})
+}
+
+// Guards against the start of a host's own queued task right after its standstill, when it
+// has not read yet that the caller has left.
+func TestHostStartsNoTaskOfAFormerCallerAfterAStandstill(t *testing.T) {
+	forThawOrders(t, func(t *testing.T, f *returningFleet) {
+		j := f.queueBehindRun(f.owner)
+		f.freeze(f.owner, 1450*time.Millisecond)
+		f.run(50 * time.Millisecond)
+		j.leave()
+		f.requireOneRun(t, 2*time.Second)
+	})
+}
+
+// Guards against the renewal of a lease right after a standstill of the worker's owner,
+// which has not read yet that the host of the job has died; then its stop is lost.
+func TestOwnerRenewsNoLeaseForADeadHostAfterAStandstill(t *testing.T) {
+	const standstill = 950 * time.Millisecond
+	forThawOrders(t, func(t *testing.T, f *returningFleet) {
+		f.submitLong(t, 900*time.Millisecond)
+		f.run(time.Second)
+		f.runUntilRenewed(t)
+		f.freeze(f.owner, standstill)
+		f.stopsLost = true
+		f.after(standstill+thawTime, func() { f.isolateWorker(f.owner, f.worker, 2*time.Second) })
+		f.run(50 * time.Millisecond)
+		f.kill(f.entry, time.Hour)
+		f.requireOneRun(t, 1500*time.Millisecond)
+	})
+}
+
+// Guards against frames that waited during a standstill of the worker's owner and that
+// count as heard when they are read: the host of the job, which lost power meanwhile, was
+// found silent a second time too late.
+func TestFramesReadLateDoNotKeepARunAlive(t *testing.T) {
+	const standstill = 950 * time.Millisecond
+	forThawOrders(t, func(t *testing.T, f *returningFleet) {
+		j := f.submitLong(t, 900*time.Millisecond)
+		f.run(time.Second)
+		f.runUntilRenewed(t)
+		f.freeze(f.owner, standstill)
+		f.run(50 * time.Millisecond)
+		f.losePower(f.entry, time.Hour)
+		f.run(200 * time.Millisecond)
+		j.leave()
+		f.requireOneRun(t, 1600*time.Millisecond)
+	})
+}
