Failing test: the ends of a stream disagree about when it ended

The job's host sees the stream to the owner end and waits a lease and 60 ms from then; the owner sees nothing, renews the lease until it finds the host silent, and cannot stop the run. The host starts the task again 1.1 s after the end that it saw, while the lease has some 0.6 s left. No caller returns here. Fails on the code as it stands.

--- a/internal/decide/host/returning_test.go
+++ b/internal/decide/host/returning_test.go
@@ -171,3 +171,18 @@
 		f.requireOneRun(t, 1600*time.Millisecond)
 	})
 }
+
+// Guards against a host of a job that starts a task again while its first run goes on:
+// the host counted the rest of the run's lease from the end of the stream that it saw
+// itself, while the worker's owner saw none and went on renewing the lease; then the
+// owner's stop was lost.
+func TestTaskStartsAgainOnlyAfterTheLeaseThatTheOwnerRenewedLast(t *testing.T) {
+	f := newReturningFleet(1)
+	f.submitLong(t, 200*time.Millisecond)
+	f.run(100 * time.Millisecond)
+	f.partition(f.entry, f.owner, time.Hour)
+	f.cuts[pair(f.entry.name, f.other.name)]--
+	f.on(f.entry, func() { f.closed(f.entry, f.owner, f.entry.links[f.owner.name].stream, "stream ended") })()
+	f.after(peerTimeout-10*time.Millisecond, func() { f.isolateWorker(f.owner, f.worker, 2*time.Second) })
+	f.requireOneRun(t, 1300*time.Millisecond)
+}
