Failing test: a late claim replaces the offer to another owner

A job was sent again; while the new host has offered the task to one owner, another owner's inventory lists the first submission's run. The host claims that run and gives the task to the second owner, without a word to the first one, whose run then counts for nothing: when the claimed run turns out to be over, the task is offered again beside it. Fails on the code as it stands.

--- a/internal/decide/coordinator/coordinator_test.go
+++ b/internal/decide/coordinator/coordinator_test.go
@@ -242,3 +242,33 @@
 	require.Len(t, offers, 1)
 	assert.Equal(t, 1, offers[0].Tasks[0].NextRun, "no run was lost")
 }
+
+// Guards against a second run beside the one that an owner has started: the job was sent
+// again, an owner listed a run of the first submission late, and the coordinator claimed
+// it for the task that it had offered to another owner. The run that this owner started
+// was then unknown, and the task was offered again when the claimed run was over.
+func TestRunOfAnEarlierSubmissionDoesNotReplaceAnOffer(t *testing.T) {
+	for _, listedAgain := range []bool{false, true} {
+		c := coordinatorWithHosts(32)
+		c.Submit(epoch, jobOf(1, 900*time.Millisecond), testRoute, 5*time.Second)
+		host := actionsOf[Offer](c.PopActions())[0].Host
+		other := map[string]string{"h1": "h2", "h2": "h1"}[host]
+		found := offer.Inventory{Worker: "w-" + other, Fence: 8, Running: []fleet.RunID{{Task: fleet.TaskName{Job: testJob}, Run: 1}}}
+
+		c.HandleInventory(epoch, other, found)
+		c.HandleOutcome(epoch, host, outcome(0, offer.Started, "w-"+host, 7))
+		if listedAgain {
+			c.HandleInventory(epoch, other, found)
+		}
+		over := outcome(0, offer.Orphaned, "", 0)
+		over.Why = "run ended before the claim"
+		c.HandleOutcome(epoch, other, over)
+		c.Tick(epoch.Add(200 * time.Millisecond))
+		assert.Empty(t, actionsOf[Offer](c.PopActions()), "the run on %s goes on", host)
+
+		c.HandleOutcome(epoch.Add(time.Second), host, outcome(0, offer.Done, "w-"+host, 7))
+		answers := actionsOf[Answer](c.PopActions())
+		require.Len(t, answers, 1)
+		assert.Nil(t, answers[0].Err)
+	}
+}
