--- a/internal/decide/host/returning_test.go
+++ b/internal/decide/host/returning_test.go
@@ -57,6 +57,7 @@
 	tests := map[string]func(f *returningFleet){
 		"owner stands still":  func(f *returningFleet) { f.freeze(f.owner, 2*time.Second) },
 		"worker out of reach": func(f *returningFleet) { f.isolateWorker(f.owner, f.worker, 2*time.Second) },
+		"stops are lost":      func(f *returningFleet) { f.stopsLost = true },
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
