Lease best-effort runs by the last sign of the host of their job

Callers saw a best-effort task run on two workers at once. A caller that loses its host, or breaks off, sends its job again 1.3 s later to any host; the run of the first submission must be over by then. The owner of its worker found the host of the job silent 0.75 s after the last frame that it had read, and until then renewed the lease for its full length, up to 1 s: one wait after the other is longer than 1.3 s whenever the owner cannot stop the run. It renewed also for runs that it was stopping, for unclaimed ones, and by the start of another task on the worker. A frame that had waited in a socket while the owner stood still counted as heard when it was read.

Class: a wait that is not counted from the last moment at which the other side could have extended what is waited for.

Each frame now carries when it was filled, on a steady clock of its sender, and the receiver estimates when that was on its own clock (presence.Clock). The lease of a worker ends at the latest Config.MaxLease after the last sign of the host of each best-effort run there, however it is renewed: by polls, by starts, while a run is being stopped. So a run ends 1.02 s after that sign with a worker's clock that is 2% slow, before the caller returns and before the host of the job, which waits 1.08 s after the end of the stream that it saw, starts the task again. A task starts only on a worker that can be leased for 0.4 s.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyhill/parsleyhill/gen/dispatch/v1/dispatchv1connect"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/decide/presence"
 	"github.com/parsleyhill/parsleyhill/internal/decide/recovery"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -59,6 +60,8 @@
 
 	links    map[string]*link
 	capacity versionedReport
+	// createdAt is where the stamps of this host's frames begin.
+	createdAt time.Time
 }
 
 // dialer keeps a stream to a host. Its fields are guarded by peers.mu.
@@ -84,6 +87,8 @@
 	deferred    bool
 	leaving     bool
 	lastContact time.Time
+	// clock estimates when the peer sent its frames.
+	clock presence.Clock
 	// lastReport is when a report was last sent, or left out because nothing had
 	// changed. reportVersion is the version that the peer has.
 	lastReport time.Time
@@ -97,7 +102,7 @@
 }
 
 func newPeers(self fleet.Host, logger *log.Logger, dispatcher *Dispatcher, dial platform.DialFunc) *peers {
-	return &peers{dial: dial, self: self, logger: logger, dispatcher: dispatcher, hosts: map[string]fleet.Host{}, dialers: map[string]*dialer{}, links: map[string]*link{}}
+	return &peers{dial: dial, self: self, logger: logger, dispatcher: dispatcher, hosts: map[string]fleet.Host{}, dialers: map[string]*dialer{}, links: map[string]*link{}, createdAt: time.Now()}
 }
 
 // run keeps streams open to the hosts set by put and remove until ctx is done.
@@ -365,6 +370,7 @@
 		return
 	}
 	l.lastContact = now
+	p.dispatcher.core.HostHeard(l.host.Name, l.sentAt(now, f))
 	p.dispatcher.load.framesIn++
 	p.dispatcher.load.offersIn += len(f.GetOffers())
 	for _, m := range messagesFromProto(now, p.self.Name, f) {
@@ -383,6 +389,14 @@
 	}
 }
 
+// sentAt returns when a frame was sent that is received now.
+func (l *link) sentAt(now time.Time, f *dispatchv1.Frame) time.Time {
+	if f.GetSentMs() == 0 {
+		return now
+	}
+	return l.clock.SentAt(now, time.Duration(f.GetSentMs())*time.Millisecond)
+}
+
 // send adds a message to the next frame to a host. Without a stream to the host
 // it reports the host to the coordinator as lost.
 func (p *peers) send(now time.Time, name string, m host.Message) {
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -74,11 +74,20 @@
 			}
 			p.addReport(now, l)
 		}
+		l.stamp(now.Sub(p.createdAt))
 		p.dispatcher.load.framesOut++
 		wake(l.wake)
 	}
 }
 
+// stamp sets when the next frame was filled. While an earlier one cannot be sent, messages
+// are added to it, and it counts as filled now.
+func (l *link) stamp(at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending.SentMs = max(1, at.Milliseconds())
+}
+
 // updateReport computes this host's report, unless it was computed less than
 // sharedReportAge ago.
 func (p *peers) updateReport(now time.Time) {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -206,6 +206,7 @@
 // and expirations. It also returns queued tasks for which other hosts have free
 // capacity.
 func (c *Core) Tick(now time.Time) {
+	c.Pool.HostHeard(c.cfg.Name, now)
 	c.Ledger.Tick(now)
 	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
@@ -218,6 +219,10 @@
 	}
 }
 
+// HostHeard records that another host was there at the given time, which is the time at
+// which it sent what was received.
+func (c *Core) HostHeard(host string, at time.Time) { c.Pool.HostHeard(host, at) }
+
 // maxReportAge bounds the age of the coordinator's view of the host's own workers
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
--- a/internal/decide/workerpool/polls.go
+++ b/internal/decide/workerpool/polls.go
@@ -58,23 +58,13 @@
 	if !w.interrupted {
 		l.Acknowledged = w.acknowledgedSeq
 	}
-	if w.renewsLeases(now) {
-		l.LeaseUntil = w.grantLease(now, p.leaseLength(now, w))
+	if length := p.leaseLength(now, w); length > 0 && w.renewsLeases(now) {
+		l.LeaseUntil = w.grantLease(now, length)
 	}
 	p.emit(l)
 	return l.Number
 }
 
-// leaseLength returns the length of a lease granted now. A lease is shorter while runs
-// wait to be claimed: one that is not claimed in time must end even if its stop is lost,
-// because its driver may start the task again.
-func (p *Pool) leaseLength(now time.Time, w *worker) time.Duration {
-	if until, pending := w.claimsPending(now); pending {
-		return min(p.cfg.MaxLease, until.Sub(now)+p.cfg.RenewBefore)
-	}
-	return p.cfg.MaxLease
-}
-
 // noPoll is passed as the poll number for orders that are not polls.
 const noPoll = 0
 
@@ -157,7 +147,7 @@
 		}
 		return
 	}
-	if w.renewsLeases(now) && w.shortPoll == 0 && w.latestLeaseEnd-w.clockNow(now) < p.cfg.RenewBefore {
+	if w.shortPoll == 0 && p.leaseDue(now, w) {
 		p.poll(now, w)
 	}
 	if w.shortPoll == 0 && p.hasOverdueRun(now, w) {
--- /dev/null
+++ b/internal/decide/workerpool/presence.go
@@ -0,0 +1,87 @@
+package workerpool
+
+import "time"
+
+// The caller of a best-effort job that loses its entry host, or breaks off, sends the
+// job again a while later to any host, and no run of the first submission may go on by
+// then. A run is therefore leased for Config.MaxLease at most from the last moment at
+// which the host of its job was known to be there and to need it, however often its
+// owner polls. Stored jobs have their own bounds (Config.SilentHostHold).
+
+const (
+	// minStartLeaseShare is the shortest lease with which a task starts, as a share of
+	// Config.MaxLease.
+	minStartLeaseShare = 0.4
+	// minLeaseExtension is the shortest time by which a poll that is sent only for that
+	// purpose renews a lease.
+	minLeaseExtension = 100 * time.Millisecond
+)
+
+// HostHeard records that a host was there at the given time, which is the time at which
+// what it sent was sent and not when it was read. A host that was never heard of, as the
+// pool's own one may be, counts as always there.
+func (p *Pool) HostHeard(host string, at time.Time) {
+	if at.After(p.heard[host]) {
+		p.heard[host] = at
+	}
+}
+
+// lastHeard returns when a host was last known to be there.
+func (p *Pool) lastHeard(now time.Time, host string) time.Time {
+	if at, ok := p.heard[host]; ok {
+		return at
+	}
+	return now
+}
+
+// neededUntil returns the time up to which a run may be leased.
+func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
+	switch {
+	case r.stored:
+		return now.Add(p.cfg.MaxLease)
+	case r.task != nil:
+		return p.lastHeard(now, r.task.Host).Add(p.cfg.MaxLease)
+	case r.neededAt.IsZero():
+		// The run was found, and no host is known to need it.
+		return now
+	}
+	return r.neededAt.Add(p.cfg.MaxLease)
+}
+
+// leaseLength returns the length of a lease granted now, which covers all runs on the
+// worker; zero or less if none may be granted.
+func (p *Pool) leaseLength(now time.Time, w *worker) time.Duration {
+	length := p.cfg.MaxLease
+	if until, pending := w.claimsPending(now); pending {
+		// A run of a stored job that is not claimed in time must end even if its stop is
+		// lost, because its driver may start the task again.
+		length = min(length, until.Sub(now)+p.cfg.RenewBefore)
+	}
+	for _, r := range w.runs {
+		length = min(length, p.neededUntil(now, r).Sub(now))
+	}
+	return length
+}
+
+// mayLease reports whether a task that starts on the worker now gets a lease that is
+// long enough. The lease of a start holds for all runs on its worker.
+func (p *Pool) mayLease(now time.Time, w *worker) bool {
+	shortest := share(p.cfg.MaxLease, minStartLeaseShare)
+	return len(w.runs) == 0 || p.leaseLength(now, w) >= shortest
+}
+
+// startLeaseLength returns the length of the lease with which a task starts on a worker.
+func (p *Pool) startLeaseLength(now time.Time, w *worker, r *run) time.Duration {
+	return min(p.leaseLength(now, w), p.neededUntil(now, r).Sub(now))
+}
+
+// leaseDue reports whether the lease must be renewed by a poll of its own.
+func (p *Pool) leaseDue(now time.Time, w *worker) bool {
+	if !w.renewsLeases(now) {
+		return false
+	}
+	left := w.latestLeaseEnd - w.clockNow(now)
+	return left < p.cfg.RenewBefore && p.leaseLength(now, w) >= left+minLeaseExtension
+}
+
+func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -140,7 +140,7 @@
 	q.need, q.speedsDecide = p.needOf(now, &q.Task)
 	p.considered += len(p.order)
 	for _, w := range p.order {
-		if !w.canStart(now, &q.Task) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
+		if !w.canStart(now, &q.Task) || !p.mayLease(now, w) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
 			continue
 		}
 		if best == nil || p.prefers(now, q, w, best) {
@@ -204,10 +204,11 @@
 	if w == p.reserved {
 		p.reserved = nil
 	}
+	lease := p.startLeaseLength(now, w, r)
 	w.addRun(r)
 	p.taskStartedHere(now, q)
 	p.emit(Start{
-		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, p.cfg.MaxLease),
+		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, lease),
 		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w), Host: task.Host,
 	})
 }
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -51,6 +51,9 @@
 	// stopAnswered is set once the worker has confirmed the stop.
 	stopAnswered bool
 	stopInFlight bool
+	// neededAt is when the host of the run's job was last known to need it, if no host
+	// does any more; zero if none is known to have needed it.
+	neededAt time.Time
 	// stopReason is the reason of the first stop, and host the entry host that the run
 	// was for, if known. It outlives the task.
 	stopReason StopReason
@@ -220,19 +223,10 @@
 	return !w.evacuated && !w.info.Draining && w.missedPolls < lostAfterMissedPolls && !w.health.onProbation(now)
 }
 
-// renewsLeases reports whether polls renew the leases. Unclaimed runs of best-effort
-// jobs are not renewed until they are being stopped. Runs on a worker that does not
+// renewsLeases reports whether polls renew the leases. Runs on a worker that does not
 // answer end with their current lease.
 func (w *worker) renewsLeases(now time.Time) bool {
-	if w.adopting || w.missedPolls > 0 || w.awaitsLeaseExpiry(now) || len(w.runs) == 0 {
-		return false
-	}
-	for id := range w.unclaimed {
-		if r := w.runs[id]; !r.stored && now.Before(r.claimBy) {
-			return false
-		}
-	}
-	return true
+	return !w.adopting && w.missedPolls == 0 && !w.awaitsLeaseExpiry(now) && len(w.runs) > 0
 }
 
 // claimsPending reports whether runs wait to be claimed, and returns the earliest time at
