Start nothing for hosts and callers that a standstill has made doubtful

A host that had stood still acted on what it knew before: its first round came before it had read that the host of a queued task was gone, or that its own caller had left. It started tasks that ran elsewhere already, for a few milliseconds until it had read on.

Class: knowledge that is older than a standstill is taken for new.

A best-effort task starts only if the host of its job was heard within 0.6 of a lease, by the time of sending. The loop tells the decisions how long it stood still before the first event after that; for 0.1 s after a standstill of 0.6 of a lease or more the host offers no task of its own callers and does not count itself as heard, so that the ends of connections are read first.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -203,7 +203,7 @@
 			return ctx.Err()
 		case event := <-d.events:
 			began = time.Now()
-			d.reportStandstill(began.Sub(lastRound))
+			d.reportStandstill(began, began.Sub(lastRound))
 			event(began)
 			d.load.events++
 			// Goroutines that are ready to post an event do so first: each round has a
@@ -213,7 +213,7 @@
 		case <-ticker.C:
 			now := time.Now()
 			began = now
-			d.reportStandstill(now.Sub(lastRound))
+			d.reportStandstill(now, now.Sub(lastRound))
 			// The time in the channel is that of the delivery, which is late as well
 			// while the process does not run.
 			late := now.Sub(lastTick) - tickInterval
@@ -228,8 +228,8 @@
 			d.reportLoad(now)
 		}
 		d.executeActions(ctx, time.Now())
-		lastRound = time.Now()
-		d.load.round(lastRound.Sub(began))
+		lastRound = began
+		d.load.round(time.Since(began))
 	}
 }
 
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -22,7 +22,7 @@
 // offerJob offers each idle task of a job whose step is ready, unless the job is
 // being recalled or handed over.
 func (c *Coordinator) offerJob(now time.Time, j *job) {
-	if !j.recalledAt.IsZero() || j.handover != notHandedOver {
+	if !j.recalledAt.IsZero() || j.handover != notHandedOver || c.callerMayHaveLeft(now, j) {
 		return
 	}
 	for _, t := range j.tasks {
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -252,6 +252,8 @@
 	evacuating bool
 	sharing    sharingState
 	fastShare  fastShare
+	// resumedAt is when this host went on after it had stood still.
+	resumedAt time.Time
 	// considered counts the workers of all hosts that were considered for tasks.
 	considered int
 }
@@ -372,6 +374,20 @@
 	return list
 }
 
+// SettleTime is how long after a standstill a host takes for what was sent to it
+// meanwhile, such as the end of a caller's connection, to have been read.
+const SettleTime = 100 * time.Millisecond
+
+// StoodStill records that this host stood still until now. Callers may have left
+// meanwhile, and may have sent their jobs to other hosts.
+func (c *Coordinator) StoodStill(now time.Time) { c.resumedAt = now }
+
+// callerMayHaveLeft reports whether the caller of a job may have left during a standstill
+// without this host having noticed it yet.
+func (c *Coordinator) callerMayHaveLeft(now time.Time, j *job) bool {
+	return !j.stored && j.arrived.Before(c.resumedAt) && now.Sub(c.resumedAt) < SettleTime
+}
+
 // HasCapacity reports whether some connected host has workers.
 func (c *Coordinator) HasCapacity() bool {
 	for _, h := range c.sortedHosts {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -138,6 +138,9 @@
 	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
+	// settledAt is the time from which on this host has read what was sent to it while it
+	// stood still.
+	settledAt time.Time
 }
 
 // New returns a host that owns no workers and drives no jobs.
@@ -206,7 +209,9 @@
 // and expirations. It also returns queued tasks for which other hosts have free
 // capacity.
 func (c *Core) Tick(now time.Time) {
-	c.Pool.HostHeard(c.cfg.Name, now)
+	if !now.Before(c.settledAt) {
+		c.Pool.HostHeard(c.cfg.Name, now)
+	}
 	c.Ledger.Tick(now)
 	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
@@ -219,6 +224,17 @@
 	}
 }
 
+// StoodStill records, before the first event after a standstill, how long this host has
+// done nothing. After a long one, what it knows of other hosts and of callers is outdated
+// until it has read what they sent meanwhile.
+func (c *Core) StoodStill(now time.Time, lasted time.Duration) {
+	if lasted < c.Pool.MaxHostSilence() {
+		return
+	}
+	c.settledAt = now.Add(coordinator.SettleTime)
+	c.Coordinator.StoodStill(now)
+}
+
 // HostHeard records that another host was there at the given time, which is the time at
 // which it sent what was received.
 func (c *Core) HostHeard(host string, at time.Time) { c.Pool.HostHeard(host, at) }
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -45,7 +45,7 @@
 	if !h.up || w.now.Before(h.frozenUntil) {
 		return
 	}
-	h.frozenUntil = w.now.Add(d)
+	h.frozenUntil, h.stoodStill = w.now.Add(d), d
 	clear(h.backlog)
 	w.note("", "%s stands still for %v", h.name, d)
 	incarnation := h.incarnation
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -71,6 +71,8 @@
 	// leaving is set during a planned stop, and frozenUntil is the end of a standstill.
 	leaving     bool
 	frozenUntil time.Time
+	// stoodStill is how long the host stood still before what it handles next.
+	stoodStill time.Duration
 	// backlog holds when what waited during the last standstill is handled, by source.
 	backlog map[string]time.Time
 	// links holds the host's ends of streams, and redialAt when it may open one again, by
@@ -185,7 +187,7 @@
 func (w *world) boot(h *simHost) {
 	h.incarnation++
 	h.up, h.generations, h.shardGeneration, h.logPosition = true, map[int]int64{}, 0, 0
-	h.leaving, h.frozenUntil, h.backlog = false, time.Time{}, map[string]time.Time{}
+	h.leaving, h.frozenUntil, h.stoodStill, h.backlog = false, time.Time{}, 0, map[string]time.Time{}
 	h.links, h.redialAt, h.callers = map[string]*simLink{}, map[string]time.Time{}, map[string]int{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
@@ -259,12 +261,21 @@
 			w.after(at.Sub(w.now), run)
 			return
 		}
+		h.resume(w.now)
 		do()
 		w.reconcile(h)
 	}
 	return run
 }
 
+// resume tells the host how long it stood still, before the first event after that.
+func (h *simHost) resume(now time.Time) {
+	if h.stoodStill > 0 {
+		h.core.StoodStill(now, h.stoodStill)
+		h.stoodStill = 0
+	}
+}
+
 // readyAt returns when a host handles an event of a source that is there now.
 func (w *world) readyAt(h *simHost, source string) time.Time {
 	if w.now.Before(h.frozenUntil) && h.backlog[source].Before(h.frozenUntil) {
@@ -289,6 +300,7 @@
 	if !h.up || w.now.Before(h.frozenUntil) {
 		return
 	}
+	h.resume(w.now)
 	h.core.Tick(w.now)
 	w.closeSilent(h)
 	w.reconcile(h)
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -1,6 +1,10 @@
 package workerpool
 
-import "time"
+import (
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+)
 
 // The caller of a best-effort job that loses its entry host, or breaks off, sends the
 // job again a while later to any host, and no run of the first submission may go on by
@@ -9,6 +13,10 @@
 // owner polls. Stored jobs have their own bounds (Config.SilentHostHold).
 
 const (
+	// maxHostSilence is how long a host may not have been heard for its best-effort tasks
+	// to start, as a share of Config.MaxLease: what is left of the lease would be too short
+	// for most tasks.
+	maxHostSilenceShare = 0.6
 	// minStartLeaseShare is the shortest lease with which a task starts, as a share of
 	// Config.MaxLease.
 	minStartLeaseShare = 0.4
@@ -17,6 +25,10 @@
 	minLeaseExtension = 100 * time.Millisecond
 )
 
+// MaxHostSilence returns how long a host may not have been heard for its best-effort
+// tasks to start.
+func (p *Pool) MaxHostSilence() time.Duration { return share(p.cfg.MaxLease, maxHostSilenceShare) }
+
 // HostHeard records that a host was there at the given time, which is the time at which
 // what it sent was sent and not when it was read. A host that was never heard of, as the
 // pool's own one may be, counts as always there.
@@ -34,6 +46,12 @@
 	return now
 }
 
+// hostSilent reports whether the host of a task was not heard for too long to start the
+// task. It may have given the task up.
+func (p *Pool) hostSilent(now time.Time, t *offer.Task) bool {
+	return !t.Stored && now.Sub(p.lastHeard(now, t.Host)) > p.MaxHostSilence()
+}
+
 // neededUntil returns the time up to which a run may be leased.
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
@@ -65,9 +83,9 @@
 
 // mayLease reports whether a task that starts on the worker now gets a lease that is
 // long enough. The lease of a start holds for all runs on its worker.
-func (p *Pool) mayLease(now time.Time, w *worker) bool {
+func (p *Pool) mayLease(now time.Time, w *worker, t *offer.Task) bool {
 	shortest := share(p.cfg.MaxLease, minStartLeaseShare)
-	return len(w.runs) == 0 || p.leaseLength(now, w) >= shortest
+	return !p.hostSilent(now, t) && (len(w.runs) == 0 || p.leaseLength(now, w) >= shortest)
 }
 
 // startLeaseLength returns the length of the lease with which a task starts on a worker.
--- a/internal/decide/workerpool/presence_test.go
+++ b/internal/decide/workerpool/presence_test.go
@@ -125,3 +125,21 @@
 	p := newAdoptedPool(t, 32, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(found)})
 	assert.Zero(t, leasesGranted(p, found, 0, 2*time.Second, nil))
 }
+
+// A host that had stood still started tasks of hosts that had given them up meanwhile.
+func TestTaskOfASilentHostDoesNotStart(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.HostHeard(jobHost, epoch)
+	now := epoch.Add(p.MaxHostSilence() + time.Millisecond)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	stored := testTask(2, 0, 14, epoch)
+	stored.Stored = true
+	p.Offer(epoch, stored)
+	starts := actionsOf[Start](p.PopActions(now))
+	require.Len(t, starts, 1)
+	assert.Equal(t, stored.Name, starts[0].Run.Task)
+
+	p.HostHeard(jobHost, now)
+	later := now.Add(rescheduleInterval)
+	assert.Len(t, actionsOf[Start](p.PopActions(later)), 1)
+}
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -140,7 +140,7 @@
 	q.need, q.speedsDecide = p.needOf(now, &q.Task)
 	p.considered += len(p.order)
 	for _, w := range p.order {
-		if !w.canStart(now, &q.Task) || !p.mayLease(now, w) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
+		if !w.canStart(now, &q.Task) || !p.mayLease(now, w, &q.Task) || q.Exclusive != (w == p.reserved) || p.isHeldFromTask(w, q) {
 			continue
 		}
 		if best == nil || p.prefers(now, q, w, best) {
