Withdraw claims together with the offers of a frame

Two runs of one task at once: a host that had stood still handles, in one round, the inventory of a worker's next owner and the end of its caller's connection. It claimed the run and withdrew the job, both in one frame. The receiver handles withdrawals before claims, because a job may be offered again after it was withdrawn, so that the claim came last: the run was renewed for as long as the stream lived, beside the one of the caller's next request.

A withdrawal now removes the job's, or the task's, claims from the frame, as it does with offers.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -13,8 +13,8 @@
 )
 
 // addMessage adds a message to a frame. A withdrawal also removes the job's, or
-// the task's, offers that are still in the frame, because the receiver handles withdrawals
-// before offers.
+// the task's, offers and claims that are still in the frame, because the receiver handles
+// withdrawals before them.
 func addMessage(f *dispatchv1.Frame, now time.Time, m host.Message) {
 	switch m := m.(type) {
 	case host.Offers:
@@ -22,9 +22,11 @@
 	case host.Withdrawal:
 		f.Withdrawals = append(f.Withdrawals, m.Job)
 		f.Offers = slices.DeleteFunc(f.Offers, func(o *dispatchv1.Offer) bool { return o.GetJob() == m.Job })
+		f.Claims = slices.DeleteFunc(f.Claims, func(c *dispatchv1.Claim) bool { return c.GetOffer().GetJob() == m.Job })
 	case host.TaskWithdrawal:
 		f.TaskWithdrawals = append(f.TaskWithdrawals, runToProto(fleet.RunID{Task: m.Task}, 0))
 		removeOffer(f, m.Task)
+		f.Claims = slices.DeleteFunc(f.Claims, func(c *dispatchv1.Claim) bool { return isFor(c.GetOffer(), m.Task) })
 	case host.TaskLoss:
 		f.Losses = append(f.Losses, &dispatchv1.TaskLoss{
 			Run: runToProto(fleet.RunID{Task: m.Task, Run: m.Loss.Run}, 0), Worker: m.Loss.Worker, Loss: lossToProto(m.Loss),
@@ -55,6 +57,11 @@
 	}
 }
 
+// isFor reports whether an offer of a single task is for the named one.
+func isFor(o *dispatchv1.Offer, name fleet.TaskName) bool {
+	return o.GetJob() == name.Job && int(o.GetStep()) == name.Step && len(o.GetTasks()) == 1 && int(o.GetTasks()[0].GetIndex()) == name.Index
+}
+
 // messagesFromProto returns the messages of a frame in the order in which they
 // must be handled: recalls after the offers that they refer to, withdrawals
 // before later offers of the same job.
