Do not answer claims before the runs on a worker are known

Two runs of one task at once: a host that had released a worker and taken it over again answered a claim, before its first poll was answered, that the run had ended. The host of the job started the task again 60 ms later, or 1.56 s if it is a stored one, while the run went on under its lease.

Until the first poll is answered the owner knows no runs, which is not the same as that there are none. The claim is answered as orphaned for a lease now; the inventory after the first poll lets the host claim the run again.

--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -36,6 +36,9 @@
 	}
 	r, running := w.runs[id]
 	switch {
+	case w.adopting:
+		// The runs on the worker are not known yet. Once they are, they are announced.
+		p.returnClaim(c.Task, id.Run, "worker taken over again before the claim", p.cfg.MaxLease)
 	case w.unclaimed[id]:
 		w.removeRun(r)
 		task := c.Task
