Let an owner report the run of an offered task after its end was listed

A stored job could wait for good (LOST): the next owner of a worker listed the end of a run, stopped or lapsed, before the former owner had reported its start. The end raised the number of the task's last run, so that the report of the former owner, that the run is orphaned or over, counted as one about an earlier run; the task stayed offered to a host that no longer has it.

The number of an offered task is now left to the host that has it. TestEndInAnInventoryDoesNotHideTheOwnersReport failed before.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -297,7 +297,11 @@
 		if e.Reason == fleet.EndedFailed && t.worker == inv.Worker && !listed[e.Task] {
 			t.runFailed(e.Run)
 		}
-		t.lastRun = max(t.lastRun, e.Run)
+		if t.state != taskOffered {
+			// The host that has an offered task reports its run, which must not count as an
+			// earlier one then.
+			t.lastRun = max(t.lastRun, e.Run)
+		}
 	}
 	for _, j := range c.jobsByArrival() {
 		lost := false
