Bound the leases of stored runs by the last sign of their driver

A task of a stored job could run twice at once. Its next driver waits for as long as the former one's runs can go on: a time to live, the silence of a stream and a lease. Three ways were longer: a run that was not claimed in time got full leases again while its stop was lost (until 2.28 s instead of 1.35 s after it was found); the start of another task on the worker gave it a full lease; and an owner that had stood still renewed the lease before it closed the silent stream, and held the run from then on instead of from the end of the peer timeout (2.16 s after the driver's last frame, where 1.88 s are allowed for).

Same class as for best-effort runs, and the same place now: neededUntil says up to when a run may be leased. It counts the hold from the last sign of the driver, and goes on to hold while the run is being stopped. The peer timeout is a constant of the topology, since both the streams and the leases follow it.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -22,10 +22,8 @@
 )
 
 const (
-	// peerTimeout is how long a stream may stay silent before it is closed. It is
-	// well below the 1,300 ms after which callers of a lost host submit their jobs
-	// again: the former runs must have been stopped by then.
-	peerTimeout = 3 * topology.HeartbeatInterval
+	// peerTimeout is how long a stream may stay silent before it is closed.
+	peerTimeout = topology.SilenceTimeout
 	// peerDialTimeout and helloTimeout bound the opening of a stream.
 	peerDialTimeout = 300 * time.Millisecond
 	helloTimeout    = 500 * time.Millisecond
--- a/internal/decide/topology/pace.go
+++ b/internal/decide/topology/pace.go
@@ -10,6 +10,9 @@
 	// frame costs a send, a reception and a wake-up, and a host of a large fleet has
 	// some 45 peers.
 	HeartbeatInterval = 250 * time.Millisecond
+	// SilenceTimeout is how long a peer may send nothing before its stream is closed. It is
+	// well below the 1,300 ms after which callers of a lost host submit their jobs again.
+	SilenceTimeout = 3 * HeartbeatInterval
 	// reportIntervalPerPeer lengthens the interval with the number of peers, so
 	// that a host sends a bounded number of reports: a report costs about 20 us on
 	// either side, and control traffic may use 3% of a core.
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -18,6 +18,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/decide/speed"
+	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
@@ -64,6 +65,8 @@
 	// that cannot go on with a handover waits 2.6 s (ledger.Config.TakeoverDelay), of
 	// which the former one uses up to 1 s for the handover.
 	HandoverHold time.Duration
+	// HostTimeout is how long a host may be silent before contact with it counts as lost.
+	HostTimeout time.Duration
 	// SilentHostHold is the same for a run whose driver contact was lost with. With
 	// RenewBefore it is as long as a lease, which is what TakeoverDelay allows for.
 	SilentHostHold time.Duration
@@ -86,6 +89,7 @@
 		FoundRunHold:   800 * time.Millisecond,
 		HandoverHold:   900 * time.Millisecond,
 		SilentHostHold: 450 * time.Millisecond,
+		HostTimeout:    topology.SilenceTimeout,
 		RenewBefore:    maxLease * 55 / 100,
 		LongPollWait:   2 * time.Second,
 		PollRetryDelay: 50 * time.Millisecond,
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -6,11 +6,14 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 )
 
-// The caller of a best-effort job that loses its entry host, or breaks off, sends the
-// job again a while later to any host, and no run of the first submission may go on by
-// then. A run is therefore leased for Config.MaxLease at most from the last moment at
-// which the host of its job was known to be there and to need it, however often its
-// owner polls. Stored jobs have their own bounds (Config.SilentHostHold).
+// A run must be over before its task is started again by someone who cannot ask this
+// owner. Its lease therefore has an end that counts from the last moment at which the host
+// of its job was known to be there and to need it, however often the owner polls.
+//
+// The caller of a best-effort job that loses its entry host, or breaks off, sends the job
+// again a while later to any host: such runs are leased for Config.MaxLease from then. The
+// shard of a stored job gets another driver: its runs are leased for the hold that applies
+// and Config.RenewBefore.
 
 const (
 	// maxHostSilence is how long a host may not have been heard for its best-effort tasks
@@ -55,8 +58,10 @@
 // neededUntil returns the time up to which a run may be leased.
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
-	case r.stored:
-		return now.Add(p.cfg.MaxLease)
+	case r.stored && !r.claimBy.IsZero():
+		return r.claimBy.Add(p.cfg.RenewBefore)
+	case r.stored && r.task != nil:
+		return p.heldUntil(now, r.task.Host).Add(p.cfg.RenewBefore)
 	case r.task != nil:
 		return p.lastHeard(now, r.task.Host).Add(p.cfg.MaxLease)
 	case r.neededAt.IsZero():
@@ -66,15 +71,16 @@
 	return r.neededAt.Add(p.cfg.MaxLease)
 }
 
+// heldUntil returns until when the runs of a driver's stored jobs are held if it is not
+// heard any more.
+func (p *Pool) heldUntil(now time.Time, driver string) time.Time {
+	return p.lastHeard(now, driver).Add(p.cfg.HostTimeout + p.cfg.SilentHostHold)
+}
+
 // leaseLength returns the length of a lease granted now, which covers all runs on the
 // worker; zero or less if none may be granted.
 func (p *Pool) leaseLength(now time.Time, w *worker) time.Duration {
 	length := p.cfg.MaxLease
-	if until, pending := w.claimsPending(now); pending {
-		// A run of a stored job that is not claimed in time must end even if its stop is
-		// lost, because its driver may start the task again.
-		length = min(length, until.Sub(now)+p.cfg.RenewBefore)
-	}
 	for _, r := range w.runs {
 		length = min(length, p.neededUntil(now, r).Sub(now))
 	}
--- a/internal/decide/workerpool/presence_test.go
+++ b/internal/decide/workerpool/presence_test.go
@@ -77,9 +77,11 @@
 	assert.Greater(t, latest, 4*time.Second)
 }
 
-func TestLeaseOfAStoredJobOutlastsTheSilenceOfItsDriver(t *testing.T) {
+func TestLeaseOfAStoredJobIsHeldForItsDriver(t *testing.T) {
 	p, run := poolWithRun(t, true)
-	assert.Greater(t, leasesGranted(p, run, 0, 2*time.Second, nil), 2*time.Second)
+	latest := leasesGranted(p, run, 0, 2*time.Second, nil)
+	assert.Greater(t, latest, p.cfg.HostTimeout+p.cfg.SilentHostHold)
+	assert.LessOrEqual(t, latest, p.cfg.HostTimeout+p.cfg.SilentHostHold+p.cfg.RenewBefore)
 }
 
 // A worker whose stop orders were lost was leased on, with the run that was to be stopped.
--- a/internal/decide/workerpool/withdraw.go
+++ b/internal/decide/workerpool/withdraw.go
@@ -26,7 +26,8 @@
 	for _, w := range p.order {
 		for _, r := range w.runs {
 			if r.task != nil && r.task.Host == host && r.task.Stored && r.state == runRunning && r.claimBy.IsZero() {
-				r.claimBy = now.Add(p.cfg.SilentHostHold)
+				// A host that stood still itself notices the silence late.
+				r.claimBy = earlier(now.Add(p.cfg.SilentHostHold), p.heldUntil(now, host))
 			}
 		}
 	}
@@ -52,3 +53,10 @@
 		}
 	}
 }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -229,17 +229,6 @@
 	return !w.adopting && w.missedPolls == 0 && !w.awaitsLeaseExpiry(now) && len(w.runs) > 0
 }
 
-// claimsPending reports whether runs wait to be claimed, and returns the earliest time at
-// which one of them will be stopped.
-func (w *worker) claimsPending(now time.Time) (until time.Time, pending bool) {
-	for _, r := range w.runs {
-		if r.state == runRunning && now.Before(r.claimBy) && (until.IsZero() || r.claimBy.Before(until)) {
-			until = r.claimBy
-		}
-	}
-	return until, !until.IsZero()
-}
-
 // addRun adds a run and the capacity that it occupies.
 func (w *worker) addRun(r *run) {
 	for _, other := range w.runs {
