Tell the submissions of a best-effort job apart in reports

An owner that had stood still, too, reported that the former run had lapsed; the report was read after the job had been submitted again and offered to the same owner. Runs of each submission count from one, so that it was taken for one about the present run: the task was offered once more, beside that run.

Offers carry a number of the submission, owners return it in their outcomes, and a report about a former submission counts only if the task is done. Stored jobs are driven under rising run numbers and keep those.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -158,14 +158,14 @@
 	var offers []*dispatchv1.Offer
 	var last *dispatchv1.Offer
 	for _, t := range tasks {
-		if last == nil || last.GetJob() != t.Name.Job || int(last.GetStep()) != t.Name.Step {
+		if last == nil || last.GetJob() != t.Name.Job || int(last.GetStep()) != t.Name.Step || last.GetSubmission() != t.Submission {
 			last = &dispatchv1.Offer{
 				Job: t.Name.Job, Step: int32(t.Name.Step), Spec: t.Spec, Service: t.Service, Size: sizeToProto(t.Size),
 				EstimateMs: int32(t.Estimate.Milliseconds()), RequiredLabel: t.RequiredLabel, Affinity: t.Affinity,
 				MaxPerWorker: int32(t.MaxPerWorker), Priority: int32(t.Priority),
 				StartInMs: remainingMs(now, t.StartBy), UsefulMs: remainingMs(now, t.Deadline),
 				Begun: t.JobStarted, MaxAttempts: int32(t.MaxAttempts), Stored: t.Stored,
-				Route: t.Route, JobTasks: int32(t.JobTasks),
+				Route: t.Route, JobTasks: int32(t.JobTasks), Submission: t.Submission,
 			}
 			offers = append(offers, last)
 		}
@@ -181,8 +181,9 @@
 	tasks := make([]offer.Task, 0, len(o.GetTasks()))
 	for _, t := range o.GetTasks() {
 		tasks = append(tasks, offer.Task{
-			Name:   fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
-			Stored: o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Route: o.GetRoute(), JobTasks: int(o.GetJobTasks()), Size: sizeFromProto(o.GetSize()),
+			Name:       fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
+			Submission: o.GetSubmission(),
+			Stored:     o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Route: o.GetRoute(), JobTasks: int(o.GetJobTasks()), Size: sizeFromProto(o.GetSize()),
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: timeIn(now, o.GetStartInMs()), Deadline: timeIn(now, o.GetUsefulMs()),
@@ -195,7 +196,7 @@
 func outcomeToProto(o offer.Outcome) *dispatchv1.Outcome {
 	p := &dispatchv1.Outcome{
 		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.FailedRuns),
-		Result: int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, OverInMs: int32(o.MaxRemaining.Milliseconds()),
+		Result: int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, Submission: o.Submission, OverInMs: int32(o.MaxRemaining.Milliseconds()),
 	}
 	if o.Loss != nil {
 		p.Loss = lossToProto(*o.Loss)
@@ -221,7 +222,7 @@
 	o := offer.Outcome{
 		Host: self, Task: fleet.TaskName{Job: p.GetJob(), Step: int(p.GetStep()), Index: int(p.GetIndex())},
 		Run: int(p.GetRun()), FailedRuns: int(p.GetFailed()), Result: offer.Result(p.GetResult()), MayHaveRun: p.GetRan(), Fence: p.GetFence(),
-		Worker: p.GetWorker(), Why: p.GetWhy(), MaxRemaining: time.Duration(p.GetOverInMs()) * time.Millisecond,
+		Worker: p.GetWorker(), Why: p.GetWhy(), Submission: p.GetSubmission(), MaxRemaining: time.Duration(p.GetOverInMs()) * time.Millisecond,
 	}
 	if l := p.GetLoss(); l != nil {
 		loss := lossFromProto(o.Run, o.Worker, l)
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -145,7 +145,7 @@
 	}
 	// A report from an owner that no longer has the task counts only if the
 	// task is done.
-	if t.host != from && o.Result != offer.Done {
+	if (t.host != from || j.isFormer(o.Submission)) && o.Result != offer.Done {
 		return
 	}
 	if o.MayHaveRun && o.Run < t.currentRun() && o.Result != offer.Done {
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -162,6 +162,12 @@
 	t.worker, t.fence, t.incarnation = "", 0, fleet.Worker{}
 }
 
+// isFormer reports whether a report is about a former submission of the job. The runs of a
+// stored job are told apart by their numbers, also if this host drives it again.
+func (j *job) isFormer(submission int64) bool {
+	return !j.stored && submission != 0 && submission != j.seq
+}
+
 // addOfferedHost records that a host has, or had, tasks of the job.
 func (j *job) addOfferedHost(host string) {
 	if !slices.Contains(j.offeredHosts, host) {
--- a/internal/decide/coordinator/submissions_test.go
+++ b/internal/decide/coordinator/submissions_test.go
@@ -46,3 +46,27 @@
 	})
 	assert.Len(t, actionsOf[Claim](c.PopActions()), 1)
 }
+
+// A report about a run of a former submission, which the owner made while the host of the
+// job stood still, returned the task of the present one, which ran at the same owner.
+func TestReportAboutAFormerSubmissionIsIgnored(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	c.HostLost(epoch, "h2")
+	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+	former := actionsOf[Offer](c.PopActions())[0]
+	c.Cancel(epoch, testJob)
+	c.PopActions()
+	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+	present := actionsOf[Offer](c.PopActions())[0]
+	require.Equal(t, former.Host, present.Host)
+
+	report := outcome(0, offer.Returned, "w-"+former.Host, 1)
+	report.Submission = former.Tasks[0].Submission
+	c.HandleOutcome(epoch, former.Host, report)
+	assert.Empty(t, actionsOf[Offer](c.PopActions()))
+
+	report.Submission = present.Tasks[0].Submission
+	c.HandleOutcome(epoch, present.Host, report)
+	c.Tick(epoch.Add(time.Second))
+	assert.Len(t, actionsOf[Offer](c.PopActions()), 1)
+}
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -18,6 +18,9 @@
 	// Host is the entry host that answers the job's caller.
 	Host string
 	Name fleet.TaskName
+	// Submission tells the submissions of a best-effort job at one host apart; its runs
+	// have the same numbers each time.
+	Submission int64
 	// Stored is set if the run's end must be recorded in the log of stored jobs
 	// before it is acknowledged to the worker.
 	Stored bool
@@ -95,6 +98,8 @@
 	// Host is the entry host that answers the job's caller.
 	Host string
 	Task fleet.TaskName
+	// Submission is that of the task; zero if the owner does not send it.
+	Submission int64
 	// Run is the number of the last run that was started, or zero.
 	Run int
 	// FailedRuns counts the runs that failed.
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -111,7 +111,7 @@
 // log before it starts the task again.
 func (p *Pool) returnClaim(t offer.Task, run int, why string, remaining time.Duration) {
 	p.emit(SendOutcome{offer.Outcome{
-		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
+		Host: t.Host, Task: t.Name, Submission: t.Submission, Run: run, FailedRuns: t.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
 		Why: why, MaxRemaining: remaining,
 	}})
 }
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -302,7 +302,7 @@
 // that is, or was, owned under a fence.
 func outcomeOf(t offer.Task, worker string, fence int64, run int, result offer.Result, why string) offer.Outcome {
 	return offer.Outcome{
-		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: result, MayHaveRun: true,
+		Host: t.Host, Task: t.Name, Submission: t.Submission, Run: run, FailedRuns: t.FailedRuns, Result: result, MayHaveRun: true,
 		Worker: worker, Fence: fence, Why: why,
 	}
 }
@@ -310,7 +310,7 @@
 // returnTask returns a task of which no run has started here.
 func (p *Pool) returnTask(t offer.Task, w string, run int, why string) {
 	p.emit(SendOutcome{offer.Outcome{
-		Host: t.Host, Task: t.Name, Run: run, FailedRuns: t.FailedRuns, Result: offer.Returned, Worker: w, Why: why,
+		Host: t.Host, Task: t.Name, Submission: t.Submission, Run: run, FailedRuns: t.FailedRuns, Result: offer.Returned, Worker: w, Why: why,
 	}})
 }
 
@@ -362,7 +362,7 @@
 			continue
 		}
 		p.emit(SendOutcome{offer.Outcome{
-			Host: r.task.Host, Task: r.id.Task, Run: r.id.Run, FailedRuns: r.task.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
+			Host: r.task.Host, Task: r.id.Task, Submission: r.task.Submission, Run: r.id.Run, FailedRuns: r.task.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
 			Worker: w.info.ID, Fence: w.fence, Why: why, MaxRemaining: max(0, w.leaseExpiry().Sub(now)),
 		}})
 	}
