Start no run on a worker that still has one of its number

Capacity of a worker was lost for good: when a best-effort job was submitted again, its task could be placed on the worker where the run of the former submission, with the same number, was still being stopped. The new run replaced the old one in the owner's books, whose capacity was never freed; the answer to the old stop was taken for one to the new run.

TestRunDoesNotReplaceOneOfTheSameNumber failed before with a start.

--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -162,6 +162,9 @@
 		return false
 	case !w.info.HasLabel(t.RequiredLabel):
 		return false
+	case w.runs[fleet.RunID{Task: t.Name, Run: t.NextRun}] != nil:
+		// A run of a former submission of the job is still there.
+		return false
 	case t.MaxPerWorker > 0 && w.countTasks(t.Name) >= t.MaxPerWorker:
 		return false
 	}
