Renew leases beside a stopped run whose end is not listed yet

Work of other jobs lapsed: a run that is being stopped is not leased on, and the lease covers its whole worker. While a worker's list of ends is truncated, after 500 of them, the end of a stopped run stays unlisted, and no lease on the worker was renewed although the stop had been answered.

A run whose stop was answered is over and bounds no lease.

--- /dev/null
+++ b/internal/decide/workerpool/leases_test.go
@@ -0,0 +1,49 @@
+package workerpool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// A run that had been stopped, and whose end was not among the 500 ends that the worker
+// lists at a time, kept the lease of all other runs on the worker from being renewed.
+func TestStoppedRunBeyondATruncatedListDoesNotLapseOthers(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	for i := range 2 {
+		task := testTask(i+1, 0, 8, epoch)
+		task.Estimate = 5 * time.Second
+		p.Offer(epoch, task)
+	}
+	starts := actionsOf[Start](p.PopActions(epoch))
+	require.Len(t, starts, 2)
+	for _, s := range starts {
+		p.StartAnswered(epoch, "w", s.Run, 7, fleet.StartAccepted, time.Minute)
+	}
+	stopped, healthy := starts[0].Run, starts[1].Run
+	p.Withdraw(epoch, jobHost, stopped.Task.Job)
+	var lease time.Duration
+	for at := time.Duration(0); at <= 3*time.Second; at += 20 * time.Millisecond {
+		now := epoch.Add(at)
+		p.HostHeard(jobHost, now)
+		p.Tick(now)
+		for _, a := range p.PopActions(now) {
+			switch a := a.(type) {
+			case Stop:
+				p.StopAnswered(now, "w", a.Run, true)
+			case Poll:
+				lease = max(lease, a.LeaseUntil-time.Minute)
+				if a.Wait == 0 {
+					p.PollAnswered(now, "w", a.Number, fleet.PollResponse{
+						Clock: time.Minute + at, StartTime: 1, Truncated: true, Running: runningList(healthy),
+					})
+				}
+			}
+		}
+	}
+	assert.Greater(t, lease, 3*time.Second, "the run of a job that is needed is leased on")
+}
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -58,6 +58,9 @@
 // neededUntil returns the time up to which a run may be leased.
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
+	case r.stopAnswered:
+		// The run is over, although its end may not have been listed yet.
+		return now.Add(p.cfg.MaxLease)
 	case r.stored && !r.claimBy.IsZero():
 		return r.claimBy.Add(p.cfg.RenewBefore)
 	case r.stored && r.task != nil:
