Hold handed-over runs from the last sign of their driver

A stored task could run twice at once: an owner that had stood still read the handover of a driver late and held its runs from then on, while the next driver counts from the handover. The hold counts from the last sign of the driver now, which sent the handover itself.

--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -72,7 +72,8 @@
 	for _, w := range p.order {
 		for _, id := range runs {
 			if r := w.runs[id]; r != nil && r.task != nil && r.task.Host == host {
-				r.claimBy = now.Add(p.cfg.HandoverHold)
+				// The handover may have been read late, after a standstill.
+				r.claimBy = earlier(now, p.lastHeard(now, host)).Add(p.cfg.HandoverHold)
 			}
 		}
 	}
--- a/internal/decide/workerpool/leases_test.go
+++ b/internal/decide/workerpool/leases_test.go
@@ -47,3 +47,15 @@
 	}
 	assert.Greater(t, lease, 3*time.Second, "the run of a job that is needed is leased on")
 }
+
+// A handover that an owner read late, after a standstill, held the handed-over runs from
+// then on. The next driver waits for a time that counts from the handover.
+func TestHandoverReadLateDoesNotProlongRuns(t *testing.T) {
+	const late = 600 * time.Millisecond
+	p, id := startedRun(t, "driver", true)
+	p.HostHeard("driver", epoch)
+	now := epoch.Add(late)
+	p.HandedOver(now, "driver", []fleet.RunID{id})
+	bound := p.cfg.HandoverHold + p.cfg.RenewBefore
+	assert.LessOrEqual(t, latestLease(p, id, now, epoch.Add(3*time.Second)).Sub(epoch), bound)
+}
