Start stored tasks only with a lease that is long enough

One rule holds for all tasks now: what is left of the lease at the start must be 0.4 of the longest one. For best-effort tasks that is the former bound on the silence of their host.

--- a/internal/decide/workerpool/leases_test.go
+++ b/internal/decide/workerpool/leases_test.go
@@ -59,3 +59,20 @@
 	bound := p.cfg.HandoverHold + p.cfg.RenewBefore
 	assert.LessOrEqual(t, latestLease(p, id, now, epoch.Add(3*time.Second)).Sub(epoch), bound)
 }
+
+// A task of a stored job whose driver had not been heard during a standstill of the owner
+// was ordered with a lease that had ended or was about to, which the worker refuses.
+func TestStoredTaskStartsOnlyWithALeaseThatIsLongEnough(t *testing.T) {
+	for _, silent := range []time.Duration{1500 * time.Millisecond, 1700 * time.Millisecond, 2 * time.Second} {
+		p := newAdoptedPool(t, 32, idleResponse())
+		p.HostHeard(jobHost, epoch)
+		task := testTask(1, 0, 14, epoch)
+		task.Stored = true
+		p.Offer(epoch, task)
+		now := epoch.Add(silent)
+		for _, start := range actionsOf[Start](p.PopActions(now)) {
+			left := start.LeaseUntil - time.Minute - silent
+			assert.GreaterOrEqual(t, left, share(testLease, minStartLeaseShare), "driver not heard for %v", silent)
+		}
+	}
+}
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -16,10 +16,6 @@
 // and Config.RenewBefore.
 
 const (
-	// maxHostSilence is how long a host may not have been heard for its best-effort tasks
-	// to start, as a share of Config.MaxLease: what is left of the lease would be too short
-	// for most tasks.
-	maxHostSilenceShare = 0.6
 	// minStartLeaseShare is the shortest lease with which a task starts, as a share of
 	// Config.MaxLease.
 	minStartLeaseShare = 0.4
@@ -30,7 +26,7 @@
 
 // MaxHostSilence returns how long a host may not have been heard for its best-effort
 // tasks to start.
-func (p *Pool) MaxHostSilence() time.Duration { return share(p.cfg.MaxLease, maxHostSilenceShare) }
+func (p *Pool) MaxHostSilence() time.Duration { return share(p.cfg.MaxLease, 1-minStartLeaseShare) }
 
 // HostHeard records that a host was there at the given time, which is the time at which
 // what it sent was sent and not when it was read. A host that was never heard of, as the
@@ -49,12 +45,6 @@
 	return now
 }
 
-// hostSilent reports whether the host of a task was not heard for too long to start the
-// task. It may have given the task up.
-func (p *Pool) hostSilent(now time.Time, t *offer.Task) bool {
-	return !t.Stored && now.Sub(p.lastHeard(now, t.Host)) > p.MaxHostSilence()
-}
-
 // neededUntil returns the time up to which a run may be leased.
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
@@ -93,8 +83,8 @@
 // mayLease reports whether a task that starts on the worker now gets a lease that is
 // long enough. The lease of a start holds for all runs on its worker.
 func (p *Pool) mayLease(now time.Time, w *worker, t *offer.Task) bool {
-	shortest := share(p.cfg.MaxLease, minStartLeaseShare)
-	return !p.hostSilent(now, t) && (len(w.runs) == 0 || p.leaseLength(now, w) >= shortest)
+	lease := p.startLeaseLength(now, w, &run{task: t, stored: t.Stored})
+	return lease >= share(p.cfg.MaxLease, minStartLeaseShare)
 }
 
 // startLeaseLength returns the length of the lease with which a task starts on a worker.
