Withdraw the present run when one of a former submission is done

A host ran a task for nobody: the end of a run of a former submission completed the task of the present one, and the host that had been offered the task, under the same run number, was not told. Nothing but the end of the run, or of its lease, freed its worker. The same where an inventory lists such an end on another worker.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -167,6 +167,9 @@
 		t.incarnation, _, _ = c.workers.Worker(o.Worker)
 		c.markStarted(now, j, from)
 	case offer.Done:
+		if j.isFormer(o.Submission) {
+			c.withdrawTask(t)
+		}
 		c.taskDone(now, j, t, o.Run)
 	case offer.Failed:
 		c.answerFailed(now, j, t, o.Worker)
@@ -242,9 +245,8 @@
 // taskDone marks a task as done by a run. If the run is an earlier one, whose end
 // became known late, the host that has the task now must not run it.
 func (c *Coordinator) taskDone(now time.Time, j *job, t *task, run int) {
-	if current := t.currentRun(); run < current {
-		c.flushOffers(t.host)
-		c.emit(WithdrawTask{Host: t.host, Task: t.name})
+	if run < t.currentRun() {
+		c.withdrawTask(t)
 	}
 	t.state = taskDone
 	j.started, j.recalledAt = true, time.Time{}
@@ -259,6 +261,15 @@
 	}
 }
 
+// withdrawTask tells the host that has a task, if any, that it is no longer needed.
+func (c *Coordinator) withdrawTask(t *task) {
+	if t.currentRun() == 0 {
+		return
+	}
+	c.flushOffers(t.host)
+	c.emit(WithdrawTask{Host: t.host, Task: t.name})
+}
+
 // HandleInventory processes the inventory that a new owner made of a worker. It
 // claims the listed runs of unfinished tasks and processes the listed ends. Runs
 // of the former owner that are not listed are over: its requests no longer reach
@@ -291,6 +302,9 @@
 			continue
 		}
 		if e.Reason == fleet.EndedDone {
+			if t.worker != inv.Worker {
+				c.withdrawTask(t)
+			}
 			c.taskDone(now, j, t, e.Run)
 			continue
 		}
--- a/internal/decide/coordinator/submissions_test.go
+++ b/internal/decide/coordinator/submissions_test.go
@@ -70,3 +70,31 @@
 	c.Tick(epoch.Add(time.Second))
 	assert.Len(t, actionsOf[Offer](c.PopActions()), 1)
 }
+
+// The end of a run of a former submission completed the task, and the host that had been
+// offered the task for the present one was not told: it ran the task for nobody.
+func TestDoneOfAFormerSubmissionWithdrawsThePresentRun(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		c := coordinatorWithHosts(32)
+		c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+		former := actionsOf[Offer](c.PopActions())[0]
+		c.Cancel(epoch, testJob)
+		c.PopActions()
+		c.HostLost(epoch, former.Host)
+		c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+		present := actionsOf[Offer](c.PopActions())[0]
+		require.NotEqual(t, former.Host, present.Host)
+		if started {
+			c.HandleOutcome(epoch, present.Host, outcome(0, offer.Started, "w-"+present.Host, 1))
+			c.PopActions()
+		}
+
+		done := outcome(0, offer.Done, "w-"+former.Host, 1)
+		done.Submission = former.Tasks[0].Submission
+		c.HandleOutcome(epoch, former.Host, done)
+		actions := c.PopActions()
+		require.Len(t, actionsOf[Answer](actions), 1)
+		withdrawn := len(actionsOf[Withdraw](actions)) + len(actionsOf[WithdrawTask](actions))
+		assert.Positive(t, withdrawn, "started: %v", started)
+	}
+}
