Date the first frames of a stream from its greeting

Two runs at once were still possible where a host stood still right after a stream had opened: the first frames had waited with nothing to compare their delay with, and counted as sent when they were read, although their sender had closed the stream meanwhile.

The greeting carries a stamp, too. The peer sends it in answer to this host's greeting, or before it, so that its delay is known within that round trip. Without a stamp in the greeting the first frame counts as sent when the stream opened.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -211,6 +211,7 @@
 		_ = stream.CloseResponse()
 	}()
 	greeting := time.AfterFunc(peerDialTimeout+helloTimeout, cancel)
+	greeted := time.Now()
 	if err := stream.Send(p.hello()); err != nil {
 		return err
 	}
@@ -221,7 +222,7 @@
 	greeting.Stop()
 	p.setStream(func() { d.stream.Answered(d.host, first.GetHello().GetIncarnation()) })
 	defer p.setStream(d.stream.Ended)
-	return p.serve(ctx, cancel, first, stream.Send, stream.Receive)
+	return p.serve(ctx, cancel, greeted, first, stream.Send, stream.Receive)
 }
 
 // setStream changes what is known of a dialer's stream.
@@ -240,22 +241,27 @@
 	if err != nil {
 		return err
 	}
+	greeted := time.Now()
 	if err := stream.Send(p.hello()); err != nil {
 		return err
 	}
-	return p.serve(ctx, cancel, first, stream.Send, stream.Receive)
+	return p.serve(ctx, cancel, greeted, first, stream.Send, stream.Receive)
 }
 
 func (p *peers) hello() *dispatchv1.Frame {
-	return &dispatchv1.Frame{Hello: &dispatchv1.Hello{
+	return &dispatchv1.Frame{SentMs: p.stamp(time.Now()), Hello: &dispatchv1.Hello{
 		Host: p.self.Name, Zone: p.self.Zone, Incarnation: p.self.Incarnation,
 	}}
 }
 
 var errNoHello = errors.New("first frame of the stream has no hello")
 
-// serve exchanges frames until the stream ends or ctx is done.
-func (p *peers) serve(ctx context.Context, cancel context.CancelFunc, first *dispatchv1.Frame,
+// stamp returns the stamp of a frame that is filled at the given time.
+func (p *peers) stamp(at time.Time) int64 { return max(1, at.Sub(p.createdAt).Milliseconds()) }
+
+// serve exchanges frames until the stream ends or ctx is done. The peer has sent its first
+// frame at the time greeted at the earliest.
+func (p *peers) serve(ctx context.Context, cancel context.CancelFunc, greeted time.Time, first *dispatchv1.Frame,
 	send func(*dispatchv1.Frame) error, receive func() (*dispatchv1.Frame, error),
 ) error {
 	hello := first.GetHello()
@@ -266,6 +272,9 @@
 		host:   fleet.Host{Name: hello.GetHost(), Zone: hello.GetZone(), Incarnation: hello.GetIncarnation()},
 		cancel: cancel, wake: make(chan struct{}, 1), pending: &dispatchv1.Frame{},
 	}
+	if first.GetSentMs() > 0 {
+		l.clock.Start(greeted, stampOf(first))
+	}
 	p.dispatcher.post(func(now time.Time) { p.streamOpened(now, l) })
 	defer p.dispatcher.post(func(now time.Time) { p.streamClosed(now, l, "stream ended") })
 	received := make(chan error, 1)
@@ -367,8 +376,8 @@
 	if p.links[l.host.Name] != l {
 		return
 	}
-	l.lastContact = now
 	p.dispatcher.core.HostHeard(l.host.Name, l.sentAt(now, f))
+	l.lastContact = now
 	p.dispatcher.load.framesIn++
 	p.dispatcher.load.offersIn += len(f.GetOffers())
 	for _, m := range messagesFromProto(now, p.self.Name, f) {
@@ -387,12 +396,21 @@
 	}
 }
 
-// sentAt returns when a frame was sent that is received now.
+// sentAt returns when a frame was sent that is received now. What a peer sends first may
+// have waited, too: if its greeting had no stamp, the first frame counts as sent when the
+// stream was opened.
 func (l *link) sentAt(now time.Time, f *dispatchv1.Frame) time.Time {
 	if f.GetSentMs() == 0 {
 		return now
 	}
-	return l.clock.SentAt(now, time.Duration(f.GetSentMs())*time.Millisecond)
+	if !l.clock.Started() {
+		l.clock.Start(l.lastContact, stampOf(f))
+	}
+	return l.clock.SentAt(now, stampOf(f))
+}
+
+func stampOf(f *dispatchv1.Frame) time.Duration {
+	return time.Duration(f.GetSentMs()) * time.Millisecond
 }
 
 // send adds a message to the next frame to a host. Without a stream to the host
--- a/internal/daemon/dispatch/presence_test.go
+++ b/internal/daemon/dispatch/presence_test.go
@@ -53,3 +53,21 @@
 		require.NoError(t, stream.CloseResponse())
 	})
 }
+
+// The first frames of a stream, which had waited while the receiver stood still, counted as
+// sent when they were read, although the sender had closed the stream meanwhile.
+func TestFirstFramesThatWaitedWereNotSentNow(t *testing.T) {
+	opened := time.Unix(1000, 0)
+	const (
+		// stamp is that of the first frame, which is sent just after the stream opens.
+		stamp      = 17 * time.Minute
+		standstill = 1500 * time.Millisecond
+	)
+	l := &link{lastContact: opened}
+	read := opened.Add(standstill)
+	var heard time.Time
+	for _, sent := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond} {
+		heard = l.sentAt(read, &dispatchv1.Frame{SentMs: (stamp + sent).Milliseconds()})
+	}
+	assert.LessOrEqual(t, heard.Sub(opened), peerTimeout, "the last frame was sent after 500 ms")
+}
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -74,7 +74,7 @@
 			}
 			p.addReport(now, l)
 		}
-		l.stamp(now.Sub(p.createdAt))
+		l.stamp(p.stamp(now))
 		p.dispatcher.load.framesOut++
 		wake(l.wake)
 	}
@@ -82,10 +82,10 @@
 
 // stamp sets when the next frame was filled. While an earlier one cannot be sent, messages
 // are added to it, and it counts as filled now.
-func (l *link) stamp(at time.Duration) {
+func (l *link) stamp(stamp int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending.SentMs = max(1, at.Milliseconds())
+	l.pending.SentMs = stamp
 }
 
 // updateReport computes this host's report, unless it was computed less than
--- a/internal/decide/presence/clock.go
+++ b/internal/decide/presence/clock.go
@@ -21,12 +21,20 @@
 	since            time.Time
 }
 
+// Start records that the frame with the given stamp was sent at the given time or later.
+func (c *Clock) Start(sent time.Time, stamp time.Duration) {
+	*c = Clock{first: sent, since: sent, shortest: -stamp, former: -stamp}
+}
+
+// Started reports whether Start was called, or a frame received.
+func (c *Clock) Started() bool { return !c.first.IsZero() }
+
 // SentAt returns when a frame was sent that was received at the given time, which may be
 // when this host read it. The estimate is too late by the shortest delay of the stream's
 // recent frames, and never later than received.
 func (c *Clock) SentAt(received time.Time, stamp time.Duration) time.Time {
-	if c.first.IsZero() {
-		c.first, c.since, c.shortest, c.former = received, received, -stamp, -stamp
+	if !c.Started() {
+		c.Start(received, stamp)
 	}
 	delay := received.Sub(c.first) - stamp
 	switch {
