Lease runs by what the host of the job knows of its callers

A best-effort task could run twice at once: the caller left when its host began to stand still, and the first frame after the standstill counted as a sign of that host although it had not read yet that its caller was gone; so did the frame that withdrew the job. With a standstill of 0.5 s and lost stops the lease ended 1.5 s after the caller had left, which returns after 1.3 s.

A host now stamps its frames, and leases its own runs, by the last time up to which it knows which of its callers have left: after a standstill of 0.1 s or more that is its beginning, until 0.1 s later. A host whose rounds take long, and which reads in between, lags by two rounds at most.

--- a/internal/daemon/dispatch/load.go
+++ b/internal/daemon/dispatch/load.go
@@ -67,11 +67,11 @@
 // reportStandstill logs and counts a time for which the event loop did nothing, because
 // the process did not run, and tells the decisions.
 func (d *Dispatcher) reportStandstill(now time.Time, lasted time.Duration) {
+	d.core.StoodStill(now, lasted)
 	if lasted < longStandstill {
 		return
 	}
 	d.metrics.standstills.Observe(lasted.Seconds())
-	d.core.StoodStill(now, lasted)
 	d.logger.Warn("host stood still", "for", lasted, "events_waiting", len(d.events))
 }
 
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -256,7 +256,7 @@
 
 var errNoHello = errors.New("first frame of the stream has no hello")
 
-// stamp returns the stamp of a frame that is filled at the given time.
+// stamp returns the stamp of a frame of a host that is present at the given time.
 func (p *peers) stamp(at time.Time) int64 { return max(1, at.Sub(p.createdAt).Milliseconds()) }
 
 // serve exchanges frames until the stream ends or ctx is done. The peer has sent its first
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -74,14 +74,14 @@
 			}
 			p.addReport(now, l)
 		}
-		l.stamp(p.stamp(now))
+		l.stamp(p.stamp(p.dispatcher.core.PresentAt(now)))
 		p.dispatcher.load.framesOut++
 		wake(l.wake)
 	}
 }
 
-// stamp sets when the next frame was filled. While an earlier one cannot be sent, messages
-// are added to it, and it counts as filled now.
+// stamp sets the stamp of the next frame. While an earlier one cannot be sent, messages
+// are added to it, and it gets the stamp of the last of them.
 func (l *link) stamp(stamp int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -139,8 +139,9 @@
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
 	// settledAt is the time from which on this host has read what was sent to it while it
-	// stood still.
-	settledAt time.Time
+	// stood still, resumedAt the end of that standstill, and presentAt when the host was
+	// last settled.
+	settledAt, resumedAt, presentAt time.Time
 }
 
 // New returns a host that owns no workers and drives no jobs.
@@ -209,9 +210,8 @@
 // and expirations. It also returns queued tasks for which other hosts have free
 // capacity.
 func (c *Core) Tick(now time.Time) {
-	if !now.Before(c.settledAt) {
-		c.Pool.HostHeard(c.cfg.Name, now)
-	}
+	c.presentAt = c.PresentAt(now)
+	c.Pool.HostHeard(c.cfg.Name, c.presentAt)
 	c.Ledger.Tick(now)
 	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
@@ -224,15 +224,36 @@
 	}
 }
 
+// minStandstill is the shortest time without an event that counts as a standstill; ticks
+// come far more often.
+const minStandstill = 100 * time.Millisecond
+
 // StoodStill records, before the first event after a standstill, how long this host has
-// done nothing. After a long one, what it knows of other hosts and of callers is outdated
-// until it has read what they sent meanwhile.
+// done nothing. What it knows of callers is outdated until it has read what they sent
+// meanwhile; after a long standstill it offers nothing for them until then.
 func (c *Core) StoodStill(now time.Time, lasted time.Duration) {
-	if lasted < c.Pool.MaxHostSilence() {
+	if lasted < minStandstill {
 		return
 	}
-	c.settledAt = now.Add(coordinator.SettleTime)
-	c.Coordinator.StoodStill(now)
+	c.presentAt = c.PresentAt(now.Add(-lasted))
+	if c.presentAt.Before(c.resumedAt) {
+		// A host whose rounds take long stands still again and again, and reads in between.
+		c.presentAt = c.resumedAt
+	}
+	c.resumedAt, c.settledAt = now, now.Add(coordinator.SettleTime)
+	if lasted >= c.Pool.MaxHostSilence() {
+		c.Coordinator.StoodStill(now)
+	}
+}
+
+// PresentAt returns the last time up to which this host knows which of its callers have
+// left: now, unless it stood still a moment ago. Other hosts lease the runs of its jobs by
+// this time.
+func (c *Core) PresentAt(now time.Time) time.Time {
+	if now.Before(c.settledAt) {
+		return c.presentAt
+	}
+	return now
 }
 
 // HostHeard records that another host was there at the given time, which is the time at
--- a/internal/decide/host/streams_test.go
+++ b/internal/decide/host/streams_test.go
@@ -121,7 +121,7 @@
 	if l == nil {
 		return false
 	}
-	s, sentAt := l.stream, w.now
+	s, presentAt := l.stream, from.core.PresentAt(w.now)
 	if !to.up || !w.linked(from.name, to.name) {
 		s.broken[from] = true
 		return true
@@ -137,7 +137,7 @@
 			return
 		}
 		l.heardAt = w.now
-		to.core.HostHeard(from.name, sentAt)
+		to.core.HostHeard(from.name, presentAt)
 		do()
 	}))
 	return true
