Limit the open connections of callers

Callers saw no answer while 4,500 clients with unfinished requests held all descriptors of a host, and large headers that did not end took its memory.

Cause: the callers' port accepts any number of connections, and each stays open for as long as its client likes, or costs up to a header and its buffers meanwhile.

The port now has a limit that follows max_fds and memory_mb. At the limit a new connection replaces the one that has been idle or has sent an unfinished request longest, of the address with most of them. A connection whose request has been read is kept: its answer is delivered, unless its client has not read for a second. The decision is pure (connlimit), and a request counts as read in the same step in which its connection stops being a candidate, so none is both served and cut off.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	workers  *platform.WorkerClient
 	peers    *peers
 	metrics  *metrics
+	limits   *clientLimits
 
 	events  chan func(time.Time)
 	leaving atomic.Bool
@@ -131,6 +132,7 @@
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[ownership.Seat]chan struct{}{},
 		shardWakeup: make(chan struct{}, 1),
 	}
+	d.limits = newClientLimits(s.Limits, logger.WithPrefix("limits"), d.metrics.registry)
 	for _, zone := range s.Zones {
 		for number := range d.seats(zone) {
 			d.membershipWakeups[ownership.Seat{Zone: zone, Number: number}] = make(chan struct{}, 1)
@@ -174,11 +176,11 @@
 		{Name: "announcement", Run: d.announce},
 		{Name: "membership", Run: d.runMemberships},
 		{Name: "peers", Run: d.peers.run},
-		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), true, closeTimeout}), Restart: supervise.Never},
-		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), false, closeTimeout})},
-		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), false, closeTimeout}), Restart: supervise.Never},
+		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), d.limits.peers, true, closeTimeout}), Restart: supervise.Never},
+		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), d.limits.metrics, false, closeTimeout})},
+		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), d.limits.ready, false, closeTimeout}), Restart: supervise.Never},
 		{Name: "callers port", Run: d.serve(port{
-			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d}, false, d.settings.Grace - stopAccepting - stopMargin,
+			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d}, d.limits.callers, false, d.settings.Grace - stopAccepting - stopMargin,
 		}), Restart: supervise.Never},
 	}
 }
--- /dev/null
+++ b/internal/daemon/dispatch/limits.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/hostlimits"
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
+)
+
+// clientLimits holds the limits on what clients may use of this host.
+type clientLimits struct {
+	callers, peers, metrics, ready *httpserve.Conns
+}
+
+// newClientLimits returns limits that log and count when they act.
+func newClientLimits(l hostlimits.Limits, logger *log.Logger, registry *prometheus.Registry) *clientLimits {
+	open := prometheus.NewDesc("parsleyhill_connections", "Open connections, by port.", []string{"port"}, nil)
+	closed := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyhill_connections_closed_total", Help: "Connections closed because their port had too many, by port.",
+	}, []string{"port"})
+	collector := connCollector{desc: open, conns: map[string]*httpserve.Conns{}}
+	conns := func(port string, limit int) *httpserve.Conns {
+		counter := closed.WithLabelValues(port)
+		lines := newThrottle(func(n int) {
+			logger.Warn("connections closed at their limit", "port", port, "limit", limit, "closed", n)
+		})
+		c := httpserve.NewConns(limit, func() {
+			counter.Inc()
+			lines.add(time.Now())
+		})
+		collector.conns[port] = c
+		return c
+	}
+	limits := &clientLimits{
+		callers: conns("callers", l.CallerConns), peers: conns("peers", 0),
+		metrics: conns("metrics", 0), ready: conns("ready", 0),
+	}
+	registry.MustRegister(closed, collector)
+	return limits
+}
+
+// connCollector reports the open connections of each port.
+type connCollector struct {
+	desc  *prometheus.Desc
+	conns map[string]*httpserve.Conns
+}
+
+// Describe implements prometheus.Collector.
+func (c connCollector) Describe(descs chan<- *prometheus.Desc) { descs <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c connCollector) Collect(values chan<- prometheus.Metric) {
+	for port, conns := range c.conns {
+		values <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(conns.Open()), port)
+	}
+}
+
+// throttleInterval is the time between two log lines of a throttle.
+const throttleInterval = time.Second
+
+// throttle writes at most one log line in throttleInterval, with the number of
+// events since the last one. Events after the last line stay uncounted until the
+// next event. It is safe for concurrent use.
+type throttle struct {
+	write func(events int)
+
+	mu     sync.Mutex
+	events int
+	last   time.Time
+}
+
+func newThrottle(write func(events int)) *throttle { return &throttle{write: write} }
+
+func (t *throttle) add(now time.Time) {
+	t.mu.Lock()
+	t.events++
+	events := t.events
+	due := now.Sub(t.last) >= throttleInterval
+	if due {
+		t.events, t.last = 0, now
+	}
+	t.mu.Unlock()
+	if due {
+		t.write(events)
+	}
+}
--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -18,6 +18,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/recovery"
 	"github.com/parsleyhill/parsleyhill/internal/decide/topology"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
 	"github.com/parsleyhill/parsleyhill/platform"
 )
 
@@ -242,6 +243,7 @@
 		return err
 	}
 	greeted := time.Now()
+	httpserve.Established(ctx)
 	if err := stream.Send(p.hello()); err != nil {
 		return err
 	}
--- a/internal/daemon/dispatch/serve.go
+++ b/internal/daemon/dispatch/serve.go
@@ -16,6 +16,8 @@
 type port struct {
 	address string
 	handler http.Handler
+	// conns limits the open connections.
+	conns *httpserve.Conns
 	// allowH2C allows HTTP/2 without TLS, which the streams between hosts use.
 	allowH2C bool
 	// drainTimeout is how long requests in flight may take once the port closes.
@@ -35,7 +37,7 @@
 		if p.allowH2C {
 			server.Protocols = h2cProtocols()
 		}
-		if err := httpserve.Serve(ctx, server, listener, p.drainTimeout); err != nil {
+		if err := httpserve.Serve(ctx, server, p.conns.Limit(server, listener), p.drainTimeout); err != nil {
 			return fmt.Errorf("serve %s: %w", p.address, err)
 		}
 		return ctx.Err()
--- /dev/null
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -0,0 +1,67 @@
+// Package hostlimits derives the limits on what clients may use of a host from the
+// memory and the descriptors of its machine.
+package hostlimits
+
+import "fmt"
+
+// Machine describes what a process may use. Zero means that a value is unknown.
+type Machine struct {
+	MemoryBytes int64
+	// Descriptors is the number of descriptors for sockets.
+	Descriptors int
+}
+
+// Override replaces the defaults of limits. Zero leaves the default.
+type Override struct {
+	// CallerConns is the number of connections of callers.
+	CallerConns int
+}
+
+// Limits bounds what clients may use of a host.
+type Limits struct {
+	// CallerConns, PeerConns and ProbeConns are the numbers of open connections of
+	// callers, of other hosts, and of each port for readiness probes and metrics.
+	CallerConns, PeerConns, ProbeConns int
+}
+
+const (
+	// defaultMemory and defaultDescriptors stand for unknown values of a machine.
+	defaultMemory      = 256 << 20
+	defaultDescriptors = 1024
+	// connBytes is the memory of a connection with a request that is being read:
+	// buffers, stacks, a header of the largest size, and bytes that wait in the kernel.
+	connBytes = 64 << 10
+	// Callers get a half of the descriptors and a quarter of the memory, other hosts
+	// a half of that. The rest is for the store and the workers.
+	callerDescriptorsPart, callerMemoryPart = 2, 4
+	peerDescriptorsPart, peerMemoryPart     = 4, 8
+	probeDescriptorsPart                    = 32
+	maxProbeConns                           = 32
+	minConns                                = 8
+)
+
+// For returns the limits of a machine. It returns an error if an override does not
+// fit the machine.
+func For(m Machine, o Override) (Limits, error) {
+	if m.MemoryBytes <= 0 {
+		m.MemoryBytes = defaultMemory
+	}
+	if m.Descriptors <= 0 {
+		m.Descriptors = defaultDescriptors
+	}
+	conns := func(descriptorsPart int, memoryPart int64) int {
+		return max(minConns, min(m.Descriptors/descriptorsPart, int(m.MemoryBytes/memoryPart/connBytes)))
+	}
+	l := Limits{
+		CallerConns: conns(callerDescriptorsPart, callerMemoryPart),
+		PeerConns:   conns(peerDescriptorsPart, peerMemoryPart),
+		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
+	}
+	if o.CallerConns < 0 || o.CallerConns >= m.Descriptors {
+		return Limits{}, fmt.Errorf("%d connections of callers are not between 0 and the %d descriptors for sockets", o.CallerConns, m.Descriptors)
+	}
+	if o.CallerConns > 0 {
+		l.CallerConns = o.CallerConns
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/decide/hostlimits/hostlimits_test.go
@@ -0,0 +1,36 @@
+package hostlimits
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against limits that leave no descriptors for the store and the workers.
+func TestLimitsFollowTheMachine(t *testing.T) {
+	for name, c := range map[string]struct {
+		machine Machine
+		want    Limits
+	}{
+		"few descriptors": {Machine{96 << 20, 312}, Limits{CallerConns: 156, PeerConns: 78, ProbeConns: 9}},
+		"little memory":   {Machine{64 << 20, 3900}, Limits{CallerConns: 256, PeerConns: 128, ProbeConns: 32}},
+		"unknown":         {Machine{}, Limits{CallerConns: 512, PeerConns: 256, ProbeConns: 32}},
+		"hardly any":      {Machine{1 << 20, 20}, Limits{CallerConns: 8, PeerConns: 8, ProbeConns: 8}},
+	} {
+		l, err := For(c.machine, Override{})
+		require.NoError(t, err, name)
+		assert.Equal(t, c.want, l, name)
+	}
+}
+
+func TestOverrides(t *testing.T) {
+	m := Machine{MemoryBytes: 96 << 20, Descriptors: 312}
+	l, err := For(m, Override{CallerConns: 200})
+	require.NoError(t, err)
+	assert.Equal(t, 200, l.CallerConns)
+	for _, n := range []int{-1, 312} {
+		_, err = For(m, Override{CallerConns: n})
+		require.ErrorContains(t, err, "connections of callers")
+	}
+}
--- /dev/null
+++ b/internal/httpserve/conns.go
@@ -0,0 +1,273 @@
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/connlimit"
+)
+
+// bodyTimeout bounds the time to receive a body that a handler does not read with
+// Bodies.
+const bodyTimeout = 15 * time.Second
+
+// closed is the phase of a connection that the limit has closed.
+const closed = connlimit.Serving + 1
+
+// Conns limits the open connections of an HTTP server. When the limit is exceeded, it
+// closes the connection that connlimit chooses, or the new one if there is no choice.
+type Conns struct {
+	limit int
+	// origin is the origin of the times of connections, which are all positive.
+	origin time.Time
+	// report is called for each connection that the limit closes.
+	report func()
+
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+	chooser connlimit.Chooser
+	// candidates and described are scratch memory, with one entry a connection.
+	candidates []*conn
+	described  []connlimit.Conn
+}
+
+// NewConns returns a limit on the number of open connections; zero means no limit. It
+// calls report each time it closes one.
+func NewConns(limit int, report func()) *Conns {
+	return &Conns{limit: limit, origin: time.Now().Add(-time.Nanosecond), report: report, open: map[*conn]struct{}{}}
+}
+
+// Open returns the number of open connections.
+func (c *Conns) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// Limit applies the limit to a server and its listener, and returns the listener to
+// serve.
+func (c *Conns) Limit(server *http.Server, listener net.Listener) net.Listener {
+	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, nc)
+	}
+	server.ConnState = func(nc net.Conn, state http.ConnState) {
+		if conn, ok := nc.(*conn); ok && state == http.StateIdle {
+			conn.enter(connlimit.Waiting)
+		}
+	}
+	server.Handler = trackRequests(server.Handler)
+	return &limitedListener{Listener: listener, conns: c}
+}
+
+type limitedListener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.conns.add(nc); conn != nil {
+			return conn, nil
+		}
+		_ = nc.Close()
+	}
+}
+
+func (c *Conns) now() time.Duration { return time.Since(c.origin) }
+
+// add tracks a new connection. If the limit is exceeded, it closes another one, or
+// returns nil if none can be closed.
+func (c *Conns) add(nc net.Conn) *conn {
+	added := &conn{Conn: nc, conns: c}
+	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		added.address = tcp.AddrPort().Addr()
+	}
+	added.since.Store(int64(c.now()))
+	victim, full := c.insert(added)
+	if !full {
+		return added
+	}
+	c.report()
+	if victim == nil {
+		return nil
+	}
+	_ = victim.Close()
+	return added
+}
+
+// insert adds a connection, unless the limit is reached and no other one can be
+// closed. It returns the connection to close, and whether the limit is reached.
+func (c *Conns) insert(added *conn) (victim *conn, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	full = c.limit > 0 && len(c.open) >= c.limit
+	if full {
+		if victim = c.choose(); victim == nil {
+			return nil, true
+		}
+		delete(c.open, victim)
+	}
+	c.open[added] = struct{}{}
+	return victim, full
+}
+
+// choose returns a connection to close, in phase closed, or nil. The caller must hold
+// c.mu.
+func (c *Conns) choose() *conn {
+	c.candidates, c.described = c.candidates[:0], c.described[:0]
+	defer func() { clear(c.candidates) }()
+	now := c.now()
+	for conn := range c.open {
+		c.candidates = append(c.candidates, conn)
+		c.described = append(c.described, conn.describe(now))
+	}
+	for {
+		i := c.chooser.Choose(c.described)
+		if i < 0 {
+			return nil
+		}
+		victim, phase := c.candidates[i], c.described[i].Phase
+		if victim.phase.CompareAndSwap(int32(phase), int32(closed)) {
+			return victim
+		}
+		// The phase has changed meanwhile.
+		c.described[i] = victim.describe(now)
+	}
+}
+
+func (c *Conns) remove(conn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+// conn is a connection with what is known of its requests.
+type conn struct {
+	net.Conn
+	conns   *Conns
+	address netip.Addr
+	// phase is a connlimit.Phase, or closed.
+	phase atomic.Int32
+	// since is when the phase began, and writing when the current write began, by the
+	// clock of conns. No write is in progress if writing is zero.
+	since, writing atomic.Int64
+}
+
+type connKey struct{}
+
+func (c *conn) describe(now time.Duration) connlimit.Conn {
+	d := connlimit.Conn{Address: c.address, Phase: connlimit.Phase(c.phase.Load()), Since: time.Duration(c.since.Load())}
+	if began := c.writing.Load(); began > 0 {
+		d.Blocked = now - time.Duration(began)
+	}
+	return d
+}
+
+// enter begins a phase. It reports false if the limit has closed the connection.
+func (c *conn) enter(p connlimit.Phase) bool {
+	for {
+		old := c.phase.Load()
+		if old == int32(closed) {
+			return false
+		}
+		if c.phase.CompareAndSwap(old, int32(p)) {
+			c.since.Store(int64(c.conns.now()))
+			return true
+		}
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.phase.CompareAndSwap(int32(connlimit.Waiting), int32(connlimit.Receiving)) {
+		c.since.Store(int64(c.conns.now()))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Store(int64(c.conns.now()))
+	defer c.writing.Store(0)
+	return c.Conn.Write(b)
+}
+
+// CloseWrite closes the sending side, which http.Server does before it closes a
+// connection with unread bytes.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// connOf returns the connection of a request, or nil if its server has no limit.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Established protects the connection of a request from the limit until it is idle,
+// although its request has not ended.
+func Established(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.enter(connlimit.Serving)
+	}
+}
+
+// trackRequests records when requests have been read as a whole. A request whose
+// connection was closed before is not handled.
+func trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		switch {
+		case c == nil || r.ProtoMajor > 1:
+		case r.ContentLength == 0:
+			if !c.enter(connlimit.Serving) {
+				panic(http.ErrAbortHandler)
+			}
+		default:
+			// An error means that the connection is closed, which the next read reports.
+			_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody records the end of a body.
+type trackedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// errConnClosed is the error of a body whose connection was closed at the limit.
+var errConnClosed = errors.New("the connection was closed at the limit of open connections")
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.enter(connlimit.Serving) {
+		return n, errConnClosed
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/httpserve/conns_test.go
@@ -0,0 +1,155 @@
+package httpserve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/standin/memnet"
+)
+
+const testAddress = "server:80"
+
+// limitedServer is a server with a limit on its connections.
+type limitedServer struct {
+	t       *testing.T
+	network *memnet.Network
+	conns   *Conns
+	// closed counts the connections that the limit has closed.
+	closed int
+}
+
+func startLimited(t *testing.T, limit int, handler http.Handler) *limitedServer {
+	s := &limitedServer{t: t, network: memnet.New()}
+	s.conns = NewConns(limit, func() { s.closed++ })
+	server := &http.Server{Handler: handler}
+	listener := s.conns.Limit(server, s.network.Listen(testAddress))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// dial opens a connection, sends a part of a request and lets a second pass, so that
+// no two connections are of one age.
+func (s *limitedServer) dial(request string) net.Conn {
+	client, err := s.network.Dial(context.Background(), "mem", testAddress)
+	require.NoError(s.t, err)
+	if request != "" {
+		_, err = io.WriteString(client, request)
+		require.NoError(s.t, err)
+	}
+	time.Sleep(time.Second)
+	synctest.Wait()
+	s.t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+// requireClosed requires that the server has closed a connection without an answer.
+func requireClosed(t *testing.T, client net.Conn) {
+	t.Helper()
+	// It fails if the other end is closed.
+	_ = client.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func requireOpen(t *testing.T, client net.Conn) {
+	t.Helper()
+	require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err := client.Read(make([]byte, 1))
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout(), "%v", err)
+}
+
+func requireAnswer(t *testing.T, client net.Conn) {
+	t.Helper()
+	require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+// Guards against cutting off answers in work while idle and unfinished connections
+// fill a port.
+func TestFullPortKeepsRequestsInWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := startLimited(t, 3, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(io.Discard, r.Body)
+			if err == nil {
+				<-release
+			}
+		}))
+		inWork := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+		idle := s.dial("")
+		unfinished := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+		assert.Equal(t, 3, s.conns.Open())
+
+		alsoInWork := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		requireClosed(t, idle)
+		requireOpen(t, unfinished)
+		third := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		requireClosed(t, unfinished)
+		requireClosed(t, s.dial(""))
+		assert.Equal(t, 3, s.conns.Open())
+		assert.Equal(t, 3, s.closed)
+
+		close(release)
+		for _, client := range []net.Conn{inWork, alsoInWork, third} {
+			requireAnswer(t, client)
+		}
+	})
+}
+
+// Guards against losing the streams of other hosts, whose requests do not end, to
+// connections that fill the port.
+func TestFullPortKeepsEstablishedStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimited(t, 2, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			Established(r.Context())
+			_, _ = io.Copy(io.Discard, r.Body)
+		}))
+		stream := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+		for range 3 {
+			s.dial("")
+		}
+		requireOpen(t, stream)
+		assert.Equal(t, 2, s.conns.Open())
+	})
+}
+
+// Guards against an answer that its client never reads and that holds its connection
+// while the port is full.
+func TestFullPortClosesUnreadAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimited(t, 1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		// Nobody reads the answer, and a connection of memnet has no buffer.
+		s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		next := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.Equal(t, 1, s.closed)
+		requireAnswer(t, next)
+	})
+}
+
+// Guards against a keep-alive connection that counts as busy after its request.
+func TestAnsweredConnectionIsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimited(t, 1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		first := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		requireAnswer(t, first)
+		synctest.Wait()
+		next := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		requireAnswer(t, next)
+		requireClosed(t, first)
+	})
+}
