Limit the open connections of the other ports

Idle or unfinished connections to the ports of the readiness probes, of the metrics and of the other hosts could take the descriptors of a host, as those of callers could. Each port now has a limit of its own, so that none takes those of another.

--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -36,8 +36,8 @@
 		return c
 	}
 	limits := &clientLimits{
-		callers: conns("callers", l.CallerConns), peers: conns("peers", 0),
-		metrics: conns("metrics", 0), ready: conns("ready", 0),
+		callers: conns("callers", l.CallerConns), peers: conns("peers", l.PeerConns),
+		metrics: conns("metrics", l.ProbeConns), ready: conns("ready", l.ProbeConns),
 	}
 	registry.MustRegister(closed, collector)
 	return limits
