Bound the memory of request bodies together

A process ran out of memory: many clients sent large bodies of legal size, most stopped just short of their end and stayed.

Cause: a body is read whole into memory, into buffers that double, and nothing bounds all bodies together.

Bodies now take their memory from a bound that follows memory_mb, before they are read and as their bytes arrive. When it is used up, those unfinished longest are given up for new ones: 503 with Retry-After, which is true, since such a job was never decoded. A body that has been read is never given up. A stated length above the limit is refused before anything is read.

--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -14,6 +14,7 @@
 // clientLimits holds the limits on what clients may use of this host.
 type clientLimits struct {
 	callers, peers, metrics, ready *httpserve.Conns
+	bodies                         *httpserve.Bodies
 }
 
 // newClientLimits returns limits that log and count when they act.
@@ -40,9 +41,32 @@
 		metrics: conns("metrics", l.ProbeConns), ready: conns("ready", l.ProbeConns),
 	}
 	registry.MustRegister(closed, collector)
+	limits.bodies = newBodies(l.BodyBytes, logger, registry)
 	return limits
 }
 
+// newBodies returns a limit on the memory for request bodies that logs and counts
+// when it acts.
+func newBodies(capacity int64, logger *log.Logger, registry *prometheus.Registry) *httpserve.Bodies {
+	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyhill_bodies_refused_total", Help: "Request bodies that were not read to their end, by reason.",
+	}, []string{"reason"})
+	lines := map[httpserve.Refusal]*throttle{}
+	for _, reason := range httpserve.Refusals() {
+		lines[reason] = newThrottle(func(n int) {
+			logger.Warn("bodies refused", "why", string(reason), "refused", n, "memory", capacity)
+		})
+	}
+	bodies := httpserve.NewBodies(capacity, func(reason httpserve.Refusal) {
+		refused.WithLabelValues(string(reason)).Inc()
+		lines[reason].add(time.Now())
+	})
+	registry.MustRegister(refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "parsleyhill_body_bytes", Help: "Memory of the request bodies that are being read or decoded.",
+	}, func() float64 { return float64(bodies.Held()) }))
+	return bodies
+}
+
 // connCollector reports the open connections of each port.
 type connCollector struct {
 	desc  *prometheus.Desc
--- a/internal/decide/hostlimits/hostlimits.go
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -15,6 +15,8 @@
 type Override struct {
 	// CallerConns is the number of connections of callers.
 	CallerConns int
+	// BodyBytes is the memory for request bodies in bytes.
+	BodyBytes int64
 }
 
 // Limits bounds what clients may use of a host.
@@ -22,6 +24,8 @@
 	// CallerConns, PeerConns and ProbeConns are the numbers of open connections of
 	// callers, of other hosts, and of each port for readiness probes and metrics.
 	CallerConns, PeerConns, ProbeConns int
+	// BodyBytes is the memory that request bodies of callers may take together.
+	BodyBytes int64
 }
 
 const (
@@ -38,6 +42,8 @@
 	probeDescriptorsPart                    = 32
 	maxProbeConns                           = 32
 	minConns                                = 8
+	// Bodies get an eighth of the memory. An override may give them at most half.
+	bodyMemoryPart, maxBodyMemoryPart = 8, 2
 )
 
 // For returns the limits of a machine. It returns an error if an override does not
@@ -56,12 +62,19 @@
 		CallerConns: conns(callerDescriptorsPart, callerMemoryPart),
 		PeerConns:   conns(peerDescriptorsPart, peerMemoryPart),
 		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
+		BodyBytes:   m.MemoryBytes / bodyMemoryPart,
 	}
 	if o.CallerConns < 0 || o.CallerConns >= m.Descriptors {
 		return Limits{}, fmt.Errorf("%d connections of callers are not between 0 and the %d descriptors for sockets", o.CallerConns, m.Descriptors)
 	}
+	if o.BodyBytes < 0 || o.BodyBytes > m.MemoryBytes/maxBodyMemoryPart {
+		return Limits{}, fmt.Errorf("%d bytes for request bodies are not between 0 and half of the memory of %d bytes", o.BodyBytes, m.MemoryBytes)
+	}
 	if o.CallerConns > 0 {
 		l.CallerConns = o.CallerConns
 	}
+	if o.BodyBytes > 0 {
+		l.BodyBytes = o.BodyBytes
+	}
 	return l, nil
 }
--- /dev/null
+++ b/internal/httpserve/bodies_test.go
@@ -0,0 +1,151 @@
+package httpserve
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	testLimit = 32 << 10
+	// testCapacity holds three bodies of testLimit bytes, and what one more needs to grow.
+	testCapacity = 4 * testLimit
+)
+
+// bodyServer serves requests by reading their bodies.
+type bodyServer struct {
+	*limitedServer
+	bodies   *Bodies
+	refusals []Refusal
+	// decoding holds the requests whose bodies have been read until it is closed.
+	decoding chan struct{}
+}
+
+func startBodyServer(t *testing.T) *bodyServer {
+	s := &bodyServer{decoding: make(chan struct{})}
+	s.bodies = NewBodies(testCapacity, func(r Refusal) { s.refusals = append(s.refusals, r) })
+	s.limitedServer = startLimited(t, 100, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := s.bodies.Read(w, r, testLimit)
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		case errors.Is(err, ErrNoMemory):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case err != nil:
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			<-s.decoding
+			_, _ = fmt.Fprint(w, len(body.Data))
+			body.Release()
+		}
+	}))
+	return s
+}
+
+// post sends a request with the given header field and a body of n bytes, as far as
+// the server reads it, and lets a second pass.
+func (s *bodyServer) post(field string, body string) net.Conn {
+	client := s.dial("")
+	go func() {
+		_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\n"+field+"\r\n\r\n"+body)
+	}()
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return client
+}
+
+func (s *bodyServer) postBody(length, sent int) net.Conn {
+	return s.post(fmt.Sprintf("Content-Length: %d", length), strings.Repeat(" ", sent))
+}
+
+func requireStatus(t *testing.T, client net.Conn, status int) string {
+	t.Helper()
+	_ = client.SetReadDeadline(time.Now().Add(2 * memoryWait))
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	assert.Equal(t, status, resp.StatusCode)
+	assert.Equal(t, status != http.StatusOK, resp.Close, "the connection stays open")
+	return string(body)
+}
+
+// Guards against limits on memory that change what is read of a body.
+func TestBodiesAreReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBodyServer(t)
+		close(s.decoding)
+		for _, n := range []int{1, firstBuffer - 1, firstBuffer, firstBuffer + 1, testLimit - 1, testLimit} {
+			assert.Equal(t, fmt.Sprint(n), requireStatus(t, s.postBody(n, n), http.StatusOK))
+			chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat(" ", n))
+			assert.Equal(t, fmt.Sprint(n), requireStatus(t, s.post("Transfer-Encoding: chunked", chunked), http.StatusOK))
+		}
+		assert.Zero(t, s.bodies.Held())
+		assert.Empty(t, s.refusals)
+	})
+}
+
+// Guards against reading bodies that are larger than they may be.
+func TestBodiesAboveTheLimitAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBodyServer(t)
+		requireStatus(t, s.postBody(testLimit+1, 0), http.StatusRequestEntityTooLarge)
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", testLimit+1, strings.Repeat(" ", testLimit+1))
+		requireStatus(t, s.post("Transfer-Encoding: chunked", chunk), http.StatusRequestEntityTooLarge)
+		assert.Zero(t, s.bodies.Held())
+	})
+}
+
+// Guards against unfinished bodies that keep the memory from others, and against
+// small ones that wait for memory.
+func TestOldestUnfinishedBodyIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBodyServer(t)
+		close(s.decoding)
+		var unfinished []net.Conn
+		for range 3 {
+			unfinished = append(unfinished, s.postBody(testLimit, testLimit-1))
+			assert.LessOrEqual(t, s.bodies.Held(), int64(testCapacity))
+		}
+		requireStatus(t, s.postBody(firstBuffer, firstBuffer), http.StatusOK)
+		assert.Empty(t, s.refusals)
+
+		requireStatus(t, s.postBody(testLimit, testLimit), http.StatusOK)
+		requireStatus(t, unfinished[0], http.StatusServiceUnavailable)
+		requireOpen(t, unfinished[1])
+		requireOpen(t, unfinished[2])
+		assert.Equal(t, []Refusal{RefusedGivenUp}, s.refusals)
+	})
+}
+
+// Guards against giving up requests whose body has been read, and against bodies that
+// wait for their memory without end.
+func TestBodyIsRefusedWhileOthersAreDecoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBodyServer(t)
+		var decoding []net.Conn
+		for range 3 {
+			decoding = append(decoding, s.postBody(testLimit, testLimit))
+		}
+		requireStatus(t, s.postBody(testLimit, testLimit), http.StatusServiceUnavailable)
+		assert.Equal(t, []Refusal{RefusedNoMemory}, s.refusals)
+		close(s.decoding)
+		for _, client := range decoding {
+			requireStatus(t, client, http.StatusOK)
+		}
+		synctest.Wait()
+		assert.Zero(t, s.bodies.Held())
+	})
+}
--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -33,7 +33,11 @@
 	server := &http.Server{Handler: handler}
 	listener := s.conns.Limit(server, s.network.Listen(testAddress))
 	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	t.Cleanup(func() {
+		_ = server.Close()
+		// The server closes connections with unread bytes half a second late.
+		time.Sleep(time.Second)
+	})
 	return s
 }
 
