--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -32,6 +32,7 @@
 	largeBodies     = 300
 	manyConnections = 600
 	largeHeaders    = 2500
+	decodedBodies   = 40
 )
 
 // The machines of the tests. A test of memory has descriptors to spare, and the
@@ -302,6 +303,48 @@
 	h.requireServing()
 }
 
+// wholeJob returns a request with a whole job of the given steps, in JSON.
+func wholeJob(i int, bestEffort bool, steps string) [][]byte {
+	body := fmt.Sprintf(`{"best_effort":%t,"spec":"x","steps":[%s]}`, bestEffort, steps)
+	return [][]byte{postHeader(i, fmt.Sprintf("Content-Length: %d", len(body))), []byte(body)}
+}
+
+// repeated returns n elements of a JSON list.
+func repeated(n int, element string) string { return strings.Repeat(element+",", n-1) + element }
+
+// Guards against running out of memory by whole bodies that take many times their
+// size when they are decoded.
+func TestBodiesOfManyStepsKeepMemoryBounded(t *testing.T) {
+	h := startHost(t, littleMemory)
+	openCrowd(t, callersPort, decodedBodies, func(i int) pieces {
+		return pieces{data: wholeJob(i, true, repeated(maxBodyBytes/len("{},")-100, "{}"))}
+	})
+	h.requireServing()
+}
+
+// Guards against a single job of legal size, but of very many steps, that keeps the
+// host from serving others.
+func TestJobOfManyStepsDoesNotBlockOthers(t *testing.T) {
+	h := startHost(t, littleMemory)
+	const step = `{"count":1}`
+	openCrowd(t, callersPort, 1, func(i int) pieces {
+		return pieces{data: wholeJob(i, true, repeated(maxBodyBytes/len(step+",")-100, step))}
+	})
+	h.requireServing()
+}
+
+// Guards against running out of memory by a single job that states very many tasks.
+func TestJobOfManyTasksKeepsMemoryBounded(t *testing.T) {
+	for _, bestEffort := range []bool{true, false} {
+		h := startHost(t, littleMemory)
+		openCrowd(t, callersPort, 1, func(i int) pieces {
+			return pieces{data: wholeJob(i, bestEffort, `{"count":10000000,"cpu":1000}`)}
+		})
+		h.requireServing()
+		h.stop()
+	}
+}
+
 // slowReader returns its data in pieces, with a pause before each. It hides the
 // length, so that the body is sent in chunks.
 type slowReader struct {
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -126,8 +126,7 @@
 	}()
 	go h.sampleDescriptors()
 	t.Cleanup(func() {
-		_ = h.cmd.Process.Kill()
-		<-h.ended
+		h.stop()
 		_ = logFile.Close()
 		if data, err := os.ReadFile(logFile.Name()); err == nil && t.Failed() {
 			t.Logf("end of the host's log:\n%s", data[max(0, len(data)-4000):])
@@ -137,6 +136,12 @@
 	return h
 }
 
+// stop ends the process.
+func (h *host) stop() {
+	_ = h.cmd.Process.Kill()
+	<-h.ended
+}
+
 func serve(t *testing.T, handler http.Handler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
