--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -49,7 +49,7 @@
 // when it acts.
 func newBodies(capacity int64, logger *log.Logger, registry *prometheus.Registry) *httpserve.Bodies {
 	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "parsleyhill_bodies_refused_total", Help: "Request bodies that were not read to their end, by reason.",
+		Name: "parsleyhill_bodies_refused_total", Help: "Request bodies that were refused, by reason.",
 	}, []string{"reason"})
 	lines := map[httpserve.Refusal]*throttle{}
 	for _, reason := range httpserve.Refusals() {
--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -28,7 +28,7 @@
 // much memory as they may. Its request has not run.
 var ErrNoMemory = errors.New("request bodies take as much memory as they may")
 
-// Refusal is why a body was not read to its end.
+// Refusal is why a body was refused.
 type Refusal string
 
 const (
@@ -37,10 +37,15 @@
 	// RefusedGivenUp means that the body had been unfinished longest when another one
 	// needed memory.
 	RefusedGivenUp Refusal = "given up"
+	// RefusedSteps and RefusedTasks mean that the job in a body had too many of them.
+	RefusedSteps Refusal = "too many steps"
+	RefusedTasks Refusal = "too many tasks"
 )
 
 // Refusals returns all reasons.
-func Refusals() []Refusal { return []Refusal{RefusedNoMemory, RefusedGivenUp} }
+func Refusals() []Refusal {
+	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedSteps, RefusedTasks}
+}
 
 // Bodies bounds the memory for request bodies that are being read or decoded. When
 // it is used up, the bodies that have been unfinished longest are given up. It is
@@ -72,6 +77,9 @@
 // Held returns the memory that bodies take, in bytes.
 func (b *Bodies) Held() int64 { return b.held.Load() }
 
+// Refused reports a body that was refused after it had been read.
+func (b *Bodies) Refused(reason Refusal) { b.report(reason) }
+
 // Body is a request's body in memory.
 type Body struct {
 	Data   []byte
