Bound the tasks of a job by the memory of the machine

One small request that states 10,000,000 tasks took 526 MB in 2 s: each task has its state as soon as the job arrives, before anything decides whether it can be served.

A job of more tasks than one for each 32 KB of memory, 1,024 at the least, is answered 400 when it is decoded. The largest jobs of the users have 670.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), d.limits.metrics, false, closeTimeout})},
 		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), d.limits.ready, false, closeTimeout}), Restart: supervise.Never},
 		{Name: "callers port", Run: d.serve(port{
-			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies}, d.limits.callers, false, d.settings.Grace - stopAccepting - stopMargin,
+			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies, MaxTasks: d.settings.Limits.JobTasks}, d.limits.callers, false, d.settings.Grace - stopAccepting - stopMargin,
 		}), Restart: supervise.Never},
 	}
 }
--- a/internal/decide/hostlimits/hostlimits.go
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -17,6 +17,8 @@
 	CallerConns int
 	// BodyBytes is the memory for request bodies in bytes.
 	BodyBytes int64
+	// JobTasks is the number of tasks of a job.
+	JobTasks int
 }
 
 // Limits bounds what clients may use of a host.
@@ -26,6 +28,8 @@
 	CallerConns, PeerConns, ProbeConns int
 	// BodyBytes is the memory that request bodies of callers may take together.
 	BodyBytes int64
+	// JobTasks is the largest number of tasks of a job.
+	JobTasks int
 }
 
 const (
@@ -44,6 +48,10 @@
 	minConns                                = 8
 	// Bodies get an eighth of the memory. An override may give them at most half.
 	bodyMemoryPart, maxBodyMemoryPart = 8, 2
+	// A job gets a thirty-second of the memory. taskBytes is the memory of a task that
+	// waits, and of its offer.
+	jobMemoryPart, taskBytes = 32, 1 << 10
+	minJobTasks, maxJobTasks = 1024, 8192
 )
 
 // For returns the limits of a machine. It returns an error if an override does not
@@ -63,6 +71,7 @@
 		PeerConns:   conns(peerDescriptorsPart, peerMemoryPart),
 		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
 		BodyBytes:   m.MemoryBytes / bodyMemoryPart,
+		JobTasks:    max(minJobTasks, min(maxJobTasks, int(m.MemoryBytes/jobMemoryPart/taskBytes))),
 	}
 	if o.CallerConns < 0 || o.CallerConns >= m.Descriptors {
 		return Limits{}, fmt.Errorf("%d connections of callers are not between 0 and the %d descriptors for sockets", o.CallerConns, m.Descriptors)
@@ -70,6 +79,13 @@
 	if o.BodyBytes < 0 || o.BodyBytes > m.MemoryBytes/maxBodyMemoryPart {
 		return Limits{}, fmt.Errorf("%d bytes for request bodies are not between 0 and half of the memory of %d bytes", o.BodyBytes, m.MemoryBytes)
 	}
+	if o.JobTasks < 0 || int64(o.JobTasks) > m.MemoryBytes/taskBytes {
+		return Limits{}, fmt.Errorf("%d tasks of a job are not between 0 and %d, one for each %d bytes of memory",
+			o.JobTasks, m.MemoryBytes/taskBytes, taskBytes)
+	}
+	if o.JobTasks > 0 {
+		l.JobTasks = o.JobTasks
+	}
 	if o.CallerConns > 0 {
 		l.CallerConns = o.CallerConns
 	}
--- a/internal/decide/hostlimits/hostlimits_test.go
+++ b/internal/decide/hostlimits/hostlimits_test.go
@@ -13,10 +13,10 @@
 		machine Machine
 		want    Limits
 	}{
-		"few descriptors": {Machine{96 << 20, 312}, Limits{CallerConns: 156, PeerConns: 78, ProbeConns: 9, BodyBytes: 12 << 20}},
-		"little memory":   {Machine{64 << 20, 3900}, Limits{CallerConns: 256, PeerConns: 128, ProbeConns: 32, BodyBytes: 8 << 20}},
-		"unknown":         {Machine{}, Limits{CallerConns: 512, PeerConns: 256, ProbeConns: 32, BodyBytes: 32 << 20}},
-		"hardly any":      {Machine{1 << 20, 20}, Limits{CallerConns: 8, PeerConns: 8, ProbeConns: 8, BodyBytes: 128 << 10}},
+		"few descriptors": {Machine{96 << 20, 312}, Limits{CallerConns: 156, PeerConns: 78, ProbeConns: 9, BodyBytes: 12 << 20, JobTasks: 3072}},
+		"little memory":   {Machine{64 << 20, 3900}, Limits{CallerConns: 256, PeerConns: 128, ProbeConns: 32, BodyBytes: 8 << 20, JobTasks: 2048}},
+		"unknown":         {Machine{}, Limits{CallerConns: 512, PeerConns: 256, ProbeConns: 32, BodyBytes: 32 << 20, JobTasks: 8192}},
+		"hardly any":      {Machine{1 << 20, 20}, Limits{CallerConns: 8, PeerConns: 8, ProbeConns: 8, BodyBytes: 128 << 10, JobTasks: 1024}},
 	} {
 		l, err := For(c.machine, Override{})
 		require.NoError(t, err, name)
@@ -26,9 +26,9 @@
 
 func TestOverrides(t *testing.T) {
 	m := Machine{MemoryBytes: 96 << 20, Descriptors: 312}
-	l, err := For(m, Override{CallerConns: 200, BodyBytes: 1 << 20})
+	l, err := For(m, Override{CallerConns: 200, BodyBytes: 1 << 20, JobTasks: 500})
 	require.NoError(t, err)
-	assert.Equal(t, Limits{CallerConns: 200, PeerConns: 78, ProbeConns: 9, BodyBytes: 1 << 20}, l)
+	assert.Equal(t, Limits{CallerConns: 200, PeerConns: 78, ProbeConns: 9, BodyBytes: 1 << 20, JobTasks: 500}, l)
 	for _, n := range []int{-1, 312} {
 		_, err = For(m, Override{CallerConns: n})
 		require.ErrorContains(t, err, "connections of callers")
@@ -37,4 +37,8 @@
 		_, err = For(m, Override{BodyBytes: n})
 		require.ErrorContains(t, err, "request bodies")
 	}
+	for _, n := range []int{-1, 96<<10 + 1} {
+		_, err = For(m, Override{JobTasks: n})
+		require.ErrorContains(t, err, "tasks of a job")
+	}
 }
--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -37,8 +37,9 @@
 	// RefusedGivenUp means that the body had been unfinished longest when another one
 	// needed memory.
 	RefusedGivenUp Refusal = "given up"
-	// RefusedSteps and RefusedTasks mean that the job in a body had too many of them.
+	// RefusedSteps means that the job in a body had too many steps.
 	RefusedSteps Refusal = "too many steps"
+	// RefusedTasks means that the job in a body had too many tasks.
 	RefusedTasks Refusal = "too many tasks"
 )
 
