Process test of many whole large bodies

300 whole bodies of legal size, with a list of 131,000 dependencies each, take 143 MB of 96 while they are decoded and their jobs run: the bound on bodies covers their bytes, not what they become.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -372,3 +372,14 @@
 	h.requireWithinLimits()
 	require.True(t, h.ready())
 }
+
+// Guards against running out of memory by many whole bodies that are decoded at once.
+func TestWholeLargeBodiesKeepMemoryBounded(t *testing.T) {
+	h := startHost(t, littleMemory)
+	const dependency = "0"
+	list := repeated(maxBodyBytes/len(dependency+",")-200, dependency)
+	openCrowd(t, callersPort, largeBodies, func(i int) pieces {
+		return pieces{data: wholeJob(i, true, `{"count":1,"cpu":1000},{"count":1,"cpu":1000,"after":[`+list+`]}`)}
+	})
+	h.requireServing()
+}
