Hold the memory of a large body until its request is answered

300 whole bodies of legal size with long lists of dependencies took 143 MB of 96: what was decoded stayed after the bytes had been given back, and all were decoded at once.

A body beyond the first 8 KB now takes eight times its size when it has been read, the most that two bytes of JSON become, keeps it until its request is answered, and such bodies are decoded one at a time. Bodies in the first buffer, which all jobs of the users are, are not affected. Unfinished bodies are given up only for memory that is not free.

--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -62,7 +62,7 @@
 		lines[reason].add(time.Now())
 	})
 	registry.MustRegister(refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "parsleyhill_body_bytes", Help: "Memory of the request bodies that are being read or decoded.",
+		Name: "parsleyhill_body_bytes", Help: "Memory of the request bodies that are being read or have not been answered.",
 	}, func() float64 { return float64(bodies.Held()) }))
 	return bodies
 }
--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -20,6 +20,10 @@
 	// bytes arrive. The first buffer counts as memory of the connection, so that small
 	// bodies, which are nearly all, never wait for memory.
 	firstBuffer = 8 << 10
+	// decodedFactor is the memory that a body may take when it is decoded, and until its
+	// request is answered, as a multiple of its size. Bodies that fit into the first
+	// buffer count as memory of the connection then, too.
+	decodedFactor = 8
 	// memoryWait is how long a body waits for memory that others give back.
 	memoryWait = time.Second
 )
@@ -48,8 +52,8 @@
 	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedSteps, RefusedTasks}
 }
 
-// Bodies bounds the memory for request bodies that are being read or decoded. When
-// it is used up, the bodies that have been unfinished longest are given up. It is
+// Bodies bounds the memory for request bodies from their first bytes until their
+// requests are answered. When it is used up, the bodies that have been unfinished longest are given up. It is
 // safe for concurrent use.
 type Bodies struct {
 	capacity int64
@@ -58,6 +62,9 @@
 	// report is called for each body that is refused.
 	report func(Refusal)
 
+	// decoding is held while a large body is decoded.
+	decoding sync.Mutex
+
 	mu sync.Mutex
 	// unfinished holds the bodies that are being read, as *reading, the oldest first.
 	unfinished *list.List
@@ -83,21 +90,32 @@
 
 // Body is a request's body in memory.
 type Body struct {
-	Data   []byte
+	data   []byte
 	bodies *Bodies
 	held   int64
 }
 
-// Release gives back the memory of the body, whose data must not be used afterwards.
+// Decode calls decode with the body. Large bodies are decoded one at a time.
+func (b *Body) Decode(decode func(data []byte) error) error {
+	if b.held > 0 {
+		b.bodies.decoding.Lock()
+		defer b.bodies.decoding.Unlock()
+	}
+	err := decode(b.data)
+	b.data = nil
+	return err
+}
+
+// Release gives back the memory of the body and of what was decoded from it.
 func (b *Body) Release() { b.bodies.giveBack(b.held) }
 
 // Read reads a request's body of at most limit bytes; zero means no limit of its own.
-// No body may take more than half of the memory for all. The error is a
+// No body may take more than the memory for all when it is decoded. The error is a
 // *http.MaxBytesError if the body is larger, and ErrNoMemory if the body is refused.
 // After an error the connection is closed once the request has been answered.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
-	if limit <= 0 || limit > b.capacity/2 {
-		limit = b.capacity / 2
+	if largest := b.capacity / decodedFactor; limit <= 0 || limit > largest {
+		limit = largest
 	}
 	if r.ContentLength > limit {
 		stopReading(w)
@@ -105,10 +123,15 @@
 	}
 	read := &reading{bodies: b, stop: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) }}
 	data, err := read.all(r.Body, r.ContentLength, limit)
-	if b.end(read) {
+	givenUp := b.end(read)
+	if givenUp {
 		b.report(RefusedGivenUp)
 		err = ErrNoMemory
-	} else if errors.Is(err, ErrNoMemory) {
+	}
+	if err == nil {
+		err = read.takeDecoded(data)
+	}
+	if errors.Is(err, ErrNoMemory) && !givenUp {
 		b.report(RefusedNoMemory)
 	}
 	if err != nil {
@@ -116,7 +139,7 @@
 		stopReading(w)
 		return nil, err
 	}
-	return &Body{Data: data, bodies: b, held: read.held.Load()}, nil
+	return &Body{data: data, bodies: b, held: read.held.Load()}, nil
 }
 
 // stopReading makes the server close the connection after the answer, without
@@ -227,6 +250,15 @@
 	return nil
 }
 
+// takeDecoded takes the memory that a body needs when it is decoded, unless it is
+// small.
+func (r *reading) takeDecoded(data []byte) error {
+	if r.element == nil {
+		return nil
+	}
+	return r.take(max(0, decodedFactor*int64(len(data))-r.held.Load()))
+}
+
 // register adds a body to the unfinished ones.
 func (b *Bodies) register(r *reading) {
 	b.mu.Lock()
@@ -234,8 +266,8 @@
 	r.element = b.unfinished.PushBack(r)
 }
 
-// want gives up the oldest bodies until enough memory is about to be given back. It
-// returns a function to call when the memory is no longer wanted. If the body itself
+// want gives up the oldest bodies until enough memory is free or about to be given
+// back. It returns a function to call when the memory is no longer wanted. If the body itself
 // is given up meanwhile, cancel is called.
 func (b *Bodies) want(r *reading, n int64, cancel func()) func() {
 	b.mu.Lock()
@@ -246,7 +278,7 @@
 		cancel()
 	}
 	b.wanted += n
-	for e := b.unfinished.Front(); e != nil && b.returning < b.wanted; {
+	for e := b.unfinished.Front(); e != nil && b.capacity-b.held.Load()+b.returning < b.wanted; {
 		victim := e.Value.(*reading)
 		next := e.Next()
 		if victim != r && victim.held.Load() > 0 {
--- a/internal/httpserve/bodies_test.go
+++ b/internal/httpserve/bodies_test.go
@@ -18,8 +18,8 @@
 
 const (
 	testLimit = 32 << 10
-	// testCapacity holds three bodies of testLimit bytes, and what one more needs to grow.
-	testCapacity = 4 * testLimit
+	// decodedBytes is the memory of a body of testLimit bytes that has been read.
+	decodedBytes = decodedFactor * testLimit
 )
 
 // bodyServer serves requests by reading their bodies.
@@ -31,9 +31,9 @@
 	decoding chan struct{}
 }
 
-func startBodyServer(t *testing.T) *bodyServer {
+func startBodyServer(t *testing.T, capacity int64) *bodyServer {
 	s := &bodyServer{decoding: make(chan struct{})}
-	s.bodies = NewBodies(testCapacity, func(r Refusal) { s.refusals = append(s.refusals, r) })
+	s.bodies = NewBodies(capacity, func(r Refusal) { s.refusals = append(s.refusals, r) })
 	s.limitedServer = startLimited(t, 100, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := s.bodies.Read(w, r, testLimit)
 		var tooLarge *http.MaxBytesError
@@ -46,8 +46,11 @@
 			w.WriteHeader(http.StatusBadRequest)
 		default:
 			<-s.decoding
-			_, _ = fmt.Fprint(w, len(body.Data))
-			body.Release()
+			defer body.Release()
+			_ = body.Decode(func(data []byte) error {
+				_, err := fmt.Fprint(w, len(data))
+				return err
+			})
 		}
 	}))
 	return s
@@ -85,7 +88,7 @@
 // Guards against limits on memory that change what is read of a body.
 func TestBodiesAreReadWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startBodyServer(t)
+		s := startBodyServer(t, decodedBytes)
 		close(s.decoding)
 		for _, n := range []int{1, firstBuffer - 1, firstBuffer, firstBuffer + 1, testLimit - 1, testLimit} {
 			assert.Equal(t, fmt.Sprint(n), requireStatus(t, s.postBody(n, n), http.StatusOK))
@@ -100,7 +103,7 @@
 // Guards against reading bodies that are larger than they may be.
 func TestBodiesAboveTheLimitAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startBodyServer(t)
+		s := startBodyServer(t, decodedBytes)
 		requireStatus(t, s.postBody(testLimit+1, 0), http.StatusRequestEntityTooLarge)
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", testLimit+1, strings.Repeat(" ", testLimit+1))
 		requireStatus(t, s.post("Transfer-Encoding: chunked", chunk), http.StatusRequestEntityTooLarge)
@@ -112,12 +115,14 @@
 // small ones that wait for memory.
 func TestOldestUnfinishedBodyIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startBodyServer(t)
+		// One more body fits beside two unfinished ones.
+		const capacity = decodedBytes + 2*testLimit
+		s := startBodyServer(t, capacity)
 		close(s.decoding)
 		var unfinished []net.Conn
 		for range 3 {
 			unfinished = append(unfinished, s.postBody(testLimit, testLimit-1))
-			assert.LessOrEqual(t, s.bodies.Held(), int64(testCapacity))
+			assert.LessOrEqual(t, s.bodies.Held(), int64(capacity))
 		}
 		requireStatus(t, s.postBody(firstBuffer, firstBuffer), http.StatusOK)
 		assert.Empty(t, s.refusals)
@@ -134,7 +139,7 @@
 // wait for their memory without end.
 func TestBodyIsRefusedWhileOthersAreDecoded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startBodyServer(t)
+		s := startBodyServer(t, 3*decodedBytes)
 		var decoding []net.Conn
 		for range 3 {
 			decoding = append(decoding, s.postBody(testLimit, testLimit))
