Give request bodies a minimum pace

An unfinished body stayed for ever: nothing but the number of connections limited its time. The limit on connections brought a fixed 15 s, which a slow client with a large legal body could meet.

A body now has 15 s, and 1 s more for each 4,096 bytes that have arrived, 79 s for 262,144 bytes; the users' clients wait a few seconds for their answers and send up to 4,000 bytes. The deadline is that of the connection and moves at most once a second, so no request has a timer.

TestBodyMustKeepThePace fails without the deadline (it finds no answer).

--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -41,23 +41,23 @@
 		metrics: conns("metrics", l.ProbeConns), ready: conns("ready", l.ProbeConns),
 	}
 	registry.MustRegister(closed, collector)
-	limits.bodies = newBodies(l.BodyBytes, logger, registry)
+	limits.bodies = newBodies(l, logger, registry)
 	return limits
 }
 
 // newBodies returns a limit on the memory for request bodies that logs and counts
 // when it acts.
-func newBodies(capacity int64, logger *log.Logger, registry *prometheus.Registry) *httpserve.Bodies {
+func newBodies(l hostlimits.Limits, logger *log.Logger, registry *prometheus.Registry) *httpserve.Bodies {
 	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyhill_bodies_refused_total", Help: "Request bodies that were refused, by reason.",
 	}, []string{"reason"})
 	lines := map[httpserve.Refusal]*throttle{}
 	for _, reason := range httpserve.Refusals() {
 		lines[reason] = newThrottle(func(n int) {
-			logger.Warn("bodies refused", "why", string(reason), "refused", n, "memory", capacity)
+			logger.Warn("bodies refused", "why", string(reason), "refused", n, "memory", l.BodyBytes)
 		})
 	}
-	bodies := httpserve.NewBodies(capacity, func(reason httpserve.Refusal) {
+	bodies := httpserve.NewBodies(l.BodyBytes, httpserve.Pace{Grace: l.BodyGrace, BytesPerSecond: l.BodyBytesPerSecond}, func(reason httpserve.Refusal) {
 		refused.WithLabelValues(string(reason)).Inc()
 		lines[reason].add(time.Now())
 	})
--- a/internal/decide/hostlimits/hostlimits.go
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -2,7 +2,10 @@
 // memory and the descriptors of its machine.
 package hostlimits
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Machine describes what a process may use. Zero means that a value is unknown.
 type Machine struct {
@@ -19,6 +22,10 @@
 	BodyBytes int64
 	// JobTasks is the number of tasks of a job.
 	JobTasks int
+	// BodyGrace and BodyBytesPerSecond are the time for a request's body: the grace, and
+	// the time that its bytes take at the rate.
+	BodyGrace          time.Duration
+	BodyBytesPerSecond int64
 }
 
 // Limits bounds what clients may use of a host.
@@ -30,6 +37,9 @@
 	BodyBytes int64
 	// JobTasks is the largest number of tasks of a job.
 	JobTasks int
+	// BodyGrace and BodyBytesPerSecond bound the time for a request's body.
+	BodyGrace          time.Duration
+	BodyBytesPerSecond int64
 }
 
 const (
@@ -52,6 +62,11 @@
 	// waits, and of its offer.
 	jobMemoryPart, taskBytes = 32, 1 << 10
 	minJobTasks, maxJobTasks = 1024, 8192
+	// A body of 256 KB may take 79 s. Callers wait a few seconds for their answers.
+	bodyGrace          = 15 * time.Second
+	bodyBytesPerSecond = 4 << 10
+	// maxBodyGrace bounds the grace of an override.
+	maxBodyGrace = 10 * time.Minute
 )
 
 // For returns the limits of a machine. It returns an error if an override does not
@@ -67,6 +82,7 @@
 		return max(minConns, min(m.Descriptors/descriptorsPart, int(m.MemoryBytes/memoryPart/connBytes)))
 	}
 	l := Limits{
+		BodyGrace: bodyGrace, BodyBytesPerSecond: bodyBytesPerSecond,
 		CallerConns: conns(callerDescriptorsPart, callerMemoryPart),
 		PeerConns:   conns(peerDescriptorsPart, peerMemoryPart),
 		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
@@ -83,6 +99,18 @@
 		return Limits{}, fmt.Errorf("%d tasks of a job are not between 0 and %d, one for each %d bytes of memory",
 			o.JobTasks, m.MemoryBytes/taskBytes, taskBytes)
 	}
+	if o.BodyGrace < 0 || o.BodyGrace > maxBodyGrace {
+		return Limits{}, fmt.Errorf("time %v for a body is not between 0 and %v", o.BodyGrace, maxBodyGrace)
+	}
+	if o.BodyBytesPerSecond < 0 {
+		return Limits{}, fmt.Errorf("rate of %d bytes/s for a body is negative", o.BodyBytesPerSecond)
+	}
+	if o.BodyGrace > 0 {
+		l.BodyGrace = o.BodyGrace
+	}
+	if o.BodyBytesPerSecond > 0 {
+		l.BodyBytesPerSecond = o.BodyBytesPerSecond
+	}
 	if o.JobTasks > 0 {
 		l.JobTasks = o.JobTasks
 	}
--- a/internal/decide/hostlimits/hostlimits_test.go
+++ b/internal/decide/hostlimits/hostlimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -20,15 +21,19 @@
 	} {
 		l, err := For(c.machine, Override{})
 		require.NoError(t, err, name)
+		c.want.BodyGrace, c.want.BodyBytesPerSecond = 15*time.Second, 4096
 		assert.Equal(t, c.want, l, name)
 	}
 }
 
 func TestOverrides(t *testing.T) {
 	m := Machine{MemoryBytes: 96 << 20, Descriptors: 312}
-	l, err := For(m, Override{CallerConns: 200, BodyBytes: 1 << 20, JobTasks: 500})
+	l, err := For(m, Override{CallerConns: 200, BodyBytes: 1 << 20, JobTasks: 500, BodyGrace: time.Minute, BodyBytesPerSecond: 100})
 	require.NoError(t, err)
-	assert.Equal(t, Limits{CallerConns: 200, PeerConns: 78, ProbeConns: 9, BodyBytes: 1 << 20, JobTasks: 500}, l)
+	assert.Equal(t, Limits{
+		CallerConns: 200, PeerConns: 78, ProbeConns: 9, BodyBytes: 1 << 20, JobTasks: 500,
+		BodyGrace: time.Minute, BodyBytesPerSecond: 100,
+	}, l)
 	for _, n := range []int{-1, 312} {
 		_, err = For(m, Override{CallerConns: n})
 		require.ErrorContains(t, err, "connections of callers")
@@ -41,4 +46,10 @@
 		_, err = For(m, Override{JobTasks: n})
 		require.ErrorContains(t, err, "tasks of a job")
 	}
+	for _, d := range []time.Duration{-1, 10*time.Minute + 1} {
+		_, err = For(m, Override{BodyGrace: d})
+		require.ErrorContains(t, err, "for a body")
+	}
+	_, err = For(m, Override{BodyBytesPerSecond: -1})
+	require.ErrorContains(t, err, "is negative")
 }
--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,9 @@
 // much memory as they may. Its request has not run.
 var ErrNoMemory = errors.New("request bodies take as much memory as they may")
 
+// ErrTooSlow is the error of a body that arrives more slowly than it may.
+var ErrTooSlow = errors.New("the body arrives too slowly")
+
 // Refusal is why a body was refused.
 type Refusal string
 
@@ -41,6 +45,8 @@
 	// RefusedGivenUp means that the body had been unfinished longest when another one
 	// needed memory.
 	RefusedGivenUp Refusal = "given up"
+	// RefusedTooSlow means that the body arrived more slowly than it may.
+	RefusedTooSlow Refusal = "too slow"
 	// RefusedSteps means that the job in a body had too many steps.
 	RefusedSteps Refusal = "too many steps"
 	// RefusedTasks means that the job in a body had too many tasks.
@@ -49,14 +55,15 @@
 
 // Refusals returns all reasons.
 func Refusals() []Refusal {
-	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedSteps, RefusedTasks}
+	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedTooSlow, RefusedSteps, RefusedTasks}
 }
 
 // Bodies bounds the memory for request bodies from their first bytes until their
-// requests are answered. When it is used up, the bodies that have been unfinished longest are given up. It is
-// safe for concurrent use.
+// requests are answered, and the time to receive them. When the memory is used up, the
+// bodies that have been unfinished longest are given up. It is safe for concurrent use.
 type Bodies struct {
 	capacity int64
+	pace     Pace
 	memory   *semaphore.Weighted
 	held     atomic.Int64
 	// report is called for each body that is refused.
@@ -73,13 +80,20 @@
 	wanted, returning int64
 }
 
+// Pace is how fast a body must arrive: as a whole within Grace and the time that its
+// bytes take at BytesPerSecond. Zero means that it may take any time.
+type Pace struct {
+	Grace          time.Duration
+	BytesPerSecond int64
+}
+
 // NewBodies returns a bound in bytes; zero means no bound. It calls report for each
 // body that it refuses.
-func NewBodies(capacity int64, report func(Refusal)) *Bodies {
+func NewBodies(capacity int64, pace Pace, report func(Refusal)) *Bodies {
 	if capacity <= 0 {
 		capacity = math.MaxInt64
 	}
-	return &Bodies{capacity: capacity, memory: semaphore.NewWeighted(capacity), report: report, unfinished: list.New()}
+	return &Bodies{capacity: capacity, pace: pace, memory: semaphore.NewWeighted(capacity), report: report, unfinished: list.New()}
 }
 
 // Held returns the memory that bodies take, in bytes.
@@ -111,7 +125,8 @@
 
 // Read reads a request's body of at most limit bytes; zero means no limit of its own.
 // No body may take more than the memory for all when it is decoded. The error is a
-// *http.MaxBytesError if the body is larger, and ErrNoMemory if the body is refused.
+// *http.MaxBytesError if the body is larger, ErrNoMemory if the body is refused, and
+// ErrTooSlow if it has not arrived in time.
 // After an error the connection is closed once the request has been answered.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	if largest := b.capacity / decodedFactor; limit <= 0 || limit > largest {
@@ -121,7 +136,9 @@
 		stopReading(w)
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	read := &reading{bodies: b, stop: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) }}
+	read := &reading{bodies: b, control: http.NewResponseController(w), began: time.Now()}
+	read.stop = func() { read.setDeadline(time.Now()) }
+	read.extend(0)
 	data, err := read.all(r.Body, r.ContentLength, limit)
 	givenUp := b.end(read)
 	if givenUp {
@@ -131,8 +148,13 @@
 	if err == nil {
 		err = read.takeDecoded(data)
 	}
-	if errors.Is(err, ErrNoMemory) && !givenUp {
+	switch {
+	case givenUp:
+	case errors.Is(err, ErrNoMemory):
 		b.report(RefusedNoMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.report(RefusedTooSlow)
+		err = ErrTooSlow
 	}
 	if err != nil {
 		b.giveBack(read.held.Load())
@@ -154,8 +176,12 @@
 
 // reading is a body that is being read.
 type reading struct {
-	bodies *Bodies
-	held   atomic.Int64
+	bodies  *Bodies
+	control *http.ResponseController
+	began   time.Time
+	// extendAt is the number of bytes at which the deadline is extended.
+	extendAt int64
+	held     atomic.Int64
 	// element is the body's place among the unfinished ones, or nil while it holds no
 	// memory.
 	element *list.Element
@@ -201,6 +227,9 @@
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
+		if r.extendAt > 0 && int64(len(data)) >= r.extendAt && err == nil {
+			r.extend(int64(len(data)))
+		}
 		switch {
 		case int64(len(data)) > limit:
 			return nil, &http.MaxBytesError{Limit: limit}
@@ -212,6 +241,30 @@
 	}
 }
 
+// extend moves the deadline of the body to that for n bytes. The deadline is moved
+// once for each second that the bytes are worth.
+func (r *reading) extend(n int64) {
+	pace := r.bodies.pace
+	if pace.Grace <= 0 || pace.BytesPerSecond <= 0 {
+		return
+	}
+	r.extendAt = n + pace.BytesPerSecond
+	deadline := r.began.Add(pace.Grace + time.Duration(float64(n)/float64(pace.BytesPerSecond)*float64(time.Second)))
+	if r.element == nil {
+		r.setDeadline(deadline)
+		return
+	}
+	r.bodies.mu.Lock()
+	defer r.bodies.mu.Unlock()
+	if !r.givenUp {
+		r.setDeadline(deadline)
+	}
+}
+
+// setDeadline sets the time by which the connection has to deliver more bytes. An
+// error means that it is closed, which the next read reports.
+func (r *reading) setDeadline(t time.Time) { _ = r.control.SetReadDeadline(t) }
+
 // grow returns a larger buffer with the same data, but none larger than largest. The
 // memory of both is held until the data are copied.
 func (r *reading) grow(data []byte, largest int64) ([]byte, error) {
--- a/internal/httpserve/bodies_test.go
+++ b/internal/httpserve/bodies_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,10 +24,15 @@
 	decodedBytes = decodedFactor * testLimit
 )
 
+// testPace leaves testLimit bytes 20 s.
+var testPace = Pace{Grace: 12 * time.Second, BytesPerSecond: testLimit / 8}
+
 // bodyServer serves requests by reading their bodies.
 type bodyServer struct {
 	*limitedServer
-	bodies   *Bodies
+	bodies *Bodies
+	// refusals are the reported reasons, guarded by mu.
+	mu       sync.Mutex
 	refusals []Refusal
 	// decoding holds the requests whose bodies have been read until it is closed.
 	decoding chan struct{}
@@ -33,7 +40,11 @@
 
 func startBodyServer(t *testing.T, capacity int64) *bodyServer {
 	s := &bodyServer{decoding: make(chan struct{})}
-	s.bodies = NewBodies(capacity, func(r Refusal) { s.refusals = append(s.refusals, r) })
+	s.bodies = NewBodies(capacity, testPace, func(r Refusal) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refusals = append(s.refusals, r)
+	})
 	s.limitedServer = startLimited(t, 100, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := s.bodies.Read(w, r, testLimit)
 		var tooLarge *http.MaxBytesError
@@ -42,6 +53,8 @@
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 		case errors.Is(err, ErrNoMemory):
 			w.WriteHeader(http.StatusServiceUnavailable)
+		case errors.Is(err, ErrTooSlow):
+			w.WriteHeader(http.StatusRequestTimeout)
 		case err != nil:
 			w.WriteHeader(http.StatusBadRequest)
 		default:
@@ -56,6 +69,12 @@
 	return s
 }
 
+func (s *bodyServer) refused() []Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refusals)
+}
+
 // post sends a request with the given header field and a body of n bytes, as far as
 // the server reads it, and lets a second pass.
 func (s *bodyServer) post(field string, body string) net.Conn {
@@ -96,7 +115,7 @@
 			assert.Equal(t, fmt.Sprint(n), requireStatus(t, s.post("Transfer-Encoding: chunked", chunked), http.StatusOK))
 		}
 		assert.Zero(t, s.bodies.Held())
-		assert.Empty(t, s.refusals)
+		assert.Empty(t, s.refused())
 	})
 }
 
@@ -125,13 +144,13 @@
 			assert.LessOrEqual(t, s.bodies.Held(), int64(capacity))
 		}
 		requireStatus(t, s.postBody(firstBuffer, firstBuffer), http.StatusOK)
-		assert.Empty(t, s.refusals)
+		assert.Empty(t, s.refused())
 
 		requireStatus(t, s.postBody(testLimit, testLimit), http.StatusOK)
 		requireStatus(t, unfinished[0], http.StatusServiceUnavailable)
 		requireOpen(t, unfinished[1])
 		requireOpen(t, unfinished[2])
-		assert.Equal(t, []Refusal{RefusedGivenUp}, s.refusals)
+		assert.Equal(t, []Refusal{RefusedGivenUp}, s.refused())
 	})
 }
 
@@ -145,7 +164,7 @@
 			decoding = append(decoding, s.postBody(testLimit, testLimit))
 		}
 		requireStatus(t, s.postBody(testLimit, testLimit), http.StatusServiceUnavailable)
-		assert.Equal(t, []Refusal{RefusedNoMemory}, s.refusals)
+		assert.Equal(t, []Refusal{RefusedNoMemory}, s.refused())
 		close(s.decoding)
 		for _, client := range decoding {
 			requireStatus(t, client, http.StatusOK)
@@ -154,3 +173,34 @@
 		assert.Zero(t, s.bodies.Held())
 	})
 }
+
+// Guards against unfinished bodies that stay for ever, and against a time limit that a
+// slow client within the pace meets.
+func TestBodyMustKeepThePace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBodyServer(t, decodedBytes)
+		close(s.decoding)
+		stalled, dripping := s.postBody(testLimit, testLimit-1), s.postBody(testLimit, 1)
+		slow := s.postBody(testLimit, 0)
+		const piece = testLimit / 16
+		var drops sync.WaitGroup
+		drops.Go(func() {
+			for err := error(nil); err == nil; {
+				time.Sleep(time.Second)
+				_, err = io.WriteString(dripping, " ")
+			}
+		})
+		for sent := 0; sent < testLimit; sent += piece {
+			time.Sleep(time.Second)
+			_, err := io.WriteString(slow, strings.Repeat(" ", min(piece, testLimit-sent)))
+			require.NoError(t, err)
+		}
+		requireStatus(t, slow, http.StatusOK)
+		time.Sleep(testPace.Grace)
+		requireStatus(t, dripping, http.StatusRequestTimeout)
+		requireStatus(t, stalled, http.StatusRequestTimeout)
+		drops.Wait()
+		assert.Equal(t, []Refusal{RefusedTooSlow, RefusedTooSlow}, s.refused())
+		assert.Zero(t, s.bodies.Held())
+	})
+}
