Count unread bytes in the tests of crowds

The platform counts bytes that a process has received and not yet read as its memory, as a memory cgroup does. The tests now also sample the resident set and the unread bytes of the host's sockets together, under the same bound.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -32,6 +32,7 @@
 	largeBodies     = 300
 	manyConnections = 600
 	largeHeaders    = 2500
+	fullPort        = 1500
 	decodedBodies   = 40
 )
 
@@ -41,6 +42,7 @@
 	littleMemory   = limits{memoryMB: 96, maxFDs: 4100}
 	leastMemory    = limits{memoryMB: 64, maxFDs: 4100}
 	fewDescriptors = limits{memoryMB: 96, maxFDs: 512}
+	smallest       = limits{memoryMB: 144, maxFDs: 4100}
 )
 
 // pieces is what a client sends, one write each, before it stops.
@@ -220,6 +222,16 @@
 	h.requireServing()
 }
 
+// Guards against running out of memory by the bytes that a host of the smallest size
+// has received from more clients than it has connections, and has not read.
+func TestMoreReturningClientsThanConnectionsKeepMemoryBounded(t *testing.T) {
+	h := startHost(t, smallest)
+	openReturningCrowd(t, callersPort, fullPort, func(i int) pieces {
+		return pieces{data: unfinishedBody(i, maxBodyBytes, maxBodyBytes)}
+	})
+	h.requireServing()
+}
+
 // Guards against refusing a legal large body because unfinished ones hold all
 // memory for bodies.
 func TestLargeJobIsServedBesideUnfinishedBodies(t *testing.T) {
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -41,8 +41,10 @@
 	fileDescriptors = 200
 	// hangTimeout is how long anything may take before it counts as hanging.
 	hangTimeout = 30 * time.Second
-	// samplePeriod is the time between two counts of the descriptors.
+	// samplePeriod is the time between two samples of the process.
 	samplePeriod = 10 * time.Millisecond
+	// socketAddress begins the local addresses of the host's sockets in /proc/net/tcp.
+	socketAddress = "0109007F:"
 )
 
 // limits are the limits of the machine in a host's settings.
@@ -59,6 +61,8 @@
 
 	mu              sync.Mutex
 	peakDescriptors int
+	// peakUsed is the largest sum of the resident set and the unread bytes, in MB.
+	peakUsed float64
 }
 
 // daemonPath is the path of the daemon's binary.
@@ -124,7 +128,7 @@
 		defer close(h.ended)
 		_ = h.cmd.Wait()
 	}()
-	go h.sampleDescriptors()
+	go h.sampleUntilEnd()
 	t.Cleanup(func() {
 		h.stop()
 		_ = logFile.Close()
@@ -225,31 +229,56 @@
 		require.Fail(h.t, "the process has ended", "%v", h.cmd.ProcessState)
 	default:
 	}
-	memory, descriptors := h.peakMemoryMB(), h.maxDescriptors()
-	h.t.Logf("peak memory %.0f MB of %d, peak descriptors %d of %d",
-		memory, h.limits.memoryMB, descriptors, h.limits.maxFDs-fileDescriptors)
+	used, descriptors := h.sample()
+	memory, found := h.memoryMB("VmHWM:")
+	require.True(h.t, found, "no peak memory in the status of the process")
+	h.t.Logf("peak memory %.0f MB of %d, with unread bytes %.0f MB, peak descriptors %d of %d",
+		memory, h.limits.memoryMB, used, descriptors, h.limits.maxFDs-fileDescriptors)
 	require.Less(h.t, memory, float64(h.limits.memoryMB), "peak memory in MB")
+	// The platform counts bytes that have been received and not yet read.
+	require.Less(h.t, used, float64(h.limits.memoryMB), "peak memory with unread bytes in MB")
 	require.Less(h.t, descriptors, h.limits.maxFDs-fileDescriptors, "peak number of descriptors")
 }
 
-// peakMemoryMB returns the largest resident set of the process since its start.
-func (h *host) peakMemoryMB() float64 {
+// memoryMB returns a size from the status of the process, if there is one.
+func (h *host) memoryMB(name string) (float64, bool) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
-	require.NoError(h.t, err)
+	if err != nil {
+		return 0, false
+	}
 	for line := range strings.Lines(string(data)) {
-		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == name {
 			kb, err := strconv.ParseFloat(fields[1], 64)
-			require.NoError(h.t, err)
-			return kb / 1024
+			return kb / 1024, err == nil
+		}
+	}
+	return 0, false
+}
+
+// unreadMB returns the bytes that the host's sockets have received and that the
+// process has not read.
+func unreadMB() float64 {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	total := 0.0
+	for line := range strings.Lines(string(data)) {
+		const localAddress, state, queues, listening = 1, 3, 4, "0A"
+		fields := strings.Fields(line)
+		if len(fields) <= queues || !strings.HasPrefix(fields[localAddress], socketAddress) || fields[state] == listening {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		if n, err := strconv.ParseInt(received, 16, 64); err == nil {
+			total += float64(n)
 		}
 	}
-	require.Fail(h.t, "no peak memory in the status of the process")
-	return 0
+	return total / (1 << 20)
 }
 
-// sampleDescriptors keeps the largest number of open descriptors until the process
-// ends.
-func (h *host) sampleDescriptors() {
+// sampleUntilEnd samples the process until it ends.
+func (h *host) sampleUntilEnd() {
 	ticker := time.NewTicker(samplePeriod)
 	defer ticker.Stop()
 	for {
@@ -257,19 +286,24 @@
 		case <-h.ended:
 			return
 		case <-ticker.C:
-			h.maxDescriptors()
+			h.sample()
 		}
 	}
 }
 
-// maxDescriptors returns the largest number of open descriptors seen so far, with
-// the present one.
-func (h *host) maxDescriptors() int {
+// sample returns the largest memory with unread bytes, in MB, and the largest number
+// of open descriptors seen so far, with the present ones.
+func (h *host) sample() (used float64, descriptors int) {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.cmd.Process.Pid))
+	resident, found := h.memoryMB("VmRSS:")
+	unread := unreadMB()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
 		h.peakDescriptors = max(h.peakDescriptors, len(entries))
 	}
-	return h.peakDescriptors
+	if found {
+		h.peakUsed = max(h.peakUsed, resident+unread)
+	}
+	return h.peakUsed, h.peakDescriptors
 }
