--- a/internal/decide/coordinator/submissions_test.go
+++ b/internal/decide/coordinator/submissions_test.go
@@ -98,3 +98,18 @@
 		assert.Positive(t, withdrawn, "started: %v", started)
 	}
 }
+
+// A host that had stood still offered tasks of callers that had left meanwhile.
+func TestTasksAreOfferedOnceTheEndsOfCallersHaveBeenRead(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
+	owner := actionsOf[Offer](c.PopActions())[0].Host
+	thaw := epoch.Add(600 * time.Millisecond)
+	c.StoodStill(thaw)
+	report := outcome(0, offer.Returned, "w-"+owner, 1)
+	c.HandleOutcome(thaw, owner, report)
+	c.Tick(thaw.Add(SettleTime - time.Millisecond))
+	assert.Empty(t, actionsOf[Offer](c.PopActions()), "the caller may have left")
+	c.Tick(thaw.Add(SettleTime))
+	assert.Len(t, actionsOf[Offer](c.PopActions()), 1)
+}
--- a/internal/decide/workerpool/leases_test.go
+++ b/internal/decide/workerpool/leases_test.go
@@ -76,3 +76,45 @@
 		}
 	}
 }
+
+// A task of a host that had not been heard for a while started with a full lease, which
+// outlived the return of its caller.
+func TestStartIsLeasedFromTheLastSignOfItsHost(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	p.HostHeard(jobHost, epoch)
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	now := epoch.Add(p.MaxHostSilence() - 10*time.Millisecond)
+	starts := actionsOf[Start](p.PopActions(now))
+	require.Len(t, starts, 1)
+	assert.LessOrEqual(t, starts[0].LeaseUntil-time.Minute, testLease)
+}
+
+// The lease of a healthy run must not have a gap while its host sends a frame now and then.
+func TestLeaseHasNoGapWhileTheHostIsHeard(t *testing.T) {
+	for _, interval := range []time.Duration{260, 400, 500, 700} {
+		interval *= time.Millisecond
+		p, run := poolWithRun(t, false)
+		lease, gaps := testLease, 0
+		for at := time.Duration(0); at <= 6*time.Second; at += 20 * time.Millisecond {
+			if at%interval == 0 {
+				p.HostHeard(jobHost, epoch.Add(at))
+			}
+			lease = max(lease, leasesGranted(p, run, at, at, nil))
+			if lease <= at {
+				gaps++
+			}
+		}
+		assert.Zero(t, gaps, "a frame each %v", interval)
+	}
+}
+
+// An owner that noticed the silence of a driver late, after a standstill, held its runs
+// from then on.
+func TestHoldForASilentDriverCountsFromItsLastSign(t *testing.T) {
+	p, run := poolWithRun(t, true)
+	hold := p.cfg.HostTimeout + p.cfg.SilentHostHold
+	lost := hold - 60*time.Millisecond
+	leasesGranted(p, run, 0, lost-20*time.Millisecond, nil)
+	p.HostLost(epoch.Add(lost), jobHost)
+	assert.LessOrEqual(t, leasesGranted(p, run, lost, 3*time.Second, nil), hold+p.cfg.RenewBefore)
+}
