Stand-in worker: a lease is taken when the call arrives, and never shortened

PROTOCOL.md says of until_ms that it never shortens; the stand-in replaced the lease by each shorter one, and took that of a poll that waits only after the wait.

--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -48,6 +48,7 @@
 	ended      [][]any
 	seq        int64
 	changed    chan struct{}
+	leaseUntil time.Time
 	leaseTimer *time.Timer
 	// started counts the starts of each task.
 	started         map[string]int
@@ -160,6 +161,7 @@
 	}
 	startTime := w.StartTimeMs()
 	if r.URL.Path == "/-/hold" && req.WaitMs > 0 {
+		w.takeLease(req)
 		w.waitForEnd(r, req)
 	}
 	if w.StartTimeMs() != startTime {
@@ -193,6 +195,16 @@
 	}
 }
 
+// takeLease renews the lease for a call that waits for an end, at its arrival.
+func (w *Worker) takeLease(req request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clock := int64(float64(time.Since(w.startTime).Milliseconds()) * w.clockRate)
+	if req.Fence >= w.fence && req.UntilMs > clock {
+		w.renew(time.Duration(min(req.UntilMs-clock, 1000)) * time.Millisecond)
+	}
+}
+
 func (w *Worker) execute(path string, req request) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -252,6 +264,11 @@
 // renew restarts the lease that covers all runs: they end after d unless it is
 // renewed again.
 func (w *Worker) renew(d time.Duration) {
+	until := time.Now().Add(d)
+	if until.Before(w.leaseUntil) && len(w.running) > 0 {
+		return
+	}
+	w.leaseUntil = until
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
