Send a host's presence apart from the time of its frames

After the stamp of a frame was the time up to which its sender knows its callers, and the receiver derived the delay of the stream from it: after some seconds of a constant lag, stale frames counted as fresh (423 ms too late). It also shortened the leases of stored runs, which ask for the driver alone: runs were stopped after a standstill of 450 ms of their driver, which TestRunOutlivesAStandstillOfItsDriver does not allow.

Frames carry both times now. The stamp gives the delay and the last sign of a driver; the presence bounds best-effort runs.

Found by the review; TestLagOfAStampIsNotTakenForTheDelayOfTheStream and the cases of 450 ms of TestRunOutlivesAStandstillOfItsDriver failed before.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -258,7 +258,7 @@
 
 var errNoHello = errors.New("first frame of the stream has no hello")
 
-// stamp returns the stamp of a frame of a host that is present at the given time.
+// stamp returns a time as it is sent in frames.
 func (p *peers) stamp(at time.Time) int64 { return max(1, at.Sub(p.createdAt).Milliseconds()) }
 
 // serve exchanges frames until the stream ends or ctx is done. The peer has sent its first
@@ -378,7 +378,9 @@
 	if p.links[l.host.Name] != l {
 		return
 	}
-	p.dispatcher.core.HostHeard(l.host.Name, l.sentAt(now, f))
+	sentAt := l.sentAt(now, f)
+	p.dispatcher.core.HostHeard(l.host.Name, sentAt)
+	p.dispatcher.core.HostPresent(l.host.Name, sentAt.Add(-presenceLag(f)))
 	l.lastContact = now
 	p.dispatcher.load.framesIn++
 	p.dispatcher.load.offersIn += len(f.GetOffers())
@@ -411,6 +413,15 @@
 	return l.clock.SentAt(now, stampOf(f))
 }
 
+// presenceLag returns by how much the time up to which the sender knows its callers was
+// behind when the frame was sent.
+func presenceLag(f *dispatchv1.Frame) time.Duration {
+	if f.GetPresentMs() == 0 {
+		return 0
+	}
+	return max(0, time.Duration(f.GetSentMs()-f.GetPresentMs())*time.Millisecond)
+}
+
 func stampOf(f *dispatchv1.Frame) time.Duration {
 	return time.Duration(f.GetSentMs()) * time.Millisecond
 }
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -74,18 +74,21 @@
 			}
 			p.addReport(now, l)
 		}
-		l.stamp(p.stamp(p.dispatcher.core.PresentAt(now)))
+		l.stamp(p.stamp(now), p.stamp(p.dispatcher.core.PresentAt(now)))
 		p.dispatcher.load.framesOut++
 		wake(l.wake)
 	}
 }
 
-// stamp sets the stamp of the next frame. While an earlier one cannot be sent, messages
-// are added to it, and it gets the stamp of the last of them.
-func (l *link) stamp(stamp int64) {
+// stamp sets the stamps of the next frame. While an earlier one cannot be sent, messages
+// are added to it, and it gets the stamps of the last of them.
+func (l *link) stamp(sent, present int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending.SentMs = stamp
+	l.pending.SentMs, l.pending.PresentMs = sent, 0
+	if present != sent {
+		l.pending.PresentMs = present
+	}
 }
 
 // updateReport computes this host's report, unless it was computed less than
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -211,7 +211,8 @@
 // capacity.
 func (c *Core) Tick(now time.Time) {
 	c.presentAt = c.PresentAt(now)
-	c.Pool.HostHeard(c.cfg.Name, c.presentAt)
+	c.Pool.HostHeard(c.cfg.Name, now)
+	c.Pool.HostPresent(c.cfg.Name, c.presentAt)
 	c.Ledger.Tick(now)
 	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
@@ -260,6 +261,10 @@
 // which it sent what was received.
 func (c *Core) HostHeard(host string, at time.Time) { c.Pool.HostHeard(host, at) }
 
+// HostPresent records the time up to which another host knows which of its callers have
+// left.
+func (c *Core) HostPresent(host string, at time.Time) { c.Pool.HostPresent(host, at) }
+
 // maxReportAge bounds the age of the coordinator's view of the host's own workers
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
--- a/internal/decide/host/streams_test.go
+++ b/internal/decide/host/streams_test.go
@@ -121,7 +121,7 @@
 	if l == nil {
 		return false
 	}
-	s, presentAt := l.stream, from.core.PresentAt(w.now)
+	s, sentAt, presentAt := l.stream, w.now, from.core.PresentAt(w.now)
 	if !to.up || !w.linked(from.name, to.name) {
 		s.broken[from] = true
 		return true
@@ -137,7 +137,8 @@
 			return
 		}
 		l.heardAt = w.now
-		to.core.HostHeard(from.name, presentAt)
+		to.core.HostHeard(from.name, sentAt)
+		to.core.HostPresent(from.name, presentAt)
 		do()
 	}))
 	return true
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -262,8 +262,9 @@
 	// endedUnclaimed holds the runs that ended without a result while no host waited for
 	// them, with the time at which their end was read.
 	endedUnclaimed map[fleet.RunID]time.Time
-	// heard holds when other hosts were last known to be there.
-	heard map[string]time.Time
+	// heard holds when other hosts were last known to be there, and present up to when
+	// they know which of their callers have left.
+	heard, present map[string]time.Time
 	// scheduledAt is when the queue was last looked through, and considered counts the
 	// workers that were considered for waiting tasks.
 	scheduledAt time.Time
@@ -275,7 +276,7 @@
 	if cfg.Evacuations == nil {
 		cfg.Evacuations = &evacuation.Set{}
 	}
-	return &Pool{cfg: cfg, workers: map[string]*worker{}, endedUnclaimed: map[fleet.RunID]time.Time{}, heard: map[string]time.Time{}}
+	return &Pool{cfg: cfg, workers: map[string]*worker{}, endedUnclaimed: map[fleet.RunID]time.Time{}, heard: map[string]time.Time{}, present: map[string]time.Time{}}
 }
 
 // PopActions starts the tasks that fit, and returns and clears the pending
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -45,6 +45,22 @@
 	return now
 }
 
+// HostPresent records the time up to which a host knows which of its callers have left. It
+// may be earlier than the last sign of the host, after a standstill.
+func (p *Pool) HostPresent(host string, at time.Time) {
+	if at.After(p.present[host]) {
+		p.present[host] = at
+	}
+}
+
+// lastPresent returns up to when a host is known to need the runs of its best-effort jobs.
+func (p *Pool) lastPresent(now time.Time, host string) time.Time {
+	if at, ok := p.present[host]; ok {
+		return at
+	}
+	return p.lastHeard(now, host)
+}
+
 // neededUntil returns the time up to which a run may be leased.
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
@@ -56,7 +72,7 @@
 	case r.stored && r.task != nil:
 		return p.heldUntil(now, r.task.Host).Add(p.cfg.RenewBefore)
 	case r.task != nil:
-		return p.lastHeard(now, r.task.Host).Add(p.cfg.MaxLease)
+		return p.lastPresent(now, r.task.Host).Add(p.cfg.MaxLease)
 	case r.neededAt.IsZero():
 		// The run was found, and no host is known to need it.
 		return now
--- a/internal/decide/workerpool/withdraw.go
+++ b/internal/decide/workerpool/withdraw.go
@@ -33,6 +33,7 @@
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return q.Host == host })
 	defer delete(p.heard, host)
+	defer delete(p.present, host)
 	p.stopRuns(now, StopHostLost, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
 }
 
@@ -47,7 +48,7 @@
 	for _, w := range p.order {
 		for _, r := range w.sortedRuns() {
 			if r.task != nil && match(r) {
-				r.task, r.neededAt = nil, p.lastHeard(now, r.task.Host)
+				r.task, r.neededAt = nil, p.lastPresent(now, r.task.Host)
 				p.stop(now, w, r, why)
 			}
 		}
