Let a host settle by the time that it was awake

Two standstills in a row brought two runs of a task at once back: a host that ran for 5 ms in between counted as having read the ends of its callers' connections at the first thaw, to exempt hosts whose rounds take long. With 400 and 300 ms and lost stops a lease ended 1.4 s after the caller had left.

A host settles once it has been awake for 0.1 s in all since a standstill. A long round of the event loop is no standstill any more, unless it takes half a second: the loop works then, and connections are read beside it.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastTick := time.Now()
-	lastRound := lastTick
+	var former round
 	for {
 		var began time.Time
 		select {
@@ -205,7 +205,7 @@
 			return ctx.Err()
 		case event := <-d.events:
 			began = time.Now()
-			d.reportStandstill(began, began.Sub(lastRound))
+			d.reportStandstill(began, former.idleUntil(began))
 			event(began)
 			d.load.events++
 			// Goroutines that are ready to post an event do so first: each round has a
@@ -215,7 +215,7 @@
 		case <-ticker.C:
 			now := time.Now()
 			began = now
-			d.reportStandstill(now, now.Sub(lastRound))
+			d.reportStandstill(now, former.idleUntil(now))
 			// The time in the channel is that of the delivery, which is late as well
 			// while the process does not run.
 			late := now.Sub(lastTick) - tickInterval
@@ -230,8 +230,8 @@
 			d.reportLoad(now)
 		}
 		d.executeActions(ctx, time.Now())
-		lastRound = began
-		d.load.round(time.Since(began))
+		former = round{began: began, ended: time.Now()}
+		d.load.round(former.ended.Sub(began))
 	}
 }
 
--- a/internal/daemon/dispatch/load.go
+++ b/internal/daemon/dispatch/load.go
@@ -60,6 +60,24 @@
 	*s = loadSample{since: now, processor: processor, gcCycles: cycles}
 }
 
+// longRound is how long no round of the event loop takes unless the process stood still
+// during it.
+const longRound = 500 * time.Millisecond
+
+// round is a round of the event loop.
+type round struct{ began, ended time.Time }
+
+// idleUntil returns how long the loop did nothing before a new round.
+func (r round) idleUntil(now time.Time) time.Duration {
+	switch {
+	case r.ended.IsZero():
+		return 0
+	case r.ended.Sub(r.began) >= longRound:
+		return now.Sub(r.began)
+	}
+	return now.Sub(r.ended)
+}
+
 // longStandstill is the time between two rounds of the event loop from which on it is
 // logged. Ticks make a round each tickInterval.
 const longStandstill = 200 * time.Millisecond
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -138,10 +138,12 @@
 	actions []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
-	// settledAt is the time from which on this host has read what was sent to it while it
-	// stood still, resumedAt the end of that standstill, and presentAt when the host was
-	// last settled.
-	settledAt, resumedAt, presentAt time.Time
+	// unsettled is set from the end of a standstill, at resumedAt, until this host has read
+	// what was sent to it meanwhile. Awake is how long the host has run since, without
+	// further standstills, up to resumedAt. PresentAt is when the host was last settled.
+	unsettled            bool
+	awake                time.Duration
+	resumedAt, presentAt time.Time
 }
 
 // New returns a host that owns no workers and drives no jobs.
@@ -210,9 +212,9 @@
 // and expirations. It also returns queued tasks for which other hosts have free
 // capacity.
 func (c *Core) Tick(now time.Time) {
-	c.presentAt = c.PresentAt(now)
+	c.settle(now)
 	c.Pool.HostHeard(c.cfg.Name, now)
-	c.Pool.HostPresent(c.cfg.Name, c.presentAt)
+	c.Pool.HostPresent(c.cfg.Name, c.PresentAt(now))
 	c.Ledger.Tick(now)
 	c.Ledger.Handovers(now, c.Coordinator.StoredRuns)
 	c.applyLedger(now)
@@ -236,22 +238,30 @@
 	if lasted < minStandstill {
 		return
 	}
-	c.presentAt = c.PresentAt(now.Add(-lasted))
-	if c.presentAt.Before(c.resumedAt) {
-		// A host whose rounds take long stands still again and again, and reads in between.
-		c.presentAt = c.resumedAt
+	began := now.Add(-lasted)
+	c.settle(began)
+	if !c.unsettled {
+		c.unsettled, c.awake, c.presentAt = true, 0, began
+	} else {
+		c.awake += began.Sub(c.resumedAt)
 	}
-	c.resumedAt, c.settledAt = now, now.Add(coordinator.SettleTime)
+	c.resumedAt = now
 	if lasted >= c.Pool.MaxHostSilence() {
 		c.Coordinator.StoodStill(now)
 	}
 }
 
+// settle ends the time after a standstill in which this host reads what was sent to it. A
+// host that stands still again and again needs as much time awake in all.
+func (c *Core) settle(now time.Time) {
+	c.unsettled = c.unsettled && c.awake+now.Sub(c.resumedAt) < coordinator.SettleTime
+}
+
 // PresentAt returns the last time up to which this host knows which of its callers have
 // left: now, unless it stood still a moment ago. Other hosts lease the runs of its jobs by
 // this time.
 func (c *Core) PresentAt(now time.Time) time.Time {
-	if now.Before(c.settledAt) {
+	if c.unsettled && c.awake+now.Sub(c.resumedAt) < coordinator.SettleTime {
 		return c.presentAt
 	}
 	return now
