Tell other hosts at once when a host has settled after a standstill

Healthy runs lapsed after a standstill that ended no stream: their host counted as present again 0.1 s after it, but said so only with its next heartbeat. With 0.7 s the runs of its jobs lapsed, and others on the same workers.

Every stream gets a frame when the host has settled.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -61,6 +61,9 @@
 	capacity versionedReport
 	// createdAt is where the stamps of this host's frames begin.
 	createdAt time.Time
+	// unsettled is set while this host has stood still and other hosts have not been told
+	// that it has settled.
+	unsettled bool
 }
 
 // dialer keeps a stream to a host. Its fields are guarded by peers.mu.
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -38,8 +38,12 @@
 // empty heartbeat to those that were sent nothing for topology.HeartbeatInterval.
 func (p *peers) report(now time.Time) {
 	updated := false
+	// The runs of this host's jobs are leased by what it says of its presence.
+	wasUnsettled := p.unsettled
+	p.unsettled = p.dispatcher.core.PresentAt(now).Before(now)
+	settled := wasUnsettled && !p.unsettled
 	for _, l := range p.links {
-		l.dirty = l.dirty || l.deferred
+		l.dirty = l.dirty || l.deferred || settled
 		interval := topology.ReportInterval(len(p.links), l.host.Zone == p.self.Zone)
 		if p.dispatcher.core.Flow.Saturated() {
 			interval = topology.HeartbeatInterval
