Bound the bytes that a port has received and not read

The platform counts unread bytes as memory of the process. While bodies wait for memory, or connections wait to be accepted, the operating system keeps up to megabytes for each, and up to 4,096 connections of a port wait.

The ports for callers, readiness probes and metrics now have receive buffers of 16 KB and a backlog that follows memory_mb. Both are set once, on the listener; if the operating system refuses, the port serves without them and a line says so. A job of 4,000 bytes fits into one buffer.

--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -186,10 +186,14 @@
 
 // ready reports whether the host's readiness check succeeds.
 func (h *host) ready() bool {
-	status, _, err := do(http.MethodGet, net.JoinHostPort(hostIP, readyPort), "/-/readiness", nil)
+	status, _, err := h.probe()
 	return err == nil && status == http.StatusOK
 }
 
+func (h *host) probe() (int, string, error) {
+	return do(http.MethodGet, net.JoinHostPort(hostIP, readyPort), "/-/readiness", nil)
+}
+
 // jobBody returns the body of a best-effort job of one task, padded to a size in
 // bytes.
 func jobBody(size int) []byte {
@@ -216,7 +220,9 @@
 	h.t.Helper()
 	h.requireWithinLimits()
 	h.requireJob(bytes.NewReader(jobBody(0)))
-	require.True(h.t, h.ready(), "the readiness probe fails")
+	status, reply, err := h.probe()
+	require.NoError(h.t, err, "readiness probe")
+	require.Equal(h.t, http.StatusOK, status, "readiness probe: %s", reply)
 	h.requireWithinLimits()
 }
 
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -176,11 +176,11 @@
 		{Name: "announcement", Run: d.announce},
 		{Name: "membership", Run: d.runMemberships},
 		{Name: "peers", Run: d.peers.run},
-		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), d.limits.peers, true, closeTimeout}), Restart: supervise.Never},
-		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), d.limits.metrics, false, closeTimeout})},
-		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), d.limits.ready, false, closeTimeout}), Restart: supervise.Never},
+		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), d.limits.peers, nil, true, closeTimeout}), Restart: supervise.Never},
+		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), d.limits.metrics, d.limits.unread, false, closeTimeout})},
+		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), d.limits.ready, d.limits.unread, false, closeTimeout}), Restart: supervise.Never},
 		{Name: "callers port", Run: d.serve(port{
-			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies, MaxTasks: d.settings.Limits.JobTasks}, d.limits.callers, false, d.settings.Grace - stopAccepting - stopMargin,
+			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies, MaxTasks: d.settings.Limits.JobTasks}, d.limits.callers, d.limits.unread, false, d.settings.Grace - stopAccepting - stopMargin,
 		}), Restart: supervise.Never},
 	}
 }
--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -15,6 +15,8 @@
 type clientLimits struct {
 	callers, peers, metrics, ready *httpserve.Conns
 	bodies                         *httpserve.Bodies
+	// unread applies to each port but that of the other hosts, whose frames are large.
+	unread *httpserve.Unread
 }
 
 // newClientLimits returns limits that log and count when they act.
@@ -41,6 +43,9 @@
 		metrics: conns("metrics", l.ProbeConns), ready: conns("ready", l.ProbeConns),
 	}
 	registry.MustRegister(closed, collector)
+	if l.Backlog > 0 {
+		limits.unread = &httpserve.Unread{Bytes: hostlimits.UnreadBytes, Backlog: l.Backlog}
+	}
 	limits.bodies = newBodies(l, logger, registry)
 	return limits
 }
--- a/internal/daemon/dispatch/serve.go
+++ b/internal/daemon/dispatch/serve.go
@@ -18,6 +18,8 @@
 	handler http.Handler
 	// conns limits the open connections.
 	conns *httpserve.Conns
+	// unread bounds unread bytes; nil leaves them to the operating system.
+	unread *httpserve.Unread
 	// allowH2C allows HTTP/2 without TLS, which the streams between hosts use.
 	allowH2C bool
 	// drainTimeout is how long requests in flight may take once the port closes.
@@ -31,6 +33,11 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", p.address, err)
 		}
+		if p.unread != nil {
+			if err := p.unread.Apply(listener); err != nil {
+				d.logger.Warn("unread bytes are not limited", "error", err)
+			}
+		}
 		server := &http.Server{
 			Handler: p.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		}
--- a/internal/decide/hostlimits/hostlimits.go
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -33,6 +33,8 @@
 	// CallerConns, PeerConns and ProbeConns are the numbers of open connections of
 	// callers, of other hosts, and of each port for readiness probes and metrics.
 	CallerConns, PeerConns, ProbeConns int
+	// Backlog is the number of connections of a port that have not been accepted.
+	Backlog int
 	// BodyBytes is the memory that request bodies of callers may take together.
 	BodyBytes int64
 	// JobTasks is the largest number of tasks of a job.
@@ -42,6 +44,10 @@
 	BodyBytesPerSecond int64
 }
 
+// UnreadBytes is the size in bytes of the buffer in which the operating system keeps
+// what a connection has received. It holds a header of the largest size.
+const UnreadBytes = 16 << 10
+
 const (
 	// defaultMemory and defaultDescriptors stand for unknown values of a machine.
 	defaultMemory      = 256 << 20
@@ -56,6 +62,8 @@
 	probeDescriptorsPart                    = 32
 	maxProbeConns                           = 32
 	minConns                                = 8
+	// Connections that have not been accepted get a thirty-second of the memory.
+	backlogMemoryPart, minBacklog = 32, 64
 	// Bodies get an eighth of the memory. An override may give them at most half.
 	bodyMemoryPart, maxBodyMemoryPart = 8, 2
 	// A job gets a thirty-second of the memory. taskBytes is the memory of a task that
@@ -85,6 +93,7 @@
 		BodyGrace: bodyGrace, BodyBytesPerSecond: bodyBytesPerSecond,
 		CallerConns: conns(callerDescriptorsPart, callerMemoryPart),
 		PeerConns:   conns(peerDescriptorsPart, peerMemoryPart),
+		Backlog:     max(minBacklog, int(m.MemoryBytes/backlogMemoryPart/UnreadBytes)),
 		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
 		BodyBytes:   m.MemoryBytes / bodyMemoryPart,
 		JobTasks:    max(minJobTasks, min(maxJobTasks, int(m.MemoryBytes/jobMemoryPart/taskBytes))),
--- a/internal/decide/hostlimits/hostlimits_test.go
+++ b/internal/decide/hostlimits/hostlimits_test.go
@@ -14,10 +14,10 @@
 		machine Machine
 		want    Limits
 	}{
-		"few descriptors": {Machine{96 << 20, 312}, Limits{CallerConns: 156, PeerConns: 78, ProbeConns: 9, BodyBytes: 12 << 20, JobTasks: 3072}},
-		"little memory":   {Machine{64 << 20, 3900}, Limits{CallerConns: 256, PeerConns: 128, ProbeConns: 32, BodyBytes: 8 << 20, JobTasks: 2048}},
-		"unknown":         {Machine{}, Limits{CallerConns: 512, PeerConns: 256, ProbeConns: 32, BodyBytes: 32 << 20, JobTasks: 8192}},
-		"hardly any":      {Machine{1 << 20, 20}, Limits{CallerConns: 8, PeerConns: 8, ProbeConns: 8, BodyBytes: 128 << 10, JobTasks: 1024}},
+		"few descriptors": {Machine{96 << 20, 312}, Limits{CallerConns: 156, PeerConns: 78, ProbeConns: 9, Backlog: 192, BodyBytes: 12 << 20, JobTasks: 3072}},
+		"little memory":   {Machine{64 << 20, 3900}, Limits{CallerConns: 256, PeerConns: 128, ProbeConns: 32, Backlog: 128, BodyBytes: 8 << 20, JobTasks: 2048}},
+		"unknown":         {Machine{}, Limits{CallerConns: 512, PeerConns: 256, ProbeConns: 32, Backlog: 512, BodyBytes: 32 << 20, JobTasks: 8192}},
+		"hardly any":      {Machine{1 << 20, 20}, Limits{CallerConns: 8, PeerConns: 8, ProbeConns: 8, Backlog: 64, BodyBytes: 128 << 10, JobTasks: 1024}},
 	} {
 		l, err := For(c.machine, Override{})
 		require.NoError(t, err, name)
@@ -31,7 +31,7 @@
 	l, err := For(m, Override{CallerConns: 200, BodyBytes: 1 << 20, JobTasks: 500, BodyGrace: time.Minute, BodyBytesPerSecond: 100})
 	require.NoError(t, err)
 	assert.Equal(t, Limits{
-		CallerConns: 200, PeerConns: 78, ProbeConns: 9, BodyBytes: 1 << 20, JobTasks: 500,
+		CallerConns: 200, PeerConns: 78, ProbeConns: 9, Backlog: 192, BodyBytes: 1 << 20, JobTasks: 500,
 		BodyGrace: time.Minute, BodyBytesPerSecond: 100,
 	}, l)
 	for _, n := range []int{-1, 312} {
