--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -150,6 +150,9 @@
 // Run serves until ctx is done, then stops gracefully.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.logger.Info("host starts", "host", d.self.Name, "zone", d.self.Zone, "incarnation", d.self.Incarnation)
+	l := d.settings.Limits
+	d.logger.Info("limits on clients", "caller_connections", l.CallerConns, "peer_connections", l.PeerConns, "probe_connections", l.ProbeConns,
+		"backlog", l.Backlog, "body_bytes", l.BodyBytes, "body_grace", l.BodyGrace, "body_bytes_per_second", l.BodyBytesPerSecond, "job_tasks", l.JobTasks)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() {
@@ -176,15 +179,28 @@
 		{Name: "announcement", Run: d.announce},
 		{Name: "membership", Run: d.runMemberships},
 		{Name: "peers", Run: d.peers.run},
-		{Name: "peers port", Run: d.serve(port{d.settings.PeersAddress, d.peerRoutes(), d.limits.peers, nil, true, closeTimeout}), Restart: supervise.Never},
-		{Name: "metrics port", Run: d.serve(port{d.settings.MetricsAddress, d.metrics.handler(), d.limits.metrics, d.limits.unread, false, closeTimeout})},
-		{Name: "ready port", Run: d.serve(port{d.settings.ReadyAddress, platform.ReadyHandler(d), d.limits.ready, d.limits.unread, false, closeTimeout}), Restart: supervise.Never},
+		{Name: "peers port", Run: d.serve(port{
+			address: d.settings.PeersAddress, handler: d.peerRoutes(), conns: d.limits.peers, allowH2C: true, drainTimeout: closeTimeout,
+		}), Restart: supervise.Never},
+		{Name: "metrics port", Run: d.serve(port{
+			address: d.settings.MetricsAddress, handler: d.metrics.handler(), conns: d.limits.metrics, unread: d.limits.unread,
+			drainTimeout: closeTimeout,
+		})},
+		{Name: "ready port", Run: d.serve(port{
+			address: d.settings.ReadyAddress, handler: platform.ReadyHandler(d), conns: d.limits.ready, unread: d.limits.unread,
+			drainTimeout: closeTimeout,
+		}), Restart: supervise.Never},
 		{Name: "callers port", Run: d.serve(port{
-			d.settings.CallersAddress, platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies, MaxTasks: d.settings.Limits.JobTasks}, d.limits.callers, d.limits.unread, false, d.settings.Grace - stopAccepting - stopMargin,
+			address: d.settings.CallersAddress, handler: d.callerHandler(), conns: d.limits.callers, unread: d.limits.unread,
+			drainTimeout: d.settings.Grace - stopAccepting - stopMargin,
 		}), Restart: supervise.Never},
 	}
 }
 
+func (d *Dispatcher) callerHandler() http.Handler {
+	return platform.CallerHandler{Dispatcher: d, Bodies: d.limits.bodies, MaxTasks: d.settings.Limits.JobTasks}
+}
+
 func (d *Dispatcher) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(dispatchv1connect.NewDispatchServiceHandler(d.peers, connect.WithCompression(gzipName, nil, nil)))
