--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/connlimit"
 	"github.com/parsleyhill/parsleyhill/internal/standin/memnet"
 )
 
@@ -30,7 +31,9 @@
 func startLimited(t *testing.T, limit int, handler http.Handler) *limitedServer {
 	s := &limitedServer{t: t, network: memnet.New()}
 	s.conns = NewConns(limit, func() { s.closed++ })
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
 	listener := s.conns.Limit(server, s.network.Listen(testAddress))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -132,6 +135,66 @@
 	})
 }
 
+// Guards against losing streams of other hosts, which use HTTP/2, and against keeping
+// their connections once the streams have ended.
+func TestFullPortKeepsHTTP2Streams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimited(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Established(r.Context())
+			control := http.NewResponseController(w)
+			_ = control.Flush()
+			for frame := make([]byte, len("frame")); ; {
+				if _, err := io.ReadFull(r.Body, frame); err != nil {
+					return
+				}
+				_, _ = w.Write(frame)
+				_ = control.Flush()
+			}
+		}))
+		transport := &http.Transport{DialContext: s.network.Dial, Protocols: new(http.Protocols)}
+		transport.Protocols.SetUnencryptedHTTP2(true)
+		defer transport.CloseIdleConnections()
+		body, sent := io.Pipe()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+testAddress, body)
+		require.NoError(t, err)
+		resp, err := transport.RoundTrip(req)
+		require.NoError(t, err)
+		require.Equal(t, 2, resp.ProtoMajor)
+		for range 3 {
+			s.dial("")
+		}
+		assert.Equal(t, 2, s.closed)
+		_, err = io.WriteString(sent, "frame")
+		require.NoError(t, err)
+		frame := make([]byte, len("frame"))
+		_, err = io.ReadFull(resp.Body, frame)
+		require.NoError(t, err)
+		assert.Equal(t, "frame", string(frame))
+
+		require.NoError(t, sent.Close())
+		require.NoError(t, resp.Body.Close())
+		for range 2 {
+			s.dial("")
+		}
+		client, err := s.network.Dial(t.Context(), "mem", testAddress)
+		require.NoError(t, err)
+		assert.NoError(t, client.Close())
+		assert.Equal(t, 4, s.closed)
+		assert.NotContains(t, phases(s.conns), connlimit.Serving)
+	})
+}
+
+// phases returns the phases of all open connections.
+func phases(c *Conns) []connlimit.Phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []connlimit.Phase
+	for conn := range c.open {
+		all = append(all, connlimit.Phase(conn.phase.Load()))
+	}
+	return all
+}
+
 // Guards against an answer that its client never reads and that holds its connection
 // while the port is full.
 func TestFullPortClosesUnreadAnswers(t *testing.T) {
