Set stored jobs aside that no host can carry

A stored job that an older version accepted, with more tasks than the limits allow now, was driven by every host that took over its shard: each task became an object, so that the job ended one host after the other.

Its driver now closes it as failed, with a log line, a metric and a reason that the answer to a GET carries and the log keeps. Hosts that only read the log show what it says. The limit on what is driven is the same for all hosts (1,024 steps, and the 8,192 tasks that are the largest default at the front), because any host may have to drive a job that a larger one has accepted.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -82,6 +82,8 @@
 		d.nearDecision("job_host", a.Report)
 	case ledger.JobEnded:
 		d.jobEnded(a)
+	case ledger.JobSetAside:
+		d.jobSetAside(a)
 	case ledger.UnknownCancelled:
 		if d.cancelBestEffort(now, a.Job) {
 			d.logger.Info("job cancelled at another host", "job", a.Job)
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -380,20 +380,20 @@
 }
 
 // State implements platform.Dispatcher.
-func (d *Dispatcher) State(ctx context.Context, job string) (ledger.State, *errkind.Error) {
+func (d *Dispatcher) State(ctx context.Context, job string) (ledger.State, string, *errkind.Error) {
 	bestEffort := false
 	d.postAndWait(func(time.Time) {
 		_, bestEffort = d.waiters[job]
 		bestEffort = bestEffort || d.isHeld(job)
 	})
 	if bestEffort {
-		return ledger.Running, nil
+		return ledger.Running, "", nil
 	}
 	if err := d.logNotRead(); err != nil {
-		return "", err
+		return "", "", err
 	}
 	if !d.hasStoredJobs.Load() {
-		return "", nil
+		return "", "", nil
 	}
 	return d.storedState(ctx, job)
 }
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -34,6 +34,8 @@
 type closedRecord struct {
 	Queue string       `json:"queue"`
 	State ledger.State `json:"state"`
+	// Reason is set for a job that was set aside.
+	Reason string `json:"reason,omitempty"`
 }
 
 // takerRecord tells which process has taken over a shard. An older version writes only
@@ -68,7 +70,7 @@
 	case ledger.Cancelled:
 		return []platform.KeyedRecord{{Key: key(keyCancelled, e.Job), Value: presentValue}}, nil
 	case ledger.Closed:
-		value, err := json.Marshal(closedRecord{e.Queue, e.State})
+		value, err := json.Marshal(closedRecord{e.Queue, e.State, e.Reason})
 		if err != nil {
 			return nil, fmt.Errorf("encode end of job %q: %w", e.Job, err)
 		}
@@ -130,7 +132,7 @@
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return nil, fmt.Errorf("record %q: %w", r.Key, err)
 		}
-		return ledger.Accepted(v), nil
+		return ledger.Accepted{Job: v.Job, Route: v.Route, Takeovers: v.Takeovers}, nil
 	case keyEnded:
 		return decodeRunEnded(r.Key, rest, r.Value)
 	case keyLost:
@@ -142,7 +144,7 @@
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return nil, fmt.Errorf("record %q: %w", r.Key, err)
 		}
-		return ledger.Closed{Job: rest, Queue: v.Queue, State: v.State}, nil
+		return ledger.Closed{Job: rest, Queue: v.Queue, State: v.State, Reason: v.Reason}, nil
 	case keyShard:
 		numbers, err := parseInts(rest, string(r.Value))
 		if err != nil {
--- a/internal/daemon/dispatch/metrics.go
+++ b/internal/daemon/dispatch/metrics.go
@@ -45,6 +45,8 @@
 	// the event loop did nothing.
 	runsStopped *prometheus.CounterVec
 	standstills prometheus.Histogram
+	// jobsSetAside counts the stored jobs that this host drives and no host can run.
+	jobsSetAside *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds. They cover tasks of 50 ms up to the longest
@@ -144,7 +146,10 @@
 		Name: "parsleyhill_standstill_seconds", Help: "Times for which the event loop did nothing because the process did not run.",
 		Buckets: []float64{.2, .3, .5, .75, 1, 1.5, 2, 3, 5},
 	})
-	m.registry.MustRegister(m.runsStopped, m.standstills, m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.interruptions, m.verdicts, m.zoneEvacuated, m.slowRuns,
+	m.jobsSetAside = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyhill_jobs_set_aside_total", Help: "Stored jobs closed as failed because no host can run them, by cause.",
+	}, []string{"cause"})
+	m.registry.MustRegister(m.jobsSetAside, m.runsStopped, m.standstills, m.jobs, m.answers, m.starts, m.startSeconds, m.polls, m.pollsLost, m.runsLost, m.interruptions, m.verdicts, m.zoneEvacuated, m.slowRuns,
 		m.speedSpread, m.speedActive, m.placements, m.fastWaits, m.saturated, m.delay, m.startLimit, m.nearDecisions, m.nearWaits,
 		m.refusals, m.heldJobs, m.startSteps, m.sharedOrder, m.returnedLate, m.processor, m.loopBusy)
 	return m
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/appendgate"
 	"github.com/parsleyhill/parsleyhill/internal/decide/host"
+	"github.com/parsleyhill/parsleyhill/internal/decide/hostlimits"
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -50,6 +51,8 @@
 	ttl := timeToLive(s)
 	return ledger.Config{
 		Shards: s.Partitions, MemberTTL: ttl, Retention: s.JobRetention,
+		// A setting may raise the limit of this host's own callers.
+		MaxSteps: hostlimits.MaxJobSteps, MaxTasks: max(hostlimits.MaxJobTasks, s.Limits.JobTasks),
 		// A partitioned driver continues for its time to live, an owner to which
 		// it offers tasks continues until the stream times out, and a run continues
 		// until its lease expires. The owner holds runs of a silent driver for no longer
@@ -364,13 +367,17 @@
 // every host.
 const stateWait = 60 * time.Millisecond
 
-// storedState returns a job's state. For a job that has not ended it waits up to
+// storedState returns a job's state, and the reason if it was set aside. For a job that has not ended it waits up to
 // stateWait, because another host may already know the job's end.
-func (d *Dispatcher) storedState(ctx context.Context, job string) (ledger.State, *errkind.Error) {
+func (d *Dispatcher) storedState(ctx context.Context, job string) (ledger.State, string, *errkind.Error) {
 	var state ledger.State
+	var reason string
 	known := false
 	ended := make(chan struct{})
-	readState := func(now time.Time) { state, known = d.core.Ledger.State(now, job) }
+	readState := func(now time.Time) {
+		state, known = d.core.Ledger.State(now, job)
+		reason = d.core.Ledger.Reason(job)
+	}
 	d.postAndWait(func(now time.Time) {
 		readState(now)
 		if state != "" && !state.Ended() {
@@ -389,9 +396,9 @@
 		})
 	}
 	if !known {
-		return "", errkind.New(errkind.LogUnavailable, "the job log has not been read recently")
+		return "", "", errkind.New(errkind.LogUnavailable, "the job log has not been read recently")
 	}
-	return state, nil
+	return state, reason, nil
 }
 
 // unwatch removes a watcher of a job's end.
@@ -415,6 +422,12 @@
 	delete(d.watchers, o.Job)
 }
 
+// jobSetAside logs and counts a stored job that no host can run.
+func (d *Dispatcher) jobSetAside(a ledger.JobSetAside) {
+	d.metrics.jobsSetAside.WithLabelValues(string(a.Cause)).Inc()
+	d.logger.Error("stored job set aside", "job", a.Job, "route", a.Queue, "cause", a.Cause, "why", a.Why)
+}
+
 // runShardMembership keeps this host in the group that assigns the shards of the
 // stored jobs, once the job log has been read and until a planned stop.
 func (d *Dispatcher) runShardMembership(ctx context.Context) error {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -53,7 +53,8 @@
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
 // workerpool.Stop, workerpool.Poll), a message to other hosts (Send, Broadcast),
 // an answer to a caller (coordinator.Answer), an append to the log of stored
-// jobs (Append), or a report of a stored job's end (ledger.JobEnded), of the
+// jobs (Append), or a report of a stored job's end (ledger.JobEnded), of one that
+// cannot run (ledger.JobSetAside), of the
 // cancellation of another job (ledger.UnknownCancelled), of a shard that
 // was handed over (ledger.RunsHandedOver), of a task that was not done (TaskNotDone), of a claimed run (RunClaimed),
 // of a decision (LogEvent),
@@ -447,7 +448,7 @@
 			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.RunFailed:
 			c.Coordinator.FailureRecorded(now, a.RunID, a.Failed)
-		case ledger.JobEnded, ledger.UnknownCancelled:
+		case ledger.JobEnded, ledger.JobSetAside, ledger.UnknownCancelled:
 			c.emit(a)
 		case ledger.AppendEntries:
 			c.emit(Append{Entries: a.Entries})
--- a/internal/decide/hostlimits/hostlimits.go
+++ b/internal/decide/hostlimits/hostlimits.go
@@ -48,6 +48,16 @@
 // what a connection has received. It holds a header of the largest size.
 const UnreadBytes = 16 << 10
 
+// A host drives a job of the log that another one has accepted with these limits,
+// whatever the memory of its own machine.
+const (
+	// MaxJobSteps bounds the steps of a job: each end of a task takes time that grows
+	// with the steps of its job.
+	MaxJobSteps = 1024
+	// MaxJobTasks is the largest default of Limits.JobTasks.
+	MaxJobTasks = 8192
+)
+
 const (
 	// defaultMemory and defaultDescriptors stand for unknown values of a machine.
 	defaultMemory      = 256 << 20
@@ -69,7 +79,7 @@
 	// A job gets a thirty-second of the memory. taskBytes is the memory of a task that
 	// waits, and of its offer.
 	jobMemoryPart, taskBytes = 32, 1 << 10
-	minJobTasks, maxJobTasks = 1024, 8192
+	minJobTasks              = 1024
 	// A body of 256 KB may take 79 s. Callers wait a few seconds for their answers.
 	bodyGrace          = 15 * time.Second
 	bodyBytesPerSecond = 4 << 10
@@ -96,7 +106,7 @@
 		Backlog:     max(minBacklog, int(m.MemoryBytes/backlogMemoryPart/UnreadBytes)),
 		ProbeConns:  max(minConns, min(maxProbeConns, m.Descriptors/probeDescriptorsPart)),
 		BodyBytes:   m.MemoryBytes / bodyMemoryPart,
-		JobTasks:    max(minJobTasks, min(maxJobTasks, int(m.MemoryBytes/jobMemoryPart/taskBytes))),
+		JobTasks:    max(minJobTasks, min(MaxJobTasks, int(m.MemoryBytes/jobMemoryPart/taskBytes))),
 	}
 	if o.CallerConns < 0 || o.CallerConns >= m.Descriptors {
 		return Limits{}, fmt.Errorf("%d connections of callers are not between 0 and the %d descriptors for sockets", o.CallerConns, m.Descriptors)
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -50,6 +50,8 @@
 	Job   string
 	Queue string
 	State State
+	// Reason is why the job was set aside, or empty.
+	Reason string
 	// Runs are the runs whose ends are in the log and are dropped from it, and
 	// LostRuns those whose losses are.
 	Runs, LostRuns []fleet.RunID
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -28,6 +28,9 @@
 	TakeoverDelay time.Duration
 	// Retention is how long the state of a job can be queried after its end.
 	Retention time.Duration
+	// MaxSteps and MaxTasks bound the jobs that a host drives; zero means no bound. An
+	// older version may have accepted larger ones.
+	MaxSteps, MaxTasks int
 }
 
 // runsPerTakeover is the size of the range of run numbers that each driver of a
@@ -127,7 +130,9 @@
 	started   bool
 	// closing is set once this host has asked for the job to be closed, or has
 	// read that it was.
-	closing  bool
+	closing bool
+	// reason is why the job was set aside, or empty.
+	reason   string
 	closedAt time.Time
 	// acceptSeq orders the jobs by when their acceptance was first read.
 	acceptSeq int64
@@ -388,6 +393,7 @@
 	if !j.state.Ended() {
 		driven := j.driven || j.closing
 		l.stopDriving(j, "closed as "+string(e.State))
+		j.reason = e.Reason
 		l.endJob(now, j, e.State, driven)
 	}
 	j.closing, j.endedRuns, j.losses = true, nil, nil
@@ -424,7 +430,7 @@
 }
 
 func (j *job) closedEntry(state State) Closed {
-	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns()}
+	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns(), Reason: j.reason}
 }
 
 // lostRuns returns the runs that were lost with their workers, in order.
--- /dev/null
+++ b/internal/decide/ledger/setaside.go
@@ -0,0 +1,63 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
+)
+
+// JobSetAside reports that this host, as its driver, closes a job as failed because no
+// host can run it.
+type JobSetAside struct {
+	Job   string
+	Queue string
+	Cause SetAsideCause
+	Why   string
+}
+
+func (JobSetAside) action() {}
+
+// SetAsideCause tells why no host can run a job of the log.
+type SetAsideCause string
+
+// The causes for which a job is set aside.
+const (
+	// TooLarge means that the job exceeds Config.MaxSteps or Config.MaxTasks.
+	TooLarge SetAsideCause = "too_large"
+)
+
+// excess returns which limit a job exceeds, or an empty string.
+func (c Config) excess(job fleet.Job) string {
+	if c.MaxSteps > 0 && len(job.Steps) > c.MaxSteps {
+		return fmt.Sprintf("job has more than %d steps", c.MaxSteps)
+	}
+	tasks := 0
+	for _, step := range job.Steps {
+		if c.MaxTasks > 0 && step.Count > c.MaxTasks-tasks {
+			return fmt.Sprintf("job has more than %d tasks", c.MaxTasks)
+		}
+		tasks += step.Count
+	}
+	return ""
+}
+
+// setAside closes a job that no host can run. Only a driver decides this: a host that
+// reads the log shows what the log says.
+func (l *Ledger) setAside(j *job) bool {
+	why := l.cfg.excess(j.spec)
+	if why == "" {
+		return false
+	}
+	l.emit(JobSetAside{Job: j.spec.ID, Queue: j.route.Name, Cause: TooLarge, Why: why})
+	j.reason = why
+	l.closeFailed(j)
+	return true
+}
+
+// Reason returns why a job was set aside, or an empty string.
+func (l *Ledger) Reason(id string) string {
+	if j := l.jobs[id]; j != nil && j.state == Failed {
+		return j.reason
+	}
+	return ""
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -129,6 +129,9 @@
 	if j.state.Ended() || j.closing || j.driven {
 		return
 	}
+	if l.setAside(j) {
+		return
+	}
 	for _, runs := range j.failedRuns {
 		if len(runs) >= j.route.MaxAttempts {
 			// A previous driver crashed before it closed the job.
