Set stored jobs aside whose records are damaged

A host skipped a record of an accepted job that it could not decode: the job was unknown, answered with 410, and its record stayed in the log for ever. A record that could be decoded was not checked: a job without steps stayed pending, one with a count of zero or below was shown as completed, one that waits for itself never ended, and one that names a step that does not exist ended the host that drove it with a panic (index out of range).

Such a job is now closed as failed by its driver like one that is too large, with its own cause in the metric and in the log line. The key of the record still tells which job it is. A cancellation and the retention work as for any other job.

12 of 13 cases of TestDamagedJobOfTheLogIsSetAside, and TestDamagedJobOfTheLogIsForgotten, fail without the change; the case of a count that overflows was covered by the limit. All pass with it.

--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -128,11 +128,7 @@
 	}
 	switch kind {
 	case keyAccepted:
-		var v acceptedRecord
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return nil, fmt.Errorf("record %q: %w", r.Key, err)
-		}
-		return ledger.Accepted{Job: v.Job, Route: v.Route, Takeovers: v.Takeovers}, nil
+		return decodeAccepted(r.Key, rest, r.Value)
 	case keyEnded:
 		return decodeRunEnded(r.Key, rest, r.Value)
 	case keyLost:
@@ -166,6 +162,25 @@
 	return nil, fmt.Errorf("record %q has an unknown kind", r.Key)
 }
 
+// decodeAccepted returns an entry for any record whose key names a job, so that the
+// job can be closed.
+func decodeAccepted(name, id string, value []byte) (ledger.Entry, error) {
+	if id == "" {
+		return nil, fmt.Errorf("the key of record %q does not identify a job", name)
+	}
+	damaged := func(format string, args ...any) (ledger.Entry, error) {
+		return ledger.Accepted{Job: fleet.Job{ID: id}, Damage: fmt.Sprintf(format, args...)}, nil
+	}
+	var v acceptedRecord
+	if err := json.Unmarshal(value, &v); err != nil {
+		return damaged("record cannot be read: %v", err)
+	}
+	if v.Job.ID != id {
+		return damaged("record names job %q", v.Job.ID)
+	}
+	return ledger.Accepted{Job: v.Job, Route: v.Route, Takeovers: v.Takeovers}, nil
+}
+
 func decodeTaker(name, rest string, value []byte) (ledger.Entry, error) {
 	text, _, _ := strings.Cut(rest, "/")
 	shard, err := strconv.Atoi(text)
--- a/internal/daemon/dispatch/oddrecord_test.go
+++ b/internal/daemon/dispatch/oddrecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -56,7 +57,9 @@
 			f.store.Put(topicJobs, store.Record{Key: "a/" + others[i], Value: []byte(acceptedJob(t, others[i], steps(2, 2)...))})
 		}
 		f.store.Put(topicJobs, store.Record{Key: "a/" + oddJob, Value: []byte(value)})
-		answer := fmt.Sprintf(`{"state":"failed","reason":%q}`, reason)
+		quoted, err := json.Marshal(reason)
+		require.NoError(t, err)
+		answer := `{"state":"failed","reason":` + string(quoted) + `}`
 		for i, name := range []string{"host-0", "host-1"} {
 			f.start(name)
 			time.Sleep(assignmentTime)
@@ -97,3 +100,55 @@
 		t.Run(name, func(t *testing.T) { assertSetAside(t, acceptedJob(t, oddJob, c.steps...), c.reason) })
 	}
 }
+
+// Guards against a damaged record of a job that ends the host that drives it, or that
+// leaves the job unknown although it was accepted.
+func TestDamagedJobOfTheLogIsSetAside(t *testing.T) {
+	step := func(change func(*fleet.Step)) string {
+		list := steps(2, 2)
+		change(&list[1])
+		return acceptedJob(t, oddJob, list...)
+	}
+	sound := acceptedJob(t, oddJob, steps(2, 2)...)
+	for name, c := range map[string]struct{ value, reason string }{
+		"bytes":          {"\x00\xff", "record cannot be read: invalid character '\\x00' looking for beginning of value"},
+		"cut off":        {sound[:len(sound)-1], "record cannot be read: unexpected end of JSON input"},
+		"wrong type":     {`{"job":7}`, "record cannot be read: json: cannot unmarshal number into Go struct field acceptedRecord.job of type fleet.Job"},
+		"null":           {"null", `record names job ""`},
+		"another job":    {acceptedJob(t, "00000000000000fe", steps(1, 1)...), `record names job "00000000000000fe"`},
+		"no steps":       {acceptedJob(t, oddJob), "job has no steps"},
+		"count zero":     {step(func(s *fleet.Step) { s.Count = 0 }), "step 1 has count 0 and size {MilliCPU:14000 MemoryMB:64 GPUs:0}"},
+		"count negative": {step(func(s *fleet.Step) { s.Count = -1 }), "step 1 has count -1 and size {MilliCPU:14000 MemoryMB:64 GPUs:0}"},
+		"cpu negative":   {step(func(s *fleet.Step) { s.Size.MilliCPU = -1 }), "step 1 has count 2 and size {MilliCPU:-1 MemoryMB:64 GPUs:0}"},
+		"after itself":   {step(func(s *fleet.Step) { s.After = []int{1} }), "step 1 depends on step 1, which is not an earlier step"},
+		"after forward":  {step(func(s *fleet.Step) { s.After = []int{2} }), "step 1 depends on step 2, which is not an earlier step"},
+		"after negative": {step(func(s *fleet.Step) { s.After = []int{-1} }), "step 1 depends on step -1, which is not an earlier step"},
+		"too many tasks": {step(func(s *fleet.Step) { s.Count = math.MaxInt }), "job has more than 8192 tasks"},
+	} {
+		t.Run(name, func(t *testing.T) { assertSetAside(t, c.value, c.reason) })
+	}
+}
+
+// A damaged record is cancelled like any other, and dropped from the log after its
+// retention.
+func TestDamagedJobOfTheLogIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		defer f.stopAll()
+		time.Sleep(assignmentTime)
+		f.store.Put(topicJobs, store.Record{Key: "a/" + oddJob, Value: []byte("{")})
+		f.waitForState(oddJob, "failed", 4*time.Second, "host-0")
+		const cancelled = "00000000000000fd"
+		status, _ := f.call(http.MethodDelete, "host-0", "/jobs/"+cancelled, nil)
+		require.Equal(t, http.StatusOK, status)
+		f.store.Put(topicJobs, store.Record{Key: "a/" + cancelled, Value: []byte("{")})
+		f.waitForState(cancelled, "cancelled", 4*time.Second, "host-0")
+		time.Sleep(2*time.Minute + 10*time.Second)
+		f.start("host-1")
+		time.Sleep(assignmentTime)
+		for _, id := range []string{oddJob, cancelled} {
+			assert.Equal(t, "Gone", f.state("host-0", id))
+			assert.Equal(t, "Gone", f.state("host-1", id))
+		}
+	})
+}
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -26,6 +26,9 @@
 	// Takeovers is the number of takeovers of the job's shard that the accepting
 	// host knew of at that time.
 	Takeovers int
+	// Damage tells what is wrong with a record that cannot be read, or is empty. Only
+	// the id of the job is known then.
+	Damage string
 }
 
 // RunEnded records that a run ended as done or failed.
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -131,9 +131,10 @@
 	// closing is set once this host has asked for the job to be closed, or has
 	// read that it was.
 	closing bool
-	// reason is why the job was set aside, or empty.
-	reason   string
-	closedAt time.Time
+	// damage tells what is wrong with the job's record, and reason why the job was set
+	// aside. Both are usually empty.
+	damage, reason string
+	closedAt       time.Time
 	// acceptSeq orders the jobs by when their acceptance was first read.
 	acceptSeq int64
 }
@@ -317,7 +318,13 @@
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
 		losses: map[fleet.RunID]quarantine.Loss{},
 	}
-	for _, step := range e.Job.Steps {
+	if j.damage = e.Damage; j.damage == "" {
+		j.damage = damage(e.Job)
+	}
+	if j.damage != "" {
+		j.spec = fleet.Job{ID: e.Job.ID}
+	}
+	for _, step := range j.spec.Steps {
 		j.remaining += step.Count
 	}
 	l.jobs[e.Job.ID] = j
--- a/internal/decide/ledger/setaside.go
+++ b/internal/decide/ledger/setaside.go
@@ -22,10 +22,31 @@
 
 // The causes for which a job is set aside.
 const (
+	// Damaged means that the job's record cannot be read or makes no sense.
+	Damaged SetAsideCause = "damaged"
 	// TooLarge means that the job exceeds Config.MaxSteps or Config.MaxTasks.
 	TooLarge SetAsideCause = "too_large"
 )
 
+// damage returns what is wrong with a job that no host may have accepted, or an empty
+// string.
+func damage(job fleet.Job) string {
+	if len(job.Steps) == 0 {
+		return "job has no steps"
+	}
+	for i, step := range job.Steps {
+		if step.Count <= 0 || step.Size.MilliCPU < 0 || step.Size.MemoryMB < 0 || step.Size.GPUs < 0 {
+			return fmt.Sprintf("step %d has count %d and size %+v", i, step.Count, step.Size)
+		}
+		for _, dependency := range step.After {
+			if dependency < 0 || dependency >= i {
+				return fmt.Sprintf("step %d depends on step %d, which is not an earlier step", i, dependency)
+			}
+		}
+	}
+	return ""
+}
+
 // excess returns which limit a job exceeds, or an empty string.
 func (c Config) excess(job fleet.Job) string {
 	if c.MaxSteps > 0 && len(job.Steps) > c.MaxSteps {
@@ -44,11 +65,14 @@
 // setAside closes a job that no host can run. Only a driver decides this: a host that
 // reads the log shows what the log says.
 func (l *Ledger) setAside(j *job) bool {
-	why := l.cfg.excess(j.spec)
+	cause, why := Damaged, j.damage
+	if why == "" {
+		cause, why = TooLarge, l.cfg.excess(j.spec)
+	}
 	if why == "" {
 		return false
 	}
-	l.emit(JobSetAside{Job: j.spec.ID, Queue: j.route.Name, Cause: TooLarge, Why: why})
+	l.emit(JobSetAside{Job: j.spec.ID, Queue: j.route.Name, Cause: cause, Why: why})
 	j.reason = why
 	l.closeFailed(j)
 	return true
