Show a job whose end cannot be read as failed

The record of an ended job was skipped if it could not be decoded: the job was answered with 410, and the record stayed in the log for ever. One with a state that is not final was shown with it, and the job was open again.

The key tells that the job has ended. It is now shown as failed with the reason, logged and counted by each host that reads the record, and dropped from the log after its retention. The four cases of TestDamagedEndOfAJobOfTheLogIsFailed fail without the change.

--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -136,11 +136,7 @@
 	case keyCancelled:
 		return ledger.Cancelled{Job: rest}, nil
 	case keyClosed:
-		var v closedRecord
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			return nil, fmt.Errorf("record %q: %w", r.Key, err)
-		}
-		return ledger.Closed{Job: rest, Queue: v.Queue, State: v.State, Reason: v.Reason}, nil
+		return decodeClosed(r.Key, rest, r.Value)
 	case keyShard:
 		numbers, err := parseInts(rest, string(r.Value))
 		if err != nil {
@@ -181,6 +177,23 @@
 	return ledger.Accepted{Job: v.Job, Route: v.Route, Takeovers: v.Takeovers}, nil
 }
 
+// decodeClosed returns an entry for any record whose key names a job: the job has
+// ended, even if the record does not tell how.
+func decodeClosed(name, id string, value []byte) (ledger.Entry, error) {
+	if id == "" {
+		return nil, fmt.Errorf("the key of record %q does not identify a job", name)
+	}
+	var v closedRecord
+	err := json.Unmarshal(value, &v)
+	if err == nil && !v.State.Ended() {
+		err = fmt.Errorf("%q is not a final state", v.State)
+	}
+	if err != nil {
+		return ledger.Closed{Job: id, State: ledger.Failed, Damaged: true, Reason: fmt.Sprintf("record of the end cannot be used: %v", err)}, nil
+	}
+	return ledger.Closed{Job: id, Queue: v.Queue, State: v.State, Reason: v.Reason}, nil
+}
+
 func decodeTaker(name, rest string, value []byte) (ledger.Entry, error) {
 	text, _, _ := strings.Cut(rest, "/")
 	shard, err := strconv.Atoi(text)
--- a/internal/daemon/dispatch/oddrecord_test.go
+++ b/internal/daemon/dispatch/oddrecord_test.go
@@ -152,3 +152,40 @@
 		}
 	})
 }
+
+// Guards against the damaged record of an ended job that leaves the job unknown or
+// open, and that is never dropped from the log.
+func TestDamagedEndOfAJobOfTheLogIsFailed(t *testing.T) {
+	const reason = "record of the end cannot be used"
+	for name, value := range map[string]string{
+		"bytes":         "\x00\xff",
+		"null":          "null",
+		"open state":    `{"queue":"r","state":"running"}`,
+		"unknown state": `{"queue":"r","state":"?"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 0, 2)
+				logs := &syncBuffer{}
+				f.logOutput = logs
+				f.start("host-0")
+				defer f.stopAll()
+				f.store.Put(topicJobs, store.Record{Key: "d/" + oddJob, Value: []byte(value)})
+				time.Sleep(assignmentTime)
+				_, answer := f.call(http.MethodGet, "host-0", "/jobs/"+oddJob, nil)
+				assert.Contains(t, answer, `{"state":"failed","reason":"`+reason)
+				assert.Len(t, logs.lines("stored job set aside"), 1)
+				const id = "00000000000000a1"
+				status, answer := f.submitStored("host-0", id)
+				require.Equal(t, http.StatusOK, status, answer)
+				f.waitForState(id, "completed", 10*time.Second, "host-0")
+				time.Sleep(2*time.Minute + 10*time.Second)
+				f.start("host-1")
+				time.Sleep(assignmentTime)
+				for _, host := range []string{"host-0", "host-1"} {
+					assert.Equal(t, "Gone", f.state(host, oddJob))
+				}
+			})
+		})
+	}
+}
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -55,6 +55,9 @@
 	State State
 	// Reason is why the job was set aside, or empty.
 	Reason string
+	// Damaged is set if the record could not be read. Only the id of the job is known
+	// then.
+	Damaged bool
 	// Runs are the runs whose ends are in the log and are dropped from it, and
 	// LostRuns those whose losses are.
 	Runs, LostRuns []fleet.RunID
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -401,6 +401,9 @@
 		driven := j.driven || j.closing
 		l.stopDriving(j, "closed as "+string(e.State))
 		j.reason = e.Reason
+		if e.Damaged {
+			l.emit(JobSetAside{Job: e.Job, Queue: j.route.Name, Cause: Damaged, Why: e.Reason})
+		}
 		l.endJob(now, j, e.State, driven)
 	}
 	j.closing, j.endedRuns, j.losses = true, nil, nil
--- a/internal/decide/ledger/setaside.go
+++ b/internal/decide/ledger/setaside.go
@@ -7,7 +7,7 @@
 )
 
 // JobSetAside reports that this host, as its driver, closes a job as failed because no
-// host can run it.
+// host can run it, or that it has read a damaged record of a job's end.
 type JobSetAside struct {
 	Job   string
 	Queue string
