Skip the takeover of a negative shard in the job log

A record s/-1 ended each host that read it: "panic in decisions: runtime error: index out of range [-1]". It is skipped with the log line of other malformed records now. The case "negative shard" of TestOddRecordsAmongOthersOfTheLogAreIgnored fails without the change; its other cases guard what was right before.

--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -142,6 +142,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("record %q: %w", r.Key, err)
 		}
+		if numbers[0] < 0 || numbers[1] < 0 {
+			return nil, fmt.Errorf("record %q has %d takeovers of shard %d", r.Key, numbers[1], numbers[0])
+		}
 		return ledger.TakenOver{Shard: numbers[0], Takeovers: numbers[1]}, nil
 	case keyTaker:
 		return decodeTaker(r.Key, rest, r.Value)
--- a/internal/daemon/dispatch/oddrecord_test.go
+++ b/internal/daemon/dispatch/oddrecord_test.go
@@ -189,3 +189,39 @@
 		})
 	}
 }
+
+// Guards against a record of a shard, or of a run, that ends each host that reads it or
+// counts a task as done that its job does not have.
+func TestOddRecordsAmongOthersOfTheLogAreIgnored(t *testing.T) {
+	const id = "00000000000000a1"
+	for name, r := range map[string]store.Record{
+		"negative shard":            {Key: "s/-1", Value: []byte("1")},
+		"shard out of range":        {Key: "s/9223372036854775807", Value: []byte("1")},
+		"negative takeovers":        {Key: "s/0", Value: []byte("-1")},
+		"negative taker":            {Key: "t/0/host-9", Value: []byte(`{"takeovers":-1,"host":"host-9","nonce":7}`)},
+		"end of no step":            {Key: "b/" + id + "/7/0/1", Value: []byte("1")},
+		"end of no task":            {Key: "b/" + id + "/0/99/1", Value: []byte("1")},
+		"end of a negative task":    {Key: "b/" + id + "/0/-1/1", Value: []byte("1")},
+		"end that is not a number":  {Key: "b/" + id + "/0/0/1", Value: []byte("x")},
+		"loss of a task out of job": {Key: "l/" + id + "/7/-1/1", Value: []byte(`{}`)},
+		"loss that is no loss":      {Key: "l/" + id + "/0/0/1", Value: []byte(`[`)},
+		"no kind":                   {Key: "", Value: []byte("1")},
+		"accepted without job":      {Key: "a/", Value: []byte("{")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 0, 2)
+				defer f.stopAll()
+				f.store.Put(topicJobs, store.Record{Key: "a/" + id, Value: []byte(acceptedJob(t, id, steps(2, 2)...))})
+				f.store.Put(topicJobs, r)
+				for _, host := range []string{"host-0", "host-1"} {
+					f.start(host)
+					time.Sleep(assignmentTime)
+					f.waitForState(id, "completed", 10*time.Second, host)
+					f.stops[host]()
+				}
+				assert.Len(t, f.startCounts(), 4, "each task has run")
+			})
+		})
+	}
+}
