Skip handovers in the job log that no driver can have written

A record of a handover without a takeover (number 0) ended each host that read it: "panic in decisions: assignment to entry in nil map". It is skipped like other malformed records now. The case "handover without takeover" of TestOddRecordsAmongOthersOfTheLogAreIgnored fails without the change.

--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -156,6 +156,9 @@
 		if e.Shard < 0 || e.Part < 0 || e.Part >= e.Parts {
 			return nil, fmt.Errorf("record %q has no part %d of %d of shard %d", r.Key, e.Part, e.Parts, e.Shard)
 		}
+		if e.Takeovers < 1 {
+			return nil, fmt.Errorf("record %q is the handover of a shard after %d takeovers", r.Key, e.Takeovers)
+		}
 		return e, nil
 	}
 	return nil, fmt.Errorf("record %q has an unknown kind", r.Key)
--- a/internal/daemon/dispatch/oddrecord_test.go
+++ b/internal/daemon/dispatch/oddrecord_test.go
@@ -199,6 +199,8 @@
 		"shard out of range":        {Key: "s/9223372036854775807", Value: []byte("1")},
 		"negative takeovers":        {Key: "s/0", Value: []byte("-1")},
 		"negative taker":            {Key: "t/0/host-9", Value: []byte(`{"takeovers":-1,"host":"host-9","nonce":7}`)},
+		"handover without takeover": {Key: "h/0/0", Value: []byte(`{"Shard":0,"Part":0,"Parts":1}`)},
+		"handover out of range":     {Key: "h/99/0", Value: []byte(`{"Shard":99,"Part":0,"Parts":1,"Takeovers":1}`)},
 		"end of no step":            {Key: "b/" + id + "/7/0/1", Value: []byte("1")},
 		"end of no task":            {Key: "b/" + id + "/0/99/1", Value: []byte("1")},
 		"end of a negative task":    {Key: "b/" + id + "/0/-1/1", Value: []byte("1")},
