Ignore recorded ends of tasks that a stored job does not have

The record of a run of task 1 of a step with one task counted as the end of another task: the job was shown as completed while a task had not run. Such a record has no effect now, and leaves the log when the job is closed, like the ends of the runs of steps that do not exist. Two cases of TestEndOfATaskThatTheJobDoesNotHaveIsIgnored fail without the change.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -343,10 +343,11 @@
 	if j == nil || j.state.Ended() || slices.Contains(j.endedRuns, e.RunID) {
 		return
 	}
-	if e.Task.Step < 0 || e.Task.Step >= len(j.spec.Steps) {
+	j.endedRuns = append(j.endedRuns, e.RunID)
+	if e.Task.Step < 0 || e.Task.Step >= len(j.spec.Steps) || e.Task.Index < 0 || e.Task.Index >= j.spec.Steps[e.Task.Step].Count {
+		// The record has no effect, but it is dropped with the job's others.
 		return
 	}
-	j.endedRuns = append(j.endedRuns, e.RunID)
 	if e.Reason == fleet.EndedFailed {
 		if j.failedRuns[e.Task] == nil {
 			j.failedRuns[e.Task] = map[int]bool{}
--- a/internal/decide/ledger/setaside_test.go
+++ b/internal/decide/ledger/setaside_test.go
@@ -84,3 +84,25 @@
 	assert.Equal(t, StateCancelled, state)
 	assert.Empty(t, l.Reason(testJob))
 }
+
+// Guards against the record of a run of a task that its job does not have: it counted as
+// the end of another task, so that the job was completed before all its tasks were done.
+func TestEndOfATaskThatTheJobDoesNotHaveIsIgnored(t *testing.T) {
+	for _, task := range []fleet.TaskName{
+		{Job: testJob, Step: 0, Index: 1},
+		{Job: testJob, Step: 0, Index: -1},
+		{Job: testJob, Step: -1},
+		{Job: testJob, Step: 2},
+	} {
+		l := newDriver(t, testEpoch)
+		l.Apply(testEpoch, []Entry{
+			acceptedTwoSteps(testJob), runEnded(0, 1, fleet.EndedDone),
+			RunEnded{RunID: fleet.RunID{Task: task, Run: 1}, Reason: fleet.EndedDone},
+		})
+		state, _ := l.State(testEpoch, testJob)
+		assert.Equal(t, Running, state, "%v", task)
+		l.Apply(testEpoch, []Entry{runEnded(1, 1, fleet.EndedDone)})
+		state, _ = l.State(testEpoch, testJob)
+		assert.Equal(t, Completed, state, "%v", task)
+	}
+}
