Skip recorded ends in the job log that are no result

The record of the end of a run with an unknown reason counted as a done task, which then never ran. Hosts record only done and failed runs; other records are skipped as malformed now. The case "end of an unknown kind" of TestOddRecordsAmongOthersOfTheLogAreIgnored fails without the change (3 of 4 tasks run).

--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -222,7 +222,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("record %q: %w", name, err)
 	}
-	return ledger.RunEnded{RunID: run, Reason: fleet.EndReason(reason)}, nil
+	end := ledger.RunEnded{RunID: run, Reason: fleet.EndReason(reason)}
+	if end.Reason != fleet.EndedDone && end.Reason != fleet.EndedFailed {
+		return nil, fmt.Errorf("record %q tells of %v, which is no result", name, end.Reason)
+	}
+	return end, nil
 }
 
 func decodeRunLost(name, rest string, value []byte) (ledger.Entry, error) {
--- a/internal/daemon/dispatch/oddrecord_test.go
+++ b/internal/daemon/dispatch/oddrecord_test.go
@@ -204,6 +204,7 @@
 		"end of no step":            {Key: "b/" + id + "/7/0/1", Value: []byte("1")},
 		"end of no task":            {Key: "b/" + id + "/0/99/1", Value: []byte("1")},
 		"end of a negative task":    {Key: "b/" + id + "/0/-1/1", Value: []byte("1")},
+		"end of an unknown kind":    {Key: "b/" + id + "/0/0/1", Value: []byte("77")},
 		"end that is not a number":  {Key: "b/" + id + "/0/0/1", Value: []byte("x")},
 		"loss of a task out of job": {Key: "l/" + id + "/7/-1/1", Value: []byte(`{}`)},
 		"loss that is no loss":      {Key: "l/" + id + "/0/0/1", Value: []byte(`[`)},
