Close jobs with many recorded runs in several appends

The entry that closes a job deletes the records of its ended runs, all in one append. A closing that does not fit is tried again before all other appends of the host.

An entry now holds at most 8,192 runs (0.27 MB of keys); a job within the limits without failed runs is closed by one entry as before. TestClosingOfManyRunsHasSeveralAppends guards it. A store that refuses such an append was not tried.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -437,11 +437,26 @@
 
 func (l *Ledger) closeFailed(j *job) {
 	j.closing, j.driven = true, false
-	l.emit(AppendEntries{[]Entry{j.closedEntry(Failed)}})
+	for _, e := range j.closedEntries(Failed) {
+		l.emit(AppendEntries{[]Entry{e}})
+	}
 }
 
-func (j *job) closedEntry(state State) Closed {
-	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns(), Reason: j.reason}
+// maxClosedRuns bounds the runs of one Closed entry. With some 70 bytes a record an
+// entry stays below the size of an append.
+const maxClosedRuns = 8192
+
+// closedEntries returns the entries that close a job: one, unless it has many runs.
+func (j *job) closedEntries(state State) []Closed {
+	ended, lost := j.endedRuns, j.lostRuns()
+	var entries []Closed
+	for len(entries) == 0 || len(ended)+len(lost) > 0 {
+		e := Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Reason: j.reason}
+		e.Runs, ended = cut(ended, maxClosedRuns)
+		e.LostRuns, lost = cut(lost, maxClosedRuns-len(e.Runs))
+		entries = append(entries, e)
+	}
+	return entries
 }
 
 // lostRuns returns the runs that were lost with their workers, in order.
--- a/internal/decide/ledger/setaside_test.go
+++ b/internal/decide/ledger/setaside_test.go
@@ -106,3 +106,32 @@
 		assert.Equal(t, Completed, state, "%v", task)
 	}
 }
+
+// Guards against the closing of a job with more recorded runs than the store takes in one
+// append: a failed append is tried again before all others of the host.
+func TestClosingOfManyRunsHasSeveralAppends(t *testing.T) {
+	const runs = 2*maxClosedRuns + 1
+	l := newLimitedDriver(t)
+	l.cfg.MaxTasks = 0
+	l.Apply(testEpoch, []Entry{acceptedCounts(testJob, runs+1)})
+	l.PopActions()
+	for i := range runs {
+		end := RunEnded{RunID: fleet.RunID{Task: fleet.TaskName{Job: testJob, Index: i}, Run: 1}, Reason: fleet.EndedDone}
+		l.Apply(testEpoch, []Entry{end})
+	}
+	l.PopActions()
+	l.Fail(testJob)
+	appends := actionsOf[AppendEntries](l.PopActions())
+	require.Len(t, appends, 3)
+	closed := 0
+	for _, a := range appends {
+		require.Len(t, a.Entries, 1)
+		e := a.Entries[0].(Closed)
+		assert.LessOrEqual(t, len(e.Runs)+len(e.LostRuns), maxClosedRuns)
+		assert.Equal(t, Failed, e.State)
+		closed += len(e.Runs)
+		l.Apply(testEpoch, a.Entries)
+	}
+	assert.Equal(t, runs, closed)
+	assert.Len(t, actionsOf[JobEnded](l.PopActions()), 1)
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -174,7 +174,11 @@
 		j := l.unclosed[id]
 		if !j.closing && l.shards[l.Shard(id)].driving {
 			j.closing = true
-			entries = append(entries, j.closedEntry(j.state))
+			closed := j.closedEntries(j.state)
+			entries = append(entries, closed[0])
+			for _, e := range closed[1:] {
+				l.emit(AppendEntries{[]Entry{e}})
+			}
 		}
 	}
 	if len(entries) > 0 {
