Return a stored run with its lease only without another owner

Callers saw a task of a stored job run twice at once. An owner that had lost both the store and a worker reported the runs there as ended when the leases that it had granted were over. After 1 s the store had assigned the worker to another host, which had found the runs before their leases ended and held them for their driver: it renews their leases for FoundRunHold and RenewBefore. The driver had no stream to that host, took the report for the end of the runs and started their tasks again.

The cause: a lease was taken to be over by the grants of one owner, while a next owner could have extended it. Now an owner that cannot ask the worker returns a run of a stored job only if the store has assigned the worker to no other host from before the last poll that the worker answered to a join that was sent after the end of the leases: each generation of the zone's group in between has listed the worker's partition. If one was missed, or no join was answered within 0.4 s of the end of the leases, the runs are reported as orphaned. The driver starts the tasks again 1.56 s later: the next owner found them before the end of the last lease, and their lease ends 0.8 s + 0.57 s after that (FoundRunHold, RenewBefore on a slow clock), 1.37 s. A worker that crashes in calm is confirmed by the next join, 0.3 s. Runs of best-effort jobs are returned as before: a next owner renews none that is not claimed.

The fleet of the tests passes the time of a join, like the dispatcher.

--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -127,8 +127,8 @@
 // returns true, until ctx is done.
 func (d *Dispatcher) runZoneMembership(ctx context.Context, seat ownership.Seat) error {
 	zone := seat.Zone
-	m := &membership{group: zoneGroup(zone), member: memberName(d.self.Name, seat.Number), onAssigned: func(_, _ time.Time, r platform.Membership) {
-		d.core.Ownership.Joined(seat, r.Generation, r.Partitions)
+	m := &membership{group: zoneGroup(zone), member: memberName(d.self.Name, seat.Number), onAssigned: func(now, sent time.Time, r platform.Membership) {
+		d.core.Joined(now, sent, seat, r.Generation, r.Partitions)
 	}, onLeave: func(time.Time) { d.core.Ownership.Left(seat) }}
 	started := time.Now()
 	return d.maintainMembership(ctx, m, d.membershipWakeups[seat], func() bool { return d.shouldJoin(ctx, zone, time.Since(started)) })
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -171,6 +171,8 @@
 		Speeds:  speeds, Flow: poolConfig.Flow,
 	})
 	poolConfig.HasLabel = coordination.HasLabel
+	owned := ownership.New(cfg.Partitions, cfg.Nonce)
+	poolConfig.Held = owned.Held
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
@@ -179,7 +181,7 @@
 		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
 		Coordinator: coordination,
-		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
+		Ownership:   owned,
 	}
 }
 
@@ -275,6 +277,13 @@
 // left.
 func (c *Core) HostPresent(host string, at time.Time) { c.Pool.HostPresent(host, at) }
 
+// Joined records the answer to a join of a zone's group: the generation and the partitions
+// that the store assigns to this host, and when the join was sent.
+func (c *Core) Joined(now, sent time.Time, s ownership.Seat, generation int64, partitions []int) {
+	c.Ownership.Joined(s, generation, partitions)
+	c.Ownership.Confirmed(s, sent, now)
+}
+
 // maxReportAge bounds the age of the coordinator's view of the host's own workers
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -319,7 +319,7 @@
 			for number := range h.seats {
 				generation, parts := w.groups[h.zone].join(w.now, seatName(h, number), h.generations[number])
 				h.generations[number] = generation
-				h.core.Ownership.Joined(ownership.Seat{Zone: h.zone, Number: number}, generation, parts)
+				h.core.Joined(w.now, w.now, ownership.Seat{Zone: h.zone, Number: number}, generation, parts)
 			}
 		}
 		w.after(joinInterval, func() { w.join(h) })
--- a/internal/decide/ownership/ownership.go
+++ b/internal/decide/ownership/ownership.go
@@ -14,6 +14,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -65,6 +66,10 @@
 type membership struct {
 	generation int64
 	partitions []int
+	// heldFrom holds, by partition, a time since which the store has assigned it to no other
+	// member, and heldTo is when the last join that the store answered was sent.
+	heldFrom map[int]time.Time
+	heldTo   time.Time
 	// unsettled is set if a worker of the zone was released that may still be
 	// assigned to this host.
 	unsettled bool
@@ -117,9 +122,14 @@
 func (t *Tracker) Joined(s Seat, generation int64, partitions []int) {
 	g := t.memberships[s]
 	if g == nil {
-		g = &membership{}
+		g = &membership{heldFrom: map[int]time.Time{}}
 		t.memberships[s] = g
 	}
+	if generation != g.generation && generation != g.generation+1 {
+		// The partitions may have had other owners in a generation between.
+		clear(g.heldFrom)
+	}
+	maps.DeleteFunc(g.heldFrom, func(partition int, _ time.Time) bool { return !slices.Contains(partitions, partition) })
 	if generation == g.generation && slices.Equal(partitions, g.partitions) && !g.unsettled {
 		return
 	}
@@ -129,6 +139,33 @@
 	t.reconcileZone(s.Zone, "assigned to another host")
 }
 
+// Confirmed records when the join whose answer Joined has recorded was sent and answered.
+func (t *Tracker) Confirmed(s Seat, sent, answered time.Time) {
+	g := t.memberships[s]
+	for _, partition := range g.partitions {
+		if _, ok := g.heldFrom[partition]; !ok {
+			g.heldFrom[partition] = answered
+		}
+	}
+	if sent.After(g.heldTo) {
+		g.heldTo = sent
+	}
+}
+
+// Held returns times between which the store has assigned a worker to no other host. They
+// are zero, or the first is after the second, if no such time is known.
+func (t *Tracker) Held(worker string) (from, to time.Time) {
+	w, ok := t.workers[worker]
+	if !ok || !t.held[worker] {
+		return time.Time{}, time.Time{}
+	}
+	g := t.assigned(w)
+	if g == nil {
+		return time.Time{}, time.Time{}
+	}
+	return g.heldFrom[t.Partition(worker)], g.heldTo
+}
+
 // forgetAdoptions drops the adoptions in a zone that precede the generations of all its
 // seats: a later adoption there has a higher generation.
 func (t *Tracker) forgetAdoptions(zone string) {
@@ -146,6 +183,7 @@
 func (t *Tracker) Left(s Seat) {
 	if g := t.memberships[s]; g != nil {
 		g.partitions = nil
+		clear(g.heldFrom)
 		t.reconcileZone(s.Zone, "membership ended")
 	}
 }
--- a/internal/decide/ownership/ownership_test.go
+++ b/internal/decide/ownership/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -146,3 +147,38 @@
 	tracker.Joined(Seat{Zone: "a"}, 4, []int{0})
 	assert.Empty(t, tracker.adoptions, "a later adoption has a higher generation")
 }
+
+// An owner took the worker to have been its own all the time although another host may have
+// owned it in a generation of the group that the owner had not heard of.
+func TestWorkerIsHeldOnlyWithoutAGapInTheGenerations(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	tracker := New(1, 7)
+	seat := Seat{Zone: "a"}
+	join := func(generation int64, partitions []int, sent, answered int) {
+		tracker.Joined(seat, generation, partitions)
+		tracker.Confirmed(seat, at(sent), at(answered))
+	}
+	requireHeld := func(wantFrom, wantTo time.Time) {
+		t.Helper()
+		from, to := tracker.Held("w")
+		require.Equal(t, wantFrom, from)
+		require.Equal(t, wantTo, to)
+	}
+	requireHeld(time.Time{}, time.Time{})
+	tracker.UpdateWorker(fleet.Worker{ID: "w", Zone: "a"})
+	join(3, []int{0}, 0, 10)
+	requireHeld(at(10), at(0))
+	join(3, []int{0}, 300, 310)
+	requireHeld(at(10), at(300))
+	join(4, []int{0}, 600, 610)
+	requireHeld(at(10), at(600))
+	join(6, []int{0}, 900, 910)
+	requireHeld(at(910), at(900))
+	join(7, nil, 1200, 1210)
+	requireHeld(time.Time{}, time.Time{})
+	join(8, []int{0}, 1500, 1510)
+	requireHeld(at(1510), at(1500))
+	tracker.Left(seat)
+	join(9, []int{0}, 1800, 1810)
+	requireHeld(at(1810), at(1800))
+}
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -15,13 +15,20 @@
 func (p *Pool) PollAnswered(now time.Time, id string, number int64, l fleet.PollResponse) {
 	w, ok := p.workers[id]
 	short := ok && number == w.shortPoll
+	var sent time.Time
+	if ok {
+		sent = w.pollSentAt(number)
+	}
 	if !ok || !w.finishPoll(number) {
 		return
 	}
+	if sent.After(w.ownedAt) {
+		w.ownedAt = sent
+	}
 	if short {
 		p.cfg.Flow.Answered(now, now.Sub(w.shortPollAt))
 	}
-	w.missedPolls, w.lostExclusive, w.interrupted = 0, false, false
+	w.missedPolls, w.lostExclusive, w.interrupted, w.lostYoungest = 0, false, false, time.Time{}
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, number, l)
 	}
@@ -396,7 +403,7 @@
 
 func (p *Pool) tickWorker(now time.Time, w *worker) {
 	if w.missedPolls > 0 && len(w.runs) > 0 && now.After(w.leaseExpiry()) {
-		p.loseRuns(now, w, "lease expired", quarantine.Unknown, anyRun)
+		p.leasesExpired(now, w)
 	}
 	for _, r := range w.sortedRuns() {
 		switch {
--- a/internal/decide/workerpool/loss_test.go
+++ b/internal/decide/workerpool/loss_test.go
@@ -1,12 +1,14 @@
 package workerpool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -140,3 +142,47 @@
 	require.Len(t, losses, 1)
 	assert.True(t, losses[0].Unconfirmed)
 }
+
+// An owner reported the run of a stored job as ended with the lease that it knew of, although
+// another host may have owned the worker and renewed the lease.
+func TestExpiredLeaseEndsAStoredRunOnlyWithoutAnotherOwner(t *testing.T) {
+	expired := epoch.Add(1200 * time.Millisecond)
+	for name, c := range map[string]struct {
+		from, to time.Time
+		want     []offer.Result
+	}{
+		"confirmed":           {epoch, expired, []offer.Result{offer.Returned}},
+		"group has changed":   {epoch.Add(time.Millisecond), expired, []offer.Result{offer.Orphaned}},
+		"never confirmed":     {time.Time{}, time.Time{}, []offer.Result{offer.Orphaned}},
+		"not confirmed again": {epoch, epoch.Add(time.Second), nil},
+	} {
+		for _, stored := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/stored=%t", name, stored), func(t *testing.T) {
+				p, _ := startedRun(t, "driver", stored)
+				p.cfg.Held = func(string) (from, to time.Time) { return c.from, c.to }
+				p.Tick(epoch)
+				for _, number := range pendingPolls(p, epoch) {
+					p.PollFailed(epoch, "w", number, fleet.CallTimedOut)
+				}
+				results := func(now time.Time) []offer.Result {
+					p.Tick(now)
+					var list []offer.Result
+					for _, o := range outcomes(p, now) {
+						list = append(list, o.Result)
+						assert.Zero(t, o.MaxRemaining)
+					}
+					return list
+				}
+				want := c.want
+				if !stored {
+					want = []offer.Result{offer.Returned}
+				}
+				assert.Equal(t, want, results(expired))
+				if want == nil {
+					assert.Equal(t, []offer.Result{offer.Orphaned}, results(expired.Add(ownershipTimeout)))
+				}
+				assert.True(t, p.Idle())
+			})
+		}
+	}
+}
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -47,6 +47,9 @@
 	// belongs to that had ended by the given time: an unknown job may be a stored
 	// one that this host has not read of yet. Nil means that it always can.
 	IsClassified func(job string, ended time.Time) bool
+	// Held returns times between which no other host was assigned a worker of this host;
+	// zero times if none are known. Nil means that no other host ever is.
+	Held func(worker string) (from, to time.Time)
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Pool.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
@@ -359,17 +362,21 @@
 // may find them.
 func (p *Pool) release(now time.Time, w *worker, why string) {
 	for _, r := range w.sortedRuns() {
-		if r.task == nil {
-			continue
-		}
-		p.emit(SendOutcome{offer.Outcome{
-			Host: r.task.Host, Task: r.id.Task, Submission: r.task.Submission, Run: r.id.Run, FailedRuns: r.task.FailedRuns, Result: offer.Orphaned, MayHaveRun: true,
-			Worker: w.info.ID, Fence: w.fence, Why: why, MaxRemaining: max(0, w.leaseExpiry().Sub(now)),
-		}})
+		p.reportOrphaned(now, w, r, why)
 	}
 	p.removeWorker(w, why)
 }
 
+// reportOrphaned reports that a run may go on under another owner.
+func (p *Pool) reportOrphaned(now time.Time, w *worker, r *run, why string) {
+	if r.task == nil {
+		return
+	}
+	o := w.outcome(*r.task, r.id.Run, offer.Orphaned, why)
+	o.MaxRemaining = max(0, w.leaseExpiry().Sub(now))
+	p.emit(SendOutcome{o})
+}
+
 func (p *Pool) removeWorker(w *worker, why string) {
 	delete(p.workers, w.info.ID)
 	p.order = slices.DeleteFunc(p.order, func(o *worker) bool { return o == w })
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -141,6 +141,9 @@
 	// lastContact when any call was answered.
 	shortPollAt, pollAnsweredAt, lastContact time.Time
 	polledClock                              time.Duration
+	// ownedAt is when the last poll that was answered had been sent: no other owner had
+	// polled the worker before.
+	ownedAt time.Time
 	// missedPolls counts the consecutive polls without an answer, and lastFailure
 	// is how the last one ended.
 	missedPolls int
@@ -152,7 +155,10 @@
 	// lostExclusive is set from the loss of an exclusive run until the worker
 	// answers again.
 	lostExclusive bool
-	nextPoll      time.Time
+	// lostYoungest is when the youngest run was ordered of those that were lost since the
+	// worker answered last.
+	lostYoungest time.Time
+	nextPoll     time.Time
 
 	health health
 	// awaited is set while a waiting task is to start here once its capacity is free.
