Let the driver know of each owner that holds its run

Callers saw a task of a stored job run twice at once. The store had assigned a worker to four hosts within 2.4 s. Each of them found the run there and held it for its driver for 0.8 s and up to 0.57 s of lease more, from its own first poll. The driver, which had no stream to them, started the task again 1.56 s after the lease of the first owner. The same happened with one next owner if the former one had held the run before: it may see 0.75 s after the driver that their stream has ended, and its lease ends up to 1.77 s after the driver's end; 1.77 s + 1.37 s is more than the 2.59 s that the driver waits.

The cause: a next owner extends a lease by a hold that it counts from the moment at which it finds the run, and neither the driver nor the next owner after it can know how many owners have done so.

Now an owner renews the lease of a run of a stored job that it has found, and that no driver has claimed, only once the log holds a record of it. Why this is safe, with any number of owners: the driver starts the task of an orphan only after a reading of the log that was sent when every lease that it knew of was over. An owner that could still extend the run had its record in the log before the lease ended, so that this reading contains it. The driver then waits for 1.5 s from reading it, and for a later reading. The run's lease ends at most 1.37 s after it was found, which was before the record was written. A next driver of the shard reads the records too and waits the same (ledger.Drive.HeldAt). A record of a fence below that of an inventory without the run has no effect. Records are dropped from the log with their job.

While a run is neither claimed nor recorded, the leases of its worker are not renewed, as with runs of best-effort jobs. The coordinator counts a reading of the log only once it has handled the entries.

--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -56,6 +56,27 @@
 	assert.Nil(t, dropped.Value)
 }
 
+// A hold of a run that is misread makes its driver start the task beside it.
+func TestHoldsOfRunsAreRecordedAndDropped(t *testing.T) {
+	held := ledger.RunHeld{RunID: fleet.RunID{Task: lostTask, Run: 3}, Fence: 1<<53 - 1}
+	records, err := encodeEntry(held)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	entry, err := decodeRecord(records[0])
+	require.NoError(t, err)
+	assert.Equal(t, held, entry)
+
+	closed, err := encodeEntry(ledger.Closed{Job: lostTask.Job, State: ledger.Failed, HeldRuns: []fleet.RunID{held.RunID}})
+	require.NoError(t, err)
+	dropped := closed[len(closed)-1]
+	assert.Equal(t, records[0].Key, dropped.Key)
+	assert.Nil(t, dropped.Value)
+	for _, r := range []platform.KeyedRecord{{Key: records[0].Key, Value: []byte("x")}, {Key: "k/job/0/0", Value: []byte("1")}} {
+		_, err := decodeRecord(r)
+		assert.Error(t, err, "%s %s", r.Key, r.Value)
+	}
+}
+
 // A handover that is misread starts tasks twice. An older version reads the number of a
 // takeover only.
 func TestHandoverIsRecorded(t *testing.T) {
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -20,6 +20,7 @@
 	keyCancelled = "c"
 	keyClosed    = "d"
 	keyHandover  = "h"
+	keyHeld      = "k"
 	keyLost      = "l"
 	keyShard     = "s"
 	keyTaker     = "t"
@@ -65,6 +66,8 @@
 			return nil, fmt.Errorf("encode loss of a run of task %s: %w", e.Task, err)
 		}
 		return []platform.KeyedRecord{{Key: runKey(keyLost, fleet.RunID{Task: e.Task, Run: e.Loss.Run}), Value: value}}, nil
+	case ledger.RunHeld:
+		return []platform.KeyedRecord{{Key: runKey(keyHeld, e.RunID), Value: []byte(strconv.FormatInt(e.Fence, 10))}}, nil
 	case ledger.Cancelled:
 		return []platform.KeyedRecord{{Key: key(keyCancelled, e.Job), Value: presentValue}}, nil
 	case ledger.Closed:
@@ -81,6 +84,9 @@
 		for _, run := range e.LostRuns {
 			records = append(records, platform.KeyedRecord{Key: runKey(keyLost, run)})
 		}
+		for _, run := range e.HeldRuns {
+			records = append(records, platform.KeyedRecord{Key: runKey(keyHeld, run)})
+		}
 		return records, nil
 	case ledger.Forgotten:
 		return []platform.KeyedRecord{{Key: key(keyClosed, e.Job)}, {Key: key(keyAccepted, e.Job)}, {Key: key(keyCancelled, e.Job)}}, nil
@@ -135,6 +141,8 @@
 		return decodeRunEnded(r.Key, rest, r.Value)
 	case keyLost:
 		return decodeRunLost(r.Key, rest, r.Value)
+	case keyHeld:
+		return decodeRunHeld(r.Key, rest, r.Value)
 	case keyCancelled:
 		return ledger.Cancelled{Job: rest}, nil
 	case keyClosed:
@@ -202,6 +210,18 @@
 	return lost, nil
 }
 
+func decodeRunHeld(name, rest string, value []byte) (ledger.Entry, error) {
+	run, err := parseRun(name, rest)
+	if err != nil {
+		return nil, err
+	}
+	fence, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("record %q: %w", name, err)
+	}
+	return ledger.RunHeld{RunID: run, Fence: fence}, nil
+}
+
 // parseRun parses the part of a key after its kind, in the form of runKey.
 func parseRun(name, rest string) (fleet.RunID, error) {
 	parts := strings.Split(rest, "/")
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -328,7 +328,7 @@
 			if j.stored {
 				// The run may have ended, been recorded in the log and been removed
 				// from the worker's list.
-				t.state, t.host, t.orphanEndsAt = taskOrphaned, "", now.Add(-takeoverTime)
+				t.state, t.host, t.fence, t.orphanEndsAt = taskOrphaned, "", inv.Fence, now.Add(-takeoverTime)
 				continue
 			}
 			c.addOrphanLoss(now, j, t)
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -14,7 +14,9 @@
 	// passes, the coordinator drops the job, which stays open in the log.
 	storedTimeout = time.Hour
 	// takeoverTime is how long the next owner of a worker may take to list the
-	// runs that ended there: the time to live of a member, a join and a poll.
+	// runs that ended there: the time to live of a member, a join and a poll. It is
+	// also longer than the lease of a run after its owner has found it
+	// (workerpool.Config.FoundRunHold).
 	takeoverTime = 1500 * time.Millisecond
 )
 
@@ -39,6 +41,11 @@
 		}
 	}
 	c.adoptHanded(now, j, stored)
+	for name, at := range stored.HeldAt {
+		if _, t := c.find(name); t != nil && t.state == taskIdle && now.Before(at.Add(takeoverTime)) {
+			t.state, t.mayHaveRun, t.orphanEndsAt = taskOrphaned, true, at
+		}
+	}
 	for _, t := range j.tasks {
 		for _, l := range stored.Lost[t.name] {
 			t.losses.Add(now, l)
@@ -99,6 +106,19 @@
 	}
 }
 
+// RunHeld records that the log holds a record of an owner that has found a run on a worker and
+// holds it for its driver. The owner renews the run's lease only with the record in the log, so
+// that the record is read before an orphaned run counts as over.
+func (c *Coordinator) RunHeld(now time.Time, held ledger.RunHeld) {
+	_, t := c.find(held.Task)
+	if t == nil || t.state != taskOrphaned || held.Run == t.lastRun && held.Fence < t.fence {
+		return
+	}
+	if t.orphanEndsAt.Before(now) {
+		t.orphanEndsAt = now
+	}
+}
+
 // SetLogReadTime sets the time at which the last read of the log was requested.
 // Every end that had been recorded by then is known.
 func (c *Coordinator) SetLogReadTime(sent time.Time) { c.logReadAt = sent }
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -117,6 +117,8 @@
 	Entries []ledger.Entry
 	// Ends are the run ends among the entries, with the workers that list them.
 	Ends []workerpool.RecordEnd
+	// Holds are the holds of runs among the entries.
+	Holds []workerpool.RecordHold
 }
 
 // Core holds the decisions of one host. It is not safe for concurrent use.
@@ -197,7 +199,6 @@
 // request that was sent at the given time.
 func (c *Core) LogRead(sent time.Time) {
 	c.Ledger.LogRead(sent)
-	c.Coordinator.SetLogReadTime(c.Ledger.AsOf())
 }
 
 // Appended records that the entries of a are in the log. It sends them to the
@@ -208,6 +209,9 @@
 	for _, end := range a.Ends {
 		c.Pool.EndRecorded(now, end)
 	}
+	for _, hold := range a.Holds {
+		c.Pool.HoldRecorded(hold)
+	}
 }
 
 // Tick performs the actions that are due at the given time: renewals, retries
@@ -456,6 +460,8 @@
 			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.RunFailed:
 			c.Coordinator.FailureRecorded(now, a.RunID, a.Failed)
+		case ledger.HoldRead:
+			c.Coordinator.RunHeld(now, a.RunHeld)
 		case ledger.JobEnded, ledger.UnknownCancelled:
 			c.emit(a)
 		case ledger.AppendEntries:
@@ -464,6 +470,8 @@
 			c.emit(LogEvent{Message: a.Message, Worker: "", Why: fmt.Sprintf("shard %d: %s", a.Shard, a.Why)})
 		}
 	}
+	// The coordinator counts a reading once it knows all that was read.
+	c.Coordinator.SetLogReadTime(c.Ledger.AsOf())
 }
 
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
@@ -498,6 +506,8 @@
 		c.emit(LogEvent{Message: "worker dropped", Worker: a.Worker, Why: a.Why})
 	case workerpool.RecordEnd:
 		c.emit(Append{Entries: []ledger.Entry{ledger.RunEnded{RunID: a.End.RunID, Reason: a.End.Reason}}, Ends: []workerpool.RecordEnd{a}})
+	case workerpool.RecordHold:
+		c.emit(Append{Entries: []ledger.Entry{ledger.RunHeld{RunID: a.Run, Fence: a.Fence}}, Holds: []workerpool.RecordHold{a}})
 	case workerpool.LogEvent:
 		c.emit(LogEvent{Message: a.Message, Worker: a.Worker, Why: a.Why})
 	default:
--- a/internal/decide/host/waits_test.go
+++ b/internal/decide/host/waits_test.go
@@ -93,3 +93,25 @@
 		})
 	}
 }
+
+// The last owner that heard the driver, which learned late that their stream had ended, and
+// the worker's next owner held a run one after the other, and its stops were lost. The driver
+// waited from its own end of the stream as if only one of them held it.
+func TestRunOfASilentDriverIsNotHeldAgainUnknownToIt(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, reassigned := range []time.Duration{1200, 1300, 1400, 1500} {
+			t.Run(fmt.Sprintf("seed=%d/%d", seed, reassigned), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(seed, 2, 3, 3)
+				driver, owner, _ := w.separatedRun(t)
+				w.stopsLost = true
+				w.endStream(driver, owner, true)
+				w.cuts[pair(driver.name, owner.name)]++
+				w.run(reassigned * time.Millisecond)
+				w.groups[owner.zone].reassign(1)
+				w.run(3 * time.Second)
+				require.Empty(t, w.problems)
+			})
+		}
+	}
+}
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -8,7 +8,8 @@
 // was accepted or cancelled, which of its runs ended or were lost with their
 // worker, and that it was closed.
 // It does not hold which runs are in progress; the workers report those. Only a driver
-// that hands its shard over records them, for the next driver.
+// that hands its shard over records them, for the next driver, and an owner those that it
+// holds for their driver.
 package ledger
 
 import (
@@ -41,6 +42,15 @@
 	Loss quarantine.Loss
 }
 
+// RunHeld records that a next owner of a worker has found a run there that no driver has
+// claimed yet, and renews its lease for a while. The driver must not take the run to be over
+// before.
+type RunHeld struct {
+	fleet.RunID
+	// Fence is the one under which the run was found. It rises with each owner.
+	Fence int64
+}
+
 // Cancelled records that a caller cancelled a job.
 type Cancelled struct{ Job string }
 
@@ -51,8 +61,8 @@
 	Queue string
 	State State
 	// Runs are the runs whose ends are in the log and are dropped from it, and
-	// LostRuns those whose losses are.
-	Runs, LostRuns []fleet.RunID
+	// LostRuns and HeldRuns those whose losses and holds are.
+	Runs, LostRuns, HeldRuns []fleet.RunID
 }
 
 // Forgotten removes a closed job from the log.
@@ -72,6 +82,7 @@
 func (Accepted) entry()  {}
 func (RunEnded) entry()  {}
 func (RunLost) entry()   {}
+func (RunHeld) entry()   {}
 func (Cancelled) entry() {}
 func (Closed) entry()    {}
 func (Forgotten) entry() {}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -53,6 +53,8 @@
 	FailedRuns map[fleet.TaskName]int
 	// Lost are the runs that were lost with their workers, by task.
 	Lost map[fleet.TaskName][]quarantine.Loss
+	// HeldAt is when the last hold of a run of each task was read.
+	HeldAt map[fleet.TaskName]time.Time
 	// FirstRun is higher than the number of any run of a previous driver.
 	FirstRun int
 	// Running are the runs that the previous driver has handed over, and Unsettled the
@@ -77,6 +79,9 @@
 	Failed int
 }
 
+// HoldRead reports that the log records a run of a driven job as held for its driver.
+type HoldRead struct{ RunHeld }
+
 // JobEnded reports that a job has ended. Driven is set if this host drove it.
 type JobEnded struct {
 	Job    string
@@ -104,6 +109,7 @@
 func (Release) action()          {}
 func (TaskDone) action()         {}
 func (RunFailed) action()        {}
+func (HoldRead) action()         {}
 func (JobEnded) action()         {}
 func (UnknownCancelled) action() {}
 func (AppendEntries) action()    {}
@@ -119,7 +125,9 @@
 	failedRuns map[fleet.TaskName]map[int]bool
 	endedRuns  []fleet.RunID
 	// losses are the runs that were lost with their workers.
-	losses    map[fleet.RunID]quarantine.Loss
+	losses map[fleet.RunID]quarantine.Loss
+	// holds are the last holds of runs.
+	holds     map[fleet.RunID]hold
 	remaining int
 	// takeovers is the shard's takeover count when the job was accepted.
 	takeovers int
@@ -133,6 +141,12 @@
 	acceptSeq int64
 }
 
+// hold is what was read of the last hold of a run.
+type hold struct {
+	fence  int64
+	readAt time.Time
+}
+
 // shard is a part of the jobs; the store's group assigns it to one host.
 type shard struct {
 	takeovers  int
@@ -269,6 +283,8 @@
 			if j := l.jobs[e.Task.Job]; j != nil && !j.state.Ended() {
 				j.losses[fleet.RunID{Task: e.Task, Run: e.Loss.Run}] = e.Loss
 			}
+		case RunHeld:
+			l.runHeld(now, e)
 		case Cancelled:
 			l.cancel(now, e.Job)
 		case Closed:
@@ -310,7 +326,7 @@
 	j := &job{
 		spec: e.Job, route: e.Route, state: Pending, takeovers: e.Takeovers, acceptSeq: l.seq,
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
-		losses: map[fleet.RunID]quarantine.Loss{},
+		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
 	for _, step := range e.Job.Steps {
 		j.remaining += step.Count
@@ -358,6 +374,17 @@
 	}
 }
 
+func (l *Ledger) runHeld(now time.Time, e RunHeld) {
+	j := l.jobs[e.Task.Job]
+	if j == nil || j.state.Ended() || e.Fence <= j.holds[e.RunID].fence {
+		return
+	}
+	j.holds[e.RunID] = hold{fence: e.Fence, readAt: now}
+	if j.driven {
+		l.emit(HoldRead{e})
+	}
+}
+
 func (l *Ledger) cancel(now time.Time, id string) {
 	j := l.jobs[id]
 	switch {
@@ -390,7 +417,7 @@
 		l.stopDriving(j, "closed as "+string(e.State))
 		l.endJob(now, j, e.State, driven)
 	}
-	j.closing, j.endedRuns, j.losses = true, nil, nil
+	j.closing, j.endedRuns, j.losses, j.holds = true, nil, nil, nil
 	delete(l.unclosed, e.Job)
 }
 
@@ -424,7 +451,7 @@
 }
 
 func (j *job) closedEntry(state State) Closed {
-	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns()}
+	return Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Runs: j.endedRuns, LostRuns: j.lostRuns(), HeldRuns: slices.SortedFunc(maps.Keys(j.holds), fleet.RunID.Compare)}
 }
 
 // lostRuns returns the runs that were lost with their workers, in order.
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -211,3 +211,27 @@
 	assert.Equal(t, []AppendEntries{{[]Entry{Forgotten{Job: testJob}}}}, actionsOf[AppendEntries](l.PopActions()))
 	assert.False(t, l.IsCancelled(testJob))
 }
+
+// A driver took the run of a stored job to be over while a next owner of its worker held it.
+// The hold is known to the driver and to the next one, and is dropped from the log with the job.
+func TestHoldsOfRunsAreReported(t *testing.T) {
+	task := fleet.TaskName{Job: testJob}
+	run := fleet.RunID{Task: task, Run: 1}
+	first, second := RunHeld{RunID: run, Fence: 5}, RunHeld{RunID: run, Fence: 6}
+	at := func(ms int) time.Time { return testEpoch.Add(time.Duration(ms) * time.Millisecond) }
+	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+	l.Apply(at(0), []Entry{acceptedTwoSteps(testJob), first})
+	l.Assigned(at(0), at(0), []int{0})
+	l.LogRead(at(1))
+	l.Apply(at(2), actionsOf[AppendEntries](l.PopActions())[0].Entries)
+	drives := actionsOf[Drive](l.PopActions())
+	require.Len(t, drives, 1)
+	assert.Equal(t, map[fleet.TaskName]time.Time{task: at(0)}, drives[0].HeldAt)
+
+	l.Apply(at(3), []Entry{first, second, second, RunHeld{RunID: fleet.RunID{Task: fleet.TaskName{Job: "unknown"}}, Fence: 7}})
+	assert.Equal(t, []HoldRead{{second}}, actionsOf[HoldRead](l.PopActions()), "an entry that is read again has no effect")
+	l.Fail(testJob)
+	writes := actionsOf[AppendEntries](l.PopActions())
+	require.Len(t, writes, 1)
+	assert.Equal(t, []fleet.RunID{run}, writes[0].Entries[0].(Closed).HeldRuns)
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -161,6 +161,14 @@
 		}
 		d.Lost[run.Task] = append(d.Lost[run.Task], j.losses[run])
 	}
+	for run, h := range j.holds {
+		if d.HeldAt == nil {
+			d.HeldAt = map[fleet.TaskName]time.Time{}
+		}
+		if h.readAt.After(d.HeldAt[run.Task]) {
+			d.HeldAt[run.Task] = h.readAt
+		}
+	}
 	l.emit(d)
 }
 
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -44,7 +44,7 @@
 		task := c.Task
 		r.task, r.size, r.claimed, r.exclusive, r.stored = &task, task.Size, true, task.Exclusive, task.Stored
 		r.host = task.Host
-		r.claimBy = time.Time{}
+		r.claimBy, r.foundAt = time.Time{}, time.Time{}
 		w.addRun(r)
 	case running:
 		p.claimAgain(r, c.Task)
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -80,7 +80,7 @@
 // the hosts of their jobs can claim them.
 func (p *Pool) handleFirstPoll(now time.Time, w *worker, l fleet.PollResponse) {
 	w.adopting = false
-	w.latestLeaseEnd = l.Clock + p.cfg.MaxLease
+	w.latestLeaseEnd, w.leaseUnknown = l.Clock+p.cfg.MaxLease, true
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
 		w.holdFoundEnd(now, e)
@@ -102,7 +102,7 @@
 // addFoundRun adds a run that this host did not start.
 func (p *Pool) addFoundRun(now time.Time, w *worker, id fleet.RunID) *run {
 	r := &run{id: id, state: runRunning, confirmed: true, orderedAt: now, answeredAtPoll: p.lastPoll, acceptedClock: w.clock}
-	r.claimBy = now.Add(p.cfg.ClaimTimeout)
+	r.claimBy, r.foundAt = now.Add(p.cfg.ClaimTimeout), now
 	if p.cfg.IsStored != nil && p.cfg.IsStored(id.Task.Job) {
 		r.stored, r.claimBy = true, now.Add(p.cfg.FoundRunHold)
 	}
@@ -410,11 +410,14 @@
 		case r.state == runRunning && !r.claimBy.IsZero() && now.After(r.claimBy):
 			r.task = nil
 			p.stop(now, w, r, StopUnclaimed)
+		case w.holdsLeaseOfOthers(now, r):
+			p.stop(now, w, r, StopUnclaimed)
 		case r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop):
 			p.stop(now, w, r, r.stopReason)
 		}
 	}
 	p.announceAgain(now, w)
+	p.recordHolds(now, w)
 	p.classifyFoundEnds(w)
 	p.expireLease(now, w)
 	p.tickPolls(now, w)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -60,9 +60,9 @@
 	// that nothing does.
 	Flow *flow.Limiter
 	// FoundRunHold is how long a run of a stored job that was found on a worker goes on
-	// until its driver claims it. A driver that hears nothing of the run starts the task
-	// again 1.5 s (coordinator.takeoverTime) after the former owner's lease; the run ends
-	// before that, also if its stop is lost: at most RenewBefore after the hold.
+	// until its driver claims it. The hold is recorded in the log. A driver that has read of
+	// it starts the task again no sooner than 1.5 s (coordinator.takeoverTime) later; the run
+	// ends before that, also if its stop is lost: at most RenewBefore after the hold.
 	FoundRunHold time.Duration
 	// HandoverHold is the same for a run that its driver has handed over. A next driver
 	// that cannot go on with a handover waits 2.6 s (ledger.Config.TakeoverDelay), of
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -67,6 +67,8 @@
 	case r.stopAnswered:
 		// The run is over, although its end may not have been listed yet.
 		return now.Add(p.cfg.MaxLease)
+	case r.awaitsRecord():
+		return now
 	case r.stored && !r.claimBy.IsZero():
 		return r.claimBy.Add(p.cfg.RenewBefore)
 	case r.stored && r.task != nil:
@@ -113,6 +115,9 @@
 	if !w.renewsLeases(now) {
 		return false
 	}
+	if w.leaseUnknown && w.longPoll.number != 0 {
+		return p.leaseLength(now, w) >= minLeaseExtension
+	}
 	left := w.latestLeaseEnd - w.clockNow(now)
 	return left < p.cfg.RenewBefore && p.leaseLength(now, w) >= left+minLeaseExtension
 }
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -76,6 +76,12 @@
 	// worker, because its driver handed it over, or because contact was lost with the
 	// driver, which may come back.
 	claimBy time.Time
+	// foundAt is when the run was found on the worker, or zero once a host has claimed it.
+	// Until its hold is recorded in the log its lease is not renewed.
+	foundAt                   time.Time
+	holdOrdered, holdRecorded bool
+	// foundUnder is the fence under which the record of the hold was ordered.
+	foundUnder int64
 	// exclusive is set if no other run may start on the worker beside it, and
 	// shared once another run has been on the worker with it.
 	exclusive, shared bool
@@ -113,7 +119,10 @@
 	// latestLeaseEnd is the latest end, on the worker's clock, of a lease that
 	// this host granted or a former owner may have granted.
 	latestLeaseEnd time.Duration
-	startTime      int64
+	// leaseUnknown is set until this host grants a lease: the lease of the former owner may
+	// end at any time.
+	leaseUnknown bool
+	startTime    int64
 	// seenSeq is the highest end that was read, acknowledgedSeq the highest that
 	// is acknowledged; the worker forgets the ends up to the latter.
 	seenSeq, acknowledgedSeq int64
@@ -198,7 +207,7 @@
 // records it.
 func (w *worker) grantLease(now time.Time, length time.Duration) time.Duration {
 	until := w.clockNow(now) + length
-	w.latestLeaseEnd = max(w.latestLeaseEnd, until)
+	w.latestLeaseEnd, w.leaseUnknown = max(w.latestLeaseEnd, until), false
 	return until
 }
 
