Seeded test: owners that the driver of a stored job cannot reach

Changes of owners, standstills, lost stops, and lost connections to the store, to workers and to the last owner that the driver had a stream to.

--- a/internal/decide/host/waits_test.go
+++ b/internal/decide/host/waits_test.go
@@ -115,3 +115,42 @@
 		}
 	}
 }
+
+// A driver without streams to the other hosts of a worker's zone started tasks of stored jobs
+// beside runs that these held, under changes of owners, standstills, and lost connections to
+// the store, to workers and to the owner.
+func TestStoredHistoriesWithUnreachableOwners(t *testing.T) {
+	for seed := range uint64(*histories) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 2, 4, 3)
+			driver, owner, worker := w.separatedRun(t)
+			anyHost := func() *simHost { return w.hosts[w.rng.IntN(len(w.hosts))] }
+			upTo := func(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
+			w.stopsLost = w.rng.IntN(2) == 0
+			if w.rng.IntN(2) == 0 {
+				w.endStream(driver, owner, w.rng.IntN(2) == 0)
+				w.cuts[pair(driver.name, owner.name)]++
+			}
+			for range 5 {
+				at, h := upTo(4*time.Second), anyHost()
+				switch w.rng.IntN(6) {
+				case 0, 1, 2:
+					offset := 1 + w.rng.IntN(3)
+					w.after(at, func() { w.groups[owner.zone].reassign(offset) })
+				case 3:
+					w.after(at, func() { w.freeze(h, upTo(1500*time.Millisecond)) })
+				case 4:
+					w.after(at, func() { w.isolateWorker(h, worker, upTo(3*time.Second)) })
+				case 5:
+					w.after(at, func() {
+						h.storeUnreachable = true
+						w.after(upTo(3*time.Second), func() { h.storeUnreachable = false })
+					})
+				}
+			}
+			w.run(10 * time.Second)
+			require.Empty(t, w.problems)
+		})
+	}
+}
