Soak of standstills: callers that return, streams that end on one side

It names both runs, their owners and hosts, and writes what hosts, workers and the caller saw for each task. The stand-in worker has run times by task and real progress.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,10 +25,8 @@
 )
 
 const (
-	hostsPerZone   = 2
-	workersPerZone = 4
-	partitions     = 6
-	taskTime       = 120 * time.Millisecond
+	partitions = 6
+	taskTime   = 120 * time.Millisecond
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 6 * time.Second
 	// restartDelay is how long the platform takes to start a host again.
@@ -37,11 +36,33 @@
 	disruptionWindow = 2 * time.Second
 )
 
+// layout is the size and form of a fleet.
+type layout struct {
+	zones                        []string
+	hostsPerZone, workersPerZone int
+	// subnet returns the prefix of the addresses of the hosts of fleet number n.
+	subnet func(n int) string
+	// runTime returns how long a task takes.
+	runTime func(task string) time.Duration
+	// proxiesHosts is set if the streams between hosts pass through proxies.
+	proxiesHosts bool
+}
+
 var zones = []string{"east", "west"}
 
+// soakLayout is the fleet of TestSoak.
+var soakLayout = layout{
+	zones: zones, hostsPerZone: 2, workersPerZone: 4,
+	subnet:  func(n int) string { return fmt.Sprintf("127.0.%d.", n) },
+	runTime: func(string) time.Duration { return taskTime },
+}
+
 // host is one entry host, a process of parsleyhilld.
 type host struct {
-	name, ip     string
+	name, ip string
+	zone     string
+	// number is the last part of the host's address.
+	number       int
 	settingsPath string
 	log          *os.File
 	store        *proxy
@@ -70,42 +91,53 @@
 // workers run in the test process behind proxies.
 type fleet struct {
 	t       *testing.T
+	layout  layout
 	bin     string
 	dir     string
 	store   *store.Store
 	workers []*worker
 	hosts   []*host
+	// links holds the proxies between the hosts, or is nil if there are none.
+	links   *hostLinks
 	ledger  *ledger
 	client  *http.Client
 	version int
 }
 
-// newFleet starts a fleet whose hosts have addresses in the loopback subnet
-// 127.0.subnet.0/24.
-func newFleet(t *testing.T, bin string, subnet int) *fleet {
+// newFleet starts a fleet whose hosts have addresses in the loopback subnet of the
+// given number.
+func newFleet(t *testing.T, bin string, l layout, subnet int) *fleet {
 	dir, err := os.MkdirTemp("", "soak-")
 	require.NoError(t, err)
 	f := &fleet{
-		t: t, bin: bin, dir: dir, store: store.New(partitions), ledger: newLedger(),
+		t: t, layout: l, bin: bin, dir: dir, store: store.New(partitions), ledger: newLedger(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	storeAddress := f.serve(f.store)
 	f.configure()
-	for z, zone := range zones {
-		for i := range workersPerZone {
+	if l.proxiesHosts {
+		f.links = newHostLinks(f, l.subnet(subnet))
+	}
+	for z, zone := range l.zones {
+		for i := range l.workersPerZone {
 			w := &worker{id: fmt.Sprintf("w-%s-%d", zone, i), zone: zone}
 			w.standin = taskworker.New(w.id, taskTime)
+			w.standin.SetRunTime(l.runTime)
 			w.standin.Observe(f.ledger.observe)
 			// The clocks of workers may run up to 2 % slow.
-			w.standin.SetClockRate(1 - 0.005*float64(i))
+			w.standin.SetClockRate(1 - 0.005*float64(i%4))
 			w.proxy = newProxy(t, "127.0.0.1:0", f.serve(w.standin))
 			f.workers = append(f.workers, w)
 			f.ledger.zoneOf[w.id] = zone
 			f.register(w)
 		}
-		for i := range hostsPerZone {
-			h := &host{name: fmt.Sprintf("h-%s-%d", zone, i), ip: fmt.Sprintf("127.0.%d.%d", subnet, z*hostsPerZone+i+1)}
+		for i := range l.hostsPerZone {
+			number := z*l.hostsPerZone + i + 1
+			h := &host{name: fmt.Sprintf("h-%s-%d", zone, i), zone: zone, number: number, ip: l.subnet(subnet) + fmt.Sprint(number)}
 			h.store = newProxy(t, "127.0.0.1:0", storeAddress)
+			if f.links != nil {
+				h.store = newProxy(t, "127.0.0.1:0", f.serve(f.links.storeFor(h, f.store)))
+			}
 			h.settingsPath = filepath.Join(dir, h.name+".yaml")
 			require.NoError(t, os.WriteFile(h.settingsPath, []byte(f.settings(h, zone)), 0o600))
 			h.log, err = os.Create(filepath.Join(dir, h.name+".log"))
@@ -163,16 +195,20 @@
 }
 
 func (f *fleet) settings(h *host, zone string) string {
+	regions := make([]string, 0, len(f.layout.zones))
+	for _, z := range f.layout.zones {
+		regions = append(regions, z+": r")
+	}
 	return fmt.Sprintf(`node: %q
 ip: %q
 zone: %q
-zones: {east: r, west: r}
+zones: {%s}
 listen: {front: "%s:8161", ready_addr: "%s:8167"}
 port_range: [7720, 7735]
 limits: {memory_mb: 284}
 bounds: {max_hold_ms: 1000, grace_s: %v, status_s: 120}
 platform: {addr: %q, parts: %d, min_ttl_ms: 1000}
-`, h.name, h.ip, zone, h.ip, h.ip, grace.Seconds(), h.store.address(), partitions)
+`, h.name, h.ip, zone, strings.Join(regions, ", "), h.ip, h.ip, grace.Seconds(), h.store.address(), partitions)
 }
 
 func encode(v any) []byte {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 	startTime time.Time
 
 	mu sync.Mutex
-	// running counts the current runs by task, load by worker.
-	running      map[string]int
+	// running holds the current runs by task; load counts them by worker.
+	running      map[string][]activeRun
 	load         map[string]int
 	done         map[string]bool
 	acknowledged map[string]bool
@@ -39,15 +40,48 @@
 	// storeAway is the sum of the times in which the store was away for some host.
 	storeAway  time.Duration
 	violations []string
-	counts     map[string]int
+	overlaps   []overlap
+	// overlapped, if set, is called with the workers of a task that runs twice at once. It
+	// must not block.
+	overlapped func(task string, workers []string)
+	// history holds the events of each task.
+	history map[string][]timedEvent
+	counts  map[string]int
+}
+
+// activeRun is a run that has started and not ended.
+type activeRun struct {
+	worker  string
+	number  int
+	started time.Time
+}
+
+func (r activeRun) String() string {
+	return fmt.Sprintf("run %d on %s since %s", r.number, r.worker, r.started.UTC().Format(clockFormat))
+}
+
+// timedEvent is an event of a worker with its time.
+type timedEvent struct {
+	taskworker.Event
+	at time.Time
+}
+
+// clockFormat is the format of times in violations. The hosts' logs have the same times.
+const clockFormat = "15:04:05.000"
+
+// overlap is a start of a task while other runs of it were active.
+type overlap struct {
+	task   string
+	active []activeRun
+	second activeRun
 }
 
 func newLedger() *ledger {
 	return &ledger{
-		startTime: time.Now(), running: map[string]int{}, load: map[string]int{}, done: map[string]bool{},
+		startTime: time.Now(), running: map[string][]activeRun{}, load: map[string]int{}, done: map[string]bool{},
 		acknowledged: map[string]bool{}, lastStart: map[string]time.Time{}, counts: map[string]int{},
 		crashes: map[string]int{}, startsAfterLimit: map[string]int{},
-		zoneOf: map[string]string{}, evacuated: map[string]time.Time{},
+		history: map[string][]timedEvent{}, zoneOf: map[string]string{}, evacuated: map[string]time.Time{},
 	}
 }
 
@@ -87,11 +121,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	job, _, _ := strings.Cut(e.Task, ".")
+	l.history[e.Task] = append(l.history[e.Task], timedEvent{e, time.Now()})
 	switch e.Kind {
 	case taskworker.Started:
 		l.counts["starts"]++
-		if l.running[e.Task] > 0 {
-			l.fail("task %s starts on %s (run %d) while another run is active", e.Task, e.Worker, e.Run)
+		run := activeRun{worker: e.Worker, number: e.Run, started: time.Now()}
+		if active := l.running[e.Task]; len(active) > 0 {
+			l.overlaps = append(l.overlaps, overlap{task: e.Task, active: slices.Clone(active), second: run})
+			l.fail("task %s starts on %s (run %d) while another run is active: %v", e.Task, e.Worker, e.Run, active)
+			if l.overlapped != nil {
+				workers := []string{e.Worker}
+				for _, r := range active {
+					workers = append(workers, r.worker)
+				}
+				l.overlapped(e.Task, workers)
+			}
 		}
 		if strings.HasPrefix(job, storedPrefix) && l.acknowledged[e.Task] {
 			l.fail("task %s starts on %s (run %d) after its end was acknowledged", e.Task, e.Worker, e.Run)
@@ -101,7 +145,7 @@
 		if deadly(e.Task) && l.deadlyStarted != nil {
 			l.deadlyStarted(e.Worker)
 		}
-		l.running[e.Task]++
+		l.running[e.Task] = append(l.running[e.Task], run)
 		l.load[e.Worker]++
 		if l.load[e.Worker] > tasksPerWorker {
 			l.fail("worker %s has %d tasks, but only %d fit", e.Worker, l.load[e.Worker], tasksPerWorker)
@@ -110,11 +154,17 @@
 	case taskworker.Acknowledged:
 		l.acknowledged[e.Task] = true
 	default:
-		l.running[e.Task]--
+		l.running[e.Task] = slices.DeleteFunc(l.running[e.Task], func(r activeRun) bool {
+			return r.worker == e.Worker && r.number == e.Run
+		})
+		if len(l.running[e.Task]) == 0 {
+			delete(l.running, e.Task)
+		}
 		l.load[e.Worker]--
 		switch e.Kind {
 		case "done":
 			l.done[e.Task] = true
+			l.counts["done"]++
 		case "lost":
 			l.crashes[e.Task]++
 			l.counts["lost"]++
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -22,6 +22,8 @@
 	dropAll
 	// dropReplies forwards requests and drops the replies.
 	dropReplies
+	// dropRequests drops the requests and forwards the replies.
+	dropRequests
 	// resetting resets every connection.
 	resetting
 )
@@ -35,11 +37,14 @@
 type proxy struct {
 	target string
 	at     string
+	// keepsEnds is set if the end of a connection is dropped like data, as on a cut link.
+	keepsEnds bool
 
 	mu       sync.Mutex
 	listener net.Listener
 	mode     mode
-	conns    map[net.Conn]bool
+	// conns holds the open connections; accepted ones are true, dialed ones false.
+	conns map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, address, target string) *proxy {
@@ -90,31 +95,50 @@
 		return
 	}
 	p.mode = m
-	if m == dropAll || m == dropReplies {
+	if m == dropAll || m == dropReplies || m == dropRequests {
 		return
 	}
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
+		reset(c)
+	}
+}
+
+// cut drops everything, and resets the connections on one side only: that of the clients
+// or that of the target.
+func (p *proxy) cut(clients bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = dropAll
+	for c, accepted := range p.conns {
+		if accepted == clients {
+			reset(c)
 		}
-		_ = c.Close()
 	}
 }
 
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.mode
 }
 
-func (p *proxy) track(c net.Conn, open bool) {
+func (p *proxy) track(c net.Conn, accepted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if open {
-		p.conns[c] = true
-	} else {
-		delete(p.conns, c)
-	}
+	p.conns[c] = accepted
+}
+
+func (p *proxy) forget(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
 }
 
 func (p *proxy) accept(listener net.Listener) {
@@ -124,8 +148,7 @@
 			return
 		}
 		if p.currentMode() == resetting {
-			_ = client.(*net.TCPConn).SetLinger(0)
-			_ = client.Close()
+			reset(client)
 			continue
 		}
 		go p.serve(client)
@@ -139,26 +162,30 @@
 		return
 	}
 	p.track(client, true)
-	p.track(upstream, true)
+	p.track(upstream, false)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		p.copy(client, upstream, dropReplies)
 	}()
-	p.copy(upstream, client, dropAll)
+	p.copy(upstream, client, dropRequests)
 	<-done
-	p.track(client, false)
-	p.track(upstream, false)
+	p.forget(client)
+	p.forget(upstream)
 }
 
 // copy forwards bytes in one direction until either end closes. It drops bytes
 // that arrive in mode dropAll or in the given mode dropped.
 func (p *proxy) copy(to, from net.Conn, dropped mode) {
-	defer func() { _ = to.Close() }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			if m := p.currentMode(); p.keepsEnds && (m == dropAll || m == dropped) {
+				// The connection is reset when the dropping mode ends.
+				return
+			}
+			_ = to.Close()
 			return
 		}
 		switch p.currentMode() {
@@ -168,6 +195,7 @@
 			time.Sleep(proxyDelay)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
+			_ = to.Close()
 			return
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,11 +40,7 @@
 )
 
 func TestSoak(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "parsleyhilld")
-	build := exec.Command("go", "build", "-o", bin, "./cmd/parsleyhilld")
-	build.Dir = filepath.Join("..", "..")
-	out, err := build.CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	bin := buildDaemon(t)
 	selected := map[uint64]bool{}
 	for seed := range regressions {
 		selected[seed] = true
@@ -60,6 +56,16 @@
 	}
 }
 
+// buildDaemon builds the daemon and returns the path of the program.
+func buildDaemon(t *testing.T) string {
+	bin := filepath.Join(t.TempDir(), "parsleyhilld")
+	build := exec.Command("go", "build", "-o", bin, "./cmd/parsleyhilld")
+	build.Dir = filepath.Join("..", "..")
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return bin
+}
+
 // subnets assigns a loopback subnet to each of the seeds that run in parallel.
 var subnets struct {
 	sync.Mutex
@@ -76,7 +82,7 @@
 // soak runs one seed: load and faults, then the check that the fleet recovers.
 func soak(t *testing.T, bin string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	f := newFleet(t, bin, nextSubnet())
+	f := newFleet(t, bin, soakLayout, nextSubnet())
 	for _, h := range f.hosts {
 		require.Eventually(t, func() bool { return f.ready(h) }, recoveryTimeout, 50*time.Millisecond, "%s is not ready", h.name)
 	}
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -11,9 +11,11 @@
 )
 
 type taskRun struct {
-	task   string
-	number int
-	timer  *time.Timer
+	task      string
+	number    int
+	timer     *time.Timer
+	startedAt time.Time
+	duration  time.Duration
 }
 
 // Event is a change in the state of a run.
@@ -33,23 +35,25 @@
 	Acknowledged = "noted"
 )
 
-// Worker is a stand-in for a worker on which every task takes the same time.
+// Worker is a stand-in for a worker.
 type Worker struct {
-	id      string
-	runTime time.Duration
+	id string
+	// runTime returns how long a task takes.
+	runTime func(task string) time.Duration
 	// observe, if set, is called with every event, in order.
 	observe func(Event)
 
-	mu         sync.Mutex
-	startTime  time.Time
-	fence      int64
-	running    map[string]*taskRun
-	blocked    map[string]int
-	ended      [][]any
-	seq        int64
-	changed    chan struct{}
-	leaseUntil time.Time
-	leaseTimer *time.Timer
+	mu        sync.Mutex
+	startTime time.Time
+	fence     int64
+	running   map[string]*taskRun
+	blocked   map[string]int
+	ended     [][]any
+	seq       int64
+	changed   chan struct{}
+	// renewedAt is when the lease was last renewed, leaseUntil when it ends.
+	renewedAt, leaseUntil time.Time
+	leaseTimer            *time.Timer
 	// started counts the starts of each task.
 	started         map[string]int
 	withholdReplies bool
@@ -65,7 +69,7 @@
 // New returns a worker on which every task takes runTime.
 func New(id string, runTime time.Duration) *Worker {
 	return &Worker{
-		id: id, runTime: runTime, startTime: time.Now(), running: map[string]*taskRun{}, blocked: map[string]int{},
+		id: id, runTime: func(string) time.Duration { return runTime }, startTime: time.Now(), running: map[string]*taskRun{}, blocked: map[string]int{},
 		changed: make(chan struct{}), started: map[string]int{}, clockRate: 1, expiriesAtEnd: map[int64]int{},
 	}
 }
@@ -74,6 +78,10 @@
 // function must not call the worker.
 func (w *Worker) Observe(observe func(Event)) { w.observe = observe }
 
+// SetRunTime sets the function that returns how long a task takes. It must be called
+// before the worker serves.
+func (w *Worker) SetRunTime(runTime func(task string) time.Duration) { w.runTime = runTime }
+
 // SetClockRate sets the speed of the worker's clock; 1 is that of the local clock.
 func (w *Worker) SetClockRate(rate float64) { w.clockRate = rate }
 
@@ -132,6 +140,13 @@
 	return counts
 }
 
+// Lease returns when the lease of all runs was last renewed and when it ends.
+func (w *Worker) Lease() (renewed, end time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.renewedAt, w.leaseUntil
+}
+
 // Running returns the number of current runs.
 func (w *Worker) Running() int {
 	w.mu.Lock()
@@ -243,12 +258,12 @@
 		body["reason"] = "late"
 		return http.StatusConflict, body
 	}
-	r := &taskRun{task: req.Task, number: req.Run}
+	r := &taskRun{task: req.Task, number: req.Run, startedAt: time.Now(), duration: w.runTime(req.Task)}
 	reason := "done"
 	if w.failing {
 		reason = "failed"
 	}
-	r.timer = time.AfterFunc(w.runTime, func() {
+	r.timer = time.AfterFunc(r.duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.running[r.task] == r {
@@ -264,11 +279,12 @@
 // renew restarts the lease that covers all runs: they end after d unless it is
 // renewed again.
 func (w *Worker) renew(d time.Duration) {
-	until := time.Now().Add(d)
+	now := time.Now()
+	until := now.Add(d)
 	if until.Before(w.leaseUntil) && len(w.running) > 0 {
 		return
 	}
-	w.leaseUntil = until
+	w.renewedAt, w.leaseUntil = now, until
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
@@ -310,7 +326,8 @@
 	w.ended = unacknowledged
 	running := [][]any{}
 	for _, r := range w.running {
-		running = append(running, []any{r.task, r.number, "", 50, 1000})
+		percent := min(99, int(100*time.Since(r.startedAt)/r.duration))
+		running = append(running, []any{r.task, r.number, "", percent, 1000})
 	}
 	body["running"], body["ended_runs"] = running, unacknowledged
 }
