--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -118,6 +118,8 @@
 	Entries []ledger.Entry
 	// Ends are the run ends among the entries, with the workers that list them.
 	Ends []workerpool.RecordEnd
+	// Holds are the holds of runs among the entries.
+	Holds []workerpool.RecordHold
 }
 
 // Core holds the decisions of one host. It is not safe for concurrent use.
@@ -172,6 +174,8 @@
 		Speeds:  speeds, Flow: poolConfig.Flow,
 	})
 	poolConfig.HasLabel = coordination.HasLabel
+	owned := ownership.New(cfg.Partitions, cfg.Nonce)
+	poolConfig.Held = owned.Held
 	return &Core{
 		cfg:         cfg,
 		Ledger:      jobLog,
@@ -180,7 +184,7 @@
 		Flow:        poolConfig.Flow,
 		Pool:        workerpool.NewPool(poolConfig),
 		Coordinator: coordination,
-		Ownership:   ownership.New(cfg.Partitions, cfg.Nonce),
+		Ownership:   owned,
 	}
 }
 
@@ -196,7 +200,6 @@
 // request that was sent at the given time.
 func (c *Core) LogRead(sent time.Time) {
 	c.Ledger.LogRead(sent)
-	c.Coordinator.SetLogReadTime(c.Ledger.AsOf())
 }
 
 // Appended records that the entries of a are in the log. It sends them to the
@@ -207,6 +210,9 @@
 	for _, end := range a.Ends {
 		c.Pool.EndRecorded(now, end)
 	}
+	for _, hold := range a.Holds {
+		c.Pool.HoldRecorded(hold)
+	}
 }
 
 // Tick performs the actions that are due at the given time: renewals, retries
@@ -276,6 +282,13 @@
 // left.
 func (c *Core) HostPresent(host string, at time.Time) { c.Pool.HostPresent(host, at) }
 
+// Joined records the answer to a join of a zone's group: the generation and the partitions
+// that the store assigns to this host, and when the join was sent.
+func (c *Core) Joined(now, sent time.Time, s ownership.Seat, generation int64, partitions []int) {
+	c.Ownership.Joined(s, generation, partitions)
+	c.Ownership.Confirmed(s, sent, now)
+}
+
 // maxReportAge bounds the age of the coordinator's view of the host's own workers
 // while these produce no actions.
 const maxReportAge = 20 * time.Millisecond
@@ -448,6 +461,8 @@
 			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.RunFailed:
 			c.Coordinator.FailureRecorded(now, a.RunID, a.Failed)
+		case ledger.HoldRead:
+			c.Coordinator.RunHeld(now, a.RunHeld)
 		case ledger.JobEnded, ledger.JobSetAside, ledger.UnknownCancelled:
 			c.emit(a)
 		case ledger.AppendEntries:
@@ -456,6 +471,8 @@
 			c.emit(LogEvent{Message: a.Message, Worker: "", Why: fmt.Sprintf("shard %d: %s", a.Shard, a.Why)})
 		}
 	}
+	// The coordinator counts a reading once it knows all that was read.
+	c.Coordinator.SetLogReadTime(c.Ledger.AsOf())
 }
 
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
@@ -490,6 +507,8 @@
 		c.emit(LogEvent{Message: "worker dropped", Worker: a.Worker, Why: a.Why})
 	case workerpool.RecordEnd:
 		c.emit(Append{Entries: []ledger.Entry{ledger.RunEnded{RunID: a.End.RunID, Reason: a.End.Reason}}, Ends: []workerpool.RecordEnd{a}})
+	case workerpool.RecordHold:
+		c.emit(Append{Entries: []ledger.Entry{ledger.RunHeld{RunID: a.Run, Fence: a.Fence}}, Holds: []workerpool.RecordHold{a}})
 	case workerpool.LogEvent:
 		c.emit(LogEvent{Message: a.Message, Worker: a.Worker, Why: a.Why})
 	default:
--- a/internal/decide/host/waits_test.go
+++ b/internal/decide/host/waits_test.go
@@ -93,3 +93,64 @@
 		})
 	}
 }
+
+// The last owner that heard the driver, which learned late that their stream had ended, and
+// the worker's next owner held a run one after the other, and its stops were lost. The driver
+// waited from its own end of the stream as if only one of them held it.
+func TestRunOfASilentDriverIsNotHeldAgainUnknownToIt(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, reassigned := range []time.Duration{1200, 1300, 1400, 1500} {
+			t.Run(fmt.Sprintf("seed=%d/%d", seed, reassigned), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(seed, 2, 3, 3)
+				driver, owner, _ := w.separatedRun(t)
+				w.stopsLost = true
+				w.endStream(driver, owner, true)
+				w.cuts[pair(driver.name, owner.name)]++
+				w.run(reassigned * time.Millisecond)
+				w.groups[owner.zone].reassign(1)
+				w.run(3 * time.Second)
+				require.Empty(t, w.problems)
+			})
+		}
+	}
+}
+
+// A driver without streams to the other hosts of a worker's zone started tasks of stored jobs
+// beside runs that these held, under changes of owners, standstills, and lost connections to
+// the store, to workers and to the owner.
+func TestStoredHistoriesWithUnreachableOwners(t *testing.T) {
+	for seed := range uint64(*histories) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 2, 4, 3)
+			driver, owner, worker := w.separatedRun(t)
+			anyHost := func() *simHost { return w.hosts[w.rng.IntN(len(w.hosts))] }
+			upTo := func(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
+			w.stopsLost = w.rng.IntN(2) == 0
+			if w.rng.IntN(2) == 0 {
+				w.endStream(driver, owner, w.rng.IntN(2) == 0)
+				w.cuts[pair(driver.name, owner.name)]++
+			}
+			for range 5 {
+				at, h := upTo(4*time.Second), anyHost()
+				switch w.rng.IntN(6) {
+				case 0, 1, 2:
+					offset := 1 + w.rng.IntN(3)
+					w.after(at, func() { w.groups[owner.zone].reassign(offset) })
+				case 3:
+					w.after(at, func() { w.freeze(h, upTo(1500*time.Millisecond)) })
+				case 4:
+					w.after(at, func() { w.isolateWorker(h, worker, upTo(3*time.Second)) })
+				case 5:
+					w.after(at, func() {
+						h.storeUnreachable = true
+						w.after(upTo(3*time.Second), func() { h.storeUnreachable = false })
+					})
+				}
+			}
+			w.run(10 * time.Second)
+			require.Empty(t, w.problems)
+		})
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -56,6 +56,8 @@
 	FailedRuns map[fleet.TaskName]int
 	// Lost are the runs that were lost with their workers, by task.
 	Lost map[fleet.TaskName][]quarantine.Loss
+	// HeldAt is when the last hold of a run of each task was read.
+	HeldAt map[fleet.TaskName]time.Time
 	// FirstRun is higher than the number of any run of a previous driver.
 	FirstRun int
 	// Running are the runs that the previous driver has handed over, and Unsettled the
@@ -80,6 +82,9 @@
 	Failed int
 }
 
+// HoldRead reports that the log records a run of a driven job as held for its driver.
+type HoldRead struct{ RunHeld }
+
 // JobEnded reports that a job has ended. Driven is set if this host drove it.
 type JobEnded struct {
 	Job    string
@@ -107,6 +112,7 @@
 func (Release) action()          {}
 func (TaskDone) action()         {}
 func (RunFailed) action()        {}
+func (HoldRead) action()         {}
 func (JobEnded) action()         {}
 func (UnknownCancelled) action() {}
 func (AppendEntries) action()    {}
@@ -122,7 +128,9 @@
 	failedRuns map[fleet.TaskName]map[int]bool
 	endedRuns  []fleet.RunID
 	// losses are the runs that were lost with their workers.
-	losses    map[fleet.RunID]quarantine.Loss
+	losses map[fleet.RunID]quarantine.Loss
+	// holds are the last holds of runs.
+	holds     map[fleet.RunID]hold
 	remaining int
 	// takeovers is the shard's takeover count when the job was accepted.
 	takeovers int
@@ -139,6 +147,12 @@
 	acceptSeq int64
 }
 
+// hold is what was read of the last hold of a run.
+type hold struct {
+	fence  int64
+	readAt time.Time
+}
+
 // shard is a part of the jobs; the store's group assigns it to one host.
 type shard struct {
 	takeovers  int
@@ -275,6 +289,8 @@
 			if j := l.jobs[e.Task.Job]; j != nil && !j.state.Ended() {
 				j.losses[fleet.RunID{Task: e.Task, Run: e.Loss.Run}] = e.Loss
 			}
+		case RunHeld:
+			l.runHeld(now, e)
 		case Cancelled:
 			l.cancel(now, e.Job)
 		case Closed:
@@ -316,7 +332,7 @@
 	j := &job{
 		spec: e.Job, route: e.Route, state: Pending, takeovers: e.Takeovers, acceptSeq: l.seq,
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
-		losses: map[fleet.RunID]quarantine.Loss{},
+		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
 	if j.damage = e.Damage; j.damage == "" {
 		j.damage = damage(e.Job)
@@ -385,6 +401,17 @@
 	return t.Step >= 0 && t.Step < len(j.spec.Steps) && t.Index >= 0 && t.Index < j.spec.Steps[t.Step].Count
 }
 
+func (l *Ledger) runHeld(now time.Time, e RunHeld) {
+	j := l.jobs[e.Task.Job]
+	if j == nil || j.state.Ended() || e.Fence <= j.holds[e.RunID].fence {
+		return
+	}
+	j.holds[e.RunID] = hold{fence: e.Fence, readAt: now}
+	if j.driven {
+		l.emit(HoldRead{e})
+	}
+}
+
 func (l *Ledger) cancel(now time.Time, id string) {
 	j := l.jobs[id]
 	switch {
@@ -421,7 +448,7 @@
 		}
 		l.endJob(now, j, e.State, driven)
 	}
-	j.closing, j.endedRuns, j.losses = true, nil, nil
+	j.closing, j.endedRuns, j.losses, j.holds = true, nil, nil, nil
 	delete(l.unclosed, e.Job)
 }
 
@@ -462,12 +489,13 @@
 
 // closedEntries returns the entries that close a job: one, unless it has many runs.
 func (j *job) closedEntries(state State) []Closed {
-	ended, lost := j.endedRuns, j.lostRuns()
+	ended, lost, held := j.endedRuns, j.lostRuns(), slices.SortedFunc(maps.Keys(j.holds), fleet.RunID.Compare)
 	var entries []Closed
-	for len(entries) == 0 || len(ended)+len(lost) > 0 {
+	for len(entries) == 0 || len(ended)+len(lost)+len(held) > 0 {
 		e := Closed{Job: j.spec.ID, Queue: j.route.Name, State: state, Reason: j.reason}
 		e.Runs, ended = cut(ended, maxClosedRuns)
 		e.LostRuns, lost = cut(lost, maxClosedRuns-len(e.Runs))
+		e.HeldRuns, held = cut(held, maxClosedRuns-len(e.Runs)-len(e.LostRuns))
 		entries = append(entries, e)
 	}
 	return entries
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -15,13 +15,20 @@
 func (p *Pool) PollAnswered(now time.Time, id string, number int64, l fleet.PollResponse) {
 	w, ok := p.workers[id]
 	short := ok && number == w.shortPoll
+	var sent time.Time
+	if ok {
+		sent = w.pollSentAt(number)
+	}
 	if !ok || !w.finishPoll(number) {
 		return
 	}
+	if sent.After(w.ownedAt) {
+		w.ownedAt = sent
+	}
 	if short {
 		p.cfg.Flow.Answered(now, now.Sub(w.shortPollAt))
 	}
-	w.missedPolls, w.lostExclusive, w.interrupted = 0, false, false
+	w.missedPolls, w.lostExclusive, w.interrupted, w.lostYoungest = 0, false, false, time.Time{}
 	if w.startTime != 0 && l.StartTime != w.startTime {
 		p.handleRestart(now, w, number, l)
 	}
@@ -73,7 +80,7 @@
 // the hosts of their jobs can claim them.
 func (p *Pool) handleFirstPoll(now time.Time, w *worker, l fleet.PollResponse) {
 	w.adopting = false
-	w.latestLeaseEnd = l.Clock + p.cfg.MaxLease
+	w.latestLeaseEnd, w.leaseUnknown = l.Clock+p.cfg.MaxLease, true
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
 		w.holdFoundEnd(now, e)
@@ -95,7 +102,7 @@
 // addFoundRun adds a run that this host did not start.
 func (p *Pool) addFoundRun(now time.Time, w *worker, id fleet.RunID) *run {
 	r := &run{id: id, state: runRunning, confirmed: true, orderedAt: now, answeredAtPoll: p.lastPoll, acceptedClock: w.clock}
-	r.claimBy = now.Add(p.cfg.ClaimTimeout)
+	r.claimBy, r.foundAt = now.Add(p.cfg.ClaimTimeout), now
 	if p.cfg.IsStored != nil && p.cfg.IsStored(id.Task.Job) {
 		r.stored, r.claimBy = true, now.Add(p.cfg.FoundRunHold)
 	}
@@ -396,18 +403,21 @@
 
 func (p *Pool) tickWorker(now time.Time, w *worker) {
 	if w.missedPolls > 0 && len(w.runs) > 0 && now.After(w.leaseExpiry()) {
-		p.loseRuns(now, w, "lease expired", quarantine.Unknown, anyRun)
+		p.leasesExpired(now, w)
 	}
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.state == runRunning && !r.claimBy.IsZero() && now.After(r.claimBy):
 			r.task = nil
 			p.stop(now, w, r, StopUnclaimed)
+		case w.holdsLeaseOfOthers(now, r):
+			p.stop(now, w, r, StopUnclaimed)
 		case r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop):
 			p.stop(now, w, r, r.stopReason)
 		}
 	}
 	p.announceAgain(now, w)
+	p.recordHolds(now, w)
 	p.classifyFoundEnds(w)
 	p.expireLease(now, w)
 	p.tickPolls(now, w)
