--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -176,10 +176,12 @@
 		for range 2 {
 			s.dial("")
 		}
+		assert.Equal(t, 4, s.closed)
 		client, err := s.network.Dial(t.Context(), "mem", testAddress)
 		require.NoError(t, err)
 		assert.NoError(t, client.Close())
-		assert.Equal(t, 4, s.closed)
+		synctest.Wait()
+		assert.Equal(t, 5, s.closed)
 		assert.NotContains(t, phases(s.conns), connlimit.Serving)
 	})
 }
