--- a/internal/daemon/dispatch/load.go
+++ b/internal/daemon/dispatch/load.go
@@ -60,8 +60,9 @@
 	*s = loadSample{since: now, processor: processor, gcCycles: cycles}
 }
 
-// longRound is how long no round of the event loop takes unless the process stood still
-// during it.
+// longRound is the duration from which on a round of the event loop counts as a standstill.
+// Shorter rounds are work, beside which connections are read; a saturated host has had rounds
+// of 0.13 s.
 const longRound = 500 * time.Millisecond
 
 // round is a round of the event loop.
--- a/internal/decide/presence/clock.go
+++ b/internal/decide/presence/clock.go
@@ -37,10 +37,9 @@
 		c.Start(received, stamp)
 	}
 	delay := received.Sub(c.first) - stamp
-	switch {
-	case received.Sub(c.since) >= delayMemory:
+	if received.Sub(c.since) >= delayMemory {
 		c.former, c.shortest, c.since = c.shortest, delay, received
-	default:
+	} else {
 		c.shortest = min(c.shortest, delay)
 	}
 	return received.Add(min(c.shortest, c.former) - delay)
--- a/internal/decide/topology/pace.go
+++ b/internal/decide/topology/pace.go
@@ -11,7 +11,8 @@
 	// some 45 peers.
 	HeartbeatInterval = 250 * time.Millisecond
 	// SilenceTimeout is how long a peer may send nothing before its stream is closed. It is
-	// well below the 1,300 ms after which callers of a lost host submit their jobs again.
+	// well below the 1,300 ms after which callers of a lost host submit their jobs again:
+	// the former runs must have been stopped by then.
 	SilenceTimeout = 3 * HeartbeatInterval
 	// reportIntervalPerPeer lengthens the interval with the number of peers, so
 	// that a host sends a bounded number of reports: a report costs about 20 us on
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -17,20 +17,20 @@
 
 const (
 	// minStartLeaseShare is the shortest lease with which a task starts, as a share of
-	// Config.MaxLease.
+	// Config.MaxLease. Most tasks would outlast a shorter one.
 	minStartLeaseShare = 0.4
 	// minLeaseExtension is the shortest time by which a poll that is sent only for that
 	// purpose renews a lease.
 	minLeaseExtension = 100 * time.Millisecond
 )
 
-// MaxHostSilence returns how long a host may not have been heard for its best-effort
-// tasks to start.
+// MaxHostSilence returns how old the last sign of a host may be for its best-effort tasks
+// to start.
 func (p *Pool) MaxHostSilence() time.Duration { return share(p.cfg.MaxLease, 1-minStartLeaseShare) }
 
 // HostHeard records that a host was there at the given time, which is the time at which
-// what it sent was sent and not when it was read. A host that was never heard of, as the
-// pool's own one may be, counts as always there.
+// what it sent was sent and not when it was read. A host that was never heard counts as
+// there: nothing runs or waits here for a host whose stream has ended.
 func (p *Pool) HostHeard(host string, at time.Time) {
 	if at.After(p.heard[host]) {
 		p.heard[host] = at
@@ -70,6 +70,8 @@
 	case r.awaitsRecord():
 		return now
 	case r.stored && !r.claimBy.IsZero():
+		// If it is not claimed in time, the run must end even if its stop is lost: its driver
+		// may start the task again.
 		return r.claimBy.Add(p.cfg.RenewBefore)
 	case r.stored && r.task != nil:
 		return p.heldUntil(now, r.task.Host).Add(p.cfg.RenewBefore)
--- a/internal/decide/workerpool/presence_test.go
+++ b/internal/decide/workerpool/presence_test.go
@@ -67,12 +67,10 @@
 
 func TestLeaseGoesOnWhileTheHostOfTheJobIsHeard(t *testing.T) {
 	p, run := poolWithRun(t, false)
-	polls := 0
 	latest := leasesGranted(p, run, 0, 4*time.Second, func(now time.Time) {
 		if now.Sub(epoch)%(260*time.Millisecond) == 0 {
 			p.HostHeard(jobHost, now)
 		}
-		polls++
 	})
 	assert.Greater(t, latest, 4*time.Second)
 }
