Log and count jobs that are not taken because their caller has left

A best-effort job whose caller had closed its connection was dropped without a line or a count, so that the engineer on call could not tell it from a request that never arrived.

--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -51,11 +51,13 @@
 	RefusedSteps Refusal = "too many steps"
 	// RefusedTasks means that the job in a body had too many tasks.
 	RefusedTasks Refusal = "too many tasks"
+	// RefusedLeft means that the client had closed its connection before its job was taken.
+	RefusedLeft Refusal = "client left"
 )
 
 // Refusals returns all reasons.
 func Refusals() []Refusal {
-	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedTooSlow, RefusedSteps, RefusedTasks}
+	return []Refusal{RefusedNoMemory, RefusedGivenUp, RefusedTooSlow, RefusedSteps, RefusedTasks, RefusedLeft}
 }
 
 // Bodies bounds the memory for request bodies from their first bytes until their
