Count and log connections that are closed before an answer

When this host closed a connection under a request, nothing said so: not whether a request had been read, nor for how long it had been in work, nor whether bytes had arrived unread. A counter by port and phase and a log line with the last one say it now, and a line at the moment when the callers' port closes says what it holds.

No logic changes.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -449,4 +449,6 @@
 	d.wakeMemberships()
 	wake(d.shardWakeup)
 	time.Sleep(stopAccepting)
+	waiting, receiving, serving := d.limits.callers.Phases()
+	d.logger.Info("callers' port closes", "connections_waiting", waiting, "connections_receiving", receiving, "connections_serving", serving)
 }
--- a/internal/daemon/dispatch/limits.go
+++ b/internal/daemon/dispatch/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,6 +26,10 @@
 	closed := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "parsleyhill_connections_closed_total", Help: "Connections closed because their port had too many, by port.",
 	}, []string{"port"})
+	unanswered := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "parsleyhill_connections_unanswered_total",
+		Help: "Connections that this host closed although a request, or a part of one, had arrived and was not answered, by port and by what the connection was used for.",
+	}, []string{"port", "phase"})
 	collector := connCollector{desc: open, conns: map[string]*httpserve.Conns{}}
 	conns := func(port string, limit int) *httpserve.Conns {
 		counter := closed.WithLabelValues(port)
@@ -35,6 +40,7 @@
 			counter.Inc()
 			lines.add(time.Now())
 		})
+		c.OnUnanswered = reportUnanswered(port, unanswered, logger)
 		collector.conns[port] = c
 		return c
 	}
@@ -42,7 +48,7 @@
 		callers: conns("callers", l.CallerConns), peers: conns("peers", l.PeerConns),
 		metrics: conns("metrics", l.ProbeConns), ready: conns("ready", l.ProbeConns),
 	}
-	registry.MustRegister(closed, collector)
+	registry.MustRegister(closed, unanswered, collector)
 	if l.Backlog > 0 {
 		limits.unread = &httpserve.Unread{Bytes: hostlimits.UnreadBytes, Backlog: l.Backlog}
 	}
@@ -50,6 +56,22 @@
 	return limits
 }
 
+// reportUnanswered returns a function that counts and logs the connections of a port
+// that are closed before their request is answered.
+func reportUnanswered(port string, counter *prometheus.CounterVec, logger *log.Logger) func(httpserve.Unanswered) {
+	var last atomic.Pointer[httpserve.Unanswered]
+	lines := newThrottle(func(n int) {
+		u := last.Load()
+		logger.Warn("connections closed before an answer", "port", port, "closed", n, "last_client", u.Address,
+			"last_phase", u.Phase, "last_phase_for", u.For, "last_bytes_read", u.Read, "last_unread", u.Unread)
+	})
+	return func(u httpserve.Unanswered) {
+		counter.WithLabelValues(port, u.Phase.String()).Inc()
+		last.Store(&u)
+		lines.add(time.Now())
+	}
+}
+
 // newBodies returns a limit on the memory for request bodies that logs and counts
 // when it acts.
 func newBodies(l hostlimits.Limits, logger *log.Logger, registry *prometheus.Registry) *httpserve.Bodies {
--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -19,6 +19,20 @@
 	Serving
 )
 
+// String implements fmt.Stringer.
+func (p Phase) String() string {
+	switch p {
+	case Waiting:
+		return "waiting"
+	case Receiving:
+		return "receiving"
+	case Serving:
+		return "serving"
+	default:
+		return "closed"
+	}
+}
+
 // BlockedWrite is how long the client of a connection must not have read for its
 // answer to count as undeliverable while the server is full.
 const BlockedWrite = time.Second
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/connlimit"
@@ -29,6 +30,9 @@
 	origin time.Time
 	// report is called for each connection that the limit closes.
 	report func()
+	// OnUnanswered, if set, is called for each connection that this side closes although
+	// a request has arrived on it, in part or as a whole, that was not answered.
+	OnUnanswered func(Unanswered)
 
 	mu      sync.Mutex
 	open    map[*conn]struct{}
@@ -51,6 +55,23 @@
 	return len(c.open)
 }
 
+// Phases returns the number of open connections in each phase.
+func (c *Conns) Phases() (waiting, receiving, serving int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		switch connlimit.Phase(conn.phase.Load()) {
+		case connlimit.Waiting:
+			waiting++
+		case connlimit.Receiving:
+			receiving++
+		case connlimit.Serving:
+			serving++
+		}
+	}
+	return waiting, receiving, serving
+}
+
 // Limit applies the limit to a server and its listener, and returns the listener to
 // serve.
 func (c *Conns) Limit(server *http.Server, listener net.Listener) net.Listener {
@@ -160,11 +181,32 @@
 	address netip.Addr
 	// phase is a connlimit.Phase, or closed.
 	phase atomic.Int32
+	// received is the number of bytes that were read, and answered whether any were
+	// written, since the connection last waited for a request.
+	received atomic.Int64
+	answered atomic.Bool
+	// clientEnded is set once the client has closed or reset the connection, and
+	// closing once this side closes it.
+	clientEnded, closing atomic.Bool
 	// since is when the phase began, and writing when the current write began, by the
 	// clock of conns. No write is in progress if writing is zero.
 	since, writing atomic.Int64
 }
 
+// Unanswered describes a connection that was closed by this side before a request
+// that had arrived on it was answered.
+type Unanswered struct {
+	Address netip.Addr
+	// Phase is what the connection was used for when it was closed.
+	Phase connlimit.Phase
+	// For is how long the connection had been in that phase.
+	For time.Duration
+	// Read is how many bytes of the request had been read, and Unread whether others
+	// had arrived.
+	Read   int64
+	Unread bool
+}
+
 type connKey struct{}
 
 func (c *conn) describe(now time.Duration) connlimit.Conn {
@@ -184,6 +226,10 @@
 		}
 		if c.phase.CompareAndSwap(old, int32(p)) {
 			c.since.Store(int64(c.conns.now()))
+			if p == connlimit.Waiting {
+				c.received.Store(0)
+				c.answered.Store(false)
+			}
 			return true
 		}
 	}
@@ -192,9 +238,20 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.phase.CompareAndSwap(int32(connlimit.Waiting), int32(connlimit.Receiving)) {
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.clientEnded.Store(true)
+	}
+	if n == 0 {
+		return n, err
+	}
+	c.received.Add(int64(n))
+	if c.phase.CompareAndSwap(int32(connlimit.Waiting), int32(connlimit.Receiving)) {
 		c.since.Store(int64(c.conns.now()))
 	}
+	if c.closing.Load() {
+		// The read was under way when the connection was closed.
+		c.reportUnanswered(false)
+	}
 	return n, err
 }
 
@@ -202,6 +259,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.conns.now()))
 	defer c.writing.Store(0)
+	c.answered.Store(true)
 	return c.Conn.Write(b)
 }
 
@@ -217,9 +275,27 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.conns.remove(c)
+	if c.closing.CompareAndSwap(false, true) && !c.clientEnded.Load() {
+		unread := pendingInput(c.Conn)
+		if unread != inputEnd && (unread == inputData || c.received.Load() > 0) {
+			c.reportUnanswered(unread == inputData)
+		}
+	}
 	return c.Conn.Close()
 }
 
+// reportUnanswered reports that the connection is closed before its request is
+// answered, unless an answer has begun.
+func (c *conn) reportUnanswered(unread bool) {
+	if c.conns.OnUnanswered == nil || c.answered.Load() {
+		return
+	}
+	c.conns.OnUnanswered(Unanswered{
+		Address: c.address, Phase: connlimit.Phase(c.phase.Load()),
+		For: c.conns.now() - time.Duration(c.since.Load()), Read: c.received.Load(), Unread: unread,
+	})
+}
+
 // connOf returns the connection of a request, or nil if its server has no limit.
 func connOf(ctx context.Context) *conn {
 	c, _ := ctx.Value(connKey{}).(*conn)
--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -222,3 +222,30 @@
 		requireClosed(t, first)
 	})
 }
+
+// Guards against connections that are closed under a request without a trace.
+func TestConnectionsClosedBeforeAnAnswerAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := startLimited(t, 1, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
+				<-release
+			}
+		}))
+		var reported []Unanswered
+		s.conns.OnUnanswered = func(u Unanswered) { reported = append(reported, u) }
+		const part = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na"
+		s.dial(part)
+		s.dial("")
+		require.Len(t, reported, 1)
+		assert.Equal(t, Unanswered{Phase: closed, For: time.Second, Read: int64(len(part))}, reported[0])
+
+		inWork := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.Len(t, reported, 1, "the closed connection had been idle")
+		close(release)
+		requireAnswer(t, inWork)
+		synctest.Wait()
+		s.dial("")
+		assert.Len(t, reported, 1, "the request had been answered")
+	})
+}
--- a/internal/httpserve/departure.go
+++ b/internal/httpserve/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 )
 
@@ -17,20 +18,45 @@
 	if c == nil {
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
+	return pendingInput(c.Conn) == inputEnd
+}
+
+// input is what a connection has to read.
+type input int
+
+const (
+	// inputNone means that nothing has arrived, or that it is not known.
+	inputNone input = iota
+	inputData
+	// inputEnd means that one of the sides has closed the connection.
+	inputEnd
+)
+
+// pendingInput returns what the next read of a connection would find. It neither
+// waits nor reads.
+func pendingInput(conn net.Conn) input {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return inputNone
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return inputEnd
 	}
-	left := false
-	// An error means that this side has closed the connection.
+	pending := inputNone
 	err = raw.Control(func(fd uintptr) {
 		var next [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+		switch {
+		case err == nil && n > 0:
+			pending = inputData
+		case err == nil, errors.Is(err, syscall.ECONNRESET):
+			pending = inputEnd
+		}
 	})
-	return left || err != nil
+	if err != nil {
+		// This side has closed the connection.
+		return inputEnd
+	}
+	return pending
 }
