Answer requests that are read while their connection ends at the limit

A full port closed the connection that had waited longest although a read on it could be returning a whole request, which then got no answer. It is the same cause as under a planned stop: the record of a phase decided, not the read.

A waiting connection is now ended by its own read, which serves a request that has arrived; until it is closed it counts as ending, so that a next connection ends others only as far as the limit is still exceeded. A request of which only a part was read is answered 503 before the connection closes, and is not handled.

TestRequestReadWhileItsConnectionEndsAtTheLimitIsAnswered and TestFullPortRefusesUnfinishedRequests fail on the code before.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -103,64 +103,85 @@
 
 func (c *Conns) now() time.Duration { return time.Since(c.origin) }
 
-// add tracks a new connection. If the limit is exceeded, it closes another one, or
-// returns nil if none can be closed.
+// add tracks a new connection. If the limit is exceeded, it ends others, or returns nil if
+// it cannot.
 func (c *Conns) add(nc net.Conn) *conn {
 	added := &conn{Conn: nc, conns: c}
 	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		added.address = tcp.AddrPort().Addr()
 	}
 	added.since.Store(int64(c.now()))
-	victim, full := c.insert(added)
-	if !full {
-		return added
+	victims, admitted := c.insert(added)
+	for _, v := range victims {
+		c.report()
+		v.conn.endAtLimit(v.phase)
 	}
-	c.report()
-	if victim == nil {
+	if !admitted {
+		c.report()
 		return nil
 	}
-	_ = victim.Close()
 	return added
 }
 
-// insert adds a connection, unless the limit is reached and no other one can be
-// closed. It returns the connection to close, and whether the limit is reached.
-func (c *Conns) insert(added *conn) (victim *conn, full bool) {
+// victim is a connection that is ended at the limit, with the phase for which it was
+// chosen.
+type victim struct {
+	conn  *conn
+	phase connlimit.Phase
+}
+
+// insert adds a connection, unless the limit is reached and no other one can be ended.
+// It returns the connections to end.
+func (c *Conns) insert(added *conn) (victims []victim, admitted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	full = c.most > 0 && len(c.open) >= c.most
-	if full {
-		if victim = c.choose(); victim == nil {
-			return nil, true
+	if c.most > 0 && len(c.open) >= c.most {
+		var enough bool
+		if victims, enough = c.choose(len(c.open) + 1 - c.most); !enough {
+			return victims, false
 		}
-		delete(c.open, victim)
 	}
 	c.open[added] = struct{}{}
-	return victim, full
+	return victims, true
 }
 
-// choose returns a connection to close, in phase closed, or nil. The caller must hold
-// c.mu.
-func (c *Conns) choose() *conn {
+// choose chooses so many connections to end, less those that are about to end. It
+// reports false if there are not as many. The caller must hold c.mu.
+func (c *Conns) choose(count int) (victims []victim, enough bool) {
 	c.candidates, c.described = c.candidates[:0], c.described[:0]
 	defer func() { clear(c.candidates) }()
 	now := c.now()
 	for conn := range c.open {
+		if conn.ends() {
+			count--
+			continue
+		}
 		c.candidates = append(c.candidates, conn)
 		c.described = append(c.described, conn.describe(now))
 	}
-	for {
+	for count > 0 {
 		i := c.chooser.Choose(c.described)
 		if i < 0 {
-			return nil
+			return victims, false
 		}
-		victim, phase := c.candidates[i], c.described[i].Phase
-		if victim.phase.CompareAndSwap(int32(phase), int32(closed)) {
-			return victim
+		v := victim{c.candidates[i], c.described[i].Phase}
+		switch {
+		case v.phase == connlimit.Waiting:
+			// The read that is under way decides, so that the connection may go on.
+			v.conn.ending.Store(int32(endWaiting))
+		case v.conn.phase.CompareAndSwap(int32(v.phase), int32(closed)):
+			delete(c.open, v.conn)
+		default:
+			// The phase has changed meanwhile.
+			c.described[i] = v.conn.describe(now)
+			continue
 		}
-		// The phase has changed meanwhile.
-		c.described[i] = victim.describe(now)
+		victims = append(victims, v)
+		c.candidates = slices.Delete(c.candidates, i, i+1)
+		c.described = slices.Delete(c.described, i, i+1)
+		count--
 	}
+	return victims, true
 }
 
 func (c *Conns) remove(conn *conn) {
@@ -229,10 +250,11 @@
 	address netip.Addr
 	// phase is a connlimit.Phase, or closed.
 	phase atomic.Int32
-	// received is the number of bytes that were read, and answered whether any were
-	// written, since the connection last waited for a request.
+	// received is the number of bytes that were read, and answer what was written, since
+	// the connection last waited for a request. refused is set once a refusal was written.
 	received atomic.Int64
-	answered atomic.Bool
+	answer   atomic.Int32
+	refused  atomic.Bool
 	// clientEnded is set once the client has closed or reset the connection, and
 	// closing once this side closes it.
 	clientEnded, closing atomic.Bool
@@ -252,6 +274,13 @@
 	interrupted bool
 }
 
+// What is written to a connection in answer to a request.
+const (
+	answerNone int32 = iota
+	answerBegun
+	answerRefusal
+)
+
 // ending is up to which phase a connection ends: it is closed by its next read that finds
 // nothing.
 type ending int32
@@ -298,7 +327,7 @@
 			if p == connlimit.Waiting {
 				c.used.Store(true)
 				c.received.Store(0)
-				c.answered.Store(false)
+				c.answer.Store(answerNone)
 				if c.conns.stopping.Load() {
 					c.ending.Store(int32(endWaiting))
 				}
@@ -336,6 +365,37 @@
 // longAgo is a read deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
+// endAtLimit ends a connection that was chosen to be ended in the given phase.
+func (c *conn) endAtLimit(p connlimit.Phase) {
+	switch p {
+	case connlimit.Waiting:
+		c.interrupt()
+	case connlimit.Receiving:
+		c.refuse()
+		_ = c.Close()
+	default:
+		_ = c.Close()
+	}
+}
+
+// refusal answers a request that was not handled.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuse answers the request that is being received, which is not handled. The request may be
+// whole: its last part may be read at this moment.
+func (c *conn) refuse() {
+	if c.multiplexed.Load() || !c.answer.CompareAndSwap(answerNone, answerRefusal) {
+		return
+	}
+	// An error means that the client does not read and has no room for the answer.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
+	_, err := io.WriteString(c.Conn, refusal)
+	c.refused.Store(err == nil)
+}
+
+// refusalTime bounds the time to write a refusal to a connection.
+const refusalTime = time.Millisecond
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -399,7 +459,9 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.conns.now()))
 	defer c.writing.Store(0)
-	c.answered.Store(true)
+	if !c.answer.CompareAndSwap(answerNone, answerBegun) && c.answer.Load() == answerRefusal {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(b)
 }
 
@@ -427,7 +489,7 @@
 // reportUnanswered reports that the connection is closed before its request is
 // answered, unless an answer has begun.
 func (c *conn) reportUnanswered(unread bool) {
-	if c.conns.OnUnanswered == nil || c.answered.Load() {
+	if c.conns.OnUnanswered == nil || c.answer.Load() == answerBegun || c.refused.Load() {
 		return
 	}
 	c.conns.OnUnanswered(Unanswered{
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -222,3 +222,48 @@
 		require.NoError(t, <-s.done)
 	})
 }
+
+// Guards against a full port that drops a whole request, which a read returns while the
+// connection is closed at the limit.
+func TestRequestReadWhileItsConnectionEndsAtTheLimitIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStopping(t, http.HandlerFunc(answer200))
+		s.conns.most = 1
+		client := s.dial(wholeRequest)
+		require.NotNil(t, readAnswer(t, client))
+		synctest.Wait()
+		s.late.armed.Store(true)
+		next := s.dial("")
+		resp := readAnswer(t, client)
+		require.NotNil(t, resp, "the request that was read while its connection ended")
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.True(t, resp.Close)
+		_, err := io.WriteString(next, wholeRequest)
+		require.NoError(t, err)
+		require.NotNil(t, readAnswer(t, next))
+		synctest.Wait()
+		assert.Equal(t, 1, s.conns.Open())
+	})
+}
+
+// Guards against a full port that closes connections under a request that is being received,
+// without an answer.
+func TestFullPortRefusesUnfinishedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handled := make(chan error, 1)
+		s := startStopping(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(io.Discard, r.Body)
+			handled <- err
+		}))
+		s.conns.most = 1
+		client := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+		synctest.Wait()
+		go s.dial("")
+		resp := readAnswer(t, client)
+		require.NotNil(t, resp)
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		assert.Equal(t, "1", resp.Header.Get("Retry-After"))
+		assert.True(t, resp.Close)
+		assert.Error(t, <-handled, "the request is not handled")
+	})
+}
