--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -46,6 +47,8 @@
 	runTime func(task string) time.Duration
 	// proxiesHosts is set if the streams between hosts pass through proxies.
 	proxiesHosts bool
+	// routeTimeout is the longest time of a job; zero means callTimeout.
+	routeTimeout time.Duration
 }
 
 var zones = []string{"east", "west"}
@@ -219,12 +222,14 @@
 	return data
 }
 
-// configure stores the next version of the configuration.
+// configure stores the next version of the configuration, in which the latency target
+// grows.
 func (f *fleet) configure() {
 	f.version++
 	f.store.PutConfig(encode(map[string]any{"version": f.version, "routes": []any{map[string]any{
 		"name": "r", "host": "jobs.example", "path_prefix": "/jobs/", "service": "s",
-		"slo_ms": 100, "stretch": 2, "max_attempts": 4, "timeout_ms": 3000,
+		"slo_ms": 99 + f.version, "stretch": 2, "max_attempts": 4,
+		"timeout_ms": cmp.Or(f.layout.routeTimeout, callTimeout).Milliseconds(),
 	}}}))
 }
 
