Announce found runs to hosts that are reached later

Long best-effort jobs lost their work under planned stops, up to 5.9 s of it, and were then cut off or late: a host that had just started adopted workers before it had streams to all hosts, announced what it found once, and stopped it 150 ms later as unclaimed.

An owner announces the runs that wait to be claimed to each host that it reaches. The virtual fleet does so, too.

--- a/internal/daemon/dispatch/peers.go
+++ b/internal/daemon/dispatch/peers.go
@@ -344,6 +344,7 @@
 		l.add(func(f *dispatchv1.Frame) { addMessage(f, now, host.Evacuations{Changes: known}) })
 	}
 	p.logger.Info("host reached", "host", l.host.Name, "zone", l.host.Zone, "incarnation", l.host.Incarnation)
+	p.dispatcher.core.HostReached(l.host.Name)
 }
 
 // streamClosed closes a stream. If it was the current one of its host, the host
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -322,6 +322,9 @@
 	}
 }
 
+// HostReached handles a new stream to another host.
+func (c *Core) HostReached(name string) { c.Pool.HostReached(name) }
+
 // HostLost handles the loss of contact with another host.
 func (c *Core) HostLost(now time.Time, name string) {
 	c.Pool.HostLost(now, name)
@@ -498,6 +501,10 @@
 			c.emit(Send{Host: a.Outcome.Host, Message: a.Outcome})
 		}
 	case workerpool.AnnounceInventory:
+		if a.Host != "" {
+			c.emit(Send{Host: a.Host, Message: a.Inventory})
+			return
+		}
 		c.Coordinator.HandleInventory(now, c.cfg.Name, a.Inventory)
 		c.emit(Broadcast{Message: a.Inventory})
 	case workerpool.Replaced:
--- a/internal/decide/host/streams_test.go
+++ b/internal/decide/host/streams_test.go
@@ -55,6 +55,7 @@
 		w.closed(h, o, old.stream, "replaced by a newer stream")
 	}
 	h.links[o.name] = &simLink{stream: s, heardAt: w.now}
+	h.core.HostReached(o.name)
 }
 
 // closed ends a stream at one end. The other end sees it a little later, unless the link
--- a/internal/decide/workerpool/claim_test.go
+++ b/internal/decide/workerpool/claim_test.go
@@ -223,3 +223,22 @@
 	p.HostLost(epoch, "driver")
 	assert.Len(t, actionsOf[Stop](p.PopActions(epoch)), 1, "its caller submits the job elsewhere")
 }
+
+// A host that started under a planned stop of others adopted workers before it had streams
+// to all hosts. Those that it reached a moment later did not learn of the runs that it had
+// found, which it stopped as unclaimed.
+func TestHostThatIsReachedLaterLearnsOfFoundRuns(t *testing.T) {
+	id, claim := claimOf(false)
+	p := foundRun(id)
+	require.Len(t, actionsOf[AnnounceInventory](p.PopActions(epoch)), 1)
+	now := epoch.Add(p.cfg.ClaimTimeout / 2)
+	p.HostReached("late")
+	announced := actionsOf[AnnounceInventory](p.PopActions(now))
+	require.Len(t, announced, 1)
+	assert.Equal(t, "late", announced[0].Host)
+	assert.Equal(t, []fleet.RunID{id}, announced[0].Inventory.Running)
+	p.Claimed(now, claim)
+	assert.Empty(t, stopsAt(p, epoch.Add(p.cfg.ClaimTimeout+time.Millisecond)))
+	p.HostReached("later")
+	assert.Empty(t, actionsOf[AnnounceInventory](p.PopActions(now)), "nothing waits to be claimed")
+}
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -86,11 +86,26 @@
 		return
 	}
 	w.nextAnnouncement = now.Add(announceInterval)
+	p.emit(AnnounceInventory{Inventory: w.inventory()})
+}
+
+// inventory lists the runs on the worker and the ends that are not acknowledged.
+func (w *worker) inventory() offer.Inventory {
 	inventory := offer.Inventory{Worker: w.info.ID, Fence: w.fence, Ended: w.heldEnds()}
 	for _, r := range w.sortedRuns() {
 		inventory.Running = append(inventory.Running, r.id)
 	}
-	p.emit(AnnounceInventory{inventory})
+	return inventory
+}
+
+// HostReached announces the runs that wait to be claimed to a host that can be reached
+// from now on: it has not received the announcements before.
+func (p *Pool) HostReached(host string) {
+	for _, w := range p.order {
+		if len(w.unclaimed) > 0 {
+			p.emit(AnnounceInventory{Inventory: w.inventory(), Host: host})
+		}
+	}
 }
 
 // endedWithoutClaim remembers that a run ended without a result while no host waited
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -96,7 +96,7 @@
 		inventory.Running = append(inventory.Running, r.RunID)
 	}
 	w.nextAnnouncement = now.Add(announceInterval)
-	p.emit(AnnounceInventory{inventory})
+	p.emit(AnnounceInventory{Inventory: inventory})
 }
 
 // addFoundRun adds a run that this host did not start.
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -191,8 +191,11 @@
 // SendOutcome sends an outcome to the host of the task's job.
 type SendOutcome struct{ Outcome offer.Outcome }
 
-// AnnounceInventory sends an inventory to all hosts.
-type AnnounceInventory struct{ Inventory offer.Inventory }
+// AnnounceInventory sends an inventory to all hosts, or to Host if it is set.
+type AnnounceInventory struct {
+	Inventory offer.Inventory
+	Host      string
+}
 
 // Released reports that this host has released a worker.
 type Released struct {
