Answer jobs that outlive a planned stop before the callers' port ends

The ordinary path of a deadline does the rest: 504, as the job may have run, and its tasks are withdrawn. The times that follow from the caller's own timeout stay: when a waiting job is recalled, and how long a claim of an orphaned run is awaited. Jobs that end in time, stored jobs and handovers are as before.

TestPlannedStopKeepsOtherTimes fails if recalls follow the limited deadline. The tests of coordinator (race detector) and dispatch, vet and lint passed. The histories of decide/host were not run for this commit.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -438,12 +438,14 @@
 // drain prepares a planned stop: the host reports that it is not ready, hands
 // its workers and its queue to other hosts, and serves the requests that still
 // arrive until the load balancer has reacted. Afterwards the callers' port
-// finishes the requests in flight.
+// finishes the requests in flight; jobs that are not done by then are answered just
+// before it ends.
 func (d *Dispatcher) drain() {
 	d.logger.Info("planned stop begins", "grace", d.settings.Grace)
 	d.leaving.Store(true)
+	portEnds := time.Now().Add(d.settings.Grace - stopMargin)
 	d.post(func(now time.Time) {
-		d.core.Leave()
+		d.core.Leave(portEnds)
 		d.refuseHeldForStop(now)
 	})
 	d.wakeMemberships()
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -254,6 +254,8 @@
 	fastShare  fastShare
 	// resumedAt is when this host went on after it had stood still.
 	resumedAt time.Time
+	// answerBy is the time by which the jobs are answered during a planned stop, or zero.
+	answerBy time.Time
 	// considered counts the workers of all hosts that were considered for tasks.
 	considered int
 }
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +22,7 @@
 	c.cfg.Speeds.ObserveStretch(route.Service, route.Stretch)
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
+	c.limitDeadline(j)
 	c.jobs[spec.ID] = j
 	c.observeArrival(now, j)
 	if err := c.checkServable(j); err != nil {
@@ -421,7 +421,7 @@
 		if t.state == taskOrphaned && t.orphanEndsAt.Add(step.Estimate+crossZoneDelay).After(j.deadline) {
 			// Only a claim of the orphaned run could still complete the job in time.
 			// A claim arrives soon or not at all.
-			return t.lastRun == 0 || now.Add(step.Estimate).After(j.deadline)
+			return t.lastRun == 0 || now.Add(step.Estimate).After(j.callerDeadline)
 		}
 	}
 	return false
@@ -444,7 +444,7 @@
 	for _, j := range c.jobsByArrival() {
 		switch {
 		case now.After(j.deadline):
-			c.answer(now, j, errkind.New(errkind.Timeout, "%s", fmt.Sprintf("not done after %v", now.Sub(j.arrived))), 0)
+			c.answer(now, j, errkind.New(errkind.Timeout, "not done after %v%s", now.Sub(j.arrived), j.stopNote()), 0)
 		default:
 			c.recall(now, j)
 			c.review(now, j)
@@ -460,7 +460,7 @@
 	if j.stored {
 		return
 	}
-	callerTimeout := j.deadline.Sub(j.arrived)
+	callerTimeout := j.callerDeadline.Sub(j.arrived)
 	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout))
 	if !due && !j.waitRechecked && waited >= time.Duration(recallObjectiveShare*float64(j.objective))-crossZoneDelay {
 		j.waitRechecked = true
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -85,7 +85,9 @@
 	firstTask []int
 	remaining []int
 	arrived   time.Time
-	deadline  time.Time
+	// deadline is the time by which the job is answered: callerDeadline, until which the
+	// caller waits, or earlier during a planned stop of this host.
+	deadline, callerDeadline time.Time
 	// objective is how long the job may take from its arrival to be on time.
 	objective time.Duration
 	// criticalPath is the estimated duration of the longest chain of steps.
@@ -176,7 +178,7 @@
 }
 
 func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
-	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline}
+	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline, callerDeadline: deadline}
 	for i, step := range spec.Steps {
 		j.firstTask = append(j.firstTask, len(j.tasks))
 		j.remaining = append(j.remaining, step.Count)
--- /dev/null
+++ b/internal/decide/coordinator/leave_test.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+)
+
+// portTime is how long after the begin of a planned stop the callers' port ends.
+const portTime = 5500 * time.Millisecond
+
+// callerWaits is how long the callers of these tests wait.
+const callerWaits = 20 * time.Second
+
+// startedJob returns a coordinator with a job of one task that has started.
+func startedJob(t *testing.T, estimate time.Duration) *Coordinator {
+	c := coordinatorWithHosts(32)
+	c.Submit(epoch, jobOf(1, estimate), testRoute, callerWaits)
+	offers := actionsOf[Offer](c.PopActions())
+	require.Len(t, offers, 1)
+	c.HandleOutcome(epoch, offers[0].Host, outcome(0, offer.Started, "w-h1", 1))
+	return c
+}
+
+// Guards against jobs that are cut off without an answer when the callers' port of a
+// stopping host ends.
+func TestStartedJobIsAnsweredBeforeThePortEnds(t *testing.T) {
+	c := startedJob(t, 10*time.Second)
+	stop := epoch.Add(time.Second)
+	c.Leave(stop.Add(portTime))
+	answerBy := stop.Add(portTime - answerTime)
+	c.Tick(answerBy)
+	require.Empty(t, actionsOf[Answer](c.PopActions()), "it may still end in time")
+	c.Tick(answerBy.Add(time.Nanosecond))
+	actions := c.PopActions()
+	answers := actionsOf[Answer](actions)
+	require.Len(t, answers, 1)
+	assert.Equal(t, errkind.Timeout, answers[0].Err.Kind)
+	assert.Equal(t, errkind.Unknown, answers[0].Err.Run)
+	assert.Contains(t, answers[0].Summary.Why, "the host is stopping")
+	assert.NotEmpty(t, actionsOf[Withdraw](actions))
+}
+
+// Guards against a stop that extends the time of a caller, or that recalls jobs earlier
+// than their callers' time asks for.
+func TestPlannedStopKeepsOtherTimes(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	c.Submit(epoch, jobOf(1, time.Second), testRoute, 2*time.Second)
+	c.Leave(epoch.Add(portTime))
+	c.Tick(epoch.Add(2*time.Second + time.Millisecond))
+	assert.Len(t, actionsOf[Answer](c.PopActions()), 1)
+	c = coordinatorWithHosts(0)
+	route := testRoute
+	route.Stretch = 2
+	c.Submit(epoch, jobOf(1, 2*time.Second), route, callerWaits)
+	c.Leave(epoch.Add(portTime))
+	for _, at := range []time.Duration{1020 * time.Millisecond, 2400 * time.Millisecond} {
+		c.Tick(epoch.Add(at))
+	}
+	assert.Empty(t, actionsOf[Recall](c.PopActions()))
+}
+
+// Guards against a stop that gives up a job whose run another owner still has: the
+// claim arrives once the owner has listed its workers.
+func TestOrphanedRunIsClaimedDuringAPlannedStop(t *testing.T) {
+	c := startedJob(t, 10*time.Second)
+	stop := epoch.Add(8 * time.Second)
+	c.Leave(stop.Add(portTime))
+	c.HostLost(stop, "h1")
+	c.Tick(stop.Add(50 * time.Millisecond))
+	assert.Empty(t, actionsOf[Answer](c.PopActions()))
+}
--- a/internal/decide/coordinator/sharing.go
+++ b/internal/decide/coordinator/sharing.go
@@ -109,7 +109,7 @@
 	first := j.spec.Steps[0]
 	in := sharing.Job{
 		Startable: load.startable - load.staleStartable, TaskCPU: int64(first.Size.MilliCPU), TaskTime: first.Estimate, Waited: now.Sub(j.arrived),
-		Chain: j.criticalPath + crossZoneDelay, Objective: j.objective, Timeout: j.deadline.Sub(j.arrived),
+		Chain: j.criticalPath + crossZoneDelay, Objective: j.objective, Timeout: j.callerDeadline.Sub(j.arrived),
 	}
 	for _, t := range j.tasks[:first.Count] {
 		switch t.state {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -188,11 +188,12 @@
 	}
 }
 
-// Leave prepares a planned stop: it returns all queued tasks to their hosts and
-// marks the host's reports as leaving. The workers are released when the
-// memberships end.
-func (c *Core) Leave() {
+// Leave prepares a planned stop: it returns all queued tasks to their hosts, marks the
+// host's reports as leaving, and limits the deadlines of jobs so that they are answered
+// before the callers' port ends. The workers are released when the memberships end.
+func (c *Core) Leave(portEnds time.Time) {
 	c.leaving = true
+	c.Coordinator.Leave(portEnds)
 	c.Pool.ReturnQueue("planned stop")
 }
 
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -15,6 +15,8 @@
 const (
 	// drainTime is how long a host works on after a planned stop began.
 	drainTime = 2200 * time.Millisecond
+	// portTime is how long after that its callers' port would end at the latest.
+	portTime = 5500 * time.Millisecond
 	// maxIdle is the time for which the rules let a ready task of a stored job have
 	// nothing running.
 	maxIdle = 3 * time.Second
@@ -27,7 +29,7 @@
 			return
 		}
 		h.leaving = true
-		h.core.Leave()
+		h.core.Leave(w.now.Add(portTime))
 		if !h.storeUnreachable {
 			for number := range h.seats {
 				h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
