Refuse at once what cannot end before a planned stop does

A stopping host took best-effort jobs that could not end before its callers' port does, and kept those that were waiting.

Admission and recall now compare the end that is expected of a job with the time by which it must be answered: on arrival its critical path after the expected wait, while it waits with nothing started its critical path alone. What cannot end is refused with outcome and reason "stopping" and Retry-After: on arrival before anything is offered, later by the existing recall, so that "not run" is said only when every owner has given the tasks back. A job that has started is left to its deadline, as run times are estimates.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -445,7 +445,7 @@
 	d.leaving.Store(true)
 	portEnds := time.Now().Add(d.settings.Grace - stopMargin)
 	d.post(func(now time.Time) {
-		d.core.Leave(portEnds)
+		d.core.Leave(now, portEnds)
 		d.refuseHeldForStop(now)
 	})
 	d.wakeMemberships()
--- a/internal/daemon/dispatch/stop_test.go
+++ b/internal/daemon/dispatch/stop_test.go
@@ -77,3 +77,46 @@
 		assert.Less(t, time.Since(began), stopGrace)
 	})
 }
+
+// A stopping host took jobs that could not end before its port did, or kept those that
+// were waiting, and held their callers until then.
+func TestJobThatCannotEndInAPlannedStopIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const atOnce = 100 * time.Millisecond
+		f := newFleet(t, 2, 0)
+		defer f.stopAll()
+		f.addWorker("z", 4*time.Second)
+		time.Sleep(3 * time.Second)
+		// Two tasks take the worker's 32 cores.
+		running := []<-chan stoppedAnswer{f.submitSlow("host-0", "00000000000000a1", 4*time.Second), f.submitSlow("host-0", "00000000000000a2", 4*time.Second)}
+		time.Sleep(100 * time.Millisecond)
+		waiting := f.submitSlow("host-0", "00000000000000a3", 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		stopped := make(chan struct{})
+		go func() {
+			f.stops["host-0"]()
+			close(stopped)
+		}()
+		time.Sleep(time.Second)
+		arrived := time.Now()
+		late := f.submitSlow("host-0", "00000000000000a4", 10*time.Second)
+		<-stopped
+		for _, answers := range running {
+			a := <-answers
+			require.NoError(t, a.err)
+			assert.Equal(t, http.StatusOK, a.status, "it ends in time")
+		}
+		for name, r := range map[string]struct {
+			answers <-chan stoppedAnswer
+			since   time.Time
+		}{"waiting": {waiting, began}, "late": {late, arrived}} {
+			a := <-r.answers
+			require.NoError(t, a.err, name)
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, name)
+			assert.Equal(t, "1", a.retryAfter, name)
+			assert.Less(t, a.at.Sub(r.since), atOnce, name)
+		}
+		assert.Len(t, f.startCounts(), 2, "a refused job has not run")
+	})
+}
--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -189,6 +189,8 @@
 	NoCapacity Refusal = "no_capacity"
 	// Evacuated means that the job has nowhere to run because of evacuated zones.
 	Evacuated Refusal = "evacuated"
+	// Stopping means that the job cannot end before the callers' port of this host does.
+	Stopping Refusal = "stopping"
 	// Saturated means that this host cannot send the job's tasks in time.
 	Saturated Refusal = "saturated"
 )
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -43,6 +43,10 @@
 		c.refuseOverloaded(now, j)
 		return true
 	}
+	if c.missesStop(now, j, j.expectedWait) {
+		c.refuseStopping(now, j)
+		return true
+	}
 	c.offerJob(now, j)
 	return true
 }
@@ -430,7 +434,11 @@
 // abandon answers a job that cannot be done. The answer says that the job has
 // not run only if none of its tasks can have run.
 func (c *Coordinator) abandon(now time.Time, j *job) {
-	if j.notRun() {
+	switch {
+	case j.notRun() && c.missesStop(now, j, 0):
+		c.refuseStopping(now, j)
+		return
+	case j.notRun():
 		c.refuseOverloaded(now, j)
 		return
 	}
@@ -454,14 +462,15 @@
 
 // recall asks hosts to return the waiting tasks of a job that has not started.
 // After recallObjectiveShare of its objective a job is recalled if it is expected
-// to be late, and after recallTimeoutShare of the caller's timeout in any case.
+// to be late, after recallTimeoutShare of the caller's timeout in any case, and during
+// a planned stop as soon as it cannot end before the callers' port does.
 func (c *Coordinator) recall(now time.Time, j *job) {
 	waited := now.Sub(j.arrived)
 	if j.stored {
 		return
 	}
 	callerTimeout := j.callerDeadline.Sub(j.arrived)
-	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout))
+	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout)) || c.missesStop(now, j, 0)
 	if !due && !j.waitRechecked && waited >= time.Duration(recallObjectiveShare*float64(j.objective))-crossZoneDelay {
 		j.waitRechecked = true
 		due = c.willBeLate(now, j)
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -191,9 +191,9 @@
 // Leave prepares a planned stop: it returns all queued tasks to their hosts, marks the
 // host's reports as leaving, and limits the deadlines of jobs so that they are answered
 // before the callers' port ends. The workers are released when the memberships end.
-func (c *Core) Leave(portEnds time.Time) {
+func (c *Core) Leave(now, portEnds time.Time) {
 	c.leaving = true
-	c.Coordinator.Leave(portEnds)
+	c.Coordinator.Leave(now, portEnds)
 	c.Pool.ReturnQueue("planned stop")
 }
 
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -29,7 +29,7 @@
 			return
 		}
 		h.leaving = true
-		h.core.Leave(w.now.Add(portTime))
+		h.core.Leave(w.now, w.now.Add(portTime))
 		if !h.storeUnreachable {
 			for number := range h.seats {
 				h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
