Say why a request has ended, and test what waits for the job log

A request whose context ended was answered "the caller disconnected", to a caller that waited if the host had ended it, and a job that was cancelled with DELETE said the same. Logs and answers name the cause now; without one it is the caller.

Not covered: a log that answers slowly while more than 1 MB of appends wait at one host; such a request is answered when its context ends.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -303,11 +304,21 @@
 	case r := <-result:
 		return r
 	case <-ctx.Done():
-		d.post(func(now time.Time) { d.cancel(now, job.ID, result) })
+		why := endOf(ctx)
+		d.post(func(now time.Time) { d.cancel(now, job.ID, why, result) })
 		return <-result
 	}
 }
 
+// endOf returns why the context of a request has ended: without a cause, its caller has
+// disconnected.
+func endOf(ctx context.Context) string {
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause.Error()
+	}
+	return "the caller disconnected"
+}
+
 func (d *Dispatcher) submit(now time.Time, job fleet.Job, route fleet.Route, timeout time.Duration, result chan platform.Result) {
 	if old, ok := d.waiters[job.ID]; ok {
 		// The caller submitted the job again: the earlier request gets an error.
@@ -335,18 +346,18 @@
 	d.core.Coordinator.Submit(now, job, route, timeout)
 }
 
-// cancel ends a job whose caller has disconnected, unless another request
-// waits for the job.
-func (d *Dispatcher) cancel(now time.Time, job string, result chan platform.Result) {
+// cancel ends a job whose request has ended, unless another request waits for the
+// job.
+func (d *Dispatcher) cancel(now time.Time, job, why string, result chan platform.Result) {
 	if w, ok := d.waiters[job]; ok && w.result == result {
-		d.core.Coordinator.Cancel(now, job)
+		d.core.Coordinator.Cancel(now, job, why)
 		return
 	}
-	if d.cancelHeld(now, job, result) {
+	if d.cancelHeld(now, job, why, result) {
 		return
 	}
 	select {
-	case result <- platform.Result{Err: errkind.New(errkind.Cancelled, "the caller disconnected")}:
+	case result <- platform.Result{Err: errkind.New(errkind.Cancelled, "%s", why)}:
 	default:
 	}
 }
@@ -372,11 +383,12 @@
 // cancelBestEffort cancels a job whose caller waits at this host. It reports whether
 // there is such a job.
 func (d *Dispatcher) cancelBestEffort(now time.Time, job string) bool {
+	const why = "the job was cancelled"
 	if _, ok := d.waiters[job]; ok {
-		d.core.Coordinator.Cancel(now, job)
+		d.core.Coordinator.Cancel(now, job, why)
 		return true
 	}
-	return d.cancelHeld(now, job, nil)
+	return d.cancelHeld(now, job, why, nil)
 }
 
 // State implements platform.Dispatcher.
--- a/internal/daemon/dispatch/startup.go
+++ b/internal/daemon/dispatch/startup.go
@@ -114,11 +114,11 @@
 
 // cancelHeld removes a held job for which the given request waits, or any request if
 // result is nil. It reports whether there was such a job.
-func (d *Dispatcher) cancelHeld(now time.Time, job string, result chan platform.Result) bool {
+func (d *Dispatcher) cancelHeld(now time.Time, job, why string, result chan platform.Result) bool {
 	if !d.isHeld(job) || result != nil && d.start.jobs[job].result != result {
 		return false
 	}
-	d.endHeld(now, job, eventCancelled, errkind.New(errkind.Cancelled, "the caller disconnected"))
+	d.endHeld(now, job, eventCancelled, errkind.New(errkind.Cancelled, "%s", why))
 	return true
 }
 
--- a/internal/daemon/dispatch/stop_test.go
+++ b/internal/daemon/dispatch/stop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -9,6 +12,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
 // stopGrace is the grace period of the hosts of a testFleet.
@@ -120,3 +126,101 @@
 		assert.Len(t, f.startCounts(), 2, "a refused job has not run")
 	})
 }
+
+// longestAppendWait is how long a submission waits while the job log does not answer:
+// for the append under way, the delay after it, and its own.
+const longestAppendWait = 2*appendTimeout + appendRetry
+
+// Guards against submissions, cancels and queries that wait for the job log for longer
+// than the callers' port of a stopping host is open.
+func TestRequestsThatWaitForTheLogAreAnsweredInAPlannedStop(t *testing.T) {
+	require.Less(t, longestAppendWait, stopGrace-stopMargin-stopAccepting)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2)
+		defer f.stopAll()
+		time.Sleep(assignmentTime)
+		const known = "00000000000000a1"
+		status, answer := f.submitStored("host-0", known)
+		require.Equal(t, http.StatusOK, status, answer)
+		f.store.SetHangAppends(true)
+		stopped := make(chan struct{})
+		go func() {
+			f.stops["host-0"]()
+			close(stopped)
+		}()
+		time.Sleep(stopAccepting - 100*time.Millisecond)
+		type reply struct {
+			name   string
+			status int
+			took   time.Duration
+		}
+		replies := make(chan reply, 10)
+		send := func(name string, request func() (int, string)) {
+			go func() {
+				began := time.Now()
+				status, _ := request()
+				replies <- reply{name, status, time.Since(began)}
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		for i := range 3 {
+			send("submit", func() (int, string) { return f.submitStored("host-0", fmt.Sprintf("%016x", 0xb1+i)) })
+			send("cancel", func() (int, string) {
+				return f.call(http.MethodDelete, "host-0", fmt.Sprintf("/jobs/%016x", 0xc1+i), nil)
+			})
+		}
+		send("state", func() (int, string) { return f.call(http.MethodGet, "host-0", "/jobs/"+known, nil) })
+		for range 7 {
+			r := <-replies
+			if r.name == "state" {
+				assert.Equal(t, http.StatusOK, r.status)
+				assert.LessOrEqual(t, r.took, stateWait+tickInterval)
+				continue
+			}
+			// An append that was sent may have been applied.
+			assert.Contains(t, []int{http.StatusServiceUnavailable, http.StatusGatewayTimeout}, r.status, r.name)
+			assert.LessOrEqual(t, r.took, longestAppendWait+tickInterval, r.name)
+		}
+		f.store.SetHangAppends(false)
+		<-stopped
+	})
+}
+
+// Guards against requests whose answers wait after their contexts have ended, or that
+// are then said not to have run.
+func TestRequestsAnswerAtOnceWhenTheirContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 0)
+		defer f.stopAll()
+		f.addWorker("z", time.Minute)
+		time.Sleep(assignmentTime)
+		d := f.hosts["host-0"]
+		route := d.Config().Routes[0]
+		job := fleet.Job{ID: "00000000000000a1", BestEffort: true, Steps: []fleet.Step{
+			{Count: 1, Size: fleet.Size{MilliCPU: 14000}, Estimate: 30 * time.Second},
+		}}
+		stored := job
+		stored.ID, stored.BestEffort = "00000000000000b1", false
+		f.store.SetHangAppends(true)
+		for name, request := range map[string]func(context.Context) *errkind.Error{
+			"best effort": func(ctx context.Context) *errkind.Error { return d.Submit(ctx, job, route, time.Minute).Err },
+			"stored":      func(ctx context.Context) *errkind.Error { return d.Submit(ctx, stored, route, 0).Err },
+			"cancel": func(ctx context.Context) *errkind.Error {
+				_, err := d.Cancel(ctx, "00000000000000c1")
+				return err
+			},
+		} {
+			ctx, end := context.WithCancelCause(t.Context())
+			ended := time.Now().Add(300 * time.Millisecond)
+			time.AfterFunc(time.Until(ended), func() { end(errors.New("the port ends")) })
+			err := request(ctx)
+			require.NotNil(t, err, name)
+			assert.Equal(t, errkind.Unknown, err.Run, name)
+			assert.Contains(t, err.Detail, "the port ends", name)
+			assert.LessOrEqual(t, time.Since(ended), time.Millisecond, name)
+			time.Sleep(2 * time.Second)
+		}
+		assert.Zero(t, f.runningTasks())
+		f.store.SetHangAppends(false)
+	})
+}
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -290,7 +290,7 @@
 	case r := <-result:
 		return r
 	case <-ctx.Done():
-		return platform.Result{Err: errkind.New(errkind.Cancelled, "the caller disconnected")}
+		return platform.Result{Err: errkind.New(errkind.Cancelled, "%s", endOf(ctx))}
 	}
 }
 
@@ -358,7 +358,7 @@
 		d.logger.Info("job cancelled", "job", job)
 		return true, nil
 	case <-ctx.Done():
-		return false, errkind.New(errkind.Cancelled, "the caller disconnected")
+		return false, errkind.New(errkind.Cancelled, "%s", endOf(ctx))
 	}
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -134,10 +134,10 @@
 	})
 }
 
-// Cancel ends a job whose caller has disconnected.
-func (c *Coordinator) Cancel(now time.Time, id string) {
+// Cancel ends a job that was cancelled, or whose caller does not wait any more.
+func (c *Coordinator) Cancel(now time.Time, id, why string) {
 	if j, ok := c.jobs[id]; ok {
-		c.answer(now, j, errkind.New(errkind.Cancelled, "the caller disconnected"), 0)
+		c.answer(now, j, errkind.New(errkind.Cancelled, "%s", why), 0)
 	}
 }
 
--- a/internal/decide/coordinator/submissions_test.go
+++ b/internal/decide/coordinator/submissions_test.go
@@ -54,7 +54,7 @@
 	c.HostLost(epoch, "h2")
 	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
 	former := actionsOf[Offer](c.PopActions())[0]
-	c.Cancel(epoch, testJob)
+	c.Cancel(epoch, testJob, "the caller disconnected")
 	c.PopActions()
 	c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
 	present := actionsOf[Offer](c.PopActions())[0]
@@ -78,7 +78,7 @@
 		c := coordinatorWithHosts(32)
 		c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
 		former := actionsOf[Offer](c.PopActions())[0]
-		c.Cancel(epoch, testJob)
+		c.Cancel(epoch, testJob, "the caller disconnected")
 		c.PopActions()
 		c.HostLost(epoch, former.Host)
 		c.Submit(epoch, jobOf(1, 2*time.Second), testRoute, 0)
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -59,7 +59,7 @@
 	cancel := w.onFrom(h, source, func() {
 		if h.callers[j.id] == attempt {
 			w.note(j.id, "%s sees that caller %d has left", h.name, attempt)
-			h.core.Coordinator.Cancel(w.now, j.id)
+			h.core.Coordinator.Cancel(w.now, j.id, "the caller disconnected")
 		}
 	})
 	j.leave = func() {
