Test that a caller which returns after a planned stop meets no former run

TestJobThatOutlivesAPlannedStopIsAnswered now lets the caller return to another host 1.3 s after its 504: nothing of the job is running, and the new submission starts its task once. It passed 20 times; the code is unchanged.

--- a/internal/daemon/dispatch/stop_test.go
+++ b/internal/daemon/dispatch/stop_test.go
@@ -81,6 +81,12 @@
 		assert.Equal(t, http.StatusGatewayTimeout, a.status, "the job has run")
 		assert.InDelta(t, (stopGrace - stopMargin).Seconds(), a.at.Sub(began).Seconds(), 0.5)
 		assert.Less(t, time.Since(began), stopGrace)
+		// The caller returns 1.3 s after a 504, to another host.
+		time.Sleep(time.Until(a.at.Add(1300 * time.Millisecond)))
+		assert.Zero(t, f.runningTasks())
+		f.submitSlow("host-1", id, 30*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, 1, f.runningTasks())
 	})
 }
 
