--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -189,6 +189,8 @@
 	NoCapacity Refusal = "no_capacity"
 	// Evacuated means that the job has nowhere to run because of evacuated zones.
 	Evacuated Refusal = "evacuated"
+	// Stopping means that the job cannot end before the callers' port of this host does.
+	Stopping Refusal = "stopping"
 	// Saturated means that this host cannot send the job's tasks in time.
 	Saturated Refusal = "saturated"
 )
@@ -254,6 +256,8 @@
 	fastShare  fastShare
 	// resumedAt is when this host went on after it had stood still.
 	resumedAt time.Time
+	// answerBy is the time by which the jobs are answered during a planned stop, or zero.
+	answerBy time.Time
 	// considered counts the workers of all hosts that were considered for tasks.
 	considered int
 }
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +22,7 @@
 	c.cfg.Speeds.ObserveStretch(route.Service, route.Stretch)
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
+	c.limitDeadline(j)
 	c.jobs[spec.ID] = j
 	c.observeArrival(now, j)
 	if err := c.checkServable(j); err != nil {
@@ -43,6 +43,10 @@
 		c.refuseOverloaded(now, j)
 		return true
 	}
+	if c.missesStop(now, j, j.expectedWait) {
+		c.refuseStopping(now, j)
+		return true
+	}
 	c.offerJob(now, j)
 	return true
 }
@@ -130,10 +134,10 @@
 	})
 }
 
-// Cancel ends a job whose caller has disconnected.
-func (c *Coordinator) Cancel(now time.Time, id string) {
+// Cancel ends a job that was cancelled, or whose caller does not wait any more.
+func (c *Coordinator) Cancel(now time.Time, id, why string) {
 	if j, ok := c.jobs[id]; ok {
-		c.answer(now, j, errkind.New(errkind.Cancelled, "the caller disconnected"), 0)
+		c.answer(now, j, errkind.New(errkind.Cancelled, "%s", why), 0)
 	}
 }
 
@@ -421,7 +425,7 @@
 		if t.state == taskOrphaned && t.orphanEndsAt.Add(step.Estimate+crossZoneDelay).After(j.deadline) {
 			// Only a claim of the orphaned run could still complete the job in time.
 			// A claim arrives soon or not at all.
-			return t.lastRun == 0 || now.Add(step.Estimate).After(j.deadline)
+			return t.lastRun == 0 || now.Add(step.Estimate).After(j.callerDeadline)
 		}
 	}
 	return false
@@ -430,7 +434,11 @@
 // abandon answers a job that cannot be done. The answer says that the job has
 // not run only if none of its tasks can have run.
 func (c *Coordinator) abandon(now time.Time, j *job) {
-	if j.notRun() {
+	switch {
+	case j.notRun() && c.missesStop(now, j, 0):
+		c.refuseStopping(now, j)
+		return
+	case j.notRun():
 		c.refuseOverloaded(now, j)
 		return
 	}
@@ -444,7 +452,7 @@
 	for _, j := range c.jobsByArrival() {
 		switch {
 		case now.After(j.deadline):
-			c.answer(now, j, errkind.New(errkind.Timeout, "%s", fmt.Sprintf("not done after %v", now.Sub(j.arrived))), 0)
+			c.answer(now, j, errkind.New(errkind.Timeout, "not done after %v%s", now.Sub(j.arrived), j.stopNote()), 0)
 		default:
 			c.recall(now, j)
 			c.review(now, j)
@@ -454,14 +462,15 @@
 
 // recall asks hosts to return the waiting tasks of a job that has not started.
 // After recallObjectiveShare of its objective a job is recalled if it is expected
-// to be late, and after recallTimeoutShare of the caller's timeout in any case.
+// to be late, after recallTimeoutShare of the caller's timeout in any case, and during
+// a planned stop as soon as it cannot end before the callers' port does.
 func (c *Coordinator) recall(now time.Time, j *job) {
 	waited := now.Sub(j.arrived)
 	if j.stored {
 		return
 	}
-	callerTimeout := j.deadline.Sub(j.arrived)
-	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout))
+	callerTimeout := j.callerDeadline.Sub(j.arrived)
+	due := !j.recalledAt.IsZero() || waited > time.Duration(recallTimeoutShare*float64(callerTimeout)) || c.missesStop(now, j, 0)
 	if !due && !j.waitRechecked && waited >= time.Duration(recallObjectiveShare*float64(j.objective))-crossZoneDelay {
 		j.waitRechecked = true
 		due = c.willBeLate(now, j)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -25,6 +25,10 @@
 	answerTime = 200 * time.Millisecond
 )
 
+// ErrStopping is the cause of the end of a request's context when the server stops while
+// the request is in work.
+var ErrStopping = errors.New("the host is stopping")
+
 // Serve serves the listener until ctx ends, and then stops as Conns.Serve does.
 func Serve(ctx context.Context, server *http.Server, listener net.Listener, drainTimeout time.Duration) error {
 	return NewConns(0, func() {}).Serve(ctx, server, listener, drainTimeout)
@@ -41,8 +45,8 @@
 // that is read after it has begun, and closes connections that it holds to be idle
 // while a request is being read.
 func (c *Conns) Serve(ctx context.Context, server *http.Server, listener net.Listener, drainTimeout time.Duration) error {
-	requests, endRequests := context.WithCancel(context.WithoutCancel(ctx))
-	defer endRequests()
+	requests, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer endRequests(nil)
 	server.BaseContext = func(net.Listener) context.Context { return requests }
 	limited := c.limit(server, listener)
 	serveErr := make(chan error, 1)
@@ -62,7 +66,7 @@
 	c.waitEmpty(min(firstRequestTime, left()-answer))
 	c.endUpTo(connlimit.Waiting)
 	c.waitEmpty(left() - answer)
-	endRequests()
+	endRequests(ErrStopping)
 	c.endUpTo(connlimit.Receiving)
 	c.waitEmpty(left())
 	err := <-serveErr
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -190,6 +190,7 @@
 		left := make(chan bool, 1)
 		s := startStopping(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
+			assert.ErrorIs(t, context.Cause(r.Context()), ErrStopping)
 			left <- ClientLeft(r.Context())
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}))
