Answer what still waits when the grace time of a planned stop ends

What callers saw: a request, a submission or a call that waits for a job's end that was in work when `stop.grace_ms` was over got no answer. The callers' port waited two more seconds and cut the connection. A call that waits for a job of another host did not even hold the stop up, and was cut 2 s after its drain.

Cause: Stop of the requests and of the jobs only logged what was left. Nothing ended the waits before the port closed. The same end of a context looked like an unreachable owner to a submission that waited for another host's job.

Change: after both have stopped, the daemon interrupts them. Requests that wait for a slot are refused as not run, all others are answered `stopping`, `unknown`; arrivals that still join get the same. A call that waits for a job gets its state. Nothing is concluded about the owner of a job whose call this host has ended.

Why it works: each wait ends by a step of the service that holds it, under its lock and before the ports close, so that an arrival either is among those answered or sees that the service was interrupted. Answers that are there go first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,7 +153,7 @@
 }
 
 // drain reports not ready for the drain time of the settings, then waits for
-// work in flight, at most for the grace time.
+// work in flight, at most for the grace time, and answers the callers that still wait.
 func (d *Daemon) drain() {
 	d.logger.Info("planned stop begins", "drain_ms", d.settings.Stop.DrainMs)
 	d.stopping.Store(true)
@@ -166,6 +166,8 @@
 	if err := group.Wait(); err != nil {
 		d.logger.Error("planned stop interrupted work in flight", "error", err)
 	}
+	d.requests.Interrupt()
+	d.jobs.Interrupt()
 	d.logger.Info("planned stop ends")
 }
 
--- a/internal/daemon/jobs/service.go
+++ b/internal/daemon/jobs/service.go
@@ -78,6 +78,9 @@
 	cancel  context.CancelFunc
 	calls   sync.WaitGroup
 	batcher *batcher
+	// waiting ends when callers are no longer kept waiting.
+	waiting   context.Context
+	interrupt context.CancelFunc
 
 	mu      sync.Mutex
 	core    *jobs.Core
@@ -87,11 +90,12 @@
 // New returns a service that owns no job.
 func New(deps Deps) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
+	waiting, interrupt := context.WithCancel(context.Background())
 	cfg := deps.Core
 	cfg.Self = deps.Incarnation
 	cfg.Address = deps.Settings.Listen.Peers
 	s := &Service{
-		deps: deps, ctx: ctx, cancel: cancel,
+		deps: deps, ctx: ctx, cancel: cancel, waiting: waiting, interrupt: interrupt,
 		core:    jobs.NewCore(time.Now(), cfg, rand.New(rand.NewPCG(deps.Seed, 1))),
 		waiters: map[jobs.Key]map[chan outcome]struct{}{},
 	}
@@ -128,6 +132,20 @@
 	}
 }
 
+// Interrupt answers all callers that still wait, and those that follow, before the
+// ports close under them: with what is known of their jobs, which may go on.
+func (s *Service) Interrupt() { s.interrupt() }
+
+// untilInterrupted returns a context that also ends when the service is interrupted.
+func (s *Service) untilInterrupted(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.waiting, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // tick ticks the core until ctx ends, then cancels the calls to workers and waits
 // for them to return.
 func (s *Service) tick(ctx context.Context) error {
@@ -170,6 +188,9 @@
 	err      *errkind.Error
 }
 
+// expired reports whether an answer may no longer be sent.
+func (o outcome) expired() bool { return !o.notAfter.IsZero() && !time.Now().Before(o.notAfter) }
+
 // notifyWaiters passes an outcome to the waiters for a submission. The caller
 // holds the lock.
 func (s *Service) notifyWaiters(a jobs.Action) {
@@ -227,12 +248,17 @@
 	for {
 		select {
 		case o := <-ch:
-			if o.notAfter.IsZero() || time.Now().Before(o.notAfter) {
+			if !o.expired() {
 				return o, true
 			}
 			s.handleEvent(func(time.Time) { s.core.AnswerExpired(k) })
 		case <-ctx.Done():
-			return outcome{}, false
+			select {
+			case o := <-ch:
+				return o, !o.expired()
+			default:
+				return outcome{}, false
+			}
 		}
 	}
 }
--- a/internal/daemon/jobs/submit.go
+++ b/internal/daemon/jobs/submit.go
@@ -27,12 +27,16 @@
 	// The margin leaves time for the answer to a job that ends at its deadline.
 	ctx, cancel := context.WithTimeout(ctx, deadline+2*resolveTimeout)
 	defer cancel()
+	ctx, release := s.untilInterrupted(ctx)
+	defer release()
 	o, ok := s.await(ctx, k, func(now time.Time) *errkind.Error { return s.core.Submit(now, job, digest) })
 	return s.answerFor(ctx, k, o, ok, deadline)
 }
 
 // Wait returns the job's answer when the job is closed, or its state after wait.
 func (s *Service) Wait(ctx context.Context, k jobs.Key, wait time.Duration) (callerapi.JobAnswer, *errkind.Error) {
+	ctx, release := s.untilInterrupted(ctx)
+	defer release()
 	s.mu.Lock()
 	view := s.core.Lookup(time.Now(), k)
 	s.mu.Unlock()
@@ -63,6 +67,8 @@
 // Cancel cancels a job, at its owner if that is another entry host, and returns
 // the job's answer.
 func (s *Service) Cancel(ctx context.Context, k jobs.Key) (callerapi.JobAnswer, *errkind.Error) {
+	ctx, release := s.untilInterrupted(ctx)
+	defer release()
 	o, ok := s.await(ctx, k, func(now time.Time) *errkind.Error { return s.core.Cancel(now, k) })
 	if !ok || o.owner == "" {
 		return s.answerFor(ctx, k, o, ok, 0)
@@ -74,11 +80,18 @@
 	return s.ownerUnreachable(ctx, k, o.owner, err)
 }
 
+func errInterrupted(k jobs.Key) *errkind.Error {
+	return errkind.New(errkind.Stopping, "the entry host stops before the outcome of job %s is known; look the job up by its submission", k).
+		WithRun(errkind.Unknown)
+}
+
 // answerFor converts the outcome of a wait to an answer. It asks the owner, with
 // the given wait, if that is another entry host. If ok is false there is no
 // outcome.
 func (s *Service) answerFor(ctx context.Context, k jobs.Key, o outcome, ok bool, wait time.Duration) (callerapi.JobAnswer, *errkind.Error) {
 	switch {
+	case !ok && s.waiting.Err() != nil:
+		return callerapi.JobAnswer{}, errInterrupted(k)
 	case !ok:
 		return callerapi.JobAnswer{}, errkind.New(errkind.LogUnknown, "the outcome of job %s was not known in time; look the job up by its submission", k)
 	case o.err != nil:
@@ -101,6 +114,10 @@
 // ownerUnreachable answers for an owner that could not be reached: with the
 // job's outcome if the core can resolve it, or else with an error.
 func (s *Service) ownerUnreachable(ctx context.Context, k jobs.Key, owner ids.Incarnation, cause error) (callerapi.JobAnswer, *errkind.Error) {
+	if s.waiting.Err() != nil {
+		// This host has ended the call, which says nothing of the owner.
+		return callerapi.JobAnswer{}, errInterrupted(k)
+	}
 	metrics.Add("owners_silent", 1)
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
@@ -128,6 +145,8 @@
 	case jobs.StatusClosed:
 		return view.Answer, view.Err == nil
 	case jobs.StatusLocal:
+		ctx, release := s.untilInterrupted(ctx)
+		defer release()
 		answer, err := s.waitLocal(ctx, k, view.Answer, wait)
 		return answer, err == nil
 	}
--- a/internal/daemon/requests/service.go
+++ b/internal/daemon/requests/service.go
@@ -103,6 +103,8 @@
 	mu        sync.Mutex
 	customers map[string]*customer
 	stopping  bool
+	// interrupted is set once nothing is waited for any more.
+	interrupted bool
 	// refreshedAt is when the configuration and the host list were last read.
 	refreshedAt time.Time
 	// claimsRequested is set once this host has begun to ask its peers for the
--- a/internal/daemon/requests/stop.go
+++ b/internal/daemon/requests/stop.go
@@ -64,6 +64,41 @@
 	}
 }
 
+// Interrupt answers all arrivals that still wait, and those that follow, before the
+// ports close under them. A request that was never sent has not run; whether another
+// one runs is unknown.
+func (s *Service) Interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interrupted = true
+	for _, c := range s.customers {
+		for _, active := range c.active {
+			s.interrupt(c, active)
+		}
+	}
+}
+
+// interrupt answers the arrivals that wait for a request. The lock is held.
+func (s *Service) interrupt(c *customer, active *activeRequest) {
+	if len(active.waiters) == 0 {
+		return
+	}
+	id := active.req.ID
+	if run, ok := c.core.Withdraw(id); ok {
+		s.refuseStopping(c, id, run)
+		return
+	}
+	err := errkind.New(errkind.Stopping, "the entry host stops before the request has ended").WithRun(errkind.Unknown)
+	s.deps.Recorder.Record(decision.Record{
+		Part: decision.PartStop, Action: "interrupt", Rule: "planned-stop", Why: err.Detail,
+		Subjects: []string{id}, Customer: c.name,
+	})
+	for w := range active.waiters {
+		w.done <- identity.Result{Err: err}
+	}
+	clear(active.waiters)
+}
+
 func (s *Service) refuseStopping(c *customer, id string, run errkind.RunState) {
 	err := errkind.New(errkind.Stopping, "the entry host is stopping and no peer can accept the request").WithRun(run)
 	s.deps.Recorder.Record(decision.Record{
--- a/internal/daemon/requests/work.go
+++ b/internal/daemon/requests/work.go
@@ -106,6 +106,9 @@
 			s.applyIdentity(c, req.ID, []identity.Action{a})
 		}
 	}
+	if s.interrupted {
+		s.interrupt(c, active)
+	}
 	return nil
 }
 
