Close callers' connections with the answers of a stopping host

What callers saw: a caller that keeps its connection went on sending on it during the whole drain, up to the moment at which the port closed, and its last request could meet the close.

Cause: the product's callers' port did not say that the connection ends, unlike that of the dispatcher.

Change: while a planned stop is in progress each answer of the callers' port has "Connection: close".

Evidence: TestAnswersOfAStoppingHostCloseTheConnection found no such header before.

Why it works: the server ends the connection after the answer, when nothing is under way on it, and the balancer leads the caller's next connection to a host that is ready. Connections that stay silent for the whole drain are left to the close of the port.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -235,7 +235,18 @@
 	d.jobs.Routes(mux)
 	mux.HandleFunc("GET /v1/ready", d.serveReady)
 	refuseOperatorPaths(mux)
-	return mux
+	return d.closeWhileStopping(mux)
+}
+
+// closeWhileStopping ends the connections of a stopping host with their next answers,
+// so that callers open new ones elsewhere before the port closes.
+func (d *Daemon) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (d *Daemon) operatorRoutes() http.Handler {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -111,3 +111,18 @@
 	late := <-call(host.callers, httptest.NewRequest(http.MethodPost, callerapi.PathJobs, strings.NewReader(encode(t, job))))
 	checkRefused(t, "a new job", errkind.Stopping, late.status, late.body)
 }
+
+// Guards against callers that keep sending on open connections until the port closes
+// under a request.
+func TestAnswersOfAStoppingHostCloseTheConnection(t *testing.T) {
+	host := newTestHost(t)
+	for _, c := range []struct {
+		stopping bool
+		want     string
+	}{{false, ""}, {true, "close"}} {
+		host.daemon.stopping.Store(c.stopping)
+		w := httptest.NewRecorder()
+		host.callers.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/ready", nil))
+		require.Equal(t, c.want, w.Header().Get("Connection"))
+	}
+}
