Keep an entry host serving when it gets SIGHUP

What callers saw: SIGHUP, which an operator sends to have settings read again, ended an entry host at once with all its requests, without -platform at any time and with -platform until the settings were loaded.

Cause: nothing handled the signal there, so that its default action applied.

Change: the signal is caught from the start on. With -platform it reloads the settings as before, also if it arrived during the start. Without, a log line says that settings are read at the start only.

Evidence: the process of TestHangupDoesNotEndTheEntryHost ended with "signal: hangup" before. The start with -platform has no test of its own: the window of a few milliseconds is found by reading, and no port is open in it.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -31,7 +31,8 @@
 )
 
 const usage = `parsleyhilld runs one entry host. SIGTERM or SIGINT starts a planned stop; a
-second signal ends the process at once.
+second signal ends the process at once. SIGHUP reloads the settings with -platform,
+and changes nothing without it.
 
   parsleyhilld -settings entry-1.json
   parsleyhilld -settings entry-1.json -check
@@ -125,9 +126,24 @@
 
 func serve(s settings.Settings, errOut io.Writer) int {
 	logger := logging.New(errOut, s.Log)
+	hangups := notifyHangups()
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			logger.Warn("settings are read only at the start; restart the entry host to apply them")
+		}
+	}()
 	return runUntilSignal(logger, daemon.New(s, logger).Run)
 }
 
+// notifyHangups returns a channel that receives SIGHUP, which otherwise ends the process
+// with all its requests.
+func notifyHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // runUntilSignal runs a daemon until SIGTERM or SIGINT and returns the exit
 // status.
 func runUntilSignal(logger *log.Logger, run func(context.Context) error) int {
@@ -158,6 +174,8 @@
 // runDispatcher runs the dispatcher on the users' platform. It writes its log to
 // standard output without ever blocking.
 func runDispatcher(o options, out, errOut io.Writer) int {
+	reloads := notifyHangups()
+	defer signal.Stop(reloads)
 	path, err := platform.SettingsPath()
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "parsleyhilld:", err)
@@ -187,8 +205,6 @@
 	level := cmp.Or(o.overrides.LogLevel, "info")
 	logger := logging.New(lines, settings.Log{Level: level, Format: cmp.Or(o.overrides.LogFormat, "logfmt")})
 	d := dispatch.New(s, policies, logger, dispatch.SystemNetwork())
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	go reloadOnSignal(reloads, path, logger, d)
 	return runUntilSignal(logger, d.Run)
 }
--- a/cmd/parsleyhilld/main_test.go
+++ b/cmd/parsleyhilld/main_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/parsleyhill/parsleyhill/internal/settings"
 )
 
 const exampleSettings = "../../deploy/tamarind/entry-westlands-1.json"
@@ -54,3 +59,30 @@
 		})
 	}
 }
+
+// Guards against SIGHUP that ends an entry host at once, with all its requests.
+func TestHangupDoesNotEndTheEntryHost(t *testing.T) {
+	const anyPort, nowhere = "127.0.0.1:0", "http://127.0.0.1:1"
+	settings := settings.Settings{
+		Host: "entry-1", Region: "nairobi", Zone: "karen", Listen: settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
+		Platform: settings.Platform{Log: nowhere, HostList: nowhere}, Stop: settings.Stop{DrainMs: 1, GraceMs: 1},
+	}.WithDefaults()
+	lines, errOut := io.Pipe()
+	status := make(chan int, 1)
+	go func() {
+		status <- serve(settings, errOut)
+		_ = errOut.Close()
+	}()
+	hungUp := false
+	for scanner := bufio.NewScanner(lines); scanner.Scan(); {
+		switch line := scanner.Text(); {
+		case strings.Contains(line, "entry host starts"):
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		case strings.Contains(line, "settings are read only at the start"):
+			hungUp = true
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		}
+	}
+	require.True(t, hungUp)
+	require.Equal(t, exitOK, <-status)
+}
