--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,7 +153,7 @@
 }
 
 // drain reports not ready for the drain time of the settings, then waits for
-// work in flight, at most for the grace time.
+// work in flight, at most for the grace time, and answers the callers that still wait.
 func (d *Daemon) drain() {
 	d.logger.Info("planned stop begins", "drain_ms", d.settings.Stop.DrainMs)
 	d.stopping.Store(true)
@@ -166,6 +166,8 @@
 	if err := group.Wait(); err != nil {
 		d.logger.Error("planned stop interrupted work in flight", "error", err)
 	}
+	d.requests.Interrupt()
+	d.jobs.Interrupt()
 	d.logger.Info("planned stop ends")
 }
 
@@ -233,7 +235,18 @@
 	d.jobs.Routes(mux)
 	mux.HandleFunc("GET /v1/ready", d.serveReady)
 	refuseOperatorPaths(mux)
-	return mux
+	return d.closeWhileStopping(mux)
+}
+
+// closeWhileStopping ends the connections of a stopping host with their next answers,
+// so that callers open new ones elsewhere before the port closes.
+func (d *Daemon) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (d *Daemon) operatorRoutes() http.Handler {
