Test that a stop concludes nothing about the owner of a job

A submission that waits for another host's job was answered `owner_unreachable` when this host ended its own call at a planned stop, and could close the job as lost after its lease. Without the check it gets `owner_unreachable`.

--- a/internal/daemon/jobs/service_test.go
+++ b/internal/daemon/jobs/service_test.go
@@ -44,6 +44,9 @@
 	runs sync.WaitGroup
 	// peersPartitioned makes calls between entry hosts fail.
 	peersPartitioned bool
+	// abortedCalls makes calls between entry hosts fail when their context ends, as
+	// calls over a network do.
+	abortedCalls bool
 
 	mu sync.Mutex
 	// fault returns the fault of the next call to a worker.
@@ -130,7 +133,7 @@
 		return callerapi.JobAnswer{}, ErrOwnerEnded
 	}
 	answer, ok := e.Local(ctx, k, wait)
-	if !ok {
+	if !ok || cluster.abortedCalls && ctx.Err() != nil {
 		return answer, errNet
 	}
 	return answer, nil
@@ -407,3 +410,31 @@
 		submits.Wait()
 	})
 }
+
+// Guards against an owner that counts as unreachable because the host that asks it stops
+// and ends its own call.
+func TestStopSaysNothingOfTheOwnerOfAJob(t *testing.T) {
+	runInCluster(t, 1, func(t *testing.T, ctx context.Context, cluster *testCluster) {
+		owner, other := cluster.entry(ctx, "entry-1"), cluster.entry(ctx, "entry-2")
+		var submits sync.WaitGroup
+		var answer callerapi.JobAnswer
+		submits.Go(func() { answer, _ = owner.Submit(ctx, jobOf("job", 1, 5000), "d") })
+		<-time.After(100 * time.Millisecond)
+		cluster.abortedCalls = true
+		var err *errkind.Error
+		var answeredAt time.Time
+		submits.Go(func() {
+			_, err = other.Submit(ctx, jobOf("job", 1, 5000), "d")
+			answeredAt = time.Now()
+		})
+		<-time.After(100 * time.Millisecond)
+		require.NoError(t, other.Stop(ctx), "it owns no job")
+		interruptedAt := time.Now()
+		other.Interrupt()
+		submits.Wait()
+		require.Equal(t, callerapi.JobComplete, answer.State)
+		require.Equal(t, errkind.Stopping, err.Kind, err.Detail)
+		require.Equal(t, errkind.Unknown, err.Run)
+		require.Equal(t, interruptedAt, answeredAt)
+	})
+}
