Set aside jobs of the log that break the bounds on steps

Cause: the bounds on sizes, times and work of a step and on `after` were checks of the decoder alone. A record that an older version had accepted with a cpu of 2^31 or an `after` of 100,000 entries was driven: its numbers were cut to 32 bits on the way to owners, and the job stayed open for good. Decoder and ledger each had their own checks.

Change: internal/decide/jobcheck holds the bounds once.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/jobcheck"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -28,8 +29,8 @@
 	TakeoverDelay time.Duration
 	// Retention is how long the state of a job can be queried after its end.
 	Retention time.Duration
-	// MaxSteps and MaxTasks bound the jobs that a host drives; zero means no bound. An
-	// older version may have accepted larger ones.
+	// MaxSteps and MaxTasks bound the jobs that a host drives; zero means no bound beside
+	// those of jobcheck. An older version may have accepted larger ones.
 	MaxSteps, MaxTasks int
 }
 
@@ -334,8 +335,9 @@
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
 		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
-	if j.damage = e.Damage; j.damage == "" {
-		j.damage = damage(e.Job)
+	j.damage = e.Damage
+	if fault := jobcheck.Malformed(e.Job); j.damage == "" && fault != nil {
+		j.damage = fault.Error()
 	}
 	if j.damage != "" {
 		j.spec = fleet.Job{ID: e.Job.ID}
