Process test of the largest jobs on the smallest machine

Cause: no test ran a job as large as the limits allow; the crowd tests have jobs of one task, and refused ones.

Change: TestLargestJobsCompleteOnTheSmallestMachine submits, to a process with 144 MB, a best-effort and a stored job of 4,608 tasks, its own limit, and a stored one of 8,192, the limit for a job of the log. Each must complete, and the process must stay within its memory.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,8 @@
 	// settleTime is how long the crowd stays before the host is checked, so that the
 	// host has read what the crowd has sent.
 	settleTime = 2 * time.Second
+	// largeJobTimeout is how long the largest job may take.
+	largeJobTimeout = 2 * time.Minute
 )
 
 // The sizes of the crowds, in connections.
@@ -395,3 +398,41 @@
 	})
 	h.requireServing()
 }
+
+// submitLargeJob submits a job of one step, waits until it has completed and returns how
+// long it took.
+func (h *host) submitLargeJob(bestEffort bool, tasks int) time.Duration {
+	h.t.Helper()
+	h.nextJob++
+	path := fmt.Sprintf("/jobs/3%015x", h.nextJob)
+	body := fmt.Sprintf(`{"best_effort":%t,"spec":%q,"steps":[{"count":%d,"cpu":100,"mem_mb":1,"est_runtime_ms":%d}]}`,
+		bestEffort, strings.Repeat("x", 4000), tasks, taskTime.Milliseconds())
+	began := time.Now()
+	status, reply, err := do(http.MethodPost, net.JoinHostPort(hostIP, callersPort), path, strings.NewReader(body))
+	require.NoError(h.t, err)
+	require.Equal(h.t, http.StatusOK, status, reply)
+	ended := func() bool { return reply != `{"state":"pending"}` && reply != `{"state":"running"}` }
+	for !ended() && time.Since(began) < largeJobTimeout {
+		time.Sleep(settleTime / 10)
+		status, reply, err = do(http.MethodGet, net.JoinHostPort(hostIP, callersPort), path, nil)
+		require.NoError(h.t, err)
+		require.Equal(h.t, http.StatusOK, status, reply)
+	}
+	require.JSONEq(h.t, `{"state":"completed"}`, reply)
+	return time.Since(began)
+}
+
+// Guards against a job within the limits that a host of the smallest size can't complete
+// within its memory: one of its own callers, and one that a larger host has accepted.
+func TestLargestJobsCompleteOnTheSmallestMachine(t *testing.T) {
+	for _, c := range []struct {
+		bestEffort bool
+		tasks      int
+	}{{true, 4608}, {false, 4608}, {false, 8192}} {
+		h := startHost(t, limits{memoryMB: smallest.memoryMB, maxFDs: smallest.maxFDs, jobTasks: c.tasks})
+		took := h.submitLargeJob(c.bestEffort, c.tasks)
+		t.Logf("%d tasks, best effort %t: completed in %v", c.tasks, c.bestEffort, took)
+		h.requireServing()
+		h.stop()
+	}
+}
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -47,8 +47,9 @@
 	socketAddress = "0109007F:"
 )
 
-// limits are the limits of the machine in a host's settings.
-type limits struct{ memoryMB, maxFDs int }
+// limits are the limits of the machine in a host's settings, and the tasks of a job; zero
+// leaves the default.
+type limits struct{ memoryMB, maxFDs, jobTasks int }
 
 // host is a process of parsleyhilld with a store and workers in the test process.
 type host struct {
@@ -114,8 +115,9 @@
 port_range: [%s, 7735]
 limits: {memory_mb: %d, max_fds: %d, cpu_share: 1, cores: 1}
 bounds: {max_hold_ms: 1000, grace_s: 6, status_s: 120}
+client_limits: {job_tasks: %d}
 platform: {addr: %q, parts: %d, min_ttl_ms: 1000}
-`, hostIP, hostIP, callersPort, hostIP, readyPort, peersPort, l.memoryMB, l.maxFDs, serve(t, s), partitions)), 0o600))
+`, hostIP, hostIP, callersPort, hostIP, readyPort, peersPort, l.memoryMB, l.maxFDs, l.jobTasks, serve(t, s), partitions)), 0o600))
 	logFile, err := os.Create(filepath.Join(dir, "log"))
 	require.NoError(t, err)
 
