Make a task of a job only once it is offered, and offer what can start soon

Cause: the job's host made an object of 448 bytes for each task when a job arrived, also to judge whether a stored one is accepted, and offered all tasks of a ready step at once, each of which took as much again at its owner. Memory followed `count`: 912 bytes a task on a host that is driver and owner, 7.5 MB for a job of 8,192, of the 4.5 MB (a thirty-second of 144 MB) that a job gets on the smallest machine.

Change: taskSet holds as objects only the tasks that a host has, or of which more is known than that they wait or are done; the others are a number, and a bit once done. At most 1,024 tasks of a job wait at hosts; more are offered once half as many have started, and at each tick.

Open: work that is not offered yet is missing from the waits that others expect behind a job of more than 1,024 tasks.

--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -19,28 +19,64 @@
 	}
 }
 
-// offerJob offers each idle task of a job whose step is ready, unless the job is
-// being recalled or handed over.
+// offerJob offers the idle tasks of a job whose steps are ready, as long as few enough of
+// its tasks wait at hosts, unless the job is being recalled or handed over.
 func (c *Coordinator) offerJob(now time.Time, j *job) {
 	if !j.recalledAt.IsZero() || j.handover != notHandedOver || c.callerMayHaveLeft(now, j) {
 		return
 	}
+	room := maxWaitingOffers
 	for _, t := range j.tasks {
-		if t.state != taskIdle || !j.stepReady(t.name.Step) {
-			continue
-		}
-		t.exclusive = t.verdict == quarantine.Isolate
-		if t.verdict == quarantine.Hold || t.exclusive && j.hasExclusiveRun() {
-			continue
+		if t.state == taskOffered {
+			room--
 		}
-		h := c.chooseHost(now, j, t)
-		if h == nil {
-			c.hasUnplaced = true
-			continue
+	}
+	j.startsToOffer = 0
+	for step := range j.spec.Steps {
+		if j.remaining[step] > 0 && j.stepReady(step) {
+			j.idleTasks(step, func(t *task) bool {
+				if room <= 0 {
+					j.startsToOffer = maxWaitingOffers / 2
+					return false
+				}
+				if c.offerIdleTask(now, j, t) {
+					room--
+				}
+				return true
+			})
 		}
-		t.markOffered(h.name)
-		j.addOfferedHost(h.name)
-		c.pendingOffers[h.name] = append(c.pendingOffers[h.name], c.offerTask(j, t))
+	}
+}
+
+// maxWaitingOffers bounds the tasks of a job that wait at hosts, and so the memory that
+// it takes there. Hosts need to know of no more than can start soon. It is the smallest
+// limit on the tasks of a job (hostlimits): smaller jobs are offered at once.
+const maxWaitingOffers = 1024
+
+// offerIdleTask offers an idle task to a host and reports whether it did.
+func (c *Coordinator) offerIdleTask(now time.Time, j *job, t *task) bool {
+	t.exclusive = t.verdict == quarantine.Isolate
+	if t.verdict == quarantine.Hold || t.exclusive && j.hasExclusiveRun() {
+		return false
+	}
+	h := c.chooseHost(now, j, t)
+	if h == nil {
+		c.hasUnplaced = true
+		return false
+	}
+	t.markOffered(h.name)
+	j.addOfferedHost(h.name)
+	c.pendingOffers[h.name] = append(c.pendingOffers[h.name], c.offerTask(j, t))
+	return true
+}
+
+// taskStarted counts the start of a task, after which more tasks may be offered.
+func (c *Coordinator) taskStarted(now time.Time, j *job) {
+	if j.startsToOffer == 0 {
+		return
+	}
+	if j.startsToOffer--; j.startsToOffer == 0 {
+		c.offerJob(now, j)
 	}
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -124,7 +124,7 @@
 		Job: j.spec.ID, Stored: j.stored, Err: err, RetryAfter: retryAfter,
 		Failed: err != nil && err.Kind == errkind.TaskFailed,
 		Summary: Summary{
-			Route: j.route.Name, Tasks: len(j.tasks), Runs: j.runCount(), Elapsed: now.Sub(j.arrived),
+			Route: j.route.Name, Tasks: j.taskCount(), Runs: j.runCount(), Elapsed: now.Sub(j.arrived),
 			Objective: j.objective, ExpectedWait: j.expectedWait, Why: why, Refusal: j.refusal, Sharing: j.sharing,
 		},
 	})
@@ -166,6 +166,7 @@
 		t.state = taskStarted
 		t.incarnation, _, _ = c.workers.Worker(o.Worker)
 		c.markStarted(now, j, from)
+		c.taskStarted(now, j)
 	case offer.Done:
 		if j.isFormer(o.Submission) {
 			c.withdrawTask(t)
@@ -218,10 +219,14 @@
 
 func (c *Coordinator) find(name fleet.TaskName) (*job, *task) {
 	j, ok := c.jobs[name.Job]
-	if !ok || name.Step < 0 || name.Step >= len(j.spec.Steps) || name.Index < 0 || name.Index >= j.spec.Steps[name.Step].Count {
+	if !ok {
 		return nil, nil
 	}
-	return j, j.tasks[j.firstTask[name.Step]+name.Index]
+	t := j.lookup(name.Step, name.Index)
+	if t == nil {
+		return nil, nil
+	}
+	return j, t
 }
 
 // markStarted records that a task of a job has started. From then on the job's
@@ -248,7 +253,8 @@
 	if run < t.currentRun() {
 		c.withdrawTask(t)
 	}
-	t.state = taskDone
+	// A task with losses under investigation is kept until their cause is known.
+	j.markDone(t, c.suspects[t] != nil)
 	j.started, j.recalledAt = true, time.Time{}
 	step := t.name.Step
 	j.remaining[step]--
--- a/internal/decide/coordinator/flow.go
+++ b/internal/decide/coordinator/flow.go
@@ -39,6 +39,11 @@
 				n++
 			}
 		}
+		for step := range j.steps {
+			if fresh := j.steps[step].fresh; fresh > 0 && j.stepReady(step) {
+				n += fresh
+			}
+		}
 	}
 	return n
 }
--- a/internal/decide/coordinator/former.go
+++ b/internal/decide/coordinator/former.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
@@ -61,8 +63,12 @@
 	if former == nil || now.Sub(former.at) >= formerLossTTL {
 		return
 	}
-	for _, t := range j.tasks {
-		for _, l := range former.losses[t.name] {
+	for _, name := range slices.SortedFunc(maps.Keys(former.losses), fleet.TaskName.Compare) {
+		t := j.lookup(name.Step, name.Index)
+		if t == nil {
+			continue
+		}
+		for _, l := range former.losses[name] {
 			t.losses.Add(now, l)
 		}
 		c.judge(j, t)
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -79,13 +79,14 @@
 	// stored is set for a job that survives the loss of this host, because the
 	// ends of its tasks are recorded in the log.
 	stored bool
-	tasks  []*task
-	// firstTask holds the index in tasks of each step's first task, and remaining
-	// the number of each step's unfinished tasks.
-	firstTask []int
+	// remaining is the number of each step's unfinished tasks.
 	remaining []int
-	arrived   time.Time
-	deadline  time.Time
+	taskSet
+	// startsToOffer is the number of starts after which more tasks are offered, or zero
+	// if none waits for that.
+	startsToOffer int
+	arrived       time.Time
+	deadline      time.Time
 	// objective is how long the job may take from its arrival to be on time.
 	objective time.Duration
 	// criticalPath is the estimated duration of the longest chain of steps.
@@ -176,13 +177,9 @@
 }
 
 func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
-	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline}
-	for i, step := range spec.Steps {
-		j.firstTask = append(j.firstTask, len(j.tasks))
+	j := &job{seq: seq, spec: spec, route: route, arrived: now, deadline: deadline, taskSet: newTaskSet(spec)}
+	for _, step := range spec.Steps {
 		j.remaining = append(j.remaining, step.Count)
-		for k := range step.Count {
-			j.tasks = append(j.tasks, &task{name: fleet.TaskName{Job: spec.ID, Step: i, Index: k}})
-		}
 	}
 	j.criticalPath = j.longestPath()
 	j.objective = route.Objective(j.criticalPath)
@@ -225,8 +222,13 @@
 
 // notRun reports whether it is certain that no task has run.
 func (j *job) notRun() bool {
+	for step, left := range j.remaining {
+		if left < j.spec.Steps[step].Count {
+			return false
+		}
+	}
 	for _, t := range j.tasks {
-		if t.mayHaveRun || t.state == taskOffered || t.state == taskOrphaned || t.state == taskDone {
+		if t.mayHaveRun || t.state == taskOffered || t.state == taskOrphaned {
 			return false
 		}
 	}
@@ -243,15 +245,6 @@
 	return true
 }
 
-// runCount returns the number of known runs of the job's tasks.
-func (j *job) runCount() int {
-	n := 0
-	for _, t := range j.tasks {
-		n += t.lastRun
-	}
-	return n
-}
-
 // currentHosts returns the hosts that have tasks of the job, without
 // duplicates.
 func (j *job) currentHosts() []string {
--- a/internal/decide/coordinator/sharing.go
+++ b/internal/decide/coordinator/sharing.go
@@ -111,7 +111,11 @@
 		Startable: load.startable - load.staleStartable, TaskCPU: int64(first.Size.MilliCPU), TaskTime: first.Estimate, Waited: now.Sub(j.arrived),
 		Chain: j.criticalPath + crossZoneDelay, Objective: j.objective, Timeout: j.deadline.Sub(j.arrived),
 	}
-	for _, t := range j.tasks[:first.Count] {
+	in.Tasks = j.steps[0].fresh
+	for _, t := range j.tasks {
+		if t.name.Step > 0 {
+			break
+		}
 		switch t.state {
 		case taskOffered:
 			// The job is not ahead of itself.
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/ledger"
@@ -30,29 +32,34 @@
 	c.seq++
 	j := newJob(now, c.seq, stored.Job, stored.Route, now.Add(storedTimeout))
 	j.stored = true
-	for _, t := range j.tasks {
-		t.lastRun, t.lastEndedRun, t.failedRuns = stored.FirstRun-1, stored.FirstRun-1, stored.FailedRuns[t.name]
-	}
-	c.jobs[stored.Job.ID] = j
+	j.formerRuns = stored.FirstRun - 1
 	for _, name := range stored.Done {
-		if _, t := c.find(name); t != nil {
-			t.state = taskDone
+		if t := j.lookup(name.Step, name.Index); t != nil && t.state != taskDone {
+			j.markDone(t, false)
 			j.remaining[name.Step]--
 		}
 	}
+	for name, failed := range stored.FailedRuns {
+		if t := j.lookup(name.Step, name.Index); t != nil {
+			t.failedRuns = failed
+		}
+	}
+	c.jobs[stored.Job.ID] = j
 	c.adoptHanded(now, j, stored)
 	for name, at := range stored.HeldAt {
 		if _, t := c.find(name); t != nil && t.state == taskIdle && now.Before(at.Add(takeoverTime)) {
 			t.state, t.mayHaveRun, t.orphanEndsAt = taskOrphaned, true, at
 		}
 	}
-	for _, t := range j.tasks {
-		for _, l := range stored.Lost[t.name] {
-			t.losses.Add(now, l)
+	for _, name := range slices.SortedFunc(maps.Keys(stored.Lost), fleet.TaskName.Compare) {
+		t := j.lookup(name.Step, name.Index)
+		if t == nil || t.state == taskDone {
+			continue
 		}
-		if t.state != taskDone {
-			c.judge(j, t)
+		for _, l := range stored.Lost[name] {
+			t.losses.Add(now, l)
 		}
+		c.judge(j, t)
 	}
 	c.review(now, j)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,6 +192,11 @@
 // String returns the name as job/step/index.
 func (t TaskName) String() string { return fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index) }
 
+// Compare orders tasks by job, step and index.
+func (t TaskName) Compare(o TaskName) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // EndReason is the way in which a run ended at its worker. Its values are sent
 // between hosts and stored in the log of stored jobs.
 type EndReason int
@@ -233,10 +238,7 @@
 
 // Compare orders runs by task, then by run number.
 func (r RunID) Compare(o RunID) int {
-	return cmp.Or(
-		cmp.Compare(r.Task.Job, o.Task.Job), cmp.Compare(r.Task.Step, o.Task.Step),
-		cmp.Compare(r.Task.Index, o.Task.Index), cmp.Compare(r.Run, o.Run),
-	)
+	return cmp.Or(r.Task.Compare(o.Task), cmp.Compare(r.Run, o.Run))
 }
 
 // RunEnd is one entry of a worker's list of ended runs.
