Poll for the end of connections while a port stops

Each close woke the wait, which then went through all open connections: a port with 2,000 idle connections went through them up to 2,000 times, on a host with a fifth of a core. It looks every 10 ms now.

The tests of the package pass, 30 times with the race detector.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -28,7 +28,7 @@
 // Conns limits the open connections of an HTTP server. When the limit is exceeded, it
 // closes the connection that connlimit chooses, or the new one if there is no choice.
 type Conns struct {
-	most int
+	limit int
 	// origin is the origin of the times of connections, which are all positive.
 	origin time.Time
 	// report is called for each connection that the limit closes.
@@ -36,8 +36,6 @@
 	// OnUnanswered, if set, is called for each connection that this side closes although
 	// a request has arrived on it, in part or as a whole, that was not answered.
 	OnUnanswered func(Unanswered)
-	// removed is signalled when a connection was closed.
-	removed chan struct{}
 	// stopping is set once the server stops.
 	stopping atomic.Bool
 
@@ -52,10 +50,7 @@
 // NewConns returns a limit on the number of open connections; zero means no limit. It
 // calls report each time it closes one.
 func NewConns(limit int, report func()) *Conns {
-	return &Conns{
-		most: limit, origin: time.Now().Add(-time.Nanosecond), report: report,
-		open: map[*conn]struct{}{}, removed: make(chan struct{}, 1),
-	}
+	return &Conns{limit: limit, origin: time.Now().Add(-time.Nanosecond), report: report, open: map[*conn]struct{}{}}
 }
 
 // Open returns the number of open connections.
@@ -82,9 +77,9 @@
 	return waiting, receiving, serving
 }
 
-// limit applies the limit to a server and its listener, and returns the listener to
+// track applies the limit to a server and its listener, and returns the listener to
 // serve.
-func (c *Conns) limit(server *http.Server, listener net.Listener) *limitedListener {
+func (c *Conns) track(server *http.Server, listener net.Listener) *limitedListener {
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, nc)
 	}
@@ -135,9 +130,9 @@
 func (c *Conns) insert(added *conn) (victims []victim, admitted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.most > 0 && len(c.open) >= c.most {
+	if c.limit > 0 && len(c.open) >= c.limit {
 		var enough bool
-		if victims, enough = c.choose(len(c.open) + 1 - c.most); !enough {
+		if victims, enough = c.choose(len(c.open) + 1 - c.limit); !enough {
 			return victims, false
 		}
 	}
@@ -186,12 +181,8 @@
 
 func (c *Conns) remove(conn *conn) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.open, conn)
-	c.mu.Unlock()
-	select {
-	case c.removed <- struct{}{}:
-	default:
-	}
 }
 
 // each calls f for each open connection.
@@ -220,27 +211,31 @@
 	c.each(func(conn *conn) { conn.end(ending(p + 1)) })
 }
 
+// emptyPoll is the time between two looks at the open connections of a server that stops.
+const emptyPoll = 10 * time.Millisecond
+
 // waitEmpty waits until all connections are closed, except those of HTTP/2, but no longer
 // than the timeout.
 func (c *Conns) waitEmpty(timeout time.Duration) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
-		open := 0
-		c.each(func(conn *conn) {
-			if !conn.multiplexed.Load() {
-				open++
-			}
-		})
-		if open == 0 {
+	for end := time.Now().Add(timeout); !c.empty(); {
+		left := time.Until(end)
+		if left <= 0 {
 			return
 		}
-		select {
-		case <-c.removed:
-		case <-timer.C:
-			return
+		time.Sleep(min(left, emptyPoll))
+	}
+}
+
+// empty reports whether no connection is open, except those of HTTP/2.
+func (c *Conns) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if !conn.multiplexed.Load() {
+			return false
 		}
 	}
+	return true
 }
 
 // conn is a connection with what is known of its requests.
--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -34,7 +34,7 @@
 	server := &http.Server{Handler: handler, Protocols: new(http.Protocols)}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
-	listener := s.conns.limit(server, s.network.Listen(testAddress))
+	listener := s.conns.track(server, s.network.Listen(testAddress))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
 		_ = server.Close()
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -48,7 +48,7 @@
 	requests, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer endRequests(nil)
 	server.BaseContext = func(net.Listener) context.Context { return requests }
-	limited := c.limit(server, listener)
+	limited := c.track(server, listener)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(limited) }()
 	select {
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -229,7 +229,7 @@
 func TestRequestReadWhileItsConnectionEndsAtTheLimitIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startStopping(t, http.HandlerFunc(answer200))
-		s.conns.most = 1
+		s.conns.limit = 1
 		client := s.dial(wholeRequest)
 		require.NotNil(t, readAnswer(t, client))
 		synctest.Wait()
@@ -256,7 +256,7 @@
 			_, err := io.Copy(io.Discard, r.Body)
 			handled <- err
 		}))
-		s.conns.most = 1
+		s.conns.limit = 1
 		client := s.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
 		synctest.Wait()
 		go s.dial("")
