Accept at the limit only once the chosen connections have ended

A crowd of clients took many times as many descriptors as the limit of open connections allows: with a limit of 50, up to 353 connections were open while 1,500 clients connected over TCP (two processors).

Connections that were about to end did not count, so the loop replaced connections faster than their goroutines got a processor.

The accept loop now waits until each chosen connection has closed or has read a request, for 100 ms at most. TestCrowdKeepsTheLimit failed before, with 100 connections at a limit of 5.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -36,8 +36,9 @@
 	// OnUnanswered, if set, is called for each connection that this side closes although
 	// a request has arrived on it, in part or as a whole, that was not answered.
 	OnUnanswered func(Unanswered)
-	// removed is signalled when a connection was closed.
-	removed chan struct{}
+	// removed is signalled when a connection was closed, and settled when one was closed
+	// or has read a part of a request.
+	removed, settled chan struct{}
 	// stopping is set once the server stops.
 	stopping atomic.Bool
 
@@ -54,7 +55,7 @@
 func NewConns(limit int, report func()) *Conns {
 	return &Conns{
 		most: limit, origin: time.Now().Add(-time.Nanosecond), report: report,
-		open: map[*conn]struct{}{}, removed: make(chan struct{}, 1),
+		open: map[*conn]struct{}{}, removed: make(chan struct{}, 1), settled: make(chan struct{}, 1),
 	}
 }
 
@@ -116,6 +117,7 @@
 		c.report()
 		v.conn.endAtLimit(v.phase)
 	}
+	c.waitSettled(victims)
 	if !admitted {
 		c.report()
 		return nil
@@ -123,6 +125,29 @@
 	return added
 }
 
+// settleTime bounds how long no connection is accepted because others have not yet ended
+// at the limit.
+const settleTime = 100 * time.Millisecond
+
+// waitSettled waits until the victims have ended, or go on with a request that has arrived.
+// Otherwise a crowd of clients would be accepted faster than the connections end.
+func (c *Conns) waitSettled(victims []victim) {
+	if len(victims) == 0 {
+		return
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	for _, v := range victims {
+		for v.conn.ends() && !v.conn.closing.Load() {
+			select {
+			case <-c.settled:
+			case <-timer.C:
+				return
+			}
+		}
+	}
+}
+
 // victim is a connection that is ended at the limit, with the phase for which it was
 // chosen.
 type victim struct {
@@ -188,8 +213,13 @@
 	c.mu.Lock()
 	delete(c.open, conn)
 	c.mu.Unlock()
+	signal(c.removed)
+}
+
+// signal signals a channel with room for one signal.
+func signal(ch chan struct{}) {
 	select {
-	case c.removed <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -428,6 +458,9 @@
 	c.received.Add(int64(n))
 	if c.phase.CompareAndSwap(int32(connlimit.Waiting), int32(connlimit.Receiving)) {
 		c.since.Store(int64(c.conns.now()))
+		if ending(c.ending.Load()) != endNever {
+			signal(c.conns.settled)
+		}
 	}
 	if c.closing.Load() {
 		// The read was under way when the connection was closed.
@@ -483,7 +516,9 @@
 			c.reportUnanswered(unread == inputData)
 		}
 	}
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	signal(c.conns.settled)
+	return err
 }
 
 // reportUnanswered reports that the connection is closed before its request is
--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -249,3 +252,61 @@
 		assert.Len(t, reported, 1, "the request had been answered")
 	})
 }
+
+// slowEnd is a server's connection whose reads return late when a deadline ends them, as
+// where many goroutines wait for a processor.
+type slowEnd struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c *slowEnd) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return n, err
+}
+
+// slowEndListener makes a slowEnd of its connections.
+type slowEndListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l slowEndListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowEnd{c}, nil
+}
+
+// Guards against a crowd of clients that are accepted faster than the connections end that
+// make room for them, and take all descriptors.
+func TestCrowdKeepsTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, crowd = 5, 100
+		network := memnet.New()
+		most := 0
+		var conns *Conns
+		conns = NewConns(limit, func() { most = max(most, conns.Open()) })
+		server := &http.Server{Handler: http.HandlerFunc(answer200)}
+		listener := conns.limit(server, slowEndListener{network.Listen(testAddress)})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() {
+			_ = server.Close()
+			time.Sleep(time.Second)
+		})
+		var clients sync.WaitGroup
+		for range crowd {
+			clients.Go(func() {
+				client, err := network.Dial(t.Context(), "mem", testAddress)
+				if assert.NoError(t, err) {
+					t.Cleanup(func() { _ = client.Close() })
+				}
+			})
+		}
+		clients.Wait()
+		time.Sleep(crowd * 10 * time.Millisecond)
+		synctest.Wait()
+		assert.LessOrEqual(t, most, limit+1)
+		assert.Equal(t, limit, conns.Open())
+	})
+}
