Refuse requests at the limit after 100 Continue, too

A full port closed a connection whose client had been sent 100 Continue without an answer, and did not count it as unanswered: the interim answer counted as the begun answer of the request, so that no refusal was written. It now does not count. The test failed before with an unexpected EOF.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -488,11 +489,17 @@
 	return readPending(c.Conn, b)
 }
 
+// interimAnswer is how an answer begins that asks for the body of a request.
+var interimAnswer = []byte("HTTP/1.1 100 ")
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.conns.now()))
 	defer c.writing.Store(0)
-	if !c.answer.CompareAndSwap(answerNone, answerBegun) && c.answer.Load() == answerRefusal {
+	if !bytes.HasPrefix(b, interimAnswer) {
+		c.answer.CompareAndSwap(answerNone, answerBegun)
+	}
+	if c.answer.Load() == answerRefusal {
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(b)
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -268,3 +268,26 @@
 		assert.Error(t, <-handled, "the request is not handled")
 	})
 }
+
+// Guards against a full port that closes connections without an answer after it has asked
+// for the body of their request.
+func TestFullPortRefusesUnfinishedRequestsAfterContinue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStopping(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}))
+		s.conns.most = 1
+		client := s.dial("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		answers := bufio.NewReader(client)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusContinue, resp.StatusCode)
+		_, err = io.WriteString(client, "a")
+		require.NoError(t, err)
+		synctest.Wait()
+		go s.dial("")
+		resp, err = http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	})
+}
