Decide when an answer is written whether its connection ends

A caller whose request was in work when a planned stop began got an answer without "Connection: close", sent its next request on the connection, and lost it: the stopping server ended the connection right after the answer.

The header was set before the handler ran, from the state at that time. The tests failed before.

--- a/internal/daemon/requests/http.go
+++ b/internal/daemon/requests/http.go
@@ -15,6 +15,7 @@
 	"github.com/parsleyhill/parsleyhill/internal/decide/standing"
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
 	"github.com/parsleyhill/parsleyhill/internal/httpjson"
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
 	"github.com/parsleyhill/parsleyhill/internal/ids"
 )
 
@@ -217,7 +218,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errkind.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(httpserve.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/parsleyhill/parsleyhill/internal/errkind"
+	"github.com/parsleyhill/parsleyhill/internal/httpserve"
 )
 
 // Write answers with the status and with v encoded as JSON.
@@ -45,7 +46,7 @@
 // ReadStrict decodes a JSON body of at most limit bytes into v. Unknown fields
 // and data after the document are errors. It writes no answer.
 func ReadStrict(w http.ResponseWriter, r *http.Request, limit int64, v any) *errkind.Error {
-	err := DecodeStrict(http.MaxBytesReader(w, r.Body, limit), v)
+	err := DecodeStrict(httpserve.MaxBytesReader(w, r.Body, limit), v)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/httpserve/bodies.go
+++ b/internal/httpserve/bodies.go
@@ -171,7 +171,7 @@
 func stopReading(w http.ResponseWriter) {
 	// The server waits a moment before it closes the connection, so that the client
 	// can read the answer, only if a body was larger than a limit.
-	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+	_, _ = MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 	// An error means that the connection is closed already.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -559,8 +559,11 @@
 func trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
-		if c != nil && r.ProtoMajor == 1 && (c.ending.Load() != int32(endNever) || c.conns.stopping.Load()) {
-			w.Header().Set("Connection", "close")
+		if c != nil && r.ProtoMajor == 1 {
+			answer := &answerWriter{ResponseWriter: w, conn: c}
+			// A handler that writes nothing is answered for after it returns.
+			defer answer.begin()
+			w = answer
 		}
 		switch {
 		case c == nil:
@@ -579,6 +582,57 @@
 	})
 }
 
+// answerWriter writes an answer with "Connection: close" if the connection ends after it:
+// the client then sends no further request, which would cross the end.
+type answerWriter struct {
+	http.ResponseWriter
+	conn  *conn
+	begun bool
+}
+
+// begin is called before the header is written.
+func (w *answerWriter) begin() {
+	if !w.begun && (w.conn.ending.Load() != int32(endNever) || w.conn.conns.stopping.Load()) {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *answerWriter) Flush() { _ = w.FlushError() }
+
+// FlushError is called by http.ResponseController.
+func (w *answerWriter) FlushError() error {
+	w.begin()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap is called by http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// MaxBytesReader is http.MaxBytesReader for the requests of a server that Serve runs: the
+// connection ends after a body that is too large.
+func MaxBytesReader(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
+	if answer, ok := w.(*answerWriter); ok {
+		w = answer.ResponseWriter
+	}
+	return http.MaxBytesReader(w, body, limit)
+}
+
 // trackedBody records the end of a body.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -291,3 +291,30 @@
 		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	})
 }
+
+// Guards against an answer that invites a further request although the server has begun to
+// stop: the request would cross the end of the connection.
+func TestRequestInWorkWhenTheServerStopsIsAnsweredWithTheEndOfItsConnection(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"nothing": func(http.ResponseWriter, *http.Request) {},
+		"header":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) },
+		"body":    func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") },
+		"flush":   func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startStopping(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(time.Second)
+					handler(w, r)
+				}))
+				client := s.dial(wholeRequest)
+				synctest.Wait()
+				s.stop()
+				resp := readAnswer(t, client)
+				require.NotNil(t, resp)
+				assert.True(t, resp.Close, "the answer says that the connection ends")
+				require.NoError(t, <-s.done)
+			})
+		})
+	}
+}
