End the callers' port before a short grace period does

With a grace period of 2 s the callers' port of a stopping host was open until SIGKILL, which cut off what was in work: it accepted requests for 2.2 s whatever the grace period. It now accepts for less time where less than 0.3 s would be left to finish requests. The test failed before for 1 s and 2 s: the stop took 2.25 s.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -193,7 +193,7 @@
 		}), Restart: supervise.Never},
 		{Name: "callers port", Run: d.serve(port{
 			address: d.settings.CallersAddress, handler: d.callerHandler(), conns: d.limits.callers, unread: d.limits.unread,
-			drainTimeout: d.settings.Grace - stopAccepting - stopMargin,
+			drainTimeout: max(0, d.settings.Grace-d.acceptTime()-stopMargin),
 		}), Restart: supervise.Never},
 	}
 }
@@ -445,8 +445,17 @@
 	// stopMargin is the part of the grace period that is reserved for closing
 	// the remaining connections.
 	stopMargin = 500 * time.Millisecond
+	// minDrain is the shortest time in which the callers' port finishes requests, if the
+	// grace period leaves room for it.
+	minDrain = 300 * time.Millisecond
 )
 
+// acceptTime is how long this host accepts requests once it is leaving: less than
+// stopAccepting if the grace period is short.
+func (d *Dispatcher) acceptTime() time.Duration {
+	return min(stopAccepting, max(0, d.settings.Grace-stopMargin-minDrain))
+}
+
 // drain prepares a planned stop: the host reports that it is not ready, hands
 // its workers and its queue to other hosts, and serves the requests that still
 // arrive until the load balancer has reacted. Afterwards the callers' port
@@ -462,7 +471,7 @@
 	})
 	d.wakeMemberships()
 	wake(d.shardWakeup)
-	time.Sleep(stopAccepting)
+	time.Sleep(d.acceptTime())
 	waiting, receiving, serving := d.limits.callers.Phases()
 	d.logger.Info("callers' port closes", "connections_waiting", waiting, "connections_receiving", receiving, "connections_serving", serving)
 }
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -48,6 +49,8 @@
 	logOutput io.Writer
 	// cores is the processor time of hosts that are started later, in cores.
 	cores float64
+	// grace is the grace period of hosts that are started later, or zero for stopGrace.
+	grace time.Duration
 }
 
 func newFleet(t *testing.T, hosts, workers int) *testFleet {
@@ -118,7 +121,7 @@
 	s := platform.Settings{
 		Host: name, Zone: zone, Zones: f.zones, CallersAddress: name + ":1", ReadyAddress: name + ":2",
 		PeersAddress: name + ":3", MetricsAddress: name + ":4", StoreAddress: "store:1",
-		MaxLease: time.Second, Grace: 6 * time.Second, Partitions: partitions, Cores: f.cores, JobRetention: 2 * time.Minute,
+		MaxLease: time.Second, Grace: cmp.Or(f.grace, stopGrace), Partitions: partitions, Cores: f.cores, JobRetention: 2 * time.Minute,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/daemon/dispatch/stop_test.go
+++ b/internal/daemon/dispatch/stop_test.go
@@ -230,3 +230,29 @@
 		f.store.SetHangAppends(false)
 	})
 }
+
+// Guards against a callers' port that is still open, with requests in work, when a short
+// grace period ends.
+func TestPlannedStopEndsWithinAShortGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2, 0)
+				f.grace = grace
+				f.start("host-9")
+				defer f.stopAll()
+				f.addWorker("z", time.Minute)
+				time.Sleep(assignmentTime)
+				answers := f.submitSlow("host-9", "00000000000000a1", 30*time.Second)
+				time.Sleep(time.Second)
+				require.Equal(t, 1, f.runningTasks())
+				began := time.Now()
+				f.stops["host-9"]()
+				assert.Less(t, time.Since(began), grace)
+				a := <-answers
+				require.NoError(t, a.err)
+				assert.Equal(t, http.StatusGatewayTimeout, a.status)
+			})
+		})
+	}
+}
