Let requests of HTTP/2 end while a port stops

A port that stops ended the contexts of all requests of HTTP/2 at once, instead of shortly before the end of the drain timeout: the wait for open connections left those of HTTP/2 out, because they stay open without requests. It now counts those with a request in work. A connection of HTTP/2 that waits while the port stops is no longer ended by its next read, but by http.Server, which tells the client. The test failed before: 504 instead of 200.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -251,15 +251,15 @@
 	c.each(func(conn *conn) { conn.end(ending(p + 1)) })
 }
 
-// waitEmpty waits until all connections are closed, except those of HTTP/2, but no longer
-// than the timeout.
+// waitEmpty waits until all connections are closed, except those of HTTP/2 without a
+// request in work, but no longer than the timeout.
 func (c *Conns) waitEmpty(timeout time.Duration) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		open := 0
 		c.each(func(conn *conn) {
-			if !conn.multiplexed.Load() {
+			if !conn.multiplexed.Load() || conn.streams.Load() > 0 {
 				open++
 			}
 		})
@@ -292,6 +292,8 @@
 	// used is set once a request was answered, and multiplexed if the requests are of
 	// HTTP/2.
 	used, multiplexed atomic.Bool
+	// streams is the number of requests of HTTP/2 in work.
+	streams atomic.Int32
 	// ending is an ending: the phases in which the connection ends.
 	ending atomic.Int32
 	// since is when the phase began, and writing when the current write began, by the
@@ -359,7 +361,7 @@
 				c.used.Store(true)
 				c.received.Store(0)
 				c.answer.Store(answerNone)
-				if c.conns.stopping.Load() {
+				if c.conns.stopping.Load() && !c.multiplexed.Load() {
 					c.ending.Store(int32(endWaiting))
 				}
 			}
@@ -435,6 +437,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// endStream records the end of a request of HTTP/2.
+func (c *conn) endStream() {
+	if c.streams.Add(-1) == 0 {
+		signal(c.conns.removed)
+	}
+}
+
 // resume restores the server's read deadline if end has set another one. It reports
 // whether it did.
 func (c *conn) resume() bool {
@@ -568,6 +577,8 @@
 		switch {
 		case c == nil:
 		case r.ProtoMajor > 1:
+			c.streams.Add(1)
+			defer c.endStream()
 			c.multiplexed.Store(true)
 		case r.ContentLength == 0:
 			if !c.enter(connlimit.Serving) {
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -318,3 +318,38 @@
 		})
 	}
 }
+
+// Guards against a stop that ends the contexts of requests of HTTP/2 at once, as if none
+// were in work.
+func TestStopLetsRequestsOfHTTP2End(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, done := memnet.New(), make(chan error, 1)
+		listener := network.Listen(testAddress)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		const work = testDrain / 2
+		server := &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusGatewayTimeout)
+			case <-time.After(work):
+			}
+		})}
+		go func() { done <- Serve(ctx, server, listener, testDrain) }()
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, stop)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+testAddress+"/", nil)
+		require.NoError(t, err)
+		transport := &http.Transport{Protocols: protocols, DialContext: network.Dial}
+		resp, err := (&http.Client{Transport: transport}).Do(request)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		require.NoError(t, <-done)
+		assert.Less(t, time.Since(began), testDrain)
+		transport.CloseIdleConnections()
+		time.Sleep(testDrain)
+	})
+}
