Refuse requests that are read as a whole while the limit closes them

A full port that chose a connection with a part of a request dropped the request without an answer if its last part was read before the refusal was written: the handler of the request, which does not run, closed the connection first. A request with a body was answered by its handler with 400 instead of 503. The choice and the refusal are two steps of the accept loop; the goroutine of the connection was not made to wait for the second one.

Each write and close of a connection that the limit has closed now writes the refusal first, unless it is written. The test failed before: no answer to a request without a body, 400 to one with a body.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -300,6 +300,8 @@
 	// clock of conns. No write is in progress if writing is zero.
 	since, writing atomic.Int64
 
+	// refusing is held while a refusal is written.
+	refusing sync.Mutex
 	// mu guards the fields below. deadline is the read deadline that the server has set,
 	// and interrupted is set while another one ends the current read.
 	mu          sync.Mutex
@@ -415,8 +417,10 @@
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // refuse answers the request that is being received, which is not handled. The request may be
-// whole: its last part may be read at this moment.
+// whole: its last part may be read at this moment. When it returns, the refusal is written.
 func (c *conn) refuse() {
+	c.refusing.Lock()
+	defer c.refusing.Unlock()
 	if c.multiplexed.Load() || !c.answer.CompareAndSwap(answerNone, answerRefusal) {
 		return
 	}
@@ -426,6 +430,14 @@
 	c.refused.Store(err == nil)
 }
 
+// refuseClosed refuses the request of a connection that the limit has closed. It may have
+// been read since as a whole, and its handler may end before the limit refuses it.
+func (c *conn) refuseClosed() {
+	if c.phase.Load() == int32(closed) {
+		c.refuse()
+	}
+}
+
 // refusalTime bounds the time to write a refusal to a connection.
 const refusalTime = time.Millisecond
 
@@ -505,6 +517,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.conns.now()))
 	defer c.writing.Store(0)
+	c.refuseClosed()
 	if !bytes.HasPrefix(b, interimAnswer) {
 		c.answer.CompareAndSwap(answerNone, answerBegun)
 	}
@@ -525,6 +538,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.refuseClosed()
 	c.conns.remove(c)
 	if c.closing.CompareAndSwap(false, true) && !c.clientEnded.Load() {
 		unread := pendingInput(c.Conn)
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -353,3 +353,35 @@
 		time.Sleep(testDrain)
 	})
 }
+
+// Guards against a full port that drops a whole request, or calls it bad, because its last
+// part is read between the choice of its connection and the refusal.
+func TestRequestReadBeforeItsRefusalAtTheLimitIsRefused(t *testing.T) {
+	for name, request := range map[string]struct{ begin, rest string }{
+		"header": {"GET / HTTP/1.1\r\nHost: h\r\n", "\r\n"},
+		"body":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startStopping(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						w.WriteHeader(http.StatusBadRequest)
+					}
+				}))
+				s.conns.most = 1
+				client := s.dial(request.begin)
+				synctest.Wait()
+				// The limit reports the connection before it refuses the request.
+				s.conns.report = func() {
+					_, err := io.WriteString(client, request.rest)
+					assert.NoError(t, err)
+					time.Sleep(time.Millisecond)
+				}
+				go s.dial("")
+				resp := readAnswer(t, client)
+				require.NotNil(t, resp)
+				assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			})
+		})
+	}
+}
