Count the connections that a stopping port still accepts

A port without an open connection dropped the requests of connections that it accepted after its stop had begun. It accepts what the operating system has established for 50 ms, but the waits for open connections ended at once if none was open at that moment: the contexts of later requests had ended when they arrived, and http.Server.Shutdown, which follows, drops what is read after it.

The waits now begin when the listener has stopped. It accepts for a quarter of the drain timeout at most, so that ports with a short one have time left. The test failed before: an ended context for a request that arrives 25 ms after the stop, no answer to one that arrives 200 ms later.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -14,7 +14,8 @@
 
 const (
 	// backlogTime is how long a server that stops accepts the connections that the
-	// operating system has established for it.
+	// operating system has established for it, but no more than a quarter of the drain
+	// timeout.
 	backlogTime = 50 * time.Millisecond
 	// firstRequestTime is how long a server that stops waits for the first request of
 	// a connection.
@@ -61,21 +62,32 @@
 	answer := min(answerTime, drainTimeout/2)
 
 	c.stopping.Store(true)
-	limited.stop()
+	limited.stop(min(backlogTime, drainTimeout/4))
 	c.endUsed()
+	// The connections that are still accepted count for the waits below.
+	err := waitServe(serveErr, left()-answer)
 	c.waitEmpty(min(firstRequestTime, left()-answer))
 	c.endUpTo(connlimit.Waiting)
 	c.waitEmpty(left() - answer)
 	endRequests(ErrStopping)
 	c.endUpTo(connlimit.Receiving)
 	c.waitEmpty(left())
-	err := <-serveErr
-	if errors.Is(err, net.ErrClosed) {
-		err = nil
-	}
 	return errors.Join(err, c.closeRest(server, left()))
 }
 
+// waitServe waits until http.Server.Serve has returned because the listener has stopped,
+// but no longer than the timeout.
+func waitServe(serveErr <-chan error, timeout time.Duration) error {
+	select {
+	case err := <-serveErr:
+		if !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+	case <-time.After(timeout):
+	}
+	return nil
+}
+
 // closeRest closes the connections that are left, those of HTTP/2 gracefully as far as
 // the time allows.
 func (c *Conns) closeRest(server *http.Server, left time.Duration) error {
@@ -113,9 +125,9 @@
 	}
 }
 
-// stop makes Accept return the connections that are already established, and then
-// close the listener.
-func (l *limitedListener) stop() {
+// stop makes Accept return the connections that are already established, for the given
+// time, and then close the listener.
+func (l *limitedListener) stop(backlogTime time.Duration) {
 	l.stopping.Store(true)
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(backlogTime)) == nil {
 		return
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -385,3 +385,44 @@
 		})
 	}
 }
+
+// backlogListener is a listener that accepts until its deadline, as one of the operating
+// system does.
+type backlogListener struct{ net.Listener }
+
+// SetDeadline sets when Accept fails.
+func (l backlogListener) SetDeadline(deadline time.Time) error {
+	time.AfterFunc(time.Until(deadline), func() { _ = l.Close() })
+	return nil
+}
+
+// Guards against a stop that drops the requests of connections that it still accepts,
+// because no other one was open when it began.
+func TestConnectionThatIsAcceptedWhileTheServerStopsIsServed(t *testing.T) {
+	for _, pause := range []time.Duration{0, 200 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, done := memnet.New(), make(chan error, 1)
+				listener := backlogListener{network.Listen(testAddress)}
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					time.Sleep(200 * time.Millisecond)
+					assert.NoError(t, r.Context().Err())
+				})}
+				go func() { done <- Serve(ctx, server, listener, testDrain) }()
+				synctest.Wait()
+				stop()
+				time.Sleep(backlogTime / 2)
+				client, err := network.Dial(t.Context(), "mem", testAddress)
+				require.NoError(t, err)
+				defer func() { _ = client.Close() }()
+				time.Sleep(pause)
+				_, err = io.WriteString(client, wholeRequest)
+				require.NoError(t, err)
+				assert.NotNil(t, readAnswer(t, client))
+				require.NoError(t, <-done)
+			})
+		})
+	}
+}
