--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +37,8 @@
 	// OnUnanswered, if set, is called for each connection that this side closes although
 	// a request has arrived on it, in part or as a whole, that was not answered.
 	OnUnanswered func(Unanswered)
+	// settled is signalled when a connection was closed or has read a part of a request.
+	settled chan struct{}
 	// stopping is set once the server stops.
 	stopping atomic.Bool
 
@@ -50,7 +53,10 @@
 // NewConns returns a limit on the number of open connections; zero means no limit. It
 // calls report each time it closes one.
 func NewConns(limit int, report func()) *Conns {
-	return &Conns{limit: limit, origin: time.Now().Add(-time.Nanosecond), report: report, open: map[*conn]struct{}{}}
+	return &Conns{
+		limit: limit, origin: time.Now().Add(-time.Nanosecond), report: report,
+		open: map[*conn]struct{}{}, settled: make(chan struct{}, 1),
+	}
 }
 
 // Open returns the number of open connections.
@@ -111,6 +117,7 @@
 		c.report()
 		v.conn.endAtLimit(v.phase)
 	}
+	c.waitSettled(victims)
 	if !admitted {
 		c.report()
 		return nil
@@ -118,6 +125,37 @@
 	return added
 }
 
+// settleTime bounds how long no connection is accepted because others have not yet ended
+// at the limit.
+const settleTime = 100 * time.Millisecond
+
+// signalSettled wakes waitSettled.
+func (c *Conns) signalSettled() {
+	select {
+	case c.settled <- struct{}{}:
+	default:
+	}
+}
+
+// waitSettled waits until the victims have ended, or go on with a request that has arrived.
+// Otherwise a crowd of clients would be accepted faster than the connections end.
+func (c *Conns) waitSettled(victims []victim) {
+	if len(victims) == 0 {
+		return
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	for _, v := range victims {
+		for v.conn.ends() && !v.conn.closing.Load() {
+			select {
+			case <-c.settled:
+			case <-timer.C:
+				return
+			}
+		}
+	}
+}
+
 // victim is a connection that is ended at the limit, with the phase for which it was
 // chosen.
 type victim struct {
@@ -214,8 +252,8 @@
 // emptyPoll is the time between two looks at the open connections of a server that stops.
 const emptyPoll = 10 * time.Millisecond
 
-// waitEmpty waits until all connections are closed, except those of HTTP/2, but no longer
-// than the timeout.
+// waitEmpty waits until no connection is open, except those of HTTP/2 without a request in
+// work, but no longer than the timeout.
 func (c *Conns) waitEmpty(timeout time.Duration) {
 	for end := time.Now().Add(timeout); !c.empty(); {
 		left := time.Until(end)
@@ -226,12 +264,13 @@
 	}
 }
 
-// empty reports whether no connection is open, except those of HTTP/2.
+// empty reports whether no connection is open, except those of HTTP/2 without a request in
+// work.
 func (c *Conns) empty() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
-		if !conn.multiplexed.Load() {
+		if !conn.multiplexed.Load() || conn.streams.Load() > 0 {
 			return false
 		}
 	}
@@ -256,12 +295,16 @@
 	// used is set once a request was answered, and multiplexed if the requests are of
 	// HTTP/2.
 	used, multiplexed atomic.Bool
+	// streams is the number of requests of HTTP/2 in work.
+	streams atomic.Int32
 	// ending is an ending: the phases in which the connection ends.
 	ending atomic.Int32
 	// since is when the phase began, and writing when the current write began, by the
 	// clock of conns. No write is in progress if writing is zero.
 	since, writing atomic.Int64
 
+	// refusing is held while a refusal is written.
+	refusing sync.Mutex
 	// mu guards the fields below. deadline is the read deadline that the server has set,
 	// and interrupted is set while another one ends the current read.
 	mu          sync.Mutex
@@ -323,7 +366,7 @@
 				c.used.Store(true)
 				c.received.Store(0)
 				c.answer.Store(answerNone)
-				if c.conns.stopping.Load() {
+				if c.conns.stopping.Load() && !c.multiplexed.Load() {
 					c.ending.Store(int32(endWaiting))
 				}
 			}
@@ -377,8 +420,10 @@
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // refuse answers the request that is being received, which is not handled. The request may be
-// whole: its last part may be read at this moment.
+// whole: its last part may be read at this moment. When it returns, the refusal is written.
 func (c *conn) refuse() {
+	c.refusing.Lock()
+	defer c.refusing.Unlock()
 	if c.multiplexed.Load() || !c.answer.CompareAndSwap(answerNone, answerRefusal) {
 		return
 	}
@@ -388,6 +433,14 @@
 	c.refused.Store(err == nil)
 }
 
+// refuseClosed refuses the request of a connection that the limit has closed. It may have
+// been read since as a whole, and its handler may end before the limit refuses it.
+func (c *conn) refuseClosed() {
+	if c.phase.Load() == int32(closed) {
+		c.refuse()
+	}
+}
+
 // refusalTime bounds the time to write a refusal to a connection.
 const refusalTime = time.Millisecond
 
@@ -423,6 +476,9 @@
 	c.received.Add(int64(n))
 	if c.phase.CompareAndSwap(int32(connlimit.Waiting), int32(connlimit.Receiving)) {
 		c.since.Store(int64(c.conns.now()))
+		if ending(c.ending.Load()) != endNever {
+			c.conns.signalSettled()
+		}
 	}
 	if c.closing.Load() {
 		// The read was under way when the connection was closed.
@@ -450,11 +506,18 @@
 	return readPending(c.Conn, b)
 }
 
+// interimAnswer is how an answer begins that asks for the body of a request.
+var interimAnswer = []byte("HTTP/1.1 100 ")
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.conns.now()))
 	defer c.writing.Store(0)
-	if !c.answer.CompareAndSwap(answerNone, answerBegun) && c.answer.Load() == answerRefusal {
+	c.refuseClosed()
+	if !bytes.HasPrefix(b, interimAnswer) {
+		c.answer.CompareAndSwap(answerNone, answerBegun)
+	}
+	if c.answer.Load() == answerRefusal {
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(b)
@@ -471,6 +534,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.refuseClosed()
 	c.conns.remove(c)
 	if c.closing.CompareAndSwap(false, true) && !c.clientEnded.Load() {
 		unread := pendingInput(c.Conn)
@@ -478,7 +542,9 @@
 			c.reportUnanswered(unread == inputData)
 		}
 	}
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.conns.signalSettled()
+	return err
 }
 
 // reportUnanswered reports that the connection is closed before its request is
@@ -512,12 +578,17 @@
 func trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
-		if c != nil && r.ProtoMajor == 1 && (c.ending.Load() != int32(endNever) || c.conns.stopping.Load()) {
-			w.Header().Set("Connection", "close")
+		if c != nil && r.ProtoMajor == 1 {
+			answer := &answerWriter{ResponseWriter: w, conn: c}
+			// A handler that writes nothing is answered for after it returns.
+			defer answer.begin()
+			w = answer
 		}
 		switch {
 		case c == nil:
 		case r.ProtoMajor > 1:
+			c.streams.Add(1)
+			defer c.streams.Add(-1)
 			c.multiplexed.Store(true)
 		case r.ContentLength == 0:
 			if !c.enter(connlimit.Serving) {
@@ -532,6 +603,57 @@
 	})
 }
 
+// answerWriter writes an answer with "Connection: close" if the connection ends after it:
+// the client then sends no further request, which would cross the end.
+type answerWriter struct {
+	http.ResponseWriter
+	conn  *conn
+	begun bool
+}
+
+// begin is called before the header is written.
+func (w *answerWriter) begin() {
+	if !w.begun && (w.conn.ending.Load() != int32(endNever) || w.conn.conns.stopping.Load()) {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *answerWriter) Flush() { _ = w.FlushError() }
+
+// FlushError is called by http.ResponseController.
+func (w *answerWriter) FlushError() error {
+	w.begin()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap is called by http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// MaxBytesReader is http.MaxBytesReader for the requests of a server that Serve runs: the
+// connection ends after a body that is too large.
+func MaxBytesReader(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
+	if answer, ok := w.(*answerWriter); ok {
+		w = answer.ResponseWriter
+	}
+	return http.MaxBytesReader(w, body, limit)
+}
+
 // trackedBody records the end of a body.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -268,3 +268,161 @@
 		assert.Error(t, <-handled, "the request is not handled")
 	})
 }
+
+// Guards against a full port that closes connections without an answer after it has asked
+// for the body of their request.
+func TestFullPortRefusesUnfinishedRequestsAfterContinue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStopping(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}))
+		s.conns.limit = 1
+		client := s.dial("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		answers := bufio.NewReader(client)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusContinue, resp.StatusCode)
+		_, err = io.WriteString(client, "a")
+		require.NoError(t, err)
+		synctest.Wait()
+		go s.dial("")
+		resp, err = http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	})
+}
+
+// Guards against an answer that invites a further request although the server has begun to
+// stop: the request would cross the end of the connection.
+func TestRequestInWorkWhenTheServerStopsIsAnsweredWithTheEndOfItsConnection(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"nothing": func(http.ResponseWriter, *http.Request) {},
+		"header":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) },
+		"body":    func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") },
+		"flush":   func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startStopping(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(time.Second)
+					handler(w, r)
+				}))
+				client := s.dial(wholeRequest)
+				synctest.Wait()
+				s.stop()
+				resp := readAnswer(t, client)
+				require.NotNil(t, resp)
+				assert.True(t, resp.Close, "the answer says that the connection ends")
+				require.NoError(t, <-s.done)
+			})
+		})
+	}
+}
+
+// Guards against a stop that ends the contexts of requests of HTTP/2 at once, as if none
+// were in work.
+func TestStopLetsRequestsOfHTTP2End(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, done := memnet.New(), make(chan error, 1)
+		listener := network.Listen(testAddress)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		const work = testDrain / 2
+		server := &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusGatewayTimeout)
+			case <-time.After(work):
+			}
+		})}
+		go func() { done <- Serve(ctx, server, listener, testDrain) }()
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, stop)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+testAddress+"/", nil)
+		require.NoError(t, err)
+		transport := &http.Transport{Protocols: protocols, DialContext: network.Dial}
+		resp, err := (&http.Client{Transport: transport}).Do(request)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		require.NoError(t, <-done)
+		assert.Less(t, time.Since(began), testDrain)
+		transport.CloseIdleConnections()
+		time.Sleep(testDrain)
+	})
+}
+
+// Guards against a full port that drops a whole request, or calls it bad, because its last
+// part is read between the choice of its connection and the refusal.
+func TestRequestReadBeforeItsRefusalAtTheLimitIsRefused(t *testing.T) {
+	for name, request := range map[string]struct{ begin, rest string }{
+		"header": {"GET / HTTP/1.1\r\nHost: h\r\n", "\r\n"},
+		"body":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startStopping(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						w.WriteHeader(http.StatusBadRequest)
+					}
+				}))
+				s.conns.limit = 1
+				client := s.dial(request.begin)
+				synctest.Wait()
+				// The limit reports the connection before it refuses the request.
+				s.conns.report = func() {
+					_, err := io.WriteString(client, request.rest)
+					assert.NoError(t, err)
+					time.Sleep(time.Millisecond)
+				}
+				go s.dial("")
+				resp := readAnswer(t, client)
+				require.NotNil(t, resp)
+				assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			})
+		})
+	}
+}
+
+// backlogListener is a listener that accepts until its deadline, as one of the operating
+// system does.
+type backlogListener struct{ net.Listener }
+
+// SetDeadline sets when Accept fails.
+func (l backlogListener) SetDeadline(deadline time.Time) error {
+	time.AfterFunc(time.Until(deadline), func() { _ = l.Close() })
+	return nil
+}
+
+// Guards against a stop that drops the requests of connections that it still accepts,
+// because no other one was open when it began.
+func TestConnectionThatIsAcceptedWhileTheServerStopsIsServed(t *testing.T) {
+	for _, pause := range []time.Duration{0, 200 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, done := memnet.New(), make(chan error, 1)
+				listener := backlogListener{network.Listen(testAddress)}
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					time.Sleep(200 * time.Millisecond)
+					assert.NoError(t, r.Context().Err())
+				})}
+				go func() { done <- Serve(ctx, server, listener, testDrain) }()
+				synctest.Wait()
+				stop()
+				time.Sleep(backlogTime / 2)
+				client, err := network.Dial(t.Context(), "mem", testAddress)
+				require.NoError(t, err)
+				defer func() { _ = client.Close() }()
+				time.Sleep(pause)
+				_, err = io.WriteString(client, wholeRequest)
+				require.NoError(t, err)
+				assert.NotNil(t, readAnswer(t, client))
+				require.NoError(t, <-done)
+			})
+		})
+	}
+}
