Refuse an unfinished header when the drain timeout of a port ends

A client whose request header was not complete when a stopping port gave it up got 400 Bad Request, which says that the request is wrong: http.Server takes the part that it has for the whole once a read times out. The last read of such a connection that finds nothing writes a refusal now, 503 with Retry-After, which is true: no handler has seen the request.

--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -295,6 +295,8 @@
 	// used is set once a request was answered, and multiplexed if the requests are of
 	// HTTP/2.
 	used, multiplexed atomic.Bool
+	// handled is set once the handler of the current request was called.
+	handled atomic.Bool
 	// streams is the number of requests of HTTP/2 in work.
 	streams atomic.Int32
 	// ending is an ending: the phases in which the connection ends.
@@ -364,6 +366,7 @@
 			c.since.Store(int64(c.conns.now()))
 			if p == connlimit.Waiting {
 				c.used.Store(true)
+				c.handled.Store(false)
 				c.received.Store(0)
 				c.answer.Store(answerNone)
 				if c.conns.stopping.Load() && !c.multiplexed.Load() {
@@ -503,7 +506,12 @@
 		}
 		break
 	}
-	return readPending(c.Conn, b)
+	n, err := readPending(c.Conn, b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.ends() && c.phase.Load() == int32(connlimit.Receiving) && !c.handled.Load() {
+		// http.Server would answer an unfinished header as an invalid one.
+		c.refuse()
+	}
+	return n, err
 }
 
 // interimAnswer is how an answer begins that asks for the body of a request.
@@ -578,6 +586,9 @@
 func trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
+		if c != nil {
+			c.handled.Store(true)
+		}
 		if c != nil && r.ProtoMajor == 1 {
 			answer := &answerWriter{ResponseWriter: w, conn: c}
 			// A handler that writes nothing is answered for after it returns.
--- a/internal/httpserve/stop_test.go
+++ b/internal/httpserve/stop_test.go
@@ -426,3 +426,19 @@
 		})
 	}
 }
+
+// Guards against an unfinished header that is answered as an invalid one when the drain
+// timeout ends: its client would not send the request again.
+func TestUnfinishedHeaderIsRefusedWhenTheDrainTimeoutEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStopping(t, http.HandlerFunc(answer200))
+		client := s.dial("GET / HT")
+		synctest.Wait()
+		s.stop()
+		resp := readAnswer(t, client)
+		require.NotNil(t, resp)
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		assert.Equal(t, "1", resp.Header.Get("Retry-After"))
+		require.NoError(t, <-s.done)
+	})
+}
