--- a/internal/soak/plannedstops_test.go
+++ b/internal/soak/plannedstops_test.go
@@ -50,6 +50,10 @@
 	maxLongTime  = 8 * time.Second
 	maxLongWait  = 2 * time.Second
 	maxLongSteps = 3
+	// visibleTime is how long after its acceptance a stored job may be unknown to a host, and
+	// stableTime how long after a host has started again that holds for it.
+	visibleTime = 3 * time.Second
+	stableTime  = 3 * time.Second
 	// lostSlack is how old a request may be that crosses the end of its connection.
 	lostSlack = 200 * time.Millisecond
 	// lastSixth begins the part of the grace period in which a task that is still at work
@@ -360,8 +364,9 @@
 	rng      *rand.Rand
 	accepted chan<- string
 	sent     int
-	// stored is the client's last accepted stored job.
-	stored string
+	// stored is the client's last accepted stored job, and storedAt when it was accepted.
+	stored   string
+	storedAt time.Time
 }
 
 func (c *client) run(h *host) {
@@ -451,7 +456,7 @@
 				c.mu.Unlock()
 				return
 			}
-			c.check(r, a, sent)
+			c.check(h, r, a, sent)
 			if a.closes {
 				return
 			}
@@ -460,19 +465,33 @@
 }
 
 // check checks an answer.
-func (c *client) check(r request, a answer, sent time.Time) {
+func (c *client) check(h *host, r request, a answer, sent time.Time) {
 	c.count(fmt.Sprintf("%s: %d", r.what, a.status))
 	switch {
 	case r.bestEffort && a.status == http.StatusOK && a.state == "completed":
 		c.ledger.completed(r.job, r.steps, 1)
 	case r.bestEffort && a.status == http.StatusServiceUnavailable:
 		c.ledger.notRun(r.job, sent)
+	case r.what == "GET" && a.status == http.StatusGone && sent.Sub(c.storedAt) > visibleTime:
+		c.count("GET: 410 after the time to become visible")
+		if !c.stoppedSince(h, sent.Add(-grace-stableTime)) {
+			c.ledger.locked(func() {
+				c.ledger.fail("stored job %s is not known to %s, %v after it was accepted", r.job, h.name, sent.Sub(c.storedAt))
+			})
+		}
 	case r.what == "stored job" && a.status == http.StatusOK:
 		c.accepted <- r.job
-		c.stored = r.job
+		c.stored, c.storedAt = r.job, a.at
 	}
 }
 
+// stoppedSince reports whether a host has got SIGTERM since a time.
+func (f *plannedFleet) stoppedSince(h *host, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.stops[h], since.Before)
+}
+
 // request is a request about a job.
 type request struct {
 	what, method, job string
