--- a/internal/decide/coordinator/leave.go
+++ b/internal/decide/coordinator/leave.go
@@ -7,7 +7,9 @@
 )
 
 // answerTime is how long before the end of the callers' port every job is answered, so
-// that its answer reaches the caller.
+// that its answer reaches the caller. It is longer than the time by which the port ends the
+// contexts of all requests (httpserve): a job that ends there counts as one that may have
+// run.
 const answerTime = 400 * time.Millisecond
 
 // Leave records that a planned stop has begun, and when the callers' port ends. The
--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -309,7 +309,7 @@
 	})
 }
 
-// connOf returns the connection of a request, or nil if its server has no limit.
+// connOf returns the connection of a request, or nil if its server is not run by Serve.
 func connOf(ctx context.Context) *conn {
 	c, _ := ctx.Value(connKey{}).(*conn)
 	return c
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -18,7 +18,7 @@
 	// timeout.
 	backlogTime = 50 * time.Millisecond
 	// firstRequestTime is how long a server that stops waits for the first request of
-	// a connection.
+	// a connection. A client that has just connected usually sends at once.
 	firstRequestTime = time.Second
 	// answerTime is how long before the end of the drain timeout, but no more than half
 	// of it, the contexts of the requests in work end, and bodies that are still arriving
