Keep the workers of a stopping host until another host can take them over

Callers saw: under planned stops that overlap, requests got neither an answer nor a refusal until their time limit, and for 3 s all others were refused with "no host has workers", although every process still ran. A fleet of one host lost its requests in work at every planned stop.

Cause: a stopping host left its groups at SIGTERM, whoever else was left. The last host to stop gave its workers up to nobody. Class: responsibility is given up at a moment, not to a successor.

Change: the host hands its workers and shards over 0.1 s after SIGTERM if another host with workers stays, which the reports between hosts now tell, and otherwise once one is there, or after its callers' port has ended; until then it serves. It leaves its groups before its streams end, so that hosts that stop later adopt the workers with their runs.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -23,6 +23,7 @@
 	for _, a := range d.core.Reconcile(now) {
 		d.execute(ctx, now, a)
 	}
+	d.followHandOver()
 	d.updateReadiness()
 	if d.advanceStart(now) {
 		for _, a := range d.core.Reconcile(now) {
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -266,7 +266,10 @@
 }
 
 func capacityReportToProto(r offer.CapacityReport) *dispatchv1.Room {
-	report := &dispatchv1.Room{Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving, Exclusive: int32(r.Exclusive), Saturated: r.Saturated}
+	report := &dispatchv1.Room{
+		Capacity: int32(r.Capacity), FreeingRate: r.FreeingRate, Leaving: r.Leaving, Exclusive: int32(r.Exclusive), Saturated: r.Saturated,
+		Stopping: r.Stopping,
+	}
 	for _, w := range r.Workers {
 		room := &dispatchv1.WorkerRoom{
 			Id: w.ID, Service: w.Service, Free: sizeToProto(w.Free),
@@ -295,7 +298,7 @@
 func capacityReportFromProto(r *dispatchv1.Room) offer.CapacityReport {
 	report := offer.CapacityReport{
 		Capacity: int(r.GetCapacity()), FreeingRate: r.GetFreeingRate(), Leaving: r.GetLeaving(), Exclusive: int(r.GetExclusive()), Saturated: r.GetSaturated(),
-		QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
+		Stopping: r.GetStopping(), QueuedWork: make(map[int]int64, len(r.GetQueuedWork())),
 	}
 	for _, w := range r.GetWorkers() {
 		capacity := offer.WorkerCapacity{
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -74,7 +74,12 @@
 
 	events  chan func(time.Time)
 	leaving atomic.Bool
-	config  atomic.Pointer[fleet.Config]
+	// handsOver is set once this host hands its workers and shards over, and memberships
+	// counts the groups that it is a member of. Left is signalled when it has left one.
+	handsOver   atomic.Bool
+	memberships atomic.Int32
+	left        chan struct{}
+	config      atomic.Pointer[fleet.Config]
 	// hasStoredJobs is set once any stored job is known, and logRead once the
 	// job log has been read to its end.
 	hasStoredJobs atomic.Bool
@@ -131,7 +136,7 @@
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
 		waiters: map[string]waiter{}, watchers: map[string][]chan struct{}{}, membershipWakeups: map[ownership.Seat]chan struct{}{},
-		shardWakeup: make(chan struct{}, 1),
+		shardWakeup: make(chan struct{}, 1), left: make(chan struct{}, 1),
 	}
 	d.limits = newClientLimits(s.Limits, logger.WithPrefix("limits"), d.metrics.registry)
 	for _, zone := range s.Zones {
@@ -183,6 +188,7 @@
 		{Name: "peers port", Run: d.serve(port{
 			address: d.settings.PeersAddress, handler: d.peerRoutes(), conns: d.limits.peers, allowH2C: true, drainTimeout: closeTimeout,
 		}), Restart: supervise.Never},
+		{Name: "handover", Run: d.handOverAtEnd},
 		{Name: "metrics port", Run: d.serve(port{
 			address: d.settings.MetricsAddress, handler: d.metrics.handler(), conns: d.limits.metrics, unread: d.limits.unread,
 			drainTimeout: closeTimeout,
@@ -457,8 +463,8 @@
 }
 
 // drain prepares a planned stop: the host reports that it is not ready, hands
-// its workers and its queue to other hosts, and serves the requests that still
-// arrive until the load balancer has reacted. Afterwards the callers' port
+// its workers and its queue to other hosts if any of them stays, and serves the requests
+// that still arrive until the load balancer has reacted. Afterwards the callers' port
 // finishes the requests in flight; jobs that are not done by then are answered just
 // before it ends.
 func (d *Dispatcher) drain() {
@@ -469,9 +475,39 @@
 		d.core.Leave(now, portEnds)
 		d.refuseHeldForStop(now)
 	})
-	d.wakeMemberships()
-	wake(d.shardWakeup)
 	time.Sleep(d.acceptTime())
 	waiting, receiving, serving := d.limits.callers.Phases()
 	d.logger.Info("callers' port closes", "connections_waiting", waiting, "connections_receiving", receiving, "connections_serving", serving)
 }
+
+// finalHandOver bounds the time in which this host leaves its groups after the callers' port
+// has ended, if it has kept its workers until then.
+const finalHandOver = 150 * time.Millisecond
+
+// handOverAtEnd hands the workers and shards over once the callers' port has ended, if no
+// other host could take them before. Hosts that stop later, or have just started, may be
+// there now.
+func (d *Dispatcher) handOverAtEnd(ctx context.Context) error {
+	<-ctx.Done()
+	d.post(func(time.Time) { d.core.HandOver() })
+	timer := time.NewTimer(finalHandOver)
+	defer timer.Stop()
+	for d.memberships.Load() > 0 {
+		select {
+		case <-d.left:
+		case <-timer.C:
+			d.logger.Warn("groups not left before the end", "groups", d.memberships.Load())
+			return ctx.Err()
+		}
+	}
+	return ctx.Err()
+}
+
+// followHandOver makes the memberships end once this host hands its workers over.
+func (d *Dispatcher) followHandOver() {
+	if d.core.HandsOver() && !d.handsOver.Swap(true) {
+		d.logger.Info("workers handed over", "successor", d.core.Coordinator.HasSuccessor())
+		d.wakeMemberships()
+		wake(d.shardWakeup)
+	}
+}
--- a/internal/daemon/dispatch/fleet_test.go
+++ b/internal/daemon/dispatch/fleet_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,9 @@
 	store   *store.Store
 	workers []*taskworker.Worker
 	// hosts are the dispatchers by name of their host, also after their stop.
-	hosts   map[string]*Dispatcher
+	hosts map[string]*Dispatcher
+	// mu guards stops where hosts stop at the same time.
+	mu      sync.Mutex
 	stops   map[string]func()
 	servers []*http.Server
 	client  *http.Client
@@ -131,6 +134,8 @@
 	f.stops[name] = func() {
 		cancel()
 		require.NoError(f.t, <-done)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		delete(f.stops, name)
 	}
 }
--- a/internal/daemon/dispatch/report.go
+++ b/internal/daemon/dispatch/report.go
@@ -117,7 +117,7 @@
 // nearlyEqual reports whether two reports name the same workers and differ little
 // in their free capacity.
 func nearlyEqual(a, b offer.CapacityReport) bool {
-	if a.Capacity != b.Capacity || a.Leaving != b.Leaving || a.Saturated != b.Saturated ||
+	if a.Capacity != b.Capacity || a.Stopping != b.Stopping || a.Leaving != b.Leaving || a.Saturated != b.Saturated ||
 		a.Exclusive != b.Exclusive || len(a.Workers) != len(b.Workers) {
 		return false
 	}
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -166,7 +166,7 @@
 // its own zone, and in those of zones that no other host serves.
 func (d *Dispatcher) shouldJoin(ctx context.Context, zone string, uptime time.Duration) bool {
 	switch {
-	case d.leaving.Load() || !d.logRead.Load() || !d.evacuationsListed.Load():
+	case d.handsOver.Load() || !d.logRead.Load() || !d.evacuationsListed.Load():
 		// Before the job log is read, ended runs of stored jobs that are found on
 		// workers cannot be distinguished from those of best-effort jobs. Before the
 		// evacuated zones are read, tasks could be started in one of them.
@@ -212,12 +212,15 @@
 	if err != nil {
 		return
 	}
-	m.joined = true
+	if !m.joined {
+		m.joined = true
+		d.memberships.Add(1)
+	}
 	if reply.Generation != m.generation {
 		m.generation, m.lastChange = reply.Generation, time.Now()
 	}
 	d.postAndWait(func(now time.Time) {
-		if !d.leaving.Load() {
+		if !d.core.HandsOver() {
 			m.onAssigned(now, sent, reply)
 		}
 	})
@@ -235,6 +238,8 @@
 	}
 	d.logger.Info("group left", "group", m.group)
 	m.joined, m.generation = false, 0
+	d.memberships.Add(-1)
+	wake(d.left)
 }
 
 // announce writes this host's entry to the store, and again whenever the entry
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -429,10 +429,10 @@
 }
 
 // runShardMembership keeps this host in the group that assigns the shards of the
-// stored jobs, once the job log has been read and until a planned stop.
+// stored jobs, once the job log has been read and until it hands them over.
 func (d *Dispatcher) runShardMembership(ctx context.Context) error {
 	m := &membership{group: jobsGroup, member: d.self.Name, onAssigned: func(now, sent time.Time, r platform.Membership) {
 		d.core.Ledger.Assigned(now, sent, r.Partitions)
 	}, onLeave: d.core.Ledger.Leave}
-	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.leaving.Load() })
+	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.handsOver.Load() })
 }
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
@@ -363,6 +364,14 @@
 	return workers
 }
 
+// HasSuccessor reports whether a connected host with workers stays while this one stops.
+// It can take over this host's workers.
+func (c *Coordinator) HasSuccessor() bool {
+	return slices.ContainsFunc(c.sortedHosts, func(h *host) bool {
+		return h.connected && h.name != c.cfg.Self && !h.report.Stopping && !h.report.Leaving && h.report.Capacity > 0
+	})
+}
+
 // HasHostInZone reports whether a connected host that is not leaving is in the
 // zone.
 func (c *Coordinator) HasHostInZone(zone string) bool {
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -136,9 +136,12 @@
 	speeds *speed.Model
 	// Flow limits the work in flight while the host is saturated; nil if the policy
 	// is off.
-	Flow    *flow.Limiter
-	leaving bool
-	actions []Action
+	Flow *flow.Limiter
+	// stopping is set once a planned stop has begun, and leaving once this host hands its
+	// workers over.
+	stopping, leaving bool
+	stopBegan         time.Time
+	actions           []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
 	// unsettled is set from the end of a standstill, at resumedAt, until this host has read
@@ -188,15 +191,40 @@
 	}
 }
 
-// Leave prepares a planned stop: it returns all queued tasks to their hosts, marks the
-// host's reports as leaving, and limits the deadlines of jobs so that they are answered
-// before the callers' port ends. The workers are released when the memberships end.
+// handOverDelay is how long after the beginning of a planned stop this host hands its workers
+// over at the earliest: hosts that begin to stop at the same time learn of each other.
+const handOverDelay = 100 * time.Millisecond
+
+// Leave prepares a planned stop: it limits the deadlines of jobs so that they are answered
+// before the callers' port ends, and lets Tick hand this host's workers over as soon as
+// another host can take them.
 func (c *Core) Leave(now, portEnds time.Time) {
-	c.leaving = true
+	c.stopping, c.stopBegan = true, now
 	c.Coordinator.Leave(now, portEnds)
+}
+
+// handOverToSuccessor hands the workers over if this host is stopping and another one with
+// workers is not. Otherwise the workers would have no owner although this one still runs.
+func (c *Core) handOverToSuccessor(now time.Time) {
+	if c.stopping && !c.leaving && now.Sub(c.stopBegan) >= handOverDelay && c.Coordinator.HasSuccessor() {
+		c.HandOver()
+	}
+}
+
+// HandOver returns all queued tasks to their hosts, and marks the host's reports as
+// leaving. The workers are released when the memberships end.
+func (c *Core) HandOver() {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
 	c.Pool.ReturnQueue("planned stop")
 }
 
+// HandsOver reports whether this host hands its workers over, so that its memberships
+// have to end.
+func (c *Core) HandsOver() bool { return c.leaving }
+
 // LogRead records that the log of stored jobs has been read to its end by a
 // request that was sent at the given time.
 func (c *Core) LogRead(sent time.Time) {
@@ -221,6 +249,7 @@
 // capacity.
 func (c *Core) Tick(now time.Time) {
 	c.settle(now)
+	c.handOverToSuccessor(now)
 	c.Pool.HostHeard(c.cfg.Name, now)
 	c.Pool.HostPresent(c.cfg.Name, c.PresentAt(now))
 	c.Ledger.Tick(now)
@@ -345,7 +374,7 @@
 // Report returns this host's report of its free capacity and queue.
 func (c *Core) Report(now time.Time) offer.CapacityReport {
 	r := c.Pool.Report(now)
-	r.Leaving, r.Saturated = c.leaving, c.Flow.Saturated()
+	r.Stopping, r.Leaving, r.Saturated = c.stopping, c.leaving, c.Flow.Saturated()
 	return r
 }
 
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -15,6 +15,9 @@
 const (
 	// drainTime is how long a host works on after a planned stop began.
 	drainTime = 2200 * time.Millisecond
+	// handOverTime is how long a host that kept its workers goes on after its memberships
+	// have ended.
+	handOverTime = 40 * time.Millisecond
 	// portTime is how long after that its callers' port would end at the latest.
 	portTime = 5500 * time.Millisecond
 	// maxIdle is the time for which the rules let a ready task of a stored job have
@@ -30,18 +33,29 @@
 		}
 		h.leaving = true
 		h.core.Leave(w.now, w.now.Add(portTime))
-		if !h.storeUnreachable {
-			for number := range h.seats {
-				h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
-				w.groups[h.zone].leave(seatName(h, number))
-			}
-			h.core.Ledger.Leave(w.now)
-			w.log.group.leave(h.name)
-		}
-		w.after(drainTime, w.on(h, func() { w.kill(h, 300*time.Millisecond) }))
+		w.endMemberships(h)
+		w.after(drainTime, w.on(h, func() {
+			h.core.HandOver()
+			w.endMemberships(h)
+			w.after(handOverTime, w.on(h, func() { w.kill(h, 300*time.Millisecond) }))
+		}))
 	})()
 }
 
+// endMemberships ends the memberships of a host that hands its workers over.
+func (w *world) endMemberships(h *simHost) {
+	if !h.core.HandsOver() || h.left || h.storeUnreachable {
+		return
+	}
+	h.left = true
+	for number := range h.seats {
+		h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
+		w.groups[h.zone].leave(seatName(h, number))
+	}
+	h.core.Ledger.Leave(w.now)
+	w.log.group.leave(h.name)
+}
+
 // freeze makes a host stand still for a time.
 func (w *world) freeze(h *simHost, d time.Duration) {
 	if !h.up || w.now.Before(h.frozenUntil) {
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -68,8 +68,10 @@
 	generations      map[int]int64
 	storeUnreachable bool
 	appendsRejected  bool
-	// leaving is set during a planned stop, and frozenUntil is the end of a standstill.
+	// leaving is set during a planned stop, left once its memberships have ended, and
+	// frozenUntil is the end of a standstill.
 	leaving     bool
+	left        bool
 	frozenUntil time.Time
 	// stoodStill is how long the host stood still before what it handles next.
 	stoodStill time.Duration
@@ -187,7 +189,7 @@
 func (w *world) boot(h *simHost) {
 	h.incarnation++
 	h.up, h.generations, h.shardGeneration, h.logPosition = true, map[int]int64{}, 0, 0
-	h.leaving, h.frozenUntil, h.stoodStill, h.backlog = false, time.Time{}, 0, map[string]time.Time{}
+	h.leaving, h.left, h.frozenUntil, h.stoodStill, h.backlog = false, false, time.Time{}, 0, map[string]time.Time{}
 	h.links, h.redialAt, h.callers = map[string]*simLink{}, map[string]time.Time{}, map[string]int{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
@@ -302,6 +304,7 @@
 	}
 	h.resume(w.now)
 	h.core.Tick(w.now)
+	w.endMemberships(h)
 	w.closeSilent(h)
 	w.reconcile(h)
 	w.dial(h)
@@ -315,7 +318,7 @@
 
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
-		if !h.storeUnreachable && !h.leaving && h.core.Ledger.Loaded() {
+		if !h.storeUnreachable && !h.core.HandsOver() && h.core.Ledger.Loaded() {
 			for number := range h.seats {
 				generation, parts := w.groups[h.zone].join(w.now, seatName(h, number), h.generations[number])
 				h.generations[number] = generation
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -191,8 +191,9 @@
 	// Exclusive is the number of exclusive tasks that wait or run at the host, or
 	// whose worker has not returned after a crash.
 	Exclusive int
-	// Leaving is set while the host prepares to stop.
-	Leaving bool
+	// Stopping is set once a planned stop of the host has begun, and Leaving once the host
+	// hands its workers over: it takes no more offers.
+	Stopping, Leaving bool
 	// Saturated is set while the host starts fewer tasks than its workers have
 	// capacity for, since its link or processor delays its orders.
 	Saturated bool
@@ -202,7 +203,7 @@
 // milliseconds.
 func (r CapacityReport) Equal(o CapacityReport) bool {
 	return r.Capacity == o.Capacity && r.FreeingRate == o.FreeingRate && r.Exclusive == o.Exclusive &&
-		r.Leaving == o.Leaving && r.Saturated == o.Saturated && maps.Equal(r.QueuedWork, o.QueuedWork) &&
+		r.Stopping == o.Stopping && r.Leaving == o.Leaving && r.Saturated == o.Saturated && maps.Equal(r.QueuedWork, o.QueuedWork) &&
 		slices.Equal(r.Routes, o.Routes) && slices.EqualFunc(r.Workers, o.Workers, WorkerCapacity.equal)
 }
 
