Hand the workers over only while half of the hosts stay

Callers saw: with all 38 hosts stopped within 2 s, 131 requests without an answer until their time limit and 3,757 refusals, although the last hosts kept their workers.

Cause: each host found successors in those that stopped 0.2 s later, and so all 350 workers went to the last two to four.

Change: at least half of the connected hosts have to stay. TestWorkersStaySpreadWhileAFleetStops fails with one as the bound: 18 of 18 workers at one host.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -506,7 +506,7 @@
 // followHandOver makes the memberships end once this host hands its workers over.
 func (d *Dispatcher) followHandOver() {
 	if d.core.HandsOver() && !d.handsOver.Swap(true) {
-		d.logger.Info("workers handed over", "successor", d.core.Coordinator.HasSuccessor())
+		d.logger.Info("workers handed over", "successors", d.core.Coordinator.HasSuccessors())
 		d.wakeMemberships()
 		wake(d.shardWakeup)
 	}
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/flow"
@@ -364,12 +363,21 @@
 	return workers
 }
 
-// HasSuccessor reports whether a connected host with workers stays while this one stops.
-// It can take over this host's workers.
-func (c *Coordinator) HasSuccessor() bool {
-	return slices.ContainsFunc(c.sortedHosts, func(h *host) bool {
-		return h.connected && h.name != c.cfg.Self && !h.report.Stopping && !h.report.Leaving && h.report.Capacity > 0
-	})
+// HasSuccessors reports whether enough hosts stay to take over the workers of this one,
+// which stops: at least half of the connected hosts, so that the workers of a fleet that
+// stops bit by bit do not end up at its last few hosts.
+func (c *Coordinator) HasSuccessors() bool {
+	connected, staying := 1, 0
+	for _, h := range c.sortedHosts {
+		if !h.connected || h.name == c.cfg.Self {
+			continue
+		}
+		connected++
+		if !h.report.Stopping && !h.report.Leaving && h.report.Capacity > 0 {
+			staying++
+		}
+	}
+	return 2*staying >= connected
 }
 
 // HasHostInZone reports whether a connected host that is not leaving is in the
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -197,16 +197,16 @@
 
 // Leave prepares a planned stop: it limits the deadlines of jobs so that they are answered
 // before the callers' port ends, and lets Tick hand this host's workers over as soon as
-// another host can take them.
+// other hosts can take them.
 func (c *Core) Leave(now, portEnds time.Time) {
 	c.stopping, c.stopBegan = true, now
 	c.Coordinator.Leave(now, portEnds)
 }
 
-// handOverToSuccessor hands the workers over if this host is stopping and another one with
-// workers is not. Otherwise the workers would have no owner although this one still runs.
-func (c *Core) handOverToSuccessor(now time.Time) {
-	if c.stopping && !c.leaving && now.Sub(c.stopBegan) >= handOverDelay && c.Coordinator.HasSuccessor() {
+// handOverToSuccessors hands the workers over if this host is stopping and enough others are
+// not. Otherwise the workers would have no owner, or too few, although this one still runs.
+func (c *Core) handOverToSuccessors(now time.Time) {
+	if c.stopping && !c.leaving && now.Sub(c.stopBegan) >= handOverDelay && c.Coordinator.HasSuccessors() {
 		c.HandOver()
 	}
 }
@@ -249,7 +249,7 @@
 // capacity.
 func (c *Core) Tick(now time.Time) {
 	c.settle(now)
-	c.handOverToSuccessor(now)
+	c.handOverToSuccessors(now)
 	c.Pool.HostHeard(c.cfg.Name, now)
 	c.Pool.HostPresent(c.cfg.Name, c.PresentAt(now))
 	c.Ledger.Tick(now)
--- a/internal/decide/host/laststop_test.go
+++ b/internal/decide/host/laststop_test.go
@@ -50,3 +50,27 @@
 		}
 	}
 }
+
+// Guards against the workers of a fleet that stops bit by bit at its last few hosts, which
+// cannot serve with all of them.
+func TestWorkersStaySpreadWhileAFleetStops(t *testing.T) {
+	const hosts, workers = 6, 18
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 1, hosts, workers)
+			w.run(4 * time.Second)
+			for i, h := range w.hosts {
+				w.after(300*time.Millisecond*time.Duration(i), func() { w.plannedStop(h) })
+			}
+			w.run(2100 * time.Millisecond)
+			owned := 0
+			for _, h := range w.hosts {
+				n := len(h.core.Report(w.now).Workers)
+				assert.LessOrEqual(t, n, workers/2, "workers of %s", h.name)
+				owned += n
+			}
+			assert.Equal(t, workers, owned)
+		})
+	}
+}
