Count hosts without workers as successors, and hand shards over to any host that stays

Found by a review of: a group has fewer partitions than a large zone has hosts, so that most hosts own no workers there. They were counted among the connected hosts but not among those that stay, and each planned stop would have kept its workers to its end.

TestHostsWithoutWorkersCountAsSuccessors fails on: the stopping host still owns workers after a second.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -74,12 +74,13 @@
 
 	events  chan func(time.Time)
 	leaving atomic.Bool
-	// handsOver is set once this host hands its workers and shards over, and memberships
-	// counts the groups that it is a member of. Left is signalled when it has left one.
-	handsOver   atomic.Bool
-	memberships atomic.Int32
-	left        chan struct{}
-	config      atomic.Pointer[fleet.Config]
+	// givesUpShards and givesUpWorkers are set once this host hands these over, and
+	// memberships counts the groups that it is a member of. Left is signalled when it has
+	// left one.
+	givesUpShards, givesUpWorkers atomic.Bool
+	memberships                   atomic.Int32
+	left                          chan struct{}
+	config                        atomic.Pointer[fleet.Config]
 	// hasStoredJobs is set once any stored job is known, and logRead once the
 	// job log has been read to its end.
 	hasStoredJobs atomic.Bool
@@ -503,11 +504,15 @@
 	return ctx.Err()
 }
 
-// followHandOver makes the memberships end once this host hands its workers over.
+// followHandOver makes the memberships end once this host hands over what it owns by them.
 func (d *Dispatcher) followHandOver() {
-	if d.core.HandsOver() && !d.handsOver.Swap(true) {
-		d.logger.Info("workers handed over", "successors", d.core.Coordinator.HasSuccessors())
-		d.wakeMemberships()
+	shards, workers := d.core.HandsOver()
+	if shards && !d.givesUpShards.Swap(true) {
 		wake(d.shardWakeup)
 	}
+	if workers && !d.givesUpWorkers.Swap(true) {
+		_, successors := d.core.Coordinator.HasSuccessors()
+		d.logger.Info("workers handed over", "successors", successors)
+		d.wakeMemberships()
+	}
 }
--- a/internal/daemon/dispatch/store.go
+++ b/internal/daemon/dispatch/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -115,7 +116,10 @@
 	// onAssigned handles the reply to a join that was sent at the given time.
 	onAssigned func(now, sent time.Time, reply platform.Membership)
 	// onLeave gives up all partitions.
-	onLeave    func(now time.Time)
+	onLeave func(now time.Time)
+	// givenUp is set once the partitions are handed over: a reply that comes later has no
+	// effect.
+	givenUp    *atomic.Bool
 	generation int64
 	// lastChange is when the generation last changed.
 	lastChange time.Time
@@ -129,7 +133,7 @@
 	zone := seat.Zone
 	m := &membership{group: zoneGroup(zone), member: memberName(d.self.Name, seat.Number), onAssigned: func(now, sent time.Time, r platform.Membership) {
 		d.core.Joined(now, sent, seat, r.Generation, r.Partitions)
-	}, onLeave: func(time.Time) { d.core.Ownership.Left(seat) }}
+	}, onLeave: func(time.Time) { d.core.Ownership.Left(seat) }, givenUp: &d.givesUpWorkers}
 	started := time.Now()
 	return d.maintainMembership(ctx, m, d.membershipWakeups[seat], func() bool { return d.shouldJoin(ctx, zone, time.Since(started)) })
 }
@@ -166,7 +170,7 @@
 // its own zone, and in those of zones that no other host serves.
 func (d *Dispatcher) shouldJoin(ctx context.Context, zone string, uptime time.Duration) bool {
 	switch {
-	case d.handsOver.Load() || !d.logRead.Load() || !d.evacuationsListed.Load():
+	case d.givesUpWorkers.Load() || !d.logRead.Load() || !d.evacuationsListed.Load():
 		// Before the job log is read, ended runs of stored jobs that are found on
 		// workers cannot be distinguished from those of best-effort jobs. Before the
 		// evacuated zones are read, tasks could be started in one of them.
@@ -220,7 +224,7 @@
 		m.generation, m.lastChange = reply.Generation, time.Now()
 	}
 	d.postAndWait(func(now time.Time) {
-		if !d.core.HandsOver() {
+		if !m.givenUp.Load() {
 			m.onAssigned(now, sent, reply)
 		}
 	})
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -433,6 +433,6 @@
 func (d *Dispatcher) runShardMembership(ctx context.Context) error {
 	m := &membership{group: jobsGroup, member: d.self.Name, onAssigned: func(now, sent time.Time, r platform.Membership) {
 		d.core.Ledger.Assigned(now, sent, r.Partitions)
-	}, onLeave: d.core.Ledger.Leave}
-	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.handsOver.Load() })
+	}, onLeave: d.core.Ledger.Leave, givenUp: &d.givesUpShards}
+	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.givesUpShards.Load() })
 }
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -363,21 +363,23 @@
 	return workers
 }
 
-// HasSuccessors reports whether enough hosts stay to take over the workers of this one,
-// which stops: at least half of the connected hosts, so that the workers of a fleet that
-// stops bit by bit do not end up at its last few hosts.
-func (c *Coordinator) HasSuccessors() bool {
+// HasSuccessors reports whether other hosts can take over what this one gives up because it
+// stops: its shards, if any host stays, and its workers, if at least half of the connected
+// hosts do, so that the workers of a fleet that stops bit by bit do not end up at its last
+// few hosts.
+func (c *Coordinator) HasSuccessors() (shards, workers bool) {
 	connected, staying := 1, 0
 	for _, h := range c.sortedHosts {
 		if !h.connected || h.name == c.cfg.Self {
 			continue
 		}
 		connected++
-		if !h.report.Stopping && !h.report.Leaving && h.report.Capacity > 0 {
+		if !h.report.Stopping && !h.report.Leaving {
 			staying++
+			workers = workers || h.report.Capacity > 0
 		}
 	}
-	return 2*staying >= connected
+	return staying > 0, workers && 2*staying >= connected
 }
 
 // HasHostInZone reports whether a connected host that is not leaving is in the
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -137,11 +137,11 @@
 	// Flow limits the work in flight while the host is saturated; nil if the policy
 	// is off.
 	Flow *flow.Limiter
-	// stopping is set once a planned stop has begun, and leaving once this host hands its
-	// workers over.
-	stopping, leaving bool
-	stopBegan         time.Time
-	actions           []Action
+	// stopping is set once a planned stop has begun, givesUpShards once this host hands
+	// its shards over, and leaving once it hands its workers over.
+	stopping, givesUpShards, leaving bool
+	stopBegan                        time.Time
+	actions                          []Action
 	// reportedAt is when the coordinator last received the pool's report.
 	reportedAt time.Time
 	// unsettled is set from the end of a standstill, at resumedAt, until this host has read
@@ -203,27 +203,34 @@
 	c.Coordinator.Leave(now, portEnds)
 }
 
-// handOverToSuccessors hands the workers over if this host is stopping and enough others are
-// not. Otherwise the workers would have no owner, or too few, although this one still runs.
+// handOverToSuccessors hands over what other hosts can take over if this host is stopping.
+// What they cannot would have no owner, or one that cannot serve with it, although this
+// host still runs.
 func (c *Core) handOverToSuccessors(now time.Time) {
-	if c.stopping && !c.leaving && now.Sub(c.stopBegan) >= handOverDelay && c.Coordinator.HasSuccessors() {
+	if !c.stopping || c.leaving || now.Sub(c.stopBegan) < handOverDelay {
+		return
+	}
+	shards, workers := c.Coordinator.HasSuccessors()
+	c.givesUpShards = c.givesUpShards || shards
+	if workers {
 		c.HandOver()
 	}
 }
 
-// HandOver returns all queued tasks to their hosts, and marks the host's reports as
-// leaving. The workers are released when the memberships end.
+// HandOver hands everything over that this host still owns. It returns all queued tasks
+// to their hosts and marks the host's reports as leaving. The workers and shards are
+// released when the memberships end.
 func (c *Core) HandOver() {
 	if c.leaving {
 		return
 	}
-	c.leaving = true
+	c.leaving, c.givesUpShards = true, true
 	c.Pool.ReturnQueue("planned stop")
 }
 
-// HandsOver reports whether this host hands its workers over, so that its memberships
-// have to end.
-func (c *Core) HandsOver() bool { return c.leaving }
+// HandsOver reports whether this host hands its shards and its workers over, so that its
+// memberships in their groups have to end.
+func (c *Core) HandsOver() (shards, workers bool) { return c.givesUpShards, c.leaving }
 
 // LogRead records that the log of stored jobs has been read to its end by a
 // request that was sent at the given time.
--- a/internal/decide/host/laststop_test.go
+++ b/internal/decide/host/laststop_test.go
@@ -74,3 +74,26 @@
 		})
 	}
 }
+
+// Guards against a planned stop that keeps its workers to its end in a fleet of which most
+// hosts own none.
+func TestHostsWithoutWorkersCountAsSuccessors(t *testing.T) {
+	const hosts, workers = 3 * zonePartitions, 6
+	w := newWorld(1, 1, hosts, workers)
+	w.run(6 * time.Second)
+	owner := w.hosts[0]
+	for _, h := range w.hosts {
+		if len(h.core.Report(w.now).Workers) > 0 {
+			owner = h
+		}
+	}
+	require.NotEmpty(t, owner.core.Report(w.now).Workers)
+	w.plannedStop(owner)
+	w.run(time.Second)
+	require.Empty(t, owner.core.Report(w.now).Workers)
+	owned := 0
+	for _, h := range w.hosts {
+		owned += len(h.core.Report(w.now).Workers)
+	}
+	require.Equal(t, workers, owned)
+}
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -56,7 +56,7 @@
 // periodically.
 func (w *world) joinShardGroup(h *simHost) {
 	w.on(h, func() {
-		if !h.storeUnreachable && !h.core.HandsOver() {
+		if shards, _ := h.core.HandsOver(); !shards && !h.storeUnreachable {
 			generation, parts := w.log.group.join(w.now, h.name, h.shardGeneration)
 			h.shardGeneration = generation
 			h.core.Ledger.Assigned(w.now, w.now, parts)
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -44,16 +44,22 @@
 
 // endMemberships ends the memberships of a host that hands its workers over.
 func (w *world) endMemberships(h *simHost) {
-	if !h.core.HandsOver() || h.left || h.storeUnreachable {
+	if h.storeUnreachable {
 		return
 	}
-	h.left = true
-	for number := range h.seats {
-		h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
-		w.groups[h.zone].leave(seatName(h, number))
+	shards, workers := h.core.HandsOver()
+	if workers && !h.left {
+		h.left = true
+		for number := range h.seats {
+			h.core.Ownership.Left(ownership.Seat{Zone: h.zone, Number: number})
+			w.groups[h.zone].leave(seatName(h, number))
+		}
+	}
+	if shards && !h.leftShards {
+		h.leftShards = true
+		h.core.Ledger.Leave(w.now)
+		w.log.group.leave(h.name)
 	}
-	h.core.Ledger.Leave(w.now)
-	w.log.group.leave(h.name)
 }
 
 // freeze makes a host stand still for a time.
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -68,10 +68,11 @@
 	generations      map[int]int64
 	storeUnreachable bool
 	appendsRejected  bool
-	// leaving is set during a planned stop, left once its memberships have ended, and
-	// frozenUntil is the end of a standstill.
+	// leaving is set during a planned stop, left and leftShards once its memberships have
+	// ended, and frozenUntil is the end of a standstill.
 	leaving     bool
 	left        bool
+	leftShards  bool
 	frozenUntil time.Time
 	// stoodStill is how long the host stood still before what it handles next.
 	stoodStill time.Duration
@@ -189,7 +190,8 @@
 func (w *world) boot(h *simHost) {
 	h.incarnation++
 	h.up, h.generations, h.shardGeneration, h.logPosition = true, map[int]int64{}, 0, 0
-	h.leaving, h.left, h.frozenUntil, h.stoodStill, h.backlog = false, false, time.Time{}, 0, map[string]time.Time{}
+	h.left, h.leftShards = false, false
+	h.leaving, h.frozenUntil, h.stoodStill, h.backlog = false, time.Time{}, 0, map[string]time.Time{}
 	h.links, h.redialAt, h.callers = map[string]*simLink{}, map[string]time.Time{}, map[string]int{}
 	h.core = New(Config{
 		Name: h.name, Zone: h.zone, MaxLease: testLease, Partitions: zonePartitions, Nonce: w.rng.Int64(), Ledger: testLedger(),
@@ -318,7 +320,7 @@
 
 func (w *world) join(h *simHost) {
 	w.on(h, func() {
-		if !h.storeUnreachable && !h.core.HandsOver() && h.core.Ledger.Loaded() {
+		if _, workers := h.core.HandsOver(); !workers && !h.storeUnreachable && h.core.Ledger.Loaded() {
 			for number := range h.seats {
 				generation, parts := w.groups[h.zone].join(w.now, seatName(h, number), h.generations[number])
 				h.generations[number] = generation
