Answer a job while its caller still waits

Cause: a host answers 504 at the limit, counted from the arrival of the request, and at its next tick. The caller has gone by then.

Change: the answer is given 30 ms before the limit (a tick of 20 ms and the way back), or a tenth of it before if that is shorter. Offers keep the caller's limit as their deadline.

TestHeldJobKeepsTimesOfItsArrival expected the answer of a job that was not done within 1 ms after the caller's limit; it expects it within 1 ms of the new time, counted from the arrival as before.

--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -11,6 +11,10 @@
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
+// replyTime is how long before its caller stops waiting a job is answered: a tick and the way
+// back to the caller. It is at most a tenth of the caller's limit.
+const replyTime = 30 * time.Millisecond
+
 // Submit accepts or refuses a job and offers its first tasks. If callerTimeout
 // is zero, the caller named no limit and the queue's timeout applies. Submit
 // returns false if the coordinator already has a job with this ID.
@@ -22,6 +26,9 @@
 	c.cfg.Speeds.ObserveStretch(route.Service, route.Stretch)
 	c.seq++
 	j := newJob(now, c.seq, spec, route, now.Add(limit))
+	if callerTimeout > 0 {
+		j.replyTime = min(replyTime, callerTimeout/10)
+	}
 	c.limitDeadline(j)
 	c.jobs[spec.ID] = j
 	c.observeArrival(now, j)
@@ -457,7 +464,7 @@
 	c.resolveLosses(now)
 	for _, j := range c.jobsByArrival() {
 		switch {
-		case now.After(j.deadline):
+		case now.After(j.answerBy()):
 			c.answer(now, j, errkind.New(errkind.Timeout, "not done after %v%s", now.Sub(j.arrived), j.stopNote()), 0)
 		default:
 			c.recall(now, j)
--- a/internal/decide/coordinator/held_test.go
+++ b/internal/decide/coordinator/held_test.go
@@ -23,9 +23,9 @@
 	require.Len(t, got, 1)
 	assert.Equal(t, want[0].Tasks[0].StartBy, got[0].Tasks[0].StartBy)
 	assert.Equal(t, want[0].Tasks[0].Deadline, got[0].Tasks[0].Deadline)
-	held.Tick(epoch.Add(timeout - time.Millisecond))
+	held.Tick(epoch.Add(timeout - replyTime - time.Millisecond))
 	assert.Empty(t, actionsOf[Answer](held.PopActions()))
-	held.Tick(epoch.Add(timeout + time.Millisecond))
+	held.Tick(epoch.Add(timeout - replyTime + time.Millisecond))
 	require.Len(t, actionsOf[Answer](held.PopActions()), 1)
 }
 
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -89,6 +89,9 @@
 	// deadline is the time by which the job is answered: callerDeadline, until which the
 	// caller waits, or earlier during a planned stop of this host.
 	deadline, callerDeadline time.Time
+	// replyTime is how long before callerDeadline the job is answered at the latest; zero if
+	// the caller named no limit.
+	replyTime time.Duration
 	// objective is how long the job may take from its arrival to be on time.
 	objective time.Duration
 	// criticalPath is the estimated duration of the longest chain of steps.
@@ -178,6 +181,14 @@
 	}
 }
 
+// answerBy returns the time after which the job is answered as not done.
+func (j *job) answerBy() time.Time {
+	if last := j.callerDeadline.Add(-j.replyTime); last.Before(j.deadline) {
+		return last
+	}
+	return j.deadline
+}
+
 func newJob(now time.Time, seq int64, spec fleet.Job, route fleet.Route, deadline time.Time) *job {
 	j := &job{
 		seq: seq, spec: spec, route: route, arrived: now, deadline: deadline, callerDeadline: deadline, taskSet: newTaskSet(spec),
