Take a run that is being stopped for ended only after the time that a stop may take

Operators saw: two runs of one task at once, on workers of two owners, without a lost stream; the first run was stopped by order.

Cause: the pool took a run for gone if a list made after the answer to its stop showed it neither as running nor as ended. The task was returned and started elsewhere, some 25 ms after the order for an unanswered start. The capacity was given away as well (LIMIT). Class: what was not listed is unknown, not gone.

Change: nothing follows from the absence of a stopped run in a list that was asked for less than stop_ms after the answer; a poll after that time decides about runs that never began. The bound comes from the settings (bounds.stop_ms, 50 ms if absent).

Workers of the virtual fleet ended a run at once, so that no history could show it; they take up to 50 ms now, and every second one lists what it stops neither as running nor as ended. On the code before, all eight groups of histories failed with tasks that ran twice and overloaded workers; they pass now.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 		store: platform.NewStore(s.StoreAddress, network.Dial), workers: platform.NewWorkerClient(network.Dial), metrics: newMetrics(),
 		events: make(chan func(time.Time), eventBuffer),
 		core: host.New(host.Config{
-			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, Partitions: s.Partitions, Nonce: rand.Int64(),
+			Name: s.Host, Zone: s.Zone, MaxLease: s.MaxLease, StopTime: s.StopTime, Partitions: s.Partitions, Nonce: rand.Int64(),
 			Ledger: ledgerConfig(s), Policy: policies, RemoteSlowdown: s.RemoteSlowdown,
 		}),
 		appends: newAppendQueue(), entryRemoved: make(chan struct{}, 1),
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -5,6 +5,7 @@
 package host
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -27,6 +28,9 @@
 	Zone string
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
+	// StopTime bounds the time that the stop of a run takes after its answer; zero for the
+	// default.
+	StopTime time.Duration
 	// Partitions is the number of partitions that a zone's group assigns to its
 	// members.
 	Partitions int
@@ -157,6 +161,7 @@
 	cfg.Ledger.Host, cfg.Ledger.Nonce = cfg.Name, cfg.Nonce
 	jobLog := ledger.New(cfg.Ledger)
 	poolConfig := workerpool.DefaultConfig(cfg.MaxLease)
+	poolConfig.StopTime = cmp.Or(cfg.StopTime, poolConfig.StopTime)
 	poolConfig.IsStored = jobLog.Contains
 	poolConfig.IsClassified = jobLog.Classified
 	evacuations := &evacuation.Set{}
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -149,6 +149,7 @@
 				ID: fmt.Sprintf("w-%s-%d", zone, i), Address: fmt.Sprintf("a-%s-%d", zone, i), Zone: zone, Service: "s",
 				Capacity: fleet.Size{MilliCPU: 32000, MemoryMB: 1 << 17},
 			}}
+			sw.hidesStopping = i%2 == 1
 			sw.info.Labels = racks.labels(len(w.workers), zones*workersPerZone)
 			sw.boot(w.now)
 			w.workers = append(w.workers, sw)
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -53,7 +53,7 @@
 	}
 	w.advanceAcknowledged()
 	if !outdated {
-		p.reconcileRuns(now, w, number, l)
+		p.reconcileRuns(now, w, number, sent, l)
 	}
 }
 
@@ -188,8 +188,9 @@
 
 // reconcileRuns compares the worker's list of active runs with the expected
 // ones. A run's absence counts only in answers to polls sent after the last order
-// on it was answered, and only if the list of ended runs is complete.
-func (p *Pool) reconcileRuns(now time.Time, w *worker, number int64, l fleet.PollResponse) {
+// on it was answered, after a stop has had its time, and only if the list of ended
+// runs is complete.
+func (p *Pool) reconcileRuns(now time.Time, w *worker, number int64, sent time.Time, l fleet.PollResponse) {
 	running := l.Running
 	listed := make(map[fleet.RunID]bool, len(running))
 	for _, r := range running {
@@ -197,7 +198,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		id := r.id
-		settled := r.state == runRunning || r.stopAnswered
+		settled := r.state == runRunning || r.stopAnswered && !sent.Before(r.stoppedBy)
 		if listed[id] || !settled || l.Truncated || number <= r.answeredAtPoll {
 			continue
 		}
@@ -381,7 +382,7 @@
 		p.delayStop(now, r)
 		return
 	}
-	r.stopAnswered = true
+	r.stopAnswered, r.stoppedBy = true, now.Add(fleet.WithMaxClockDrift(p.cfg.StopTime))
 	r.answeredAtPoll = p.lastPoll
 	w.missedPolls = 0
 	if w.shortPoll == 0 {
@@ -414,6 +415,9 @@
 			p.stop(now, w, r, StopUnclaimed)
 		case r.state == runStopping && !r.stopInFlight && !r.stopAnswered && now.After(r.nextStop):
 			p.stop(now, w, r, r.stopReason)
+		case r.stopAnswered && !now.Before(r.stoppedBy) && w.shortPoll == 0 && w.shortPollAt.Before(r.stoppedBy):
+			// The worker may never have had the run, which no poll for an end would show.
+			p.poll(now, w)
 		}
 	}
 	p.announceAgain(now, w)
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -41,6 +41,10 @@
 	PollRetryDelay time.Duration
 	// StopRetryDelay is the shortest time between two attempts of a stop.
 	StopRetryDelay time.Duration
+	// StopTime bounds the time for which a run goes on after its stop was answered. Until
+	// then nothing follows from its absence in a list: a worker may list what is being
+	// stopped neither as running nor as ended.
+	StopTime time.Duration
 	// IsStored reports whether this host knows the job as a stored one.
 	IsStored func(job string) bool
 	// IsClassified reports whether IsStored can tell what kind of job a run
@@ -97,10 +101,13 @@
 		LongPollWait:   2 * time.Second,
 		PollRetryDelay: 50 * time.Millisecond,
 		StopRetryDelay: 50 * time.Millisecond,
+		StopTime:       defaultStopTime,
 	}
 }
 
 const (
+	// defaultStopTime is used where the platform names no limit.
+	defaultStopTime = 50 * time.Millisecond
 	// handOffAfter is how long a task waits before it may go to another host with
 	// free capacity: the round trip to that host, which handing off costs.
 	handOffAfter = 8 * time.Millisecond
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -48,8 +48,10 @@
 	// answeredAtPoll is the number of the last poll sent before the start or stop
 	// was answered. The answer to any later poll reflects that order.
 	answeredAtPoll int64
-	// stopAnswered is set once the worker has confirmed the stop.
+	// stopAnswered is set once the worker has confirmed the stop, and stoppedBy is when
+	// the run has ended then at the latest.
 	stopAnswered bool
+	stoppedBy    time.Time
 	stopInFlight bool
 	// neededAt is when the host of the run's job was last known to need it, if no host
 	// does any more; zero if none is known to have needed it.
