Wait for the time of a stop before a run that a next owner does not list counts as over

The job's host started the task again at once.

Change: such a task is orphaned until stop_ms after the inventory, as after other losses of a run.

TestRunMissingFromAnInventoryMayBeStopping failed before, with an offer at once.

--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -24,6 +24,8 @@
 	Zone string
 	// MaxLease bounds how long a run continues that nobody renews.
 	MaxLease time.Duration
+	// StopTime bounds how long a run continues after its stop was answered.
+	StopTime time.Duration
 	// Evacuations holds the evacuated zones; nil means that none ever is. After a
 	// change, Coordinator.EvacuationsChanged must be called.
 	Evacuations *evacuation.Set
@@ -361,6 +363,9 @@
 	delete(c.pendingOffers, name)
 }
 
+// stopTime returns the longest time for which a run that is being stopped goes on.
+func (c *Coordinator) stopTime() time.Duration { return fleet.WithMaxClockDrift(c.cfg.StopTime) }
+
 // orphanTimeout returns how long a run may continue after contact with its owner
 // was lost.
 func (c *Coordinator) orphanTimeout() time.Duration {
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -345,11 +345,11 @@
 			if j.stored {
 				// The run may have ended, been recorded in the log and been removed
 				// from the worker's list.
-				t.state, t.host, t.fence, t.orphanEndsAt = taskOrphaned, "", inv.Fence, now.Add(-takeoverTime)
+				t.state, t.host, t.fence, t.orphanEndsAt = taskOrphaned, "", inv.Fence, now.Add(c.stopTime()-takeoverTime)
 				continue
 			}
-			c.addOrphanLoss(now, j, t)
-			t.state, t.host, t.lastEndedRun = taskIdle, "", t.lastRun
+			// The former owner may have stopped the run a moment ago.
+			t.state, t.host, t.fence, t.orphanEndsAt = taskOrphaned, "", inv.Fence, now.Add(c.stopTime())
 		}
 		if lost {
 			c.review(now, j)
--- a/internal/decide/coordinator/inventory_test.go
+++ b/internal/decide/coordinator/inventory_test.go
@@ -33,3 +33,31 @@
 	c.Tick(later)
 	assert.Len(t, actionsOf[Offer](c.PopActions()), 1, "nobody has the task")
 }
+
+// Guards against two runs of one task at once: the next owner of a worker does not see a run
+// that the former one has ordered to stop and that has not ended yet.
+func TestRunMissingFromAnInventoryMayBeStopping(t *testing.T) {
+	const stopTime = 50 * time.Millisecond
+	for _, bestEffort := range []bool{true, false} {
+		c := coordinatorWithHosts(32)
+		c.cfg.StopTime = stopTime
+		job := jobOf(1, 60*time.Millisecond)
+		job.BestEffort = bestEffort
+		if bestEffort {
+			c.Submit(epoch, job, testRoute, time.Second)
+		} else {
+			c.SubmitStored(epoch, ledger.Drive{Job: job, Route: testRoute, FirstRun: 1})
+		}
+		offers := actionsOf[Offer](c.PopActions())
+		require.Len(t, offers, 1)
+		c.HandleOutcome(epoch, offers[0].Host, outcome(0, offer.Started, "w", 1))
+		c.HandleInventory(epoch, "h3", offer.Inventory{Worker: "w", Fence: 8})
+		c.SetLogReadTime(epoch.Add(stopTime))
+		c.Tick(epoch.Add(stopTime))
+		require.Empty(t, actionsOf[Offer](c.PopActions()), "the run may still be stopping")
+		later := epoch.Add(stopTime + 10*time.Millisecond)
+		c.SetLogReadTime(later)
+		c.Tick(later)
+		require.Len(t, actionsOf[Offer](c.PopActions()), 1)
+	}
+}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -177,7 +177,7 @@
 	poolConfig.RemoteSlowdown = cfg.remoteSlowdown()
 	poolConfig.Sharing = cfg.Policy.SharedCapacity.Enabled()
 	coordination := coordinator.New(coordinator.Config{
-		Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown(),
+		Self: cfg.Name, Zone: cfg.Zone, MaxLease: cfg.MaxLease, StopTime: poolConfig.StopTime, Evacuations: evacuations, RemoteSlowdown: cfg.remoteSlowdown(),
 		Sharing: cfg.Policy.SharedCapacity.Enabled(),
 		Speeds:  speeds, Flow: poolConfig.Flow,
 	})
