Start nothing on an adopted worker while stops of its former owner may go on

Change: an adopted worker starts nothing for stop_ms after its first list.

TestAdoptedWorkerStartsNothingWhileStopsOfItsFormerOwnerEnd failed before.

--- a/internal/decide/workerpool/cost_test.go
+++ b/internal/decide/workerpool/cost_test.go
@@ -32,6 +32,7 @@
 		poll := a.(Poll)
 		p.PollAnswered(epoch, poll.Worker.ID, poll.Number, fleet.PollResponse{Clock: time.Minute, StartTime: 1})
 	}
+	settle(p)
 	now := epoch.Add(time.Millisecond)
 	if limited {
 		for range 16 {
--- a/internal/decide/workerpool/evacuation_test.go
+++ b/internal/decide/workerpool/evacuation_test.go
@@ -23,6 +23,7 @@
 	for _, poll := range actionsOf[Poll](p.PopActions(epoch)) {
 		p.PollAnswered(epoch, poll.Worker.ID, poll.Number, idleResponse())
 	}
+	settle(p)
 	return p
 }
 
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -79,7 +79,7 @@
 // ends of stored jobs' runs to be recorded and announces all runs found, so that
 // the hosts of their jobs can claim them.
 func (p *Pool) handleFirstPoll(now time.Time, w *worker, l fleet.PollResponse) {
-	w.adopting = false
+	w.adopting, w.settledAt = false, now.Add(fleet.WithMaxClockDrift(p.cfg.StopTime))
 	w.latestLeaseEnd, w.leaseUnknown = l.Clock+p.cfg.MaxLease, true
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
--- a/internal/decide/workerpool/exclusive_test.go
+++ b/internal/decide/workerpool/exclusive_test.go
@@ -20,6 +20,7 @@
 			p.PollAnswered(epoch, id, poll.Number, idleResponse())
 		}
 	}
+	settle(p)
 	return p
 }
 
--- a/internal/decide/workerpool/flow_test.go
+++ b/internal/decide/workerpool/flow_test.go
@@ -23,6 +23,7 @@
 	for _, a := range p.PopActions(epoch) {
 		p.PollAnswered(epoch, "w000", a.(Poll).Number, fleet.PollResponse{Clock: time.Minute, StartTime: 1})
 	}
+	settle(p)
 	now := epoch.Add(time.Millisecond)
 	for range 16 {
 		cfg.Flow.Answered(now, 100*time.Millisecond)
--- a/internal/decide/workerpool/near_test.go
+++ b/internal/decide/workerpool/near_test.go
@@ -27,6 +27,7 @@
 	for _, poll := range actionsOf[Poll](p.PopActions(epoch)) {
 		p.PollAnswered(epoch, poll.Worker.ID, poll.Number, idleResponse())
 	}
+	settle(p)
 	p.Offer(epoch, rackTask(1, epoch, "r"))
 	starts := actionsOf[Start](p.PopActions(epoch))
 	require.Len(t, starts, 1)
--- a/internal/decide/workerpool/pool_test.go
+++ b/internal/decide/workerpool/pool_test.go
@@ -52,9 +52,17 @@
 	require.Len(t, polls, 1)
 	require.Zero(t, polls[0].LeaseUntil, "the first poll renews no lease")
 	p.PollAnswered(epoch, "w", polls[0].Number, l)
+	settle(p)
 	return p
 }
 
+// settle ends the time in which runs may go on that former owners have ordered to stop.
+func settle(p *Pool) {
+	for _, w := range p.workers {
+		w.settledAt = time.Time{}
+	}
+}
+
 func idleResponse() fleet.PollResponse { return fleet.PollResponse{Clock: time.Minute, StartTime: 1} }
 
 func runningList(ids ...fleet.RunID) []fleet.RunProgress {
@@ -188,6 +196,22 @@
 	assert.True(t, outcomes[0].Outcome.MayHaveRun)
 }
 
+// Guards against too much on a worker that has changed its owner: what the former owner has
+// ordered to stop may go on, although the worker no longer lists it.
+func TestAdoptedWorkerStartsNothingWhileStopsOfItsFormerOwnerEnd(t *testing.T) {
+	p := NewPool(DefaultConfig(testLease))
+	p.Adopt(epoch, testWorker("w", 32), 7)
+	p.PollAnswered(epoch, "w", actionsOf[Poll](p.PopActions(epoch))[0].Number, idleResponse())
+	p.Offer(epoch, testTask(1, 0, 14, epoch))
+	for _, at := range []time.Duration{0, defaultStopTime} {
+		p.Tick(epoch.Add(at))
+		require.Empty(t, actionsOf[Start](p.PopActions(epoch.Add(at))))
+	}
+	settled := epoch.Add(fleet.WithMaxClockDrift(defaultStopTime))
+	p.Tick(settled)
+	require.Len(t, actionsOf[Start](p.PopActions(settled)), 1)
+}
+
 // Guards against two runs of one task at once: a run that is being stopped, and that its
 // worker lists neither as running nor as ended, was taken for ended.
 func TestRunThatIsBeingStoppedGoesOnUntilItsEndIsListed(t *testing.T) {
--- a/internal/decide/workerpool/sim_test.go
+++ b/internal/decide/workerpool/sim_test.go
@@ -87,6 +87,7 @@
 		pool.Adopt(s.now, w.info, 7)
 	}
 	s.after(simTick, s.tick)
+	s.after(3*simDelay, func() { settle(pool) })
 	s.pump()
 	return s
 }
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -107,6 +107,9 @@
 	used  fleet.Size
 	// adopting is set until the first poll is answered.
 	adopting bool
+	// settledAt is when what a former owner has ordered to stop has ended, at the latest.
+	// Such a run may not be listed any more.
+	settledAt time.Time
 	// nextAnnouncement is when the runs are announced again, while some wait to be
 	// claimed and until announceUntil.
 	nextAnnouncement, announceUntil time.Time
@@ -230,7 +233,7 @@
 
 // usable reports whether the worker may start tasks now.
 func (w *worker) usable(now time.Time) bool {
-	return !w.evacuated && !w.adopting && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
+	return !w.evacuated && !w.adopting && !now.Before(w.settledAt) && len(w.unclaimed) == 0 && !w.info.Draining && w.registered() &&
 		w.missedPolls == 0 && len(w.staleAckPolls) == 0 && !w.health.onProbation(now) && !w.awaitsLeaseExpiry(now)
 }
 
