--- a/internal/decide/workerpool/sim_test.go
+++ b/internal/decide/workerpool/sim_test.go
@@ -87,7 +87,6 @@
 		pool.Adopt(s.now, w.info, 7)
 	}
 	s.after(simTick, s.tick)
-	s.after(3*simDelay, func() { settle(pool) })
 	s.pump()
 	return s
 }
@@ -155,7 +154,11 @@
 		w.waiting = 0
 	}
 	l := s.listing(w)
-	s.after(simDelay, func() { s.pool.PollAnswered(s.now, w.info.ID, number, l) })
+	s.after(simDelay, func() {
+		s.pool.PollAnswered(s.now, w.info.ID, number, l)
+		// No worker has had an owner before.
+		settle(s.pool)
+	})
 }
 
 // pump executes the pool's actions until there are none.
