Conclude from a poll that has waited only what a poll at once confirms

Cause: the next owner of a worker stops a run that nobody has claimed. The former owner's poll, which has waited since before the take-over, is answered by that, with a list that lacks another run which is being stopped as well. It takes that run for gone and returns its task 4 ms before the run ends. The same class as: what was not listed is unknown.

Change: if the poll had waited, the worker is asked again at once; it refuses a former owner.

TestRunMissingFromACompleteListIsReturned expected the task back at the answer of the waiting poll; it expects it, and no sooner, at the answer of the second one. To wait for stop_ms instead was tried: it delays the return of tasks.

--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -53,7 +53,7 @@
 	}
 	w.advanceAcknowledged()
 	if !outdated {
-		p.reconcileRuns(now, w, number, sent, l)
+		p.reconcileRuns(now, w, listing{PollResponse: l, poll: number, sentAt: sent, waited: !short})
 	}
 }
 
@@ -186,24 +186,43 @@
 	}
 }
 
+// listing is the answer to a poll.
+type listing struct {
+	fleet.PollResponse
+	poll   int64
+	sentAt time.Time
+	// waited is set if the poll waited for an end. Another owner may have taken the worker
+	// over meanwhile and may be stopping runs, which are then not listed.
+	waited bool
+}
+
 // reconcileRuns compares the worker's list of active runs with the expected
 // ones. A run's absence counts only in answers to polls sent after the last order
 // on it was answered, after a stop has had its time, and only if the list of ended
-// runs is complete.
-func (p *Pool) reconcileRuns(now time.Time, w *worker, number int64, sent time.Time, l fleet.PollResponse) {
+// runs is complete. If the poll waited, the worker is asked again, which it refuses if it
+// has another owner.
+func (p *Pool) reconcileRuns(now time.Time, w *worker, l listing) {
 	running := l.Running
 	listed := make(map[fleet.RunID]bool, len(running))
 	for _, r := range running {
 		listed[r.RunID] = true
 	}
+	askAgain := false
 	for _, r := range w.sortedRuns() {
 		id := r.id
-		settled := r.state == runRunning || r.stopAnswered && !sent.Before(r.stoppedBy)
-		if listed[id] || !settled || l.Truncated || number <= r.answeredAtPoll {
+		settled := r.state == runRunning || r.stopAnswered && !l.sentAt.Before(r.stoppedBy)
+		if listed[id] || !settled || l.Truncated || l.poll <= r.answeredAtPoll {
+			continue
+		}
+		if l.waited && !r.stopAnswered {
+			askAgain = true
 			continue
 		}
 		p.endWithoutResult(w, r, "not listed")
 	}
+	if askAgain && w.shortPoll == 0 {
+		p.poll(now, w)
+	}
 	for _, progress := range running {
 		id := progress.RunID
 		if known := w.runs[id]; known != nil {
--- a/internal/decide/workerpool/truncated_test.go
+++ b/internal/decide/workerpool/truncated_test.go
@@ -61,12 +61,20 @@
 	assert.Equal(t, []offer.Result{offer.Done}, resultsOf(p, now))
 }
 
-// A run that is missing from both lists of a complete answer is gone.
+// A run that is missing from both lists of a complete answer is gone, if the poll did not wait:
+// during a wait the next owner may have taken the worker over, and may be stopping the run.
+// Guards against two runs of one task at once.
 func TestRunMissingFromACompleteListIsReturned(t *testing.T) {
 	p := newAdoptedPool(t, 32, idleResponse())
 	runsOf(t, p)
 	now := epoch.Add(10 * time.Millisecond)
 	answerPoll(t, p, now, fleet.PollResponse{})
+	actions := p.PopActions(now)
+	assert.Empty(t, actionsOf[SendOutcome](actions))
+	polls := actionsOf[Poll](actions)
+	require.NotEmpty(t, polls)
+	require.Zero(t, polls[0].Wait, "the worker is asked again")
+	p.PollAnswered(now, "w", polls[0].Number, fleet.PollResponse{Clock: time.Minute + now.Sub(epoch), StartTime: 1})
 	assert.Equal(t, []offer.Result{offer.Returned, offer.Returned}, resultsOf(p, now))
 }
 
