--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -464,7 +464,7 @@
 	c.resolveLosses(now)
 	for _, j := range c.jobsByArrival() {
 		switch {
-		case now.After(j.answerBy()):
+		case now.After(j.answerDeadline()):
 			c.answer(now, j, errkind.New(errkind.Timeout, "not done after %v%s", now.Sub(j.arrived), j.stopNote()), 0)
 		default:
 			c.recall(now, j)
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// answerBy returns the time after which the job is answered as not done.
-func (j *job) answerBy() time.Time {
+// answerDeadline returns the time after which the job is answered as not done.
+func (j *job) answerDeadline() time.Time {
 	if last := j.callerDeadline.Add(-j.replyTime); last.Before(j.deadline) {
 		return last
 	}
--- a/internal/decide/workerpool/presence.go
+++ b/internal/decide/workerpool/presence.go
@@ -65,7 +65,7 @@
 func (p *Pool) neededUntil(now time.Time, r *run) time.Time {
 	switch {
 	case r.stopAnswered:
-		// The run is over, although its end may not have been listed yet.
+		// The stop ends the run, whatever its lease.
 		return now.Add(p.cfg.MaxLease)
 	case r.awaitsRecord():
 		return now
