Read-through: when workers are handed over, and what bounds the last hand-over

Comments only. The comment of drain said "if any of them stays", which was the first form of the rule; the time of the last hand-over lacked its reason. The tests of internal/daemon/dispatch, vet and lint pass.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -464,7 +464,7 @@
 }
 
 // drain prepares a planned stop: the host reports that it is not ready, hands
-// its workers and its queue to other hosts if any of them stays, and serves the requests
+// its workers and its queue over if enough other hosts stay (host.Core), and serves the requests
 // that still arrive until the load balancer has reacted. Afterwards the callers' port
 // finishes the requests in flight; jobs that are not done by then are answered just
 // before it ends.
@@ -482,7 +482,8 @@
 }
 
 // finalHandOver bounds the time in which this host leaves its groups after the callers' port
-// has ended, if it has kept its workers until then.
+// has ended, if it has kept its workers until then. It is a part of stopMargin, which the
+// removal of the host's entry needs as well.
 const finalHandOver = 150 * time.Millisecond
 
 // handOverAtEnd hands the workers and shards over once the callers' port has ended, if no
