Let a repeated SIGTERM change nothing

What callers saw: under planned work only, requests in work whose connection ended without an answer or a refusal (LOST).

Cause: after the first signal the default action of SIGTERM was restored, so that a further one ended the process at once. That was meant for an operator at a terminal, but who sends SIGTERM again need not know of the first: two operators, or a service manager beside a series of restarts.

Change: SIGTERM is caught until the end and logged. SIGINT during a stop still ends the process, as does SIGKILL.

Evidence: TestRepeatedTerminationSignalDoesNotEndThePlannedStop ended with 'signal: terminated' before.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -30,9 +30,9 @@
 	exitInvalid = 2
 )
 
-const usage = `parsleyhilld runs one entry host. SIGTERM or SIGINT starts a planned stop; a
-second signal ends the process at once. SIGHUP reloads the settings with -platform,
-and changes nothing without it.
+const usage = `parsleyhilld runs one entry host. SIGTERM or SIGINT starts a planned stop. A
+further SIGTERM changes nothing, a SIGINT during the stop ends the process at once.
+SIGHUP reloads the settings with -platform, and changes nothing without it.
 
   parsleyhilld -settings entry-1.json
   parsleyhilld -settings entry-1.json -check
@@ -145,13 +145,28 @@
 }
 
 // runUntilSignal runs a daemon until SIGTERM or SIGINT and returns the exit
-// status.
+// status. A further SIGTERM changes nothing: who sends it may not know of the first, and
+// the requests in work would be lost.
 func runUntilSignal(logger *log.Logger, run func(context.Context) error) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	// Restore the default handling, so that a second signal ends the process at
-	// once.
-	context.AfterFunc(ctx, stop)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer close(signals)
+	defer signal.Stop(signals)
+	go func() {
+		first, ok := <-signals
+		if !ok {
+			return
+		}
+		logger.Info("stop signal received", "signal", first)
+		// A further SIGINT ends the process at once.
+		signal.Reset(os.Interrupt)
+		stop()
+		for s := range signals {
+			logger.Warn("stop signal repeated, the planned stop goes on", "signal", s)
+		}
+	}()
 	if err := run(ctx); err != nil {
 		logger.Error("entry host failed", "error", err)
 		return exitFailed
--- a/cmd/parsleyhilld/main_test.go
+++ b/cmd/parsleyhilld/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"os"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleyhill/parsleyhill/internal/settings"
@@ -86,3 +88,23 @@
 	require.True(t, hungUp)
 	require.Equal(t, exitOK, <-status)
 }
+
+// Guards against a repeated SIGTERM that ends an entry host at once, with the requests in
+// work that its planned stop would have answered.
+func TestRepeatedTerminationSignalDoesNotEndThePlannedStop(t *testing.T) {
+	lines, out := io.Pipe()
+	logged := bufio.NewScanner(lines)
+	terminate := func(message string) {
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		require.True(t, logged.Scan())
+		require.Contains(t, logged.Text(), message)
+	}
+	status := runUntilSignal(log.New(out), func(ctx context.Context) error {
+		terminate("stop signal received")
+		<-ctx.Done()
+		terminate("stop signal repeated")
+		terminate("stop signal repeated")
+		return nil
+	})
+	require.Equal(t, exitOK, status)
+}
--- a/internal/soak/plannedstops_test.go
+++ b/internal/soak/plannedstops_test.go
@@ -31,8 +31,10 @@
 	// longest time between two stops of a series.
 	stopSeries = 2
 	maxStopGap = 1500 * time.Millisecond
-	// maxChangeGap is the longest time between two reloads, or two configurations.
+	// maxChangeGap is the longest time between two reloads, or two configurations, and
+	// maxRepeatGap the longest between two SIGTERMs to hosts that may be stopping.
 	maxChangeGap = 2 * time.Second
+	maxRepeatGap = 800 * time.Millisecond
 	// probePeriod is the time between two readiness probes of the load balancer, and
 	// maxMisses the misses in a row after which a host gets no new connections.
 	probePeriod = time.Second
@@ -192,6 +194,7 @@
 		})
 	}
 	series(21, maxChangeGap, func(rng *rand.Rand) { f.reload(f.hosts[rng.IntN(len(f.hosts))]) })
+	series(23, maxRepeatGap, func(rng *rand.Rand) { f.stopAgain(f.hosts[rng.IntN(len(f.hosts))]) })
 	series(22, maxChangeGap, func(*rand.Rand) {
 		f.note("configuration %d", f.version+1)
 		f.configure()
@@ -229,6 +232,18 @@
 	f.away[h] = false
 }
 
+// stopAgain sends SIGTERM to a host that is stopping already, as a service manager or a
+// second operator may.
+func (f *plannedFleet) stopAgain(h *host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ending == nil {
+		return
+	}
+	f.note("stop %s again", h.name)
+	_ = h.ending.Process.Signal(syscall.SIGTERM)
+}
+
 // reload sends SIGHUP to a host. A process that has just been started would be ended by it.
 func (f *plannedFleet) reload(h *host) {
 	f.mu.Lock()
