Acknowledge ends only on connections of the incarnation that numbered them

Cause: a poll names the last end that was read by its number. A worker that starts again numbers its ends anew. A poll that its owner sends before it knows of the restart takes the first ends of the new process away unread; the run then counts as lost. Class: a message to one process is carried out by the next one at the same address.

Change: a connection ends with the process at its other end.

The soak restarted workers while their connections went on to the next process, which none does. They end now, in order or, as with lost power, without a word, and the stand-in carries out no call that its former incarnation has read.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -216,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Wait+a.Timeout)
 	defer cancel()
 	result, listing, err := d.workers.Poll(ctx, a.Worker, platform.PollRequest{
-		Fence: a.Fence, Acknowledged: a.Acknowledged, LeaseUntil: a.LeaseUntil, Wait: a.Wait,
+		Fence: a.Fence, Acknowledged: a.Acknowledged, StartTime: a.StartTime, LeaseUntil: a.LeaseUntil, Wait: a.Wait,
 	})
 	id := a.Worker.ID
 	d.metrics.polls.Inc()
--- a/internal/decide/workerpool/polls.go
+++ b/internal/decide/workerpool/polls.go
@@ -54,7 +54,7 @@
 // sendPoll sends a poll and returns its number.
 func (p *Pool) sendPoll(now time.Time, w *worker, wait, timeout time.Duration) int64 {
 	p.lastPoll++
-	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, Wait: wait, Timeout: timeout}
+	l := Poll{Worker: w.info, Number: p.lastPoll, Fence: w.fence, StartTime: w.startTime, Wait: wait, Timeout: timeout}
 	if !w.interrupted {
 		l.Acknowledged = w.acknowledgedSeq
 	}
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -184,8 +184,9 @@
 	Worker fleet.Worker
 	Number int64
 	Fence  int64
-	// Acknowledged is the number up to which ends are acknowledged.
-	Acknowledged int64
+	// Acknowledged is the number up to which ends are acknowledged, and StartTime identifies
+	// the incarnation of the worker that numbered them.
+	Acknowledged, StartTime int64
 	// LeaseUntil renews the leases of all runs, on the worker's clock; zero
 	// renews nothing.
 	LeaseUntil time.Duration
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -37,12 +37,33 @@
 	case 8:
 		return "store down", func() { f.store.SetDown(true) }, func() { f.store.SetDown(false) }
 	case 9:
-		return "restart " + w.id, func() { w.standin.Restart(); f.register(w) }, nothing
+		return "restart " + w.id, func() { f.restartWorker(w, h == f.hosts[0]) }, nothing
 	default:
 		return "failing " + w.id, func() { w.standin.SetFailing(true) }, func() { w.standin.SetFailing(false) }
 	}
 }
 
+// restartWorker ends a worker's process and starts the next one at once. Its connections
+// end with it, in order or, if it loses power, without a word.
+func (f *fleet) restartWorker(w *worker, losesPower bool) {
+	if losesPower {
+		w.proxy.loseProcess()
+		w.standin.Restart()
+		f.register(w)
+		return
+	}
+	if !w.away.CompareAndSwap(false, true) {
+		return
+	}
+	w.proxy.endProcess()
+	w.standin.Restart()
+	if err := w.proxy.startProcess(); err != nil {
+		f.ledger.locked(func() { f.ledger.fail("worker %s does not start again: %v", w.id, err) })
+	}
+	f.register(w)
+	w.away.Store(false)
+}
+
 // freeze suspends or resumes a host's process.
 func (f *fleet) freeze(h *host, frozen bool) {
 	h.markDisrupted()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -192,6 +192,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	if w, ok := handler.(*taskworker.Worker); ok {
+		server.ConnContext = w.ConnContext
+	}
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -43,14 +43,15 @@
 	mu       sync.Mutex
 	listener net.Listener
 	mode     mode
-	// conns holds the open connections; accepted ones are true, dialed ones false.
-	conns map[net.Conn]bool
+	// conns holds the open connections; accepted ones are true, dialed ones false. All that
+	// arrives on those in silent is dropped until the client closes them.
+	conns, silent map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, address, target string) *proxy {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
-	p := &proxy{target: target, at: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, at: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	t.Cleanup(func() {
 		p.endProcess()
 		p.set(resetting)
@@ -72,6 +73,27 @@
 	}
 }
 
+// loseProcess does what the loss of power would do to the process behind the proxy: its
+// connections end there, and its clients do not learn of it. New ones reach the next process.
+func (p *proxy) loseProcess() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, accepted := range p.conns {
+		if accepted {
+			p.silent[c] = true
+		} else {
+			_ = c.Close()
+		}
+	}
+}
+
+// isSilent reports whether the connection is one to a process that was lost.
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // startProcess undoes endProcess.
 func (p *proxy) startProcess() error {
 	listener, err := net.Listen("tcp", p.at)
@@ -139,6 +161,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
+	delete(p.silent, c)
 }
 
 func (p *proxy) accept(listener net.Listener) {
@@ -181,6 +204,9 @@
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			if p.isSilent(to) {
+				return
+			}
 			if m := p.currentMode(); p.keepsEnds && (m == dropAll || m == dropped) {
 				// The connection is reset when the dropping mode ends.
 				return
@@ -188,6 +214,9 @@
 			_ = to.Close()
 			return
 		}
+		if p.isSilent(from) {
+			continue
+		}
 		switch p.currentMode() {
 		case dropAll, dropped:
 			continue
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -4,7 +4,9 @@
 package taskworker
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -174,16 +176,19 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	startTime := w.StartTimeMs()
+	startTime, ok := r.Context().Value(incarnationKey{}).(int64)
+	if !ok {
+		startTime = w.StartTimeMs()
+	}
 	if r.URL.Path == "/-/hold" && req.WaitMs > 0 {
-		w.takeLease(req)
+		w.takeLease(startTime, req)
 		w.waitForEnd(r, req)
 	}
-	if w.StartTimeMs() != startTime {
+	status, body := w.execute(startTime, r.URL.Path, req)
+	if body == nil {
 		// The incarnation that received the call has ended.
 		panic(http.ErrAbortHandler)
 	}
-	status, body := w.execute(r.URL.Path, req)
 	w.mu.Lock()
 	withhold := w.withholdReplies
 	w.mu.Unlock()
@@ -196,6 +201,14 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
+type incarnationKey struct{}
+
+// ConnContext is for http.Server: only the incarnation that has accepted a connection
+// serves the calls that are read from it.
+func (w *Worker) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, incarnationKey{}, w.StartTimeMs())
+}
+
 func (w *Worker) waitForEnd(r *http.Request, req request) {
 	w.mu.Lock()
 	changed, ready := w.changed, len(w.ended) > 0 && w.seq > req.AckSeq
@@ -211,18 +224,26 @@
 }
 
 // takeLease renews the lease for a call that waits for an end, at its arrival.
-func (w *Worker) takeLease(req request) {
+func (w *Worker) takeLease(startTime int64, req request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.startTime.UnixMilli() != startTime {
+		return
+	}
 	clock := int64(float64(time.Since(w.startTime).Milliseconds()) * w.clockRate)
 	if req.Fence >= w.fence && req.UntilMs > clock {
 		w.renew(time.Duration(min(req.UntilMs-clock, 1000)) * time.Millisecond)
 	}
 }
 
-func (w *Worker) execute(path string, req request) (int, map[string]any) {
+// execute executes a call for the incarnation with the given start time. It returns no
+// body if another one is there.
+func (w *Worker) execute(startTime int64, path string, req request) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.startTime.UnixMilli() != startTime {
+		return 0, nil
+	}
 	clock := int64(float64(time.Since(w.startTime).Milliseconds()) * w.clockRate)
 	body := map[string]any{"clock_ms": clock, "born": w.startTime.UnixMilli()}
 	if req.Fence < w.fence {
