Go on when the reader of the log has gone

What callers would see: all requests in work of a host end without an answer when who reads its log goes away, for instance a log collector that is restarted as planned (LOST). Nobody has reported it; it was found by looking for other signals that end the process.

Cause: a write to standard output or standard error whose reader has gone raises SIGPIPE, whose default action ends the process.

Change: SIGPIPE is ignored; such a write fails, and its lines are lost.

Evidence: TestEntryHostOutlivesTheReaderOfItsLog ended with 'signal: broken pipe' before.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -148,6 +148,8 @@
 // status. A further SIGTERM changes nothing: who sends it may not know of the first, and
 // the requests in work would be lost.
 func runUntilSignal(logger *log.Logger, run func(context.Context) error) int {
+	// Otherwise the process ends when who reads its log has gone.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	signals := make(chan os.Signal, 1)
--- a/cmd/parsleyhilld/main_test.go
+++ b/cmd/parsleyhilld/main_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -62,17 +63,21 @@
 	}
 }
 
-// Guards against SIGHUP that ends an entry host at once, with all its requests.
-func TestHangupDoesNotEndTheEntryHost(t *testing.T) {
+// minimalSettings returns the settings of an entry host that reaches nothing.
+func minimalSettings() settings.Settings {
 	const anyPort, nowhere = "127.0.0.1:0", "http://127.0.0.1:1"
-	settings := settings.Settings{
+	return settings.Settings{
 		Host: "entry-1", Region: "nairobi", Zone: "karen", Listen: settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
 		Platform: settings.Platform{Log: nowhere, HostList: nowhere}, Stop: settings.Stop{DrainMs: 1, GraceMs: 1},
 	}.WithDefaults()
+}
+
+// Guards against SIGHUP that ends an entry host at once, with all its requests.
+func TestHangupDoesNotEndTheEntryHost(t *testing.T) {
 	lines, errOut := io.Pipe()
 	status := make(chan int, 1)
 	go func() {
-		status <- serve(settings, errOut)
+		status <- serve(minimalSettings(), errOut)
 		_ = errOut.Close()
 	}()
 	hungUp := false
@@ -89,6 +94,30 @@
 	require.Equal(t, exitOK, <-status)
 }
 
+// logsToPipeEnv makes the test binary run an entry host that logs to its standard error.
+const logsToPipeEnv = "PARSLEYHILLD_TEST_LOGS_TO_PIPE"
+
+// Guards against an entry host that ends, with all its requests, when who reads its log has
+// gone, for instance because a log collector is restarted.
+func TestEntryHostOutlivesTheReaderOfItsLog(t *testing.T) {
+	if os.Getenv(logsToPipeEnv) != "" {
+		os.Exit(serve(minimalSettings(), os.Stderr))
+	}
+	host := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	host.Env = append(os.Environ(), logsToPipeEnv+"=1")
+	lines, err := host.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, host.Start())
+	scanner := bufio.NewScanner(lines)
+	for scanner.Scan() && !strings.Contains(scanner.Text(), "entry host starts") {
+	}
+	require.NoError(t, scanner.Err())
+	require.NoError(t, lines.Close())
+	// The stop is logged.
+	require.NoError(t, host.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, host.Wait())
+}
+
 // Guards against a repeated SIGTERM that ends an entry host at once, with the requests in
 // work that its planned stop would have answered.
 func TestRepeatedTerminationSignalDoesNotEndThePlannedStop(t *testing.T) {
