Drop lines that are logged after the log was closed

A signal that arrives while the process ends was logged after the log had been closed, which is a panic ('send on closed channel') and ends a planned stop with exit status 2.

Change: the writer ends by its own channel; lines that come later are dropped. The watch for signals ends before the log does.

Evidence: TestLineAfterCloseIsDropped panicked before.

--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -154,9 +154,14 @@
 	defer stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer close(signals)
-	defer signal.Stop(signals)
+	watched := make(chan struct{})
+	defer func() {
+		signal.Stop(signals)
+		close(signals)
+		<-watched
+	}()
 	go func() {
+		defer close(watched)
 		first, ok := <-signals
 		if !ok {
 			return
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -22,12 +22,12 @@
 
 // AsyncWriter writes lines in the background, so that logging never blocks. If
 // its buffer is full, a line is dropped and counted. It is safe for concurrent
-// use until Close.
+// use.
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	// closing is closed by Close, done once all lines are written.
+	// closing is closed by Close, done once the lines written before are out.
 	closing chan struct{}
 	done    chan struct{}
 	close   sync.Once
@@ -42,7 +42,7 @@
 }
 
 // Write implements io.Writer. Each call must pass one line; the error is always
-// nil.
+// nil. A line that is written after Close is dropped.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -55,21 +55,32 @@
 // Dropped returns the number of lines dropped since the last report.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the buffered lines and waits until they are written. Write must
-// not be called after Close.
+// Close writes the buffered lines and waits until they are written.
 func (w *AsyncWriter) Close() error {
-	w.close.Do(func() {
-		close(w.closing)
-		close(w.lines)
-	})
+	w.close.Do(func() { close(w.closing) })
 	<-w.done
 	return nil
 }
 
+// next returns the next line, or false once the writer is closed and no line is left.
+func (w *AsyncWriter) next() ([]byte, bool) {
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.closing:
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	var reported time.Time
-	for line := range w.lines {
+	for line, ok := w.next(); ok; line, ok = w.next() {
 		batch := w.collectBatch(line)
 		// A failed write to the log itself cannot be reported anywhere.
 		_, _ = w.out.Write(batch)
@@ -94,10 +105,7 @@
 	batch := first
 	for len(batch) < maxBatchBytes {
 		select {
-		case line, ok := <-w.lines:
-			if !ok {
-				return batch
-			}
+		case line := <-w.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -38,3 +38,18 @@
 		assert.Equal(t, lines, strings.Count(strings.Join(out.all, ""), "\n"))
 	})
 }
+
+// Guards against a process that ends by a panic because something is logged while it ends,
+// such as a signal.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out writes
+		w := NewAsyncWriter(&out, 4)
+		_, _ = fmt.Fprintln(w, "before")
+		require.NoError(t, w.Close())
+		_, err := fmt.Fprintln(w, "after")
+		require.NoError(t, err)
+		require.NoError(t, w.Close())
+		assert.Equal(t, []string{"before\n"}, out.all)
+	})
+}
