End although the reader of the log has stopped reading

A host whose log nobody reads any more stopped as planned and then waited for its last lines to be written, until it was killed: without a service manager for good.

Change: the last lines have 100 ms.

Evidence: TestCloseDoesNotWaitForAStuckReader did not end before.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -18,6 +18,8 @@
 	// dropReportInterval is the minimum time between two reports of dropped
 	// lines.
 	dropReportInterval = time.Second
+	// closeTimeout bounds the time in which the last lines are written.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // AsyncWriter writes lines in the background, so that logging never blocks. If
@@ -55,10 +57,14 @@
 // Dropped returns the number of lines dropped since the last report.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the buffered lines and waits until they are written.
+// Close writes the buffered lines. It waits until they are written, but no longer than
+// closeTimeout: the reader of the log may have stopped reading.
 func (w *AsyncWriter) Close() error {
 	w.close.Do(func() { close(w.closing) })
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 	return nil
 }
 
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -53,3 +53,16 @@
 		assert.Equal(t, []string{"before\n"}, out.all)
 	})
 }
+
+// stuckWriter never returns from a write.
+type stuckWriter struct{}
+
+func (stuckWriter) Write([]byte) (int, error) { select {} }
+
+// Guards against a host that has stopped as planned and whose process does not end, since
+// the reader of its log has stopped reading.
+func TestCloseDoesNotWaitForAStuckReader(t *testing.T) {
+	w := NewAsyncWriter(stuckWriter{}, 4)
+	_, _ = fmt.Fprintln(w, "line")
+	require.NoError(t, w.Close())
+}
