Record the handover of the shards before the last host ends

What callers saw: jobs that were accepted have nothing running for some 4 s after all hosts were stopped as planned and have started again.

Cause: without a host that stays, a stopping host keeps its shards to its end. It then left the groups of its workers and that of the shards at once, and ended as soon as it had left them, 13 ms later. No handover was recorded, and the next drivers waited for a lost one.

Change: the shards are handed over first, while the workers' owners are known, and the host waits up to 0.1 s until the log has the handover. Tasks that do not settle within 40 ms are listed as unsettled.

--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -481,19 +481,24 @@
 	d.logger.Info("callers' port closes", "connections_waiting", waiting, "connections_receiving", receiving, "connections_serving", serving)
 }
 
-// finalHandOver bounds the time in which this host leaves its groups after the callers' port
-// has ended, if it has kept its workers until then. It is a part of stopMargin, which the
-// removal of the host's entry needs as well.
-const finalHandOver = 150 * time.Millisecond
+const (
+	// finalHandOver bounds the time in which this host hands its shards over and leaves its
+	// groups after the callers' port has ended, if it has kept its workers until then. It is
+	// a part of stopMargin, which the removal of the host's entry needs as well.
+	finalHandOver = 150 * time.Millisecond
+	// finalShardHandOver is the part of finalHandOver for the shards.
+	finalShardHandOver = 100 * time.Millisecond
+)
 
-// handOverAtEnd hands the workers and shards over once the callers' port has ended, if no
+// handOverAtEnd hands the shards and workers over once the callers' port has ended, if no
 // other host could take them before. Hosts that stop later, or have just started, may be
 // there now.
 func (d *Dispatcher) handOverAtEnd(ctx context.Context) error {
 	<-ctx.Done()
-	d.post(func(time.Time) { d.core.HandOver() })
 	timer := time.NewTimer(finalHandOver)
 	defer timer.Stop()
+	d.handOverShardsAtEnd()
+	d.post(func(time.Time) { d.core.HandOver() })
 	for d.memberships.Load() > 0 {
 		select {
 		case <-d.left:
@@ -505,6 +510,19 @@
 	return ctx.Err()
 }
 
+// handOverShardsAtEnd hands the shards over and waits until that is recorded: the next
+// drivers, which may not have started yet, would otherwise wait for a lost one.
+func (d *Dispatcher) handOverShardsAtEnd() {
+	d.post(func(now time.Time) { d.core.HandOverShards(now) })
+	recorded := false
+	for end := time.Now().Add(finalShardHandOver); time.Now().Before(end); time.Sleep(tickInterval / 2) {
+		if d.postAndWait(func(time.Time) { recorded = !d.core.Ledger.HandsOver() }); recorded {
+			return
+		}
+	}
+	d.logger.Warn("shards not handed over before the end")
+}
+
 // followHandOver makes the memberships end once this host hands over what it owns by them.
 func (d *Dispatcher) followHandOver() {
 	shards, workers := d.core.HandsOver()
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -233,6 +233,17 @@
 	c.Pool.ReturnQueue("planned stop")
 }
 
+// shardSettleTime is how long a host that ends soon waits for the tasks that it has offered
+// before it records the handover of their shards: the way to their hosts and back.
+const shardSettleTime = 40 * time.Millisecond
+
+// HandOverShards hands the shards over although no other host stays. It comes before
+// HandOver: the owners of the runs that go on are known while the workers are owned.
+func (c *Core) HandOverShards(now time.Time) {
+	c.givesUpShards = true
+	c.Ledger.LeaveBy(now, now.Add(shardSettleTime))
+}
+
 // HandsOver reports whether this host hands its shards and its workers over, so that its
 // memberships in their groups have to end.
 func (c *Core) HandsOver() (shards, workers bool) { return c.givesUpShards, c.leaving }
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -15,6 +15,8 @@
 const (
 	// drainTime is how long a host works on after a planned stop began.
 	drainTime = 2200 * time.Millisecond
+	// shardHandOverTime is how long it goes on at most to hand its shards over before.
+	shardHandOverTime = 100 * time.Millisecond
 	// handOverTime is how long a host that kept its workers goes on after its memberships
 	// have ended.
 	handOverTime = 40 * time.Millisecond
@@ -35,9 +37,13 @@
 		h.core.Leave(w.now, w.now.Add(portTime))
 		w.endMemberships(h)
 		w.after(drainTime, w.on(h, func() {
-			h.core.HandOver()
+			h.core.HandOverShards(w.now)
 			w.endMemberships(h)
-			w.after(handOverTime, w.on(h, func() { w.kill(h, 300*time.Millisecond) }))
+			w.after(w.between(0, shardHandOverTime), w.on(h, func() {
+				h.core.HandOver()
+				w.endMemberships(h)
+				w.after(handOverTime, w.on(h, func() { w.kill(h, 300*time.Millisecond) }))
+			}))
 		}))
 	})()
 }
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -117,14 +117,26 @@
 }
 
 // Leave begins the handover of all shards of this host, for a planned stop.
-func (l *Ledger) Leave(now time.Time) {
+func (l *Ledger) Leave(now time.Time) { l.LeaveBy(now, now.Add(l.cfg.MemberTTL)) }
+
+// LeaveBy is Leave for a host that ends soon: the handovers are recorded by the given time
+// even if some tasks are unsettled.
+func (l *Ledger) LeaveBy(now, settleBy time.Time) {
 	for n, s := range l.shards {
 		if s.assigned {
 			l.leaveShard(now, n, l.confirmed, "planned stop")
 		}
+		if s.outgoing != nil && settleBy.Before(s.outgoing.settleBy) {
+			s.outgoing.settleBy = settleBy
+		}
 	}
 }
 
+// HandsOver reports whether the handover of a shard is not in the log yet.
+func (l *Ledger) HandsOver() bool {
+	return slices.ContainsFunc(l.shards, func(s *shard) bool { return s.outgoing != nil })
+}
+
 // leaveShard ends this host's assignment to a shard. If it drives the shard, it hands
 // the shard over; confirmed is when the assignment was confirmed last.
 func (l *Ledger) leaveShard(now time.Time, n int, confirmed time.Time, why string) {
