--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -106,6 +106,8 @@
 	// start holds jobs and records the steps while the host starts. It is nil if
 	// fast_recovery is off, and once the start is over.
 	start *start
+	// shardsRecorded, if set, is closed once the handovers of all shards are in the job log.
+	shardsRecorded chan struct{}
 
 	// membershipWakeups holds, by seat, the channel that triggers an immediate
 	// join or leave of the zone's group.
@@ -513,18 +515,25 @@
 // handOverShardsAtEnd hands the shards over and waits until that is recorded: the next
 // drivers, which may not have started yet, would otherwise wait for a lost one.
 func (d *Dispatcher) handOverShardsAtEnd() {
-	d.post(func(now time.Time) { d.core.HandOverShards(now) })
-	recorded := false
-	for end := time.Now().Add(finalShardHandOver); time.Now().Before(end); time.Sleep(tickInterval / 2) {
-		if d.postAndWait(func(time.Time) { recorded = !d.core.Ledger.HandsOver() }); recorded {
-			return
-		}
+	recorded := make(chan struct{})
+	d.post(func(now time.Time) {
+		d.core.HandOverShards(now)
+		d.shardsRecorded = recorded
+	})
+	select {
+	case <-recorded:
+	case <-time.After(finalShardHandOver):
+		d.logger.Warn("shards not handed over before the end")
 	}
-	d.logger.Warn("shards not handed over before the end")
 }
 
-// followHandOver makes the memberships end once this host hands over what it owns by them.
+// followHandOver makes the memberships end once this host hands over what it owns by them,
+// and tells handOverShardsAtEnd when the shards are handed over.
 func (d *Dispatcher) followHandOver() {
+	if d.shardsRecorded != nil && !d.core.Ledger.HandsOver() {
+		close(d.shardsRecorded)
+		d.shardsRecorded = nil
+	}
 	shards, workers := d.core.HandsOver()
 	if shards && !d.givesUpShards.Swap(true) {
 		wake(d.shardWakeup)
