--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -134,7 +134,7 @@
 
 // HandsOver reports whether the handover of a shard is not in the log yet.
 func (l *Ledger) HandsOver() bool {
-	return slices.ContainsFunc(l.shards, func(s *shard) bool { return s.outgoing != nil || !s.relayBy.IsZero() })
+	return slices.ContainsFunc(l.shards, func(s *shard) bool { return s.outgoing != nil || !s.passOnBy.IsZero() })
 }
 
 // leaveShard ends this host's assignment to a shard. If it drives the shard, it hands
@@ -146,8 +146,8 @@
 	switch {
 	case s.outgoing != nil:
 		return
-	case !s.driving && l.mayRelay(now, s) && now.Before(endBy):
-		s.relayBy = endBy
+	case !s.driving && l.mayPassOn(now, s) && now.Before(endBy):
+		s.passOnBy = endBy
 		return
 	case !s.driving:
 		l.leaveUndriven(now, n)
@@ -162,19 +162,19 @@
 	l.emit(Pause{Jobs: l.drivenJobs(n)})
 }
 
-// mayRelay reports whether a shard that this host has taken over a moment ago, but does not
+// mayPassOn reports whether a shard that this host has taken over a moment ago, but does not
 // drive, is being handed over to it: a driver that leaves in order hands over within the
 // time to live of its membership.
-func (l *Ledger) mayRelay(now time.Time, s *shard) bool {
+func (l *Ledger) mayPassOn(now time.Time, s *shard) bool {
 	return s.ownTakeover > 0 && len(l.jobs) > 0 && now.Sub(s.assignedAt) < l.cfg.MemberTTL
 }
 
-// relayHandovers records the handovers of the shards that this host has given up before it
+// passHandoversOn records the handovers of the shards that this host has given up before it
 // has driven them, as its own, once it is certain that they were handed over to it. The next
 // driver would otherwise wait for the one before.
-func (l *Ledger) relayHandovers() {
+func (l *Ledger) passHandoversOn() {
 	for n, s := range l.shards {
-		if s.relayBy.IsZero() || s.handover.wait > 0 || !l.holdsHandover(s) {
+		if s.passOnBy.IsZero() || s.handover.wait > 0 || !l.holdsHandover(s) {
 			continue
 		}
 		var entries []Entry
@@ -189,14 +189,14 @@
 	}
 }
 
-// expireRelays gives up the shards that cannot be passed on.
-func (l *Ledger) expireRelays(now time.Time) {
+// expirePassedOn gives up the shards that cannot be passed on.
+func (l *Ledger) expirePassedOn(now time.Time) {
 	for n, s := range l.shards {
-		if s.relayBy.IsZero() {
+		if s.passOnBy.IsZero() {
 			continue
 		}
 		waits := s.handover.wait > 0 && s.handover.takeovers == s.ownTakeover-1
-		if waits || !now.Before(s.relayBy) {
+		if waits || !now.Before(s.passOnBy) {
 			l.leaveUndriven(now, n)
 			l.releaseShard(n, "not handed over in time")
 		}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -168,9 +168,9 @@
 	// outgoing is set while this host hands the shard over. Meanwhile it goes on
 	// driving the shard's jobs, without offering tasks.
 	outgoing *outgoing
-	// relayBy is set while this host, which has given the shard up before it has driven it,
+	// passOnBy is set while this host, which has given the shard up before it has driven it,
 	// passes the handover of the former driver on: by when it has to.
-	relayBy time.Time
+	passOnBy time.Time
 	// handover is the last handover that was read, by any host, takers the processes that
 	// took the shard over last, and takenAt when this host's own takeover was read.
 	handover handover
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -27,9 +27,9 @@
 		case assigned[n] && !s.assigned:
 			// A shard that is being handed over is taken over like any other afterwards.
 			s.assigned, s.assignedAt = true, now
-			if !s.relayBy.IsZero() && s.takeovers <= s.ownTakeover {
+			if !s.passOnBy.IsZero() && s.takeovers <= s.ownTakeover {
 				// No other host has taken the shard over since.
-				s.relayBy = time.Time{}
+				s.passOnBy = time.Time{}
 			} else if s.outgoing == nil {
 				s.reset()
 			}
@@ -64,7 +64,7 @@
 func (l *Ledger) Tick(now time.Time) {
 	l.Expire(now)
 	l.expireHandovers(now)
-	l.expireRelays(now)
+	l.expirePassedOn(now)
 	l.closeEnded()
 	l.pruneRetained(now)
 }
@@ -96,7 +96,7 @@
 // takeover is in the log, and either the previous driver has handed the shard over, or
 // its runs are over and their ends have been read.
 func (l *Ledger) takeOverShards() {
-	l.relayHandovers()
+	l.passHandoversOn()
 	for n, s := range l.shards {
 		if !s.assigned || s.driving || !l.asOf.After(s.assignedAt) {
 			continue
