--- a/cmd/parsleyhilld/main.go
+++ b/cmd/parsleyhilld/main.go
@@ -145,10 +145,10 @@
 }
 
 // runUntilSignal runs a daemon until SIGTERM or SIGINT and returns the exit
-// status. A further SIGTERM changes nothing: who sends it may not know of the first, and
-// the requests in work would be lost.
+// status. A further SIGTERM changes nothing: its sender may not know of the first, and a
+// process that ended at once would lose the requests in work.
 func runUntilSignal(logger *log.Logger, run func(context.Context) error) int {
-	// Otherwise the process ends when who reads its log has gone.
+	// Otherwise a write to a log whose reader has gone ends the process.
 	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/daemon/dispatch/laststop_test.go
+++ b/internal/daemon/dispatch/laststop_test.go
@@ -110,7 +110,7 @@
 
 // Guards against accepted jobs that have nothing running for seconds after all hosts were
 // stopped as planned and have started again: the last ones ended before the handover of
-// their shards was recorded, or it was lost when a host passed the shard on undriven.
+// their shards was recorded, or it was lost with a host that gave the shard up before it had driven it.
 func TestAcceptedJobsGoOnOnceAllHostsHaveStartedAgain(t *testing.T) {
 	synctest.Test(t, stopAndStartAll)
 }
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// expirePassedOn gives up the shards that cannot be passed on.
-func (l *Ledger) expirePassedOn(now time.Time) {
+// expirePassingOn gives up the shards that cannot be passed on.
+func (l *Ledger) expirePassingOn(now time.Time) {
 	for n, s := range l.shards {
 		if s.passOnBy.IsZero() {
 			continue
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -169,7 +169,7 @@
 	// driving the shard's jobs, without offering tasks.
 	outgoing *outgoing
 	// passOnBy is set while this host, which has given the shard up before it has driven it,
-	// passes the handover of the former driver on: by when it has to.
+	// waits to pass the handover of the former driver on; it does not wait longer than that.
 	passOnBy time.Time
 	// handover is the last handover that was read, by any host, takers the processes that
 	// took the shard over last, and takenAt when this host's own takeover was read.
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -64,7 +64,7 @@
 func (l *Ledger) Tick(now time.Time) {
 	l.Expire(now)
 	l.expireHandovers(now)
-	l.expirePassedOn(now)
+	l.expirePassingOn(now)
 	l.closeEnded()
 	l.pruneRetained(now)
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -53,6 +53,9 @@
 		return
 	}
 	if !w.away.CompareAndSwap(false, true) {
+		// It has crashed, and has no connections.
+		w.standin.Restart()
+		f.register(w)
 		return
 	}
 	w.proxy.endProcess()
