--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 [ -x target/rig2 ] && [ -x target/parsleyhilld ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 117 target/rig2 failed "$folder" review/8/record.txt "$@"
+timeout -k 2 117 target/rig2 handover "$folder" review/8/record.txt "$@"
 status=$?
 [ $status -le 2 ] || status=2
 exit $status
--- a/review/rig2/scenarios.go
+++ b/review/rig2/scenarios.go
@@ -119,10 +119,10 @@
 // reassigns the partitions of its groups there and back. It reassigns them once more when all is
 // calm. Jobs are stored ones.
 func playHandover(ctx context.Context, w *world) error {
-	if err := w.build(ctx, layout{hosts: []int{2, 2, 2}, minionsPerZone: 6, cpu: 32000, maxAttempts: 4, timeoutMs: 1500}); err != nil {
+	if err := w.build(ctx, layout{hosts: []int{3, 3, 3}, minionsPerZone: 6, cpu: 32000, maxAttempts: 4, timeoutMs: 1500}); err != nil {
 		return err
 	}
-	traffic, cancel := context.WithTimeout(ctx, 80*time.Second)
+	traffic, cancel := context.WithTimeout(ctx, 90*time.Second)
 	defer cancel()
 	var sent sync.WaitGroup
 	spec := jobSpec{Counts: []int{2}, CPU: 4000, Ms: 900, EstMs: 900, Limit: 1500 * time.Millisecond, Attempts: 8, MaxAttempts: 4}
@@ -133,16 +133,19 @@
 	}
 	for w.trouble && traffic.Err() == nil && len(w.check.brokenRules()) == 0 {
 		w.record("store loses answers")
-		calm := time.Now().Add(4500 * time.Millisecond)
-		go w.allStores(4500*time.Millisecond, w.hosts, func(f *storeFault) { f.share, f.lateShare = 0.35, 1 })
-		for time.Now().Before(calm) {
-			time.Sleep(w.between(400*time.Millisecond, 800*time.Millisecond))
+		var calm sync.WaitGroup
+		calm.Go(func() {
+			w.allStores(2200*time.Millisecond, w.hosts, func(f *storeFault) { f.share, f.lateShare = 0.35, 1 })
+			w.record("store loses no more answers")
+		})
+		for _, pause := range []time.Duration{50, 600, 450} {
+			time.Sleep(w.between(pause, pause+250) * time.Millisecond)
 			reassign()
 		}
-		w.record("store loses no more answers")
-		time.Sleep(4 * time.Second)
+		calm.Wait()
+		time.Sleep(2800 * time.Millisecond)
 		reassign()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
 	}
 	if w.trouble {
 		cancel()
