--- a/review/rig2/host.go
+++ b/review/rig2/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -29,6 +30,9 @@
 	settings       string
 	log            *os.File
 
+	// restarting is held while the process is ended and started again.
+	restarting sync.Mutex
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	misses int
@@ -104,12 +108,15 @@
 	cmd.Dir = h.w.root
 	cmd.Env = []string{"PARSLEYHILL_NODE_FILE=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + h.w.dir, "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = h.log, h.log
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.w.closing.Load() {
+		return errors.New("the play ends")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	h.mu.Lock()
 	h.cmd = cmd
-	h.mu.Unlock()
 	return nil
 }
 
@@ -147,6 +154,10 @@
 
 // restart ends the process by a signal and starts it again.
 func (h *entryHost) restart(s syscall.Signal) {
+	if !h.restarting.TryLock() {
+		return
+	}
+	defer h.restarting.Unlock()
 	h.w.record("host %s gets %v", h.name, s)
 	h.end(s)
 	h.w.record("host %s has ended", h.name)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,8 +36,10 @@
 	minions   []*minion
 	hosts     []*entryHost
 	check     *checker
-	http      *http.Client
-	began     time.Time
+	// closing is set once no process is to be started any more.
+	closing atomic.Bool
+	http    *http.Client
+	began   time.Time
 
 	recordMu sync.Mutex
 	out      *os.File
@@ -158,6 +161,7 @@
 }
 
 func (w *world) stopHosts() {
+	w.closing.Store(true)
 	var all sync.WaitGroup
 	for _, h := range w.hosts {
 		all.Go(func() {
--- a/review/rig2/scenarios.go
+++ b/review/rig2/scenarios.go
@@ -13,6 +13,7 @@
 	"fuzz":     playFuzz,
 	"handover": playHandover,
 	"failed":   playFailed,
+	"cuts":     playCuts,
 	"ends":     playEnds,
 }
 
@@ -154,3 +155,24 @@
 	w.finish()
 	return nil
 }
+
+// playCuts cuts zones off from each other with resets, again and again, under best-effort jobs.
+func playCuts(ctx context.Context, w *world) error {
+	if err := w.build(ctx, layout{hosts: []int{3, 3, 3}, minionsPerZone: 16, cpu: 32000, maxAttempts: 4, timeoutMs: 3000}); err != nil {
+		return err
+	}
+	traffic, cancel := context.WithTimeout(ctx, 90*time.Second)
+	defer cancel()
+	var sent sync.WaitGroup
+	long := jobSpec{Counts: []int{2}, CPU: 10000, Ms: 1200, EstMs: 900, BestEffort: true, Limit: 3 * time.Second, Attempts: 3, MaxAttempts: 4}
+	short := jobSpec{Counts: []int{8}, CPU: 8000, Ms: 60, EstMs: 60, BestEffort: true, Limit: 1500 * time.Millisecond, Attempts: 3, MaxAttempts: 4}
+	sent.Go(func() { w.traffic(traffic, &sent, 30, long) })
+	sent.Go(func() { w.traffic(traffic, &sent, 60, short) })
+	for w.trouble && traffic.Err() == nil {
+		time.Sleep(w.between(500*time.Millisecond, 2*time.Second))
+		z := w.intn(len(w.zones))
+		w.cutHosts(w.hosts[3*z:3*z+3], w.between(time.Millisecond, 1500*time.Millisecond), w.float() < 0.3, w.float() < 0.7)
+	}
+	sent.Wait()
+	return nil
+}
