--- a/review/rig2/minion.go
+++ b/review/rig2/minion.go
@@ -106,6 +106,9 @@
 func (m *minion) crash() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.down {
+		return
+	}
 	m.down = true
 	for _, r := range m.runs {
 		m.w.check.ended(m, r, "lost")
@@ -120,6 +123,10 @@
 // restart begins a new life under the same id.
 func (m *minion) restart() {
 	m.mu.Lock()
+	if !m.down {
+		m.mu.Unlock()
+		return
+	}
 	m.begin()
 	m.mu.Unlock()
 	m.w.record("minion %s starts again", m.id)
--- a/review/rig2/scenarios.go
+++ b/review/rig2/scenarios.go
@@ -14,6 +14,7 @@
 	"handover": playHandover,
 	"failed":   playFailed,
 	"cuts":     playCuts,
+	"claims":   playClaims,
 	"ends":     playEnds,
 }
 
@@ -176,3 +177,43 @@
 	sent.Wait()
 	return nil
 }
+
+// playClaims begins like playHandover. It then cuts each host off from the others for a moment,
+// one after the other, with resets.
+func playClaims(ctx context.Context, w *world) error {
+	if err := w.build(ctx, layout{hosts: []int{3, 3, 3}, minionsPerZone: 6, cpu: 32000, maxAttempts: 4, timeoutMs: 1500}); err != nil {
+		return err
+	}
+	traffic, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var sent sync.WaitGroup
+	spec := jobSpec{Counts: []int{2}, CPU: 2000, Ms: 1800, EstMs: 1800, Limit: 1500 * time.Millisecond, Attempts: 8, MaxAttempts: 4}
+	sent.Go(func() { w.traffic(traffic, &sent, 25, spec) })
+	time.Sleep(2 * time.Second)
+	if w.trouble {
+		w.record("store loses answers")
+		var calm sync.WaitGroup
+		calm.Go(func() {
+			w.allStores(2200*time.Millisecond, w.hosts, func(f *storeFault) { f.share, f.lateShare = 0.35, 1 })
+			w.record("store loses no more answers")
+		})
+		for _, pause := range []time.Duration{50, 600, 450} {
+			time.Sleep(w.between(pause, pause+250) * time.Millisecond)
+			w.record("store reassigns all partitions")
+			w.store.rebalance(true)
+		}
+		calm.Wait()
+	}
+	time.Sleep(3600 * time.Millisecond)
+	if w.trouble {
+		for _, h := range w.hosts {
+			w.cutHosts([]*entryHost{h}, 100*time.Millisecond, false, true)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	time.Sleep(time.Second)
+	cancel()
+	sent.Wait()
+	w.finish()
+	return nil
+}
