Read all ends of a worker that is taken over before concluding from them

What callers saw: tasks of accepted jobs that run again after their end was acknowledged (TWICE).

Cause: a worker lists 500 ends at a time. Its next owner announced the first page as the whole inventory, so that drivers took the runs on later pages to be over and started their tasks again. The owner then dropped the ends on later pages, since it did not know their runs, but acknowledged them. Class: a part of a list used as the whole. Other places: repeated inventories, claims of runs on later pages, and the ends of runs that were lost with their leases.

Change: an inventory says whether more ends are to be read; nothing is concluded from what it lacks, and the driver waits for orphaned runs that may be on a later page. The end of a run that the owner does not know is recorded before it is acknowledged.

TestNextOwnerReadsAllEnds and TestEndOfALostRunIsRecorded failed before.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -244,7 +244,7 @@
 }
 
 func inventoryToProto(s offer.Inventory) *dispatchv1.Sighting {
-	out := &dispatchv1.Sighting{Worker: s.Worker, Fence: s.Fence}
+	out := &dispatchv1.Sighting{Worker: s.Worker, Fence: s.Fence, MoreEnds: s.MoreEnds}
 	for _, r := range s.Running {
 		out.Running = append(out.Running, runToProto(r, 0))
 	}
@@ -255,7 +255,7 @@
 }
 
 func inventoryFromProto(s *dispatchv1.Sighting) offer.Inventory {
-	out := offer.Inventory{Worker: s.GetWorker(), Fence: s.GetFence()}
+	out := offer.Inventory{Worker: s.GetWorker(), Fence: s.GetFence(), MoreEnds: s.GetMoreEnds()}
 	for _, r := range s.GetRunning() {
 		out.Running = append(out.Running, runFromProto(r))
 	}
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -289,8 +289,8 @@
 
 // HandleInventory processes the inventory that a new owner made of a worker. It
 // claims the listed runs of unfinished tasks and processes the listed ends. Runs
-// of the former owner that are not listed are over: its requests no longer reach
-// the worker.
+// of the former owner that are not listed are over, unless the owner has more ends
+// to read: its requests no longer reach the worker.
 func (c *Coordinator) HandleInventory(now time.Time, from string, inv offer.Inventory) {
 	listed := make(map[fleet.TaskName]bool, len(inv.Running))
 	for _, r := range inv.Running {
@@ -334,6 +334,10 @@
 			t.lastRun = max(t.lastRun, e.Run)
 		}
 	}
+	if inv.MoreEnds {
+		c.awaitEnds(now, inv, listed)
+		return
+	}
 	for _, j := range c.jobsByArrival() {
 		lost := false
 		for _, t := range j.tasks {
@@ -357,6 +361,21 @@
 	}
 }
 
+// awaitEnds prolongs the wait for orphaned runs of stored jobs that may be among the ends of
+// a worker that its new owner has not read yet.
+func (c *Coordinator) awaitEnds(now time.Time, inv offer.Inventory, listed map[fleet.TaskName]bool) {
+	for _, j := range c.jobs {
+		if !j.stored {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.state == taskOrphaned && t.worker == inv.Worker && t.fence < inv.Fence && !listed[t.name] && t.orphanEndsAt.Before(now) {
+				t.orphanEndsAt = now
+			}
+		}
+	}
+}
+
 // claimRun claims a run found on a worker if its task is still needed. A run of a
 // best-effort job is claimed only if it is known to be on that worker: it may otherwise be
 // a run of a former submission of the job, whose runs have the same numbers.
--- a/internal/decide/coordinator/inventory_test.go
+++ b/internal/decide/coordinator/inventory_test.go
@@ -61,3 +61,29 @@
 		require.Len(t, actionsOf[Offer](c.PopActions()), 1)
 	}
 }
+
+// Guards against two runs of one task: the next owner of its worker had not read all ends
+// yet, and the run was among those that were still to come.
+func TestRunMissingFromAPartOfTheEndsIsAwaited(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	job := jobOf(1, 60*time.Millisecond)
+	job.BestEffort = false
+	c.SubmitStored(epoch, ledger.Drive{Job: job, Route: testRoute, FirstRun: 1})
+	owner := actionsOf[Offer](c.PopActions())[0].Host
+	c.HandleOutcome(epoch, owner, outcome(0, offer.Started, "w", 1))
+	c.HandleOutcome(epoch, owner, outcome(0, offer.Orphaned, "w", 1))
+	partial := offer.Inventory{Worker: "w", Fence: 8, MoreEnds: true}
+	now := epoch
+	for range 5 {
+		now = now.Add(time.Second)
+		c.HandleInventory(now, "h3", partial)
+		c.SetLogReadTime(now)
+		c.Tick(now)
+		require.Empty(t, actionsOf[Offer](c.PopActions()), "the run may have ended")
+	}
+	run := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+	c.HandleInventory(now, "h3", offer.Inventory{Worker: "w", Fence: 8, Ended: []fleet.RunEnd{{RunID: run, Seq: 501, Reason: fleet.EndedDone}}})
+	claims := actionsOf[Claim](c.PopActions())
+	require.Len(t, claims, 1)
+	require.Equal(t, run, claims[0].Claim.Run())
+}
--- a/internal/decide/host/worker_test.go
+++ b/internal/decide/host/worker_test.go
@@ -195,6 +195,9 @@
 func (w *simWorker) listing() fleet.PollResponse {
 	w.advance()
 	l := fleet.PollResponse{Clock: w.now(), StartTime: w.info.StartTime, Ended: slices.Clone(w.ended)}
+	if most := w.world.endsPerPoll; most > 0 && len(l.Ended) >= most {
+		l.Ended, l.Truncated = l.Ended[:most], true
+	}
 	for _, id := range w.sortedRuns() {
 		r := w.runs[id]
 		if r.stopping && w.hidesStopping {
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -118,6 +118,8 @@
 	longestIdle time.Duration
 	// stopsLost makes workers receive no stops.
 	stopsLost bool
+	// endsPerPoll bounds the ends in a worker's answer to a poll; zero means no bound.
+	endsPerPoll int
 	// suspected is the job of the first problem of a job, found at suspectedAt.
 	suspected   *simJob
 	suspectedAt time.Time
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -129,6 +129,9 @@
 	Fence   int64
 	Running []fleet.RunID
 	Ended   []fleet.RunEnd
+	// MoreEnds is set if the worker has, or may have, ends that the new owner has not read
+	// yet. Nothing follows then from what the inventory lacks.
+	MoreEnds bool
 }
 
 // Claim reports that a run found on a worker, in progress or ended, is the current
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -49,6 +49,8 @@
 	case running:
 		p.claimAgain(r, c.Task)
 	case p.confirmEnd(now, w, id, c.Task):
+	case w.moreEnds:
+		p.returnClaim(c.Task, id.Run, "the worker's ends are not all read yet", p.cfg.MaxLease)
 	case !p.endedUnclaimed[id].IsZero():
 		delete(p.endedUnclaimed, id)
 		p.sendOutcome(c.Task, w, id.Run, offer.Returned, "run was stopped before the claim")
@@ -82,7 +84,7 @@
 // announceAgain announces the runs of a worker again while runs of stored jobs wait there
 // to be claimed, and after such runs were stopped, so that their drivers learn it.
 func (p *Pool) announceAgain(now time.Time, w *worker) {
-	if now.Before(w.nextAnnouncement) || !w.awaitsDriver(now) && !now.Before(w.announceUntil) {
+	if now.Before(w.nextAnnouncement) || !w.moreEnds && !w.awaitsDriver(now) && !now.Before(w.announceUntil) {
 		return
 	}
 	w.nextAnnouncement = now.Add(announceInterval)
@@ -91,7 +93,7 @@
 
 // inventory lists the runs on the worker and the ends that are not acknowledged.
 func (w *worker) inventory() offer.Inventory {
-	inventory := offer.Inventory{Worker: w.info.ID, Fence: w.fence, Ended: w.heldEnds()}
+	inventory := offer.Inventory{Worker: w.info.ID, Fence: w.fence, Ended: w.heldEnds(), MoreEnds: w.moreEnds}
 	for _, r := range w.sortedRuns() {
 		inventory.Running = append(inventory.Running, r.id)
 	}
@@ -102,7 +104,7 @@
 // from now on: it has not received the announcements before.
 func (p *Pool) HostReached(host string) {
 	for _, w := range p.order {
-		if len(w.unclaimed) > 0 {
+		if len(w.unclaimed) > 0 || w.moreEnds {
 			p.emit(AnnounceInventory{Inventory: w.inventory(), Host: host})
 		}
 	}
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
@@ -45,12 +46,19 @@
 		p.handleFirstPoll(now, w, l)
 		return
 	}
+	var found []fleet.RunEnd
 	for _, e := range l.Ended {
-		if e.Seq > w.seenSeq {
-			w.seenSeq = e.Seq
+		if e.Seq <= w.seenSeq {
+			continue
+		}
+		w.seenSeq = e.Seq
+		if w.runs[e.RunID] == nil {
+			found = append(found, e)
+		} else {
 			p.handleEnd(now, w, e)
 		}
 	}
+	p.endsFound(now, w, found, l.Truncated)
 	w.advanceAcknowledged()
 	if !outdated {
 		p.reconcileRuns(now, w, listing{PollResponse: l, poll: number, sentAt: sent, waited: !short})
@@ -83,19 +91,46 @@
 	w.latestLeaseEnd, w.leaseUnknown = l.Clock+p.cfg.MaxLease, true
 	for _, e := range l.Ended {
 		w.seenSeq = max(w.seenSeq, e.Seq)
-		w.holdFoundEnd(now, e)
 	}
-	p.classifyFoundEnds(w)
-	w.advanceAcknowledged()
-	if len(l.Running) == 0 && len(l.Ended) == 0 {
-		return
-	}
-	inventory := offer.Inventory{Worker: w.info.ID, Fence: w.fence, Ended: l.Ended}
 	for _, r := range l.Running {
 		p.addFoundRun(now, w, r.RunID)
-		inventory.Running = append(inventory.Running, r.RunID)
 	}
+	w.moreEnds = l.Truncated
+	if l.Truncated {
+		p.emit(LogEvent{Message: "more ends to read", Worker: w.info.ID, Why: fmt.Sprintf("%d ends listed", len(l.Ended))})
+	}
+	p.holdFoundEnds(now, w, l.Ended)
+	if len(l.Running) > 0 || len(l.Ended) > 0 {
+		p.announce(now, w, l.Ended)
+	}
+}
+
+// endsFound handles the ends in a later answer of runs that this host does not know: those of
+// former owners' runs, until a complete list was read, and those of runs that were lost with
+// their leases. The jobs' hosts learn of them as if the first answer had listed them.
+func (p *Pool) endsFound(now time.Time, w *worker, ends []fleet.RunEnd, truncated bool) {
+	p.holdFoundEnds(now, w, ends)
+	complete := w.moreEnds && !truncated
+	if !truncated {
+		w.moreEnds, w.lapsed = false, false
+	}
+	if complete {
+		p.emit(LogEvent{Message: "all ends read", Worker: w.info.ID, Why: fmt.Sprintf("up to number %d", w.seenSeq)})
+	}
+	if complete || len(ends) > 0 {
+		p.announce(now, w, ends)
+	}
+}
+
+// announce announces the runs on a worker, and ends that were found there.
+func (p *Pool) announce(now time.Time, w *worker, found []fleet.RunEnd) {
 	w.nextAnnouncement = now.Add(announceInterval)
+	inventory := w.inventory()
+	for _, e := range found {
+		if !slices.ContainsFunc(inventory.Ended, func(o fleet.RunEnd) bool { return o.Seq == e.Seq }) {
+			inventory.Ended = append(inventory.Ended, e)
+		}
+	}
 	p.emit(AnnounceInventory{Inventory: inventory})
 }
 
@@ -111,12 +146,9 @@
 	return r
 }
 
-// handleEnd handles one end that the worker lists.
+// handleEnd handles the end of a run that this host knows.
 func (p *Pool) handleEnd(now time.Time, w *worker, e fleet.RunEnd) {
-	r, ok := w.runs[e.RunID]
-	if !ok {
-		return
-	}
+	r := w.runs[e.RunID]
 	if e.Reason != fleet.EndedDone && e.Reason != fleet.EndedFailed {
 		if r.task == nil {
 			p.endedWithoutClaim(now, w, r)
--- a/internal/decide/workerpool/loss.go
+++ b/internal/decide/workerpool/loss.go
@@ -96,6 +96,7 @@
 // their leases for their drivers; it renews no lease of another run that is not claimed.
 func (p *Pool) leasesExpired(now time.Time, w *worker) {
 	const why = "lease expired"
+	w.lapsed = true
 	if p.cfg.Held == nil {
 		p.loseRuns(now, w, why, quarantine.Unknown, anyRun)
 		return
--- a/internal/decide/workerpool/record.go
+++ b/internal/decide/workerpool/record.go
@@ -60,9 +60,10 @@
 
 // recordFoundEnd asks the caller to record an end that was listed when the worker
 // was taken over. Only a done run must not be acknowledged beside a later one.
-func (p *Pool) recordFoundEnd(now time.Time, w *worker, e fleet.RunEnd) {
+func (p *Pool) recordFoundEnd(w *worker, found foundEnd) {
 	p.addUnrecorded(w, &unrecordedEnd{
-		end: e, listedAt: now, confirmed: e.Reason != fleet.EndedDone, confirmBy: now.Add(p.cfg.ClaimTimeout),
+		end: found.end, listedAt: found.listedAt, confirmed: found.end.Reason != fleet.EndedDone,
+		confirmBy: found.listedAt.Add(p.cfg.ClaimTimeout), leaseExpired: found.lapsed,
 	})
 }
 
@@ -80,19 +81,29 @@
 		}
 		delete(w.unclassified, seq)
 		if p.mustRecord(found.end, false) {
-			p.recordFoundEnd(found.listedAt, w, found.end)
+			p.recordFoundEnd(w, found)
 		}
 	}
 	w.advanceAcknowledged()
 }
 
+// holdFoundEnds keeps ends from being acknowledged until it is known whether their jobs are
+// stored ones, and asks for those that are to be recorded.
+func (p *Pool) holdFoundEnds(now time.Time, w *worker, ends []fleet.RunEnd) {
+	for _, e := range ends {
+		w.holdFoundEnd(now, e)
+	}
+	p.classifyFoundEnds(w)
+	w.advanceAcknowledged()
+}
+
 // holdFoundEnd keeps an end from being acknowledged until it is known whether its
 // job is a stored one.
 func (w *worker) holdFoundEnd(now time.Time, e fleet.RunEnd) {
 	if w.unclassified == nil {
 		w.unclassified = map[int64]foundEnd{}
 	}
-	w.unclassified[e.Seq] = foundEnd{end: e, listedAt: now}
+	w.unclassified[e.Seq] = foundEnd{end: e, listedAt: now, lapsed: w.lapsed}
 }
 
 // foundEnd is the end of a run that another owner had started, listed by the
@@ -100,6 +111,8 @@
 type foundEnd struct {
 	end      fleet.RunEnd
 	listedAt time.Time
+	// lapsed is set if the worker's lease has expired since the end.
+	lapsed bool
 }
 
 func (p *Pool) isClassified(f foundEnd) bool {
@@ -124,7 +137,7 @@
 	for seq, found := range w.unclassified {
 		if found.end.RunID == id && task.Stored {
 			delete(w.unclassified, seq)
-			p.recordFoundEnd(found.listedAt, w, found.end)
+			p.recordFoundEnd(w, found)
 		}
 	}
 	for _, u := range w.unrecorded {
--- a/internal/decide/workerpool/truncated_test.go
+++ b/internal/decide/workerpool/truncated_test.go
@@ -84,3 +84,75 @@
 	}
 	return results
 }
+
+// Guards against tasks that run twice after their worker was taken over: it had more ends
+// than one answer lists, and those beyond were taken as gone and acknowledged unrecorded.
+func TestNextOwnerReadsAllEnds(t *testing.T) {
+	cfg := DefaultConfig(testLease)
+	cfg.IsStored = func(string) bool { return true }
+	p := NewPool(cfg)
+	p.Adopt(epoch, testWorker("w", 32), 7)
+	first, second := runID(1, 0, 1), runID(1, 1, 1)
+	now := epoch
+	read := func(l fleet.PollResponse) []Action {
+		now = now.Add(10 * time.Millisecond)
+		answerPoll(t, p, now, l)
+		return p.PopActions(now)
+	}
+
+	polls := actionsOf[Poll](p.PopActions(now))
+	require.Len(t, polls, 1)
+	p.PollAnswered(now, "w", polls[0].Number, fleet.PollResponse{
+		Clock: time.Minute, StartTime: 1, Truncated: true, Ended: []fleet.RunEnd{{RunID: first, Seq: 1, Reason: fleet.EndedDone}},
+	})
+	actions := p.PopActions(now)
+	announced := actionsOf[AnnounceInventory](actions)
+	require.Len(t, announced, 1)
+	assert.True(t, announced[0].Inventory.MoreEnds)
+	records := actionsOf[RecordEnd](actions)
+	require.Len(t, records, 1)
+
+	_, claim := claimOf(true)
+	claim.Task.Name = second.Task
+	p.Claimed(now, claim)
+	answers := outcomes(p, now)
+	require.Len(t, answers, 1)
+	assert.Equal(t, testLease, answers[0].MaxRemaining, "the run may be among the ends that are not listed")
+
+	claim.Task.Name = first.Task
+	p.Claimed(now, claim)
+	p.EndRecorded(now, records[0])
+	actions = read(fleet.PollResponse{Ended: []fleet.RunEnd{{RunID: second, Seq: 2, Reason: fleet.EndedDone}}})
+	announced = actionsOf[AnnounceInventory](actions)
+	require.Len(t, announced, 1)
+	assert.False(t, announced[0].Inventory.MoreEnds)
+	require.Len(t, announced[0].Inventory.Ended, 1)
+	assert.Equal(t, second, announced[0].Inventory.Ended[0].RunID)
+	records = actionsOf[RecordEnd](actions)
+	require.Len(t, records, 1)
+	assert.Equal(t, second, records[0].End.RunID)
+	assert.Equal(t, int64(1), p.workers["w"].acknowledgedSeq, "the second end is not recorded yet")
+}
+
+// Guards against an end that is acknowledged unrecorded: the run had ended on a worker that
+// did not answer for longer than its lease, and its owner had counted it as lost.
+func TestEndOfALostRunIsRecorded(t *testing.T) {
+	p := newAdoptedPool(t, 32, idleResponse())
+	runs := runsOf(t, p)
+	p.Tick(epoch)
+	polls := actionsOf[Poll](p.PopActions(epoch))
+	require.NotEmpty(t, polls)
+	p.PollFailed(epoch, "w", polls[0].Number, fleet.CallTimedOut)
+	lost := p.workers["w"].leaseExpiry().Add(time.Millisecond)
+	p.Tick(lost)
+	require.Empty(t, p.workers["w"].runs)
+	p.PopActions(lost)
+	now := lost.Add(time.Second)
+	p.workers["w"].shortPoll = 0
+	answerPoll(t, p, now, fleet.PollResponse{Ended: []fleet.RunEnd{{RunID: runs[0], Seq: 1, Reason: fleet.EndedDone}}})
+	records := actionsOf[RecordEnd](p.PopActions(now))
+	require.Len(t, records, 1)
+	assert.Zero(t, p.workers["w"].acknowledgedSeq)
+	p.EndRecorded(now, records[0])
+	assert.Equal(t, int64(1), p.workers["w"].acknowledgedSeq, "an acknowledgement confirms nothing after the lease")
+}
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -105,8 +105,12 @@
 	fence int64
 	runs  map[fleet.RunID]*run
 	used  fleet.Size
-	// adopting is set until the first poll is answered.
-	adopting bool
+	// adopting is set until the first poll is answered, and moreEnds from then until a
+	// complete list of ends was read: those of former owners' runs may still follow.
+	adopting, moreEnds bool
+	// lapsed is set from the end of the leases of lost runs until a complete list of ends
+	// was read: some of those runs may have ended before.
+	lapsed bool
 	// settledAt is when what a former owner has ordered to stop has ended, at the latest.
 	// Such a run may not be listed any more.
 	settledAt time.Time
@@ -186,7 +190,7 @@
 // resetEndNumbers forgets the end numbers of a former incarnation, because
 // acknowledging them would acknowledge other ends of the new one.
 func (w *worker) resetEndNumbers(leaseEnd time.Duration) {
-	w.seenSeq, w.acknowledgedSeq, w.latestLeaseEnd = 0, 0, leaseEnd
+	w.seenSeq, w.acknowledgedSeq, w.latestLeaseEnd, w.moreEnds, w.lapsed = 0, 0, leaseEnd, false, false
 	w.staleAckPolls = maps.Clone(w.lostPolls)
 	for _, l := range []longPoll{w.longPoll, w.hedgePoll} {
 		if l.number != 0 {
