--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -90,7 +90,7 @@
 			d.logger.Info("job cancelled at another host", "job", a.Job)
 		}
 	case ledger.RunsHandedOver:
-		d.logger.Info("shard handover read", "by", a.Host, "runs", len(a.Runs))
+		d.logger.Info("shard handover read", "by", a.Host, "runs", len(a.Runs), "shard", a.Shard, "number", a.Takeovers, "wait", a.RemainingWait)
 		wake(d.shardWakeup)
 	case host.Append:
 		d.queueAppend(a, nil)
--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -81,11 +81,11 @@
 // takeover only.
 func TestHandoverIsRecorded(t *testing.T) {
 	handed := ledger.HandedOver{
-		Shard: 3, Takeovers: 2, Host: "h", Nonce: -5, Part: 1, Parts: 2, RemainingWait: time.Second,
+		Shard: 3, Takeovers: 2, Generation: 8, Host: "h", Nonce: -5, Part: 1, Parts: 2, RemainingWait: time.Second,
 		Running:   []ledger.HandedRun{{RunID: fleet.RunID{Task: lostTask, Run: 4}, Owner: "o", Worker: "w", Fence: 1 << 52, Exclusive: true}},
 		Unsettled: []fleet.TaskName{lostTask},
 	}
-	taken := ledger.TakenOver{Shard: 3, Takeovers: 2, Host: "h/1", Nonce: 1 << 62}
+	taken := ledger.TakenOver{Shard: 3, Takeovers: 2, Generation: 8, Host: "h/1", Nonce: 1 << 62}
 	for _, e := range []ledger.Entry{handed, taken} {
 		records, err := encodeEntry(e)
 		require.NoError(t, err)
@@ -93,7 +93,18 @@
 		require.NoError(t, err)
 		assert.Equal(t, e, entry)
 	}
-	records, err := encodeEntry(taken)
+	other := handed
+	other.Host = "i"
+	records, err := encodeEntry(handed)
+	require.NoError(t, err)
+	others, err := encodeEntry(other)
+	require.NoError(t, err)
+	assert.NotEqual(t, records[0].Key, others[0].Key, "a record of one host does not replace another's")
+	adopted, err := encodeEntry(ledger.HandoverAdopted{Shard: 3, Host: "h", Parts: 2})
+	require.NoError(t, err)
+	require.Len(t, adopted, 2)
+	assert.Equal(t, platform.KeyedRecord{Key: records[0].Key}, adopted[1])
+	records, err = encodeEntry(taken)
 	require.NoError(t, err)
 	require.Len(t, records, 2)
 	entry, err := decodeRecord(records[1])
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -42,9 +42,10 @@
 // takerRecord tells which process has taken over a shard. An older version writes only
 // the record of the number of takeovers.
 type takerRecord struct {
-	Takeovers int    `json:"takeovers"`
-	Host      string `json:"host"`
-	Nonce     int64  `json:"nonce"`
+	Takeovers  int    `json:"takeovers"`
+	Host       string `json:"host"`
+	Nonce      int64  `json:"nonce"`
+	Generation int64  `json:"generation,omitempty"`
 }
 
 // presentValue is the value of a record whose key carries all the information.
@@ -99,13 +100,19 @@
 		if err != nil {
 			return nil, fmt.Errorf("encode handover of shard %d: %w", e.Shard, err)
 		}
-		return []platform.KeyedRecord{{Key: key(keyHandover, strconv.Itoa(e.Shard), strconv.Itoa(e.Part)), Value: value}}, nil
+		return []platform.KeyedRecord{{Key: handoverKey(e.Shard, e.Host, e.Part), Value: value}}, nil
+	case ledger.HandoverAdopted:
+		var records []platform.KeyedRecord
+		for part := range e.Parts {
+			records = append(records, platform.KeyedRecord{Key: handoverKey(e.Shard, e.Host, part)})
+		}
+		return records, nil
 	}
 	return nil, fmt.Errorf("unknown job log entry type %T", entry)
 }
 
 func encodeTakenOver(e ledger.TakenOver) ([]platform.KeyedRecord, error) {
-	taker, err := json.Marshal(takerRecord{e.Takeovers, e.Host, e.Nonce})
+	taker, err := json.Marshal(takerRecord{e.Takeovers, e.Host, e.Nonce, e.Generation})
 	if err != nil {
 		return nil, fmt.Errorf("encode takeover of shard %d: %w", e.Shard, err)
 	}
@@ -118,6 +125,12 @@
 
 func key(parts ...string) string { return strings.Join(parts, "/") }
 
+// handoverKey returns the key of a part of a host's handover. Those of other hosts have other
+// keys, so that a late record of one does not replace another's.
+func handoverKey(shard int, host string, part int) string {
+	return key(keyHandover, strconv.Itoa(shard), host, strconv.Itoa(part))
+}
+
 func runKey(kind string, r fleet.RunID) string {
 	return key(kind, r.Task.Job, strconv.Itoa(r.Task.Step), strconv.Itoa(r.Task.Index), strconv.Itoa(r.Run))
 }
@@ -218,7 +231,7 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return nil, fmt.Errorf("record %q: %w", name, err)
 	}
-	return ledger.TakenOver{Shard: shard, Takeovers: v.Takeovers, Host: v.Host, Nonce: v.Nonce}, nil
+	return ledger.TakenOver{Shard: shard, Takeovers: v.Takeovers, Host: v.Host, Nonce: v.Nonce, Generation: v.Generation}, nil
 }
 
 func decodeRunEnded(name, rest string, value []byte) (ledger.Entry, error) {
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -432,7 +432,7 @@
 // stored jobs, once the job log has been read and until it hands them over.
 func (d *Dispatcher) runShardMembership(ctx context.Context) error {
 	m := &membership{group: jobsGroup, member: d.self.Name, onAssigned: func(now, sent time.Time, r platform.Membership) {
-		d.core.Ledger.Assigned(now, sent, r.Partitions)
+		d.core.Ledger.Assigned(now, sent, r.Generation, r.Partitions)
 	}, onLeave: d.core.Ledger.Leave, givenUp: &d.givesUpShards}
 	return d.maintainMembership(ctx, m, d.shardWakeup, func() bool { return d.logRead.Load() && !d.givesUpShards.Load() })
 }
--- a/internal/decide/host/evacuation_test.go
+++ b/internal/decide/host/evacuation_test.go
@@ -238,12 +238,16 @@
 		return answers
 	}
 	w.load(20, 300*time.Millisecond)
-	w.run(300 * time.Millisecond)
-	runs := 0
-	for _, sw := range w.workers {
-		runs += len(sw.runs)
+	running := func() (runs int) {
+		for _, sw := range w.workers {
+			runs += len(sw.runs)
+		}
+		return runs
+	}
+	for i := 0; i < 30 && (i < 20 || running() == 0); i++ {
+		w.run(10 * time.Millisecond)
 	}
-	require.Positive(t, runs)
+	require.Positive(t, running(), "the zones are evacuated under runs in progress")
 	w.operate("z0", true)
 	w.operate("z1", true)
 	w.run(4 * time.Second)
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -59,7 +59,7 @@
 		if shards, _ := h.core.HandsOver(); !shards && !h.storeUnreachable {
 			generation, parts := w.log.group.join(w.now, h.name, h.shardGeneration)
 			h.shardGeneration = generation
-			h.core.Ledger.Assigned(w.now, w.now, parts)
+			h.core.Ledger.Assigned(w.now, w.now, generation, parts)
 		}
 		w.after(joinInterval, func() { w.joinShardGroup(h) })
 	})()
--- a/internal/decide/host/memory_test.go
+++ b/internal/decide/host/memory_test.go
@@ -45,13 +45,14 @@
 	c.Ledger = ledger.New(ledger.Config{Host: "host-0", Nonce: 1, Shards: 1, MemberTTL: time.Hour, TakeoverDelay: time.Second, Retention: time.Minute})
 	c.Ledger.LogRead(now)
 	if drives {
-		c.Ledger.Assigned(now, now, []int{0})
+		c.Ledger.Assigned(now, now, 1, []int{0})
 		c.Ledger.LogRead(now.Add(time.Millisecond))
 		for _, a := range c.Reconcile(now) {
 			if a, ok := a.(Append); ok {
 				c.Appended(now, a)
 			}
 		}
+		c.Ledger.LogRead(now.Add(2 * time.Millisecond))
 	}
 	blocker := waitingJob(true, fleet.Step{Count: costOwnWorkers})
 	blocker.ID = "00000000000000b1"
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -85,6 +85,10 @@
 	// an older version.
 	Host  string
 	Nonce int64
+	// Generation is that of the store's group in which the shard is the host's; it orders the
+	// takeovers also where the store carries their appends out late. It is zero in an entry
+	// of an older version.
+	Generation int64
 }
 
 func (Accepted) entry()  {}
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -37,6 +39,8 @@
 	// it has driven it states how long it would still have waited for the runs of an
 	// earlier driver.
 	RemainingWait time.Duration
+	// Generation is that of the takeover; zero in an entry of an older version.
+	Generation int64 `json:",omitempty"`
 }
 
 func (HandedOver) entry() {}
@@ -54,6 +58,15 @@
 	Exclusive bool
 }
 
+// HandoverAdopted removes the record of a handover from the log: the next driver has it.
+type HandoverAdopted struct {
+	Shard int
+	Host  string
+	Parts int
+}
+
+func (HandoverAdopted) entry() {}
+
 // Pause asks the host to offer no further tasks of jobs that it is to hand over, and to
 // take back those that have not started.
 type Pause struct{ Jobs []string }
@@ -70,6 +83,9 @@
 type RunsHandedOver struct {
 	Host string
 	Runs []fleet.RunID
+	// Shard, Takeovers and RemainingWait are those of the HandedOver entries.
+	Shard, Takeovers int
+	RemainingWait    time.Duration
 }
 
 func (Pause) action()          {}
@@ -85,35 +101,144 @@
 	recorded        bool
 }
 
-// handover is what has been read of the latest handover of a shard.
+// handover is what has been read of the last handover of a process.
 type handover struct {
-	takeovers int
-	host      string
-	nonce     int64
-	parts     map[int]HandedOver
-	complete  bool
+	takeovers  int
+	generation int64
+	parts      map[int]HandedOver
+	complete   bool
 	// readAt is when the last part was read, and wait is HandedOver.RemainingWait.
 	readAt time.Time
 	wait   time.Duration
 }
 
-// takers holds the processes that requested each takeover, by its number, with the names
-// of their hosts. Two processes may request the same number, if neither has read the
-// other's request.
-type takers map[int]map[int64]string
+// taker is a process that has taken a shard over. Takeovers and generation are those of its
+// last takeover that was read.
+type taker struct {
+	host       string
+	nonce      int64
+	takeovers  int
+	generation int64
+	// handover is the last complete handover, and incoming one of which parts are missing.
+	handover, incoming handover
+}
+
+// hasLeft reports whether the process has handed its last takeover over.
+func (t *taker) hasLeft() bool { return t.handover.complete && t.handover.takeovers >= t.takeovers }
+
+// covers reports whether a process that recorded the handover may begin only once a takeover
+// with the given number and generation had ended: it came before its own.
+func (h *handover) covers(takeovers int, generation int64) bool {
+	return takeovers < h.takeovers && generation < h.generation
+}
+
+// taker returns the state of a process.
+func (s *shard) taker(nonce int64, host string) *taker {
+	t := s.takers[nonce]
+	if t == nil {
+		t = &taker{host: host, nonce: nonce}
+		s.takers[nonce] = t
+	}
+	return t
+}
+
+// takenOver applies a takeover. One of a lower number is late: its process has requested
+// another one since.
+func (l *Ledger) takenOver(now time.Time, e TakenOver) {
+	n := e.Shard % len(l.shards)
+	s := l.shards[n]
+	s.takeovers = max(s.takeovers, e.Takeovers)
+	if e.Nonce == 0 {
+		return
+	}
+	if t := s.taker(e.Nonce, e.Host); e.Takeovers > t.takeovers {
+		t.takeovers, t.generation = e.Takeovers, e.Generation
+		l.emit(LogEvent{Message: "shard takeover read", Shard: n, Why: fmt.Sprintf("number %d, generation %d, of %s", e.Takeovers, e.Generation, e.Host)})
+	}
+	if s.takenAt.IsZero() && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
+		s.takenAt = now
+		if s.driving {
+			s.driverTakeover, s.driverGeneration, s.renewBy = s.ownTakeover, s.generation, time.Time{}
+		}
+	}
+}
+
+// lastHandover returns the handover with the highest number before the present assignment,
+// or nil.
+func (s *shard) lastHandover() *handover {
+	var last *handover
+	for _, t := range s.takers {
+		h := &t.handover
+		if !h.complete || h.generation >= s.generation {
+			continue
+		}
+		if last == nil || cmp.Or(cmp.Compare(h.takeovers, last.takeovers), cmp.Compare(h.generation, last.generation)) > 0 {
+			last = h
+		}
+	}
+	return last
+}
+
+// isPreceded reports whether a handover is certainly that of the last process that had the
+// shard before this host: every other one has left or came before it. Late appends may let a
+// process with a lower number come later; then nothing is certain.
+func (l *Ledger) isPreceded(s *shard, h *handover) bool {
+	if s.abandoned || h.generation == 0 || s.unknownTaker || s.takeovers > s.knownTakeovers() {
+		return false
+	}
+	for _, t := range s.takers {
+		own := t.nonce == l.cfg.Nonce
+		switch {
+		case h == &t.handover && t.takeovers < h.takeovers:
+			// Its takeover has not been read.
+			return false
+		case !own && t.generation > s.generation:
+			// It has the shard after this host.
+			continue
+		case t.handover.complete && t.handover.generation > h.generation:
+			return false
+		case own:
+			continue
+		case t.takeovers >= s.ownTakeover:
+			return false
+		case !t.hasLeft() && !h.covers(t.takeovers, t.generation):
+			return false
+		}
+	}
+	return true
+}
+
+// knownTakeovers returns the highest number of a takeover whose process is known.
+func (s *shard) knownTakeovers() int {
+	highest := 0
+	for _, t := range s.takers {
+		highest = max(highest, t.takeovers)
+	}
+	return highest
+}
 
-func (t takers) add(number int, nonce int64, host string) {
-	if t[number] == nil {
-		t[number] = map[int64]string{}
+// isSuperseded reports whether another process has the shard in a later generation.
+func (l *Ledger) isSuperseded(s *shard) bool {
+	for _, t := range s.takers {
+		if t.nonce != l.cfg.Nonce && t.generation > s.generation {
+			return true
+		}
 	}
-	t[number][nonce] = host
-	maps.DeleteFunc(t, func(n int, _ map[int64]string) bool { return n < number-1 })
+	return false
 }
 
-// only reports whether the process alone has requested the takeover.
-func (t takers) only(number int, nonce int64) bool {
-	_, ok := t[number][nonce]
-	return ok && len(t[number]) == 1
+// isRead reports whether this host's last takeover and all that precedes it in the log have
+// been read.
+func (l *Ledger) isRead(s *shard) bool { return !s.takenAt.IsZero() && l.asOf.After(s.takenAt) }
+
+// precedingHandover returns the handover after which this host may drive the shard, or nil
+// if none is certain.
+func (l *Ledger) precedingHandover(s *shard) *handover {
+	h := s.lastHandover()
+	if h == nil || !l.isRead(s) || !l.asOf.After(h.readAt) || !l.isPreceded(s, h) {
+		return nil
+	}
+	return h
 }
 
 // Leave begins the handover of all shards of this host, for a planned stop.
@@ -174,17 +299,23 @@
 // driver would otherwise wait for the one before.
 func (l *Ledger) passHandoversOn() {
 	for n, s := range l.shards {
-		if s.passOnBy.IsZero() || s.handover.wait > 0 || !l.holdsHandover(s) {
+		if s.passOnBy.IsZero() {
+			continue
+		}
+		h := l.precedingHandover(s)
+		if h == nil || h.wait > 0 {
 			continue
 		}
 		var entries []Entry
-		for _, i := range slices.Sorted(maps.Keys(s.handover.parts)) {
-			part := s.handover.parts[i]
-			part.Takeovers, part.Host, part.Nonce = s.ownTakeover, l.cfg.Host, l.cfg.Nonce
+		host := ""
+		for _, i := range slices.Sorted(maps.Keys(h.parts)) {
+			part := h.parts[i]
+			host = part.Host
+			part.Takeovers, part.Generation, part.Host, part.Nonce = s.ownTakeover, s.generation, l.cfg.Host, l.cfg.Nonce
 			entries = append(entries, part)
 		}
 		l.emit(AppendEntries{entries})
-		l.emit(LogEvent{Message: "shard passed on", Shard: n, Why: "handed over by " + s.handover.host})
+		l.emit(LogEvent{Message: "shard passed on", Shard: n, Why: "handed over by " + host})
 		s.reset()
 	}
 }
@@ -195,8 +326,8 @@
 		if s.passOnBy.IsZero() {
 			continue
 		}
-		waits := s.handover.wait > 0 && s.handover.takeovers == s.ownTakeover-1
-		if waits || !now.Before(s.passOnBy) {
+		h := l.precedingHandover(s)
+		if h != nil && h.wait > 0 || !now.Before(s.passOnBy) {
 			l.leaveUndriven(now, n)
 			l.releaseShard(n, "not handed over in time")
 		}
@@ -211,7 +342,8 @@
 		return
 	}
 	l.emit(AppendEntries{[]Entry{HandedOver{
-		Shard: n, Takeovers: s.ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Parts: 1, RemainingWait: max(0, l.waitUntil(s).Sub(now)),
+		Shard: n, Takeovers: s.ownTakeover, Generation: s.generation, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Parts: 1,
+		RemainingWait: max(0, l.waitUntil(s).Sub(now)),
 	}}})
 }
 
@@ -249,9 +381,12 @@
 }
 
 func (l *Ledger) handoverEntries(n int, running []HandedRun, unsettled []fleet.TaskName) []Entry {
+	s := l.shards[n]
 	var parts []HandedOver
 	for len(parts) == 0 || len(running)+len(unsettled) > 0 {
-		part := HandedOver{Shard: n, Takeovers: l.shards[n].ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Part: len(parts)}
+		part := HandedOver{
+			Shard: n, Takeovers: s.driverTakeover, Generation: s.driverGeneration, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Part: len(parts),
+		}
 		part.Running, running = cut(running, maxHandedTasks)
 		part.Unsettled, unsettled = cut(unsettled, maxHandedTasks-len(part.Running))
 		parts = append(parts, part)
@@ -275,23 +410,26 @@
 func (l *Ledger) handedOver(now time.Time, e HandedOver) {
 	n := e.Shard % len(l.shards)
 	s := l.shards[n]
-	h := &s.handover
-	if e.Takeovers < h.takeovers || e.Takeovers == h.takeovers && (h.complete || h.nonce != e.Nonce) {
+	t := s.taker(e.Nonce, e.Host)
+	if e.Takeovers <= t.handover.takeovers || e.Takeovers < t.incoming.takeovers {
 		return
 	}
-	if e.Takeovers > h.takeovers {
-		*h = handover{takeovers: e.Takeovers, host: e.Host, nonce: e.Nonce, parts: map[int]HandedOver{}}
+	h := &t.incoming
+	if e.Takeovers > h.takeovers || h.parts == nil {
+		*h = handover{takeovers: e.Takeovers, generation: e.Generation, parts: map[int]HandedOver{}}
 	}
 	h.parts[e.Part] = e
 	if len(h.parts) < e.Parts {
 		return
 	}
 	h.complete, h.readAt, h.wait = true, now, e.RemainingWait
-	if s.outgoing != nil && s.outgoing.recorded && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
+	t.handover, t.incoming = *h, handover{}
+	s.dropCovered(&t.handover, l.cfg.Nonce)
+	if s.outgoing != nil && s.outgoing.recorded && e.Nonce == l.cfg.Nonce && e.Takeovers == s.driverTakeover {
 		l.finishHandover(n)
 	}
-	runs := RunsHandedOver{Host: e.Host}
-	for _, part := range h.parts {
+	runs := RunsHandedOver{Host: e.Host, Shard: n, Takeovers: e.Takeovers, RemainingWait: e.RemainingWait}
+	for _, part := range t.handover.parts {
 		for _, r := range part.Running {
 			runs.Runs = append(runs.Runs, r.RunID)
 		}
@@ -300,6 +438,25 @@
 	l.emit(runs)
 }
 
+// formerTakeovers is how many takeovers back processes are remembered that came before one that
+// has driven the shard and has handed it over. Their entries may still be read again.
+const formerTakeovers = 100
+
+// dropCovered forgets the processes that came long before a handover, and the runs of those
+// that came before.
+func (s *shard) dropCovered(h *handover, self int64) {
+	if h.wait > 0 {
+		return
+	}
+	maps.DeleteFunc(s.takers, func(nonce int64, t *taker) bool {
+		if !h.covers(max(t.takeovers, t.handover.takeovers), max(t.generation, t.handover.generation)) {
+			return false
+		}
+		t.handover.parts, t.incoming.parts = nil, nil
+		return nonce != self && t.takeovers < h.takeovers-formerTakeovers
+	})
+}
+
 // finishHandover ends the driving of a shard whose handover is in the log.
 func (l *Ledger) finishHandover(n int) {
 	jobs := l.drivenJobs(n)
@@ -320,23 +477,6 @@
 	}
 }
 
-// isHandedToSelf reports whether the previous driver of a shard has handed it over and
-// this host alone has taken it over since. Two drivers that went on with one handover
-// would run its tasks twice, so that each of the two takeovers must have one process, and
-// all that precedes both entries in the log must have been read.
-func (l *Ledger) isHandedToSelf(s *shard) bool {
-	return s.takeovers == s.ownTakeover && l.holdsHandover(s)
-}
-
-// holdsHandover reports whether the previous driver of a shard has handed it over and this
-// host alone has the takeover after that. Others may have taken the shard over later.
-func (l *Ledger) holdsHandover(s *shard) bool {
-	h := &s.handover
-	return h.complete && h.takeovers == s.ownTakeover-1 &&
-		s.takers.only(h.takeovers, h.nonce) && s.takers.only(s.ownTakeover, l.cfg.Nonce) &&
-		l.asOf.After(h.readAt) && !s.takenAt.IsZero() && l.asOf.After(s.takenAt)
-}
-
 // AwaitsLog reports whether the next reads of the log advance a takeover: it has not been
 // requested or not been read yet, or the previous driver has handed over.
 func (l *Ledger) AwaitsLog() bool {
@@ -344,8 +484,10 @@
 		if !s.assigned || s.driving {
 			continue
 		}
-		handed := s.handover.complete && s.handover.takeovers == s.ownTakeover-1 && s.handover.wait == 0
-		if s.takeovers < s.ownTakeover || s.ownTakeover == 0 || handed {
+		if s.ownTakeover == 0 || !l.isRead(s) {
+			return true
+		}
+		if h := s.lastHandover(); h != nil && h.wait == 0 && l.isPreceded(s, h) {
 			return true
 		}
 	}
@@ -355,8 +497,8 @@
 // waitUntil returns when this host, which has taken over a shard, may drive it.
 func (l *Ledger) waitUntil(s *shard) time.Time {
 	until := s.assignedAt.Add(l.cfg.TakeoverDelay)
-	if handed := s.handover.readAt.Add(s.handover.wait); l.isHandedToSelf(s) && handed.Before(until) {
-		return handed
+	if h := l.precedingHandover(s); h != nil && !l.isSuperseded(s) && h.readAt.Add(h.wait).Before(until) {
+		return h.readAt.Add(h.wait)
 	}
 	return until
 }
@@ -364,21 +506,13 @@
 // HasHandedOver reports whether a host is known to have handed over the shard of a job
 // and not to have taken it over since.
 func (l *Ledger) HasHandedOver(host, job string) bool {
-	s := l.shards[l.Shard(job)]
-	if !s.handover.complete || s.handover.host != host {
-		return false
-	}
-	for number, processes := range s.takers {
-		if number <= s.handover.takeovers {
-			continue
-		}
-		for _, name := range processes {
-			if name == host {
-				return false
-			}
+	var last *taker
+	for _, t := range l.shards[l.Shard(job)].takers {
+		if t.host == host && (last == nil || t.takeovers > last.takeovers) {
+			last = t
 		}
 	}
-	return true
+	return last != nil && last.hasLeft()
 }
 
 // handedWork is what a handover says of one job.
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -21,13 +21,34 @@
 // takeOver assigns the only shard to a ledger, and records its takeover in the log.
 func takeOver(t *testing.T, l *Ledger, log *[]Entry, now time.Time) {
 	t.Helper()
-	l.Assigned(now, now, []int{0})
+	l.Assigned(now, now, int64(len(*log)+1), []int{0})
 	l.Apply(now, *log)
 	l.LogRead(now.Add(time.Millisecond))
 	appended := actionsOf[AppendEntries](l.PopActions())
 	require.Len(t, appended, 1)
 	*log = append(*log, appended[0].Entries...)
 	l.Apply(now, appended[0].Entries)
+	l.LogRead(now.Add(2 * time.Millisecond))
+}
+
+// readOwn lets a ledger read what it has appended, and the log to its end.
+func readOwn(l *Ledger, at time.Time) []Action {
+	var other []Action
+	for {
+		appended := false
+		for _, a := range l.PopActions() {
+			if a, ok := a.(AppendEntries); ok {
+				l.Apply(at, a.Entries)
+				appended = true
+				continue
+			}
+			other = append(other, a)
+		}
+		if !appended {
+			return other
+		}
+		l.LogRead(at.Add(time.Millisecond))
+	}
 }
 
 // The jobs of a host that is stopped as planned had no driver for 3 to 6 s, and their
@@ -64,7 +85,7 @@
 	assert.Equal(t, []LetGo{{Jobs: []string{testJob}}}, actionsOf[LetGo](actions))
 	assert.Empty(t, actionsOf[Release](actions))
 	actions = next.PopActions()
-	assert.Equal(t, []RunsHandedOver{{Host: "a", Runs: []fleet.RunID{handedRun(3).RunID}}}, actionsOf[RunsHandedOver](actions))
+	assert.Equal(t, []RunsHandedOver{{Host: "a", Runs: []fleet.RunID{handedRun(3).RunID}, Takeovers: 1}}, actionsOf[RunsHandedOver](actions))
 	require.Empty(t, actionsOf[Drive](actions), "earlier entries of other hosts may be unread")
 	assert.True(t, next.AwaitsLog())
 	assert.True(t, next.HasHandedOver("a", testJob))
@@ -78,13 +99,13 @@
 
 // Two drivers of a shard would run its tasks twice.
 func TestUncertainHandoverWaitsForThePreviousDriver(t *testing.T) {
-	handover := HandedOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1, Parts: 1, Running: []HandedRun{handedRun(3)}}
+	handover := HandedOver{Shard: 0, Takeovers: 1, Generation: 1, Host: "a", Nonce: 1, Parts: 1, Running: []HandedRun{handedRun(3)}}
 	changed := func(change func(*HandedOver)) HandedOver {
 		h := handover
 		change(&h)
 		return h
 	}
-	taken := TakenOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1}
+	taken := TakenOver{Shard: 0, Takeovers: 1, Generation: 1, Host: "a", Nonce: 1}
 	for name, c := range map[string]struct {
 		entries []Entry
 		at      bool
@@ -93,27 +114,29 @@
 		"read twice":                        {[]Entry{taken, handover, handover}, true},
 		"not handed over":                   {[]Entry{taken}, false},
 		"a part is missing":                 {[]Entry{taken, changed(func(h *HandedOver) { h.Parts = 2 })}, false},
-		"by an earlier driver":              {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 2, Host: "c", Nonce: 3}, handover}, false},
-		"by one of two drivers":             {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 1, Host: "c", Nonce: 3}, handover}, false},
+		"by an earlier driver":              {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 2, Generation: 2, Host: "c", Nonce: 3}, handover}, false},
+		"by one of two drivers":             {[]Entry{taken, TakenOver{Shard: 0, Takeovers: 1, Generation: 2, Host: "c", Nonce: 3}, handover}, false},
 		"by another process of that host":   {[]Entry{taken, changed(func(h *HandedOver) { h.Nonce = 9 })}, false},
 		"the driver's version is older":     {[]Entry{TakenOver{Shard: 0, Takeovers: 1}, handover}, false},
-		"another host has taken over, too":  {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 2, Host: "c", Nonce: 3}}, false},
-		"another host has taken over since": {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 3, Host: "c", Nonce: 3}}, false},
+		"another host has taken over, too":  {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 2, Generation: 2, Host: "c", Nonce: 3}}, false},
+		"another host has taken over since": {[]Entry{taken, handover, TakenOver{Shard: 0, Takeovers: 3, Generation: 2, Host: "c", Nonce: 3}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newHandoverLedger("b", 2)
 			l.Apply(testEpoch, []Entry{c.entries[0], acceptedTwoSteps(testJob)})
-			l.Assigned(testEpoch, testEpoch, []int{0})
+			l.Assigned(testEpoch, testEpoch, 3, []int{0})
 			l.LogRead(testEpoch.Add(time.Millisecond))
 			appended := actionsOf[AppendEntries](l.PopActions())
 			require.Len(t, appended, 1)
 			l.Apply(testEpoch, appended[0].Entries)
 			l.Apply(testEpoch, c.entries[1:])
 			l.LogRead(testEpoch.Add(time.Second))
-			assert.Equal(t, c.at, len(actionsOf[Drive](l.PopActions())) == 1)
-			l.Assigned(testEpoch.Add(takeoverDelay), testEpoch.Add(takeoverDelay), []int{0})
+			drives := actionsOf[Drive](readOwn(l, testEpoch.Add(2*time.Second)))
+			assert.Equal(t, c.at, len(drives) == 1)
+			l.Assigned(testEpoch.Add(takeoverDelay), testEpoch.Add(takeoverDelay), 3, []int{0})
 			l.LogRead(testEpoch.Add(takeoverDelay + time.Millisecond))
-			assert.Equal(t, !c.at, len(actionsOf[Drive](l.PopActions())) == 1, "after the delay")
+			drives = actionsOf[Drive](readOwn(l, testEpoch.Add(takeoverDelay+time.Millisecond)))
+			assert.Equal(t, !c.at, len(drives) == 1, "after the delay")
 		})
 	}
 }
@@ -148,7 +171,7 @@
 	log = append(log, acceptedTwoSteps(testJob))
 	takeOver(t, second, &log, now)
 	now = now.Add(2 * time.Second)
-	second.Assigned(now, now, nil)
+	second.Assigned(now, now, 4, nil)
 	appended := actionsOf[AppendEntries](second.PopActions())
 	require.Len(t, appended, 1)
 	log = append(log, appended[0].Entries...)
@@ -163,21 +186,21 @@
 // first ones got shards for a moment, and the handover of the last driver was lost with them.
 func TestHandoverIsPassedOnByAHostThatDidNotDrive(t *testing.T) {
 	now := testEpoch
-	taken := TakenOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1}
-	handover := HandedOver{Shard: 0, Takeovers: 1, Host: "a", Nonce: 1, Parts: 1, Running: []HandedRun{handedRun(3)}}
+	taken := TakenOver{Shard: 0, Takeovers: 1, Generation: 1, Host: "a", Nonce: 1}
+	handover := HandedOver{Shard: 0, Takeovers: 1, Generation: 1, Host: "a", Nonce: 1, Parts: 1, Running: []HandedRun{handedRun(3)}}
 	passedOn := handover
-	passedOn.Takeovers, passedOn.Host, passedOn.Nonce = 2, "b", 2
+	passedOn.Takeovers, passedOn.Generation, passedOn.Host, passedOn.Nonce = 2, 3, "b", 2
 	// begin returns the host between the two drivers after it was told to give the shard up.
 	begin := func(t *testing.T, log *[]Entry) *Ledger {
 		between := newHandoverLedger("b", 2)
-		between.Assigned(now, now, []int{0})
+		between.Assigned(now, now, 3, []int{0})
 		between.Apply(now, *log)
 		between.LogRead(now.Add(time.Millisecond))
 		taken := actionsOf[AppendEntries](between.PopActions())
 		require.Len(t, taken, 1)
 		*log = append(*log, taken[0].Entries...)
 		between.Apply(now.Add(10*time.Millisecond), taken[0].Entries)
-		between.Assigned(now.Add(20*time.Millisecond), now.Add(20*time.Millisecond), nil)
+		between.Assigned(now.Add(20*time.Millisecond), now.Add(20*time.Millisecond), 4, nil)
 		require.Empty(t, actionsOf[AppendEntries](between.PopActions()), "the handover may not be certain yet")
 		return between
 	}
@@ -210,11 +233,12 @@
 	t.Run("assigned again", func(t *testing.T) {
 		log := []Entry{taken, acceptedTwoSteps(testJob), handover}
 		between := begin(t, &log)
-		between.Assigned(now.Add(25*time.Millisecond), now.Add(25*time.Millisecond), []int{0})
+		between.Assigned(now.Add(25*time.Millisecond), now.Add(25*time.Millisecond), 5, []int{0})
 		between.LogRead(now.Add(30 * time.Millisecond))
-		actions := between.PopActions()
-		require.Empty(t, actionsOf[AppendEntries](actions))
-		require.Len(t, actionsOf[Drive](actions), 1)
+		drives := actionsOf[Drive](readOwn(between, now.Add(40*time.Millisecond)))
+		require.Len(t, drives, 1, "under a takeover that comes after that of any host in between")
+		assert.Equal(t, []HandedRun{handedRun(3)}, drives[0].Running)
+		assert.Equal(t, 2*runsPerTakeover+1, drives[0].FirstRun)
 	})
 	for name, entries := range map[string][]Entry{
 		"not handed over":                 {taken, acceptedTwoSteps(testJob)},
@@ -224,7 +248,7 @@
 			log := entries
 			between := begin(t, &log)
 			if len(entries) == 3 {
-				between.Apply(now.Add(25*time.Millisecond), []Entry{TakenOver{Shard: 0, Takeovers: 2, Host: "d", Nonce: 4}})
+				between.Apply(now.Add(25*time.Millisecond), []Entry{TakenOver{Shard: 0, Takeovers: 2, Generation: 2, Host: "d", Nonce: 4}})
 			}
 			between.LogRead(now.Add(30 * time.Millisecond))
 			require.Empty(t, actionsOf[AppendEntries](between.PopActions()))
@@ -233,7 +257,7 @@
 			appended := actionsOf[AppendEntries](between.PopActions())
 			require.Len(t, appended, 1)
 			assert.Equal(t, []Entry{HandedOver{
-				Shard: 0, Takeovers: 2, Host: "b", Nonce: 2, Parts: 1, RemainingWait: now.Add(takeoverDelay).Sub(expired),
+				Shard: 0, Takeovers: 2, Generation: 3, Host: "b", Nonce: 2, Parts: 1, RemainingWait: now.Add(takeoverDelay).Sub(expired),
 			}}, appended[0].Entries, "the next driver waits for the rest of the time")
 		})
 	}
@@ -257,3 +281,34 @@
 	assert.Equal(t, 3*maxHandedTasks+1, listed)
 	assert.Len(t, l.handoverEntries(0, nil, nil), 1)
 }
+
+// Guards against a driver that counts as having left: the store did its first takeover late, so
+// that it used the number again, after it had recorded that it gave the shard up under it.
+func TestNumberOfATakeoverIsUsedOnce(t *testing.T) {
+	l := newHandoverLedger("a", 1)
+	numbers := func(at time.Time) (taken, left []int) {
+		l.LogRead(at)
+		for _, a := range actionsOf[AppendEntries](l.PopActions()) {
+			switch e := a.Entries[0].(type) {
+			case TakenOver:
+				taken = append(taken, e.Takeovers)
+			case HandedOver:
+				left = append(left, e.Takeovers)
+			}
+		}
+		return taken, left
+	}
+	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob), TakenOver{Takeovers: 4, Generation: 1, Host: "b", Nonce: 2}})
+	l.Assigned(testEpoch, testEpoch, 2, []int{0})
+	taken, _ := numbers(testEpoch.Add(time.Millisecond))
+	require.Equal(t, []int{5}, taken)
+	at := testEpoch.Add(100 * time.Millisecond)
+	l.Assigned(at, at, 3, nil)
+	l.Tick(at.Add(memberTTL))
+	_, left := numbers(at.Add(memberTTL))
+	require.Equal(t, []int{5}, left)
+	at = at.Add(memberTTL + time.Millisecond)
+	l.Assigned(at, at, 4, []int{0})
+	taken, _ = numbers(at.Add(time.Millisecond))
+	require.Equal(t, []int{6}, taken)
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -156,32 +156,48 @@
 
 // shard is a part of the jobs; the store's group assigns it to one host.
 type shard struct {
+	// takeovers is the highest number of a takeover that was read.
 	takeovers  int
 	assigned   bool
 	assignedAt time.Time
-	// ownTakeover is the takeover that this host has requested under the present
-	// assignment, or zero.
-	ownTakeover int
-	// firstDriver is set if the shard has had no driver before.
-	firstDriver bool
-	driving     bool
+	// generation is that of the group in which the present assignment was read.
+	generation int64
+	// lastNumber is the highest number of a takeover that this host has requested. The record of
+	// its handover may be read before the takeover, so that no number is used again.
+	lastNumber int
+	// ownTakeover is the number of the takeover that this host has requested last under the
+	// present assignment, or zero, and takenAt when it was read. unknownTaker is set if the one
+	// before was that of a process that is not known.
+	ownTakeover  int
+	takenAt      time.Time
+	unknownTaker bool
+	driving      bool
+	// driverTakeover and driverGeneration are the number and the generation of the takeover
+	// under which this host drives. It renews them by a takeover that is read before renewBy,
+	// if that is set, or stops driving: another host may have had the shard since.
+	driverTakeover   int
+	driverGeneration int64
+	renewBy          time.Time
+	// abandoned is set once this host has stopped driving without a handover: until another
+	// takeover is in force, its runs may go on.
+	abandoned bool
 	// outgoing is set while this host hands the shard over. Meanwhile it goes on
 	// driving the shard's jobs, without offering tasks.
 	outgoing *outgoing
 	// passOnBy is set while this host, which has given the shard up before it has driven it,
 	// waits to pass the handover of the former driver on; it does not wait longer than that.
 	passOnBy time.Time
-	// handover is the last handover that was read, by any host, takers the processes that
-	// took the shard over last, and takenAt when this host's own takeover was read.
-	handover handover
-	takers   takers
-	takenAt  time.Time
+	// takers holds the processes that have taken the shard over, by nonce.
+	takers map[int64]*taker
 }
 
 // reset ends the present assignment, or the driving under a former one, but keeps what
 // the log says.
 func (s *shard) reset() {
-	*s = shard{takeovers: s.takeovers, takers: s.takers, handover: s.handover, assigned: s.assigned, assignedAt: s.assignedAt}
+	*s = shard{
+		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, lastNumber: s.lastNumber,
+		assigned: s.assigned, assignedAt: s.assignedAt, generation: s.generation,
+	}
 }
 
 // Ledger is this host's replica of the log. It is not safe for concurrent use.
@@ -201,16 +217,18 @@
 	seq      int64
 	// asOf is when the latest completed log read was sent.
 	asOf time.Time
-	// confirmed is when the last join that the store answered was sent.
-	confirmed time.Time
-	actions   []Action
+	// confirmed is when the last join that the store answered was sent, and generation that of
+	// the group in the answer.
+	confirmed  time.Time
+	generation int64
+	actions    []Action
 }
 
 // New returns an empty ledger.
 func New(cfg Config) *Ledger {
 	l := &Ledger{cfg: cfg, jobs: map[string]*job{}, cancelledUnknown: map[string]time.Time{}, unclosed: map[string]*job{}}
 	for range cfg.Shards {
-		l.shards = append(l.shards, &shard{takers: takers{}})
+		l.shards = append(l.shards, &shard{takers: map[int64]*taker{}})
 	}
 	return l
 }
@@ -304,14 +322,7 @@
 			delete(l.unclosed, e.Job)
 			delete(l.cancelledUnknown, e.Job)
 		case TakenOver:
-			s := l.shards[e.Shard%len(l.shards)]
-			s.takeovers = max(s.takeovers, e.Takeovers)
-			if e.Nonce != 0 {
-				s.takers.add(e.Takeovers, e.Nonce, e.Host)
-			}
-			if s.takenAt.IsZero() && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
-				s.takenAt = now
-			}
+			l.takenOver(now, e)
 		case HandedOver:
 			l.handedOver(now, e)
 		}
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -46,13 +46,14 @@
 // driver before.
 func newDriver(t *testing.T, now time.Time) *Ledger {
 	t.Helper()
-	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
-	l.Assigned(now, now, []int{0})
+	l := newHandoverLedger("a", 1)
+	l.Assigned(now, now, 1, []int{0})
 	require.Empty(t, actionsOf[AppendEntries](l.PopActions()), "the log has not been read since the assignment")
 	l.LogRead(now.Add(time.Millisecond))
 	writes := actionsOf[AppendEntries](l.PopActions())
-	require.Equal(t, []AppendEntries{{[]Entry{TakenOver{Shard: 0, Takeovers: 1}}}}, writes)
+	require.Equal(t, []AppendEntries{{[]Entry{TakenOver{Shard: 0, Takeovers: 1, Generation: 1, Host: "a", Nonce: 1}}}}, writes)
 	l.Apply(now, writes[0].Entries)
+	l.LogRead(now.Add(2 * time.Millisecond))
 	return l
 }
 
@@ -87,7 +88,7 @@
 	assert.Empty(t, actionsOf[Drive](l.PopActions()), "a repeated submission does not start the job again")
 
 	later := testEpoch.Add(retention + time.Second)
-	l.Assigned(later, later, []int{0})
+	l.Assigned(later, later, 1, []int{0})
 	l.Tick(later)
 	assert.Equal(t, []AppendEntries{{[]Entry{Forgotten{Job: testJob}}}}, actionsOf[AppendEntries](l.PopActions()))
 	state, known := l.State(later, testJob)
@@ -102,12 +103,12 @@
 // A new driver that started earlier would run tasks twice at once, or again
 // after their end: it waits for a log read that was sent after the delay.
 func TestTakeoverWaitsForThePreviousDriver(t *testing.T) {
-	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+	l := newHandoverLedger("a", 1)
 	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob), runEnded(0, 1, fleet.EndedDone), TakenOver{Shard: 0, Takeovers: 4}})
-	l.Assigned(testEpoch, testEpoch, []int{0})
+	l.Assigned(testEpoch, testEpoch, 1, []int{0})
 	l.LogRead(testEpoch.Add(time.Millisecond))
 	writes := actionsOf[AppendEntries](l.PopActions())
-	require.Equal(t, []AppendEntries{{[]Entry{TakenOver{Shard: 0, Takeovers: 5}}}}, writes)
+	require.Equal(t, []AppendEntries{{[]Entry{TakenOver{Shard: 0, Takeovers: 5, Generation: 1, Host: "a", Nonce: 1}}}}, writes)
 	l.Apply(testEpoch, writes[0].Entries)
 	l.LogRead(testEpoch.Add(takeoverDelay))
 	assert.Empty(t, actionsOf[Drive](l.PopActions()))
@@ -137,7 +138,7 @@
 	l.MembershipEnded("planned stop")
 	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob), runEnded(0, 1, fleet.EndedFailed), runEnded(0, 2, fleet.EndedFailed)})
 	later := testEpoch.Add(time.Minute)
-	l.Assigned(later, later, []int{0})
+	l.Assigned(later, later, 2, []int{0})
 	l.LogRead(later.Add(time.Millisecond))
 	for _, w := range actionsOf[AppendEntries](l.PopActions()) {
 		l.Apply(later, w.Entries)
@@ -174,16 +175,17 @@
 	unknown := crash
 	unknown.Fate = quarantine.Unknown
 	task := fleet.TaskName{Job: testJob}
-	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+	l := newHandoverLedger("a", 1)
 	l.Apply(testEpoch, []Entry{
 		acceptedTwoSteps(testJob),
 		RunLost{Task: task, Loss: unknown},
 		RunLost{Task: task, Loss: crash},
 		RunLost{Task: fleet.TaskName{Job: "unknown"}, Loss: crash},
 	})
-	l.Assigned(testEpoch, testEpoch, []int{0})
+	l.Assigned(testEpoch, testEpoch, 1, []int{0})
 	l.LogRead(testEpoch.Add(time.Millisecond))
 	l.Apply(testEpoch, actionsOf[AppendEntries](l.PopActions())[0].Entries)
+	l.LogRead(testEpoch.Add(2 * time.Millisecond))
 	drives := actionsOf[Drive](l.PopActions())
 	require.Len(t, drives, 1)
 	assert.Equal(t, map[fleet.TaskName][]quarantine.Loss{task: {crash}}, drives[0].Lost, "the later entry of a run counts")
@@ -204,7 +206,7 @@
 	assert.Equal(t, []UnknownCancelled{{Job: testJob}}, actionsOf[UnknownCancelled](l.PopActions()))
 	assert.True(t, l.IsCancelled(testJob))
 	later := testEpoch.Add(retention)
-	l.Assigned(later, later, []int{0})
+	l.Assigned(later, later, 1, []int{0})
 	l.Tick(later)
 	require.Empty(t, actionsOf[AppendEntries](l.PopActions()))
 	l.Tick(later.Add(time.Millisecond))
@@ -219,16 +221,17 @@
 	run := fleet.RunID{Task: task, Run: 1}
 	first, second := RunHeld{RunID: run, Fence: 5}, RunHeld{RunID: run, Fence: 6}
 	at := func(ms int) time.Time { return testEpoch.Add(time.Duration(ms) * time.Millisecond) }
-	l := New(Config{Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
+	l := newHandoverLedger("a", 1)
 	l.Apply(at(0), []Entry{acceptedTwoSteps(testJob), first})
-	l.Assigned(at(0), at(0), []int{0})
+	l.Assigned(at(0), at(0), 1, []int{0})
 	l.LogRead(at(1))
 	l.Apply(at(2), actionsOf[AppendEntries](l.PopActions())[0].Entries)
+	l.LogRead(at(3))
 	drives := actionsOf[Drive](l.PopActions())
 	require.Len(t, drives, 1)
 	assert.Equal(t, map[fleet.TaskName]time.Time{task: at(0)}, drives[0].HeldAt)
 
-	l.Apply(at(3), []Entry{first, second, second, RunHeld{RunID: fleet.RunID{Task: fleet.TaskName{Job: "unknown"}}, Fence: 7}})
+	l.Apply(at(4), []Entry{first, second, second, RunHeld{RunID: fleet.RunID{Task: fleet.TaskName{Job: "unknown"}}, Fence: 7}})
 	assert.Equal(t, []HoldRead{{second}}, actionsOf[HoldRead](l.PopActions()), "an entry that is read again has no effect")
 	l.Fail(testJob)
 	writes := actionsOf[AppendEntries](l.PopActions())
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -10,9 +11,13 @@
 )
 
 // Assigned applies the store's answer to a join request that was sent at the
-// given time: the shards that this host is to drive. It releases the others.
-func (l *Ledger) Assigned(now, sent time.Time, shards []int) {
+// given time: the generation of the group and the shards that this host is to drive. It
+// releases the others. In a generation in between, of which this host has no answer, its
+// shards may have been another host's.
+func (l *Ledger) Assigned(now, sent time.Time, generation int64, shards []int) {
 	confirmed := l.confirmed
+	missed := l.generation != 0 && generation != l.generation && generation != l.generation+1
+	l.generation = generation
 	if sent.After(l.confirmed) {
 		l.confirmed = sent
 	}
@@ -26,20 +31,73 @@
 		switch {
 		case assigned[n] && !s.assigned:
 			// A shard that is being handed over is taken over like any other afterwards.
-			s.assigned, s.assignedAt = true, now
-			if !s.passOnBy.IsZero() && s.takeovers <= s.ownTakeover {
-				// No other host has taken the shard over since.
-				s.passOnBy = time.Time{}
-			} else if s.outgoing == nil {
+			s.assigned, s.assignedAt, s.generation = true, now, generation
+			if s.outgoing == nil {
 				s.reset()
 			}
 		case !assigned[n] && s.assigned:
 			l.leaveShard(now, n, confirmed, "assigned to another host")
+		case assigned[n] && missed:
+			s.generation = generation
+			if !s.driving {
+				s.assignedAt = now
+				s.reset()
+			} else if s.outgoing == nil {
+				l.renew(n, confirmed.Add(l.cfg.MemberTTL))
+			}
 		}
 	}
 	l.takeOverShards()
 }
 
+// expireRenewals hands the shards over whose takeover could not be renewed in time.
+func (l *Ledger) expireRenewals(now time.Time) {
+	for n, s := range l.shards {
+		if s.renewBy.IsZero() || s.outgoing != nil || now.Before(s.renewBy.Add(-renewMargin)) {
+			continue
+		}
+		l.leaveShard(now, n, s.renewBy.Add(-l.cfg.MemberTTL), "takeover not renewed")
+		s.assigned, s.assignedAt = true, now
+	}
+}
+
+// renewMargin is how long before the end of the time for a renewal the shard is handed over.
+const renewMargin = 2 * handoverRecordTime
+
+// renew requests another takeover of a shard that this host goes on driving. If by is not
+// zero, it stops driving unless the takeover has been read by then.
+func (l *Ledger) renew(n int, by time.Time) {
+	s := l.shards[n]
+	if s.renewBy.IsZero() || !by.IsZero() && by.Before(s.renewBy) {
+		s.renewBy = by
+	}
+	l.emit(LogEvent{Message: "shard takeover renewed", Shard: n, Why: "another host may have taken it over"})
+	l.requestTakeover(n)
+}
+
+// requestTakeover asks for a takeover of an assigned shard to be recorded.
+func (l *Ledger) requestTakeover(n int) {
+	s := l.shards[n]
+	s.unknownTaker = s.unknownTaker || s.takeovers > max(s.lastNumber, s.knownTakeovers())
+	s.lastNumber = max(s.takeovers, s.lastNumber) + 1
+	s.ownTakeover, s.takenAt = s.lastNumber, time.Time{}
+	l.emit(LogEvent{Message: "shard takeover requested", Shard: n, Why: fmt.Sprintf("number %d, generation %d", s.ownTakeover, s.generation)})
+	l.emit(AppendEntries{[]Entry{TakenOver{
+		Shard: n, Takeovers: s.ownTakeover, Generation: s.generation, Host: l.cfg.Host, Nonce: l.cfg.Nonce,
+	}}})
+}
+
+// isOutdated reports whether a process that had the shard before this host has requested a
+// takeover with the same number or a higher one.
+func (l *Ledger) isOutdated(s *shard, number int) bool {
+	for _, t := range s.takers {
+		if t.nonce != l.cfg.Nonce && t.generation < s.generation && t.takeovers >= number {
+			return true
+		}
+	}
+	return false
+}
+
 // MembershipEnded releases all shards of this host and stops its runs there: another
 // host may drive the shards.
 func (l *Ledger) MembershipEnded(why string) {
@@ -65,6 +123,7 @@
 	l.Expire(now)
 	l.expireHandovers(now)
 	l.expirePassingOn(now)
+	l.expireRenewals(now)
 	l.closeEnded()
 	l.pruneRetained(now)
 }
@@ -74,6 +133,7 @@
 func (l *Ledger) releaseShard(n int, why string) {
 	s := l.shards[n]
 	if s.driving {
+		s.abandoned = true
 		for _, j := range l.openJobs(n) {
 			l.stopDriving(j, why)
 		}
@@ -93,41 +153,50 @@
 }
 
 // takeOverShards starts driving the assigned shards for which that is safe: the
-// takeover is in the log, and either the previous driver has handed the shard over, or
-// its runs are over and their ends have been read.
+// takeover is in the log, with a number that no earlier process has, and either the previous
+// driver has handed the shard over, or its runs are over and their ends have been read.
 func (l *Ledger) takeOverShards() {
 	l.passHandoversOn()
 	for n, s := range l.shards {
-		if !s.assigned || s.driving || !l.asOf.After(s.assignedAt) {
-			continue
-		}
-		if s.ownTakeover == 0 {
-			s.firstDriver = s.takeovers == 0
-			s.ownTakeover = s.takeovers + 1
-			l.emit(AppendEntries{[]Entry{TakenOver{Shard: n, Takeovers: s.ownTakeover, Host: l.cfg.Host, Nonce: l.cfg.Nonce}}})
-			continue
-		}
-		if s.takeovers < s.ownTakeover {
-			continue
-		}
-		var handed map[string]*handedWork
-		why := "the previous driver has ended"
 		switch {
-		case s.firstDriver:
-			why = "first driver"
-		case !l.asOf.After(l.waitUntil(s)):
-			continue
-		case l.isHandedToSelf(s):
-			handed, why = s.handover.byJob(), "handed over by "+s.handover.host
-		}
-		s.driving = true
-		l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: why})
-		for _, j := range l.openJobs(n) {
-			l.drive(j, handed[j.spec.ID])
+		case !s.assigned || !l.asOf.After(s.assignedAt):
+		case s.driving && s.outgoing == nil && s.ownTakeover == s.driverTakeover && l.isOutdated(s, s.driverTakeover+1):
+			// The next driver would take the late record for that of a later driver.
+			l.renew(n, time.Time{})
+		case s.driving:
+		case s.ownTakeover == 0 || !s.takenAt.IsZero() && l.isOutdated(s, s.ownTakeover):
+			l.requestTakeover(n)
+		case l.isRead(s):
+			l.beginDriving(n)
 		}
 	}
 }
 
+// beginDriving starts driving a shard whose takeover has been read, unless it has to wait for
+// the previous driver.
+func (l *Ledger) beginDriving(n int) {
+	s := l.shards[n]
+	var handed map[string]*handedWork
+	why := "the previous driver has ended"
+	switch h := l.precedingHandover(s); {
+	case s.ownTakeover == 1 && len(s.takers) == 1:
+		why = "first driver"
+	case !l.asOf.After(l.waitUntil(s)):
+		return
+	case h != nil && h.wait == 0 && !l.isSuperseded(s):
+		handed, why = h.byJob(), "handed over by "+h.parts[0].Host
+	}
+	s.driving, s.abandoned = true, false
+	s.driverTakeover, s.driverGeneration = s.ownTakeover, s.generation
+	l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: fmt.Sprintf("%s; number %d, generation %d", why, s.driverTakeover, s.driverGeneration)})
+	if h := s.lastHandover(); h != nil && len(h.parts) > 0 {
+		l.emit(AppendEntries{[]Entry{HandoverAdopted{Shard: n, Host: h.parts[0].Host, Parts: len(h.parts)}}})
+	}
+	for _, j := range l.openJobs(n) {
+		l.drive(j, handed[j.spec.ID])
+	}
+}
+
 // drive asks the host to drive a job. Handed is what the previous driver has handed
 // over of it, or nil.
 func (l *Ledger) drive(j *job, handed *handedWork) {
@@ -149,7 +218,7 @@
 	d := Drive{
 		Job: j.spec, Route: j.route,
 		// The first driver after the acceptance numbers its runs from one.
-		FirstRun: 1 + runsPerTakeover*max(0, s.takeovers-max(1, j.takeovers)),
+		FirstRun: 1 + runsPerTakeover*max(0, s.driverTakeover-max(1, j.takeovers)),
 	}
 	for task := range j.doneTasks {
 		d.Done = append(d.Done, task)
