Keep the failed runs of a task as a set

What callers saw: accepted jobs shown as failed although no task had failed as often as its queue allows (LOST).

Cause: outside the ledger the failed runs of a task were a number. After a change of the driver the same end is told by the log, by an inventory and by the worker's owner, and two counts cannot be joined. Class: an event that is counted and told in more than one way.

Change: failed runs are a set of run numbers in the ledger, at the driver, and in offers, claims and outcomes. Messages still carry the number, for older versions.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -56,7 +56,7 @@
 	case host.TaskNotDone:
 		o := a.Outcome
 		d.logger.Info("task not done", "task", o.Task, "run", o.Run, "result", o.Result, "owner", a.Owner,
-			"worker", o.Worker, "failed", o.FailedRuns, "why", o.Why)
+			"worker", o.Worker, "failed", len(o.FailedRuns), "why", o.Why)
 	case coordinator.TaskJudged:
 		d.metrics.verdicts.WithLabelValues(a.Verdict.String()).Inc()
 		d.logger.Warn("task judged by its lost workers", "task", a.Task, "verdict", a.Verdict, "crashes", a.Crashes)
--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -170,7 +170,7 @@
 			offers = append(offers, last)
 		}
 		last.Tasks = append(last.Tasks, &dispatchv1.OfferedTask{
-			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(t.FailedRuns), Avoid: t.Avoid,
+			Index: int32(t.Name.Index), NextRun: int32(t.NextRun), Failed: int32(len(t.FailedRuns)), FailedRuns: runSetToProto(t.FailedRuns), Avoid: t.Avoid,
 			Exclusive: t.Exclusive,
 		})
 	}
@@ -187,7 +187,7 @@
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: timeIn(now, o.GetStartInMs()), Deadline: timeIn(now, o.GetUsefulMs()),
-			JobStarted: o.GetBegun(), Avoid: t.GetAvoid(), Exclusive: t.GetExclusive(), NextRun: int(t.GetNextRun()), FailedRuns: int(t.GetFailed()), MaxAttempts: int(o.GetMaxAttempts()),
+			JobStarted: o.GetBegun(), Avoid: t.GetAvoid(), Exclusive: t.GetExclusive(), NextRun: int(t.GetNextRun()), FailedRuns: runSetFromProto(t.GetFailedRuns()), MaxAttempts: int(o.GetMaxAttempts()),
 		})
 	}
 	return tasks
@@ -195,8 +195,9 @@
 
 func outcomeToProto(o offer.Outcome) *dispatchv1.Outcome {
 	p := &dispatchv1.Outcome{
-		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(o.FailedRuns),
-		Result: int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, Submission: o.Submission, OverInMs: int32(o.MaxRemaining.Milliseconds()),
+		Job: o.Task.Job, Step: int32(o.Task.Step), Index: int32(o.Task.Index), Run: int32(o.Run), Failed: int32(len(o.FailedRuns)),
+		FailedRuns: runSetToProto(o.FailedRuns),
+		Result:     int32(o.Result), Ran: o.MayHaveRun, Worker: o.Worker, Fence: o.Fence, Why: o.Why, Submission: o.Submission, OverInMs: int32(o.MaxRemaining.Milliseconds()),
 	}
 	if o.Loss != nil {
 		p.Loss = lossToProto(*o.Loss)
@@ -204,6 +205,22 @@
 	return p
 }
 
+func runSetToProto(s offer.RunSet) []int32 {
+	numbers := make([]int32, len(s))
+	for i, run := range s {
+		numbers[i] = int32(run)
+	}
+	return numbers
+}
+
+func runSetFromProto(numbers []int32) offer.RunSet {
+	var s offer.RunSet
+	for _, run := range numbers {
+		s = s.With(int(run))
+	}
+	return s
+}
+
 func lossToProto(l quarantine.Loss) *dispatchv1.Loss {
 	return &dispatchv1.Loss{
 		Address: l.Address, StartTime: l.StartTime, Alone: l.Alone, Bystander: l.Bystander, Orphaned: l.Orphaned, Unconfirmed: l.Unconfirmed,
@@ -221,7 +238,7 @@
 func outcomeFromProto(self string, p *dispatchv1.Outcome) offer.Outcome {
 	o := offer.Outcome{
 		Host: self, Task: fleet.TaskName{Job: p.GetJob(), Step: int(p.GetStep()), Index: int(p.GetIndex())},
-		Run: int(p.GetRun()), FailedRuns: int(p.GetFailed()), Result: offer.Result(p.GetResult()), MayHaveRun: p.GetRan(), Fence: p.GetFence(),
+		Run: int(p.GetRun()), FailedRuns: runSetFromProto(p.GetFailedRuns()), Result: offer.Result(p.GetResult()), MayHaveRun: p.GetRan(), Fence: p.GetFence(),
 		Worker: p.GetWorker(), Why: p.GetWhy(), Submission: p.GetSubmission(), MaxRemaining: time.Duration(p.GetOverInMs()) * time.Millisecond,
 	}
 	if l := p.GetLoss(); l != nil {
--- a/internal/decide/coordinator/coordinator_test.go
+++ b/internal/decide/coordinator/coordinator_test.go
@@ -148,13 +148,13 @@
 	c.Submit(epoch, jobOf(1, 60*time.Millisecond), testRoute, 0)
 	host := actionsOf[Offer](c.PopActions())[0].Host
 	failed := outcome(0, offer.Returned, "w1", 1)
-	failed.FailedRuns = 1
+	failed.FailedRuns = offer.RunSet{failed.Run}
 	c.HandleOutcome(epoch, host, failed)
 	again := actionsOf[Offer](c.PopActions())
 	require.Len(t, again, 1)
 	task := again[0].Tasks[0]
 	assert.Equal(t, 2, task.NextRun)
-	assert.Equal(t, 1, task.FailedRuns)
+	assert.Equal(t, offer.RunSet{1}, task.FailedRuns)
 	assert.Equal(t, "w1", task.Avoid)
 }
 
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -163,13 +163,13 @@
 		c.formerRunEnded(now, j, t, o)
 		return
 	}
-	failureRecorded := j.stored && t.lastFailedRun >= o.Run
+	failureRecorded := j.stored && t.failedRuns.Contains(o.Run)
 	t.lastRun = max(t.lastRun, o.Run)
 	t.mayHaveRun = t.mayHaveRun || o.MayHaveRun
 	if o.Worker != "" {
 		t.worker, t.fence = o.Worker, o.Fence
 	}
-	t.atLeastFailed(o.FailedRuns, o.Run)
+	t.failedRuns = t.failedRuns.With(o.FailedRuns...)
 	switch o.Result {
 	case offer.Started:
 		c.resumed(now, t)
@@ -211,7 +211,7 @@
 // one. The report may be late, because the end of a stored job's run is recorded first,
 // and the owner may have been offered the task again since.
 func (c *Coordinator) formerRunEnded(now time.Time, j *job, t *task, o offer.Outcome) {
-	t.atLeastFailed(o.FailedRuns, o.Run)
+	t.failedRuns = t.failedRuns.With(o.FailedRuns...)
 	if o.Loss != nil {
 		c.addLoss(now, j, t, *o.Loss)
 	}
@@ -326,7 +326,7 @@
 			continue
 		}
 		if e.Reason == fleet.EndedFailed && t.worker == inv.Worker && !listed[e.Task] {
-			t.runFailed(e.Run)
+			t.failedRuns = t.failedRuns.With(e.Run)
 		}
 		if t.state != taskOffered {
 			// The host that has an offered task reports its run, which must not count as an
@@ -433,7 +433,7 @@
 // and reports whether it did. It does not matter how the ends became known.
 func (c *Coordinator) giveUpFailed(now time.Time, j *job) bool {
 	for _, t := range j.tasks {
-		if t.state != taskDone && t.state != taskStarted && j.route.MaxAttempts > 0 && t.failedRuns >= j.route.MaxAttempts {
+		if t.state != taskDone && t.state != taskStarted && j.route.MaxAttempts > 0 && len(t.failedRuns) >= j.route.MaxAttempts {
 			c.answerFailed(now, j, t, t.worker)
 			return true
 		}
@@ -442,7 +442,7 @@
 }
 
 func (c *Coordinator) answerFailed(now time.Time, j *job, t *task, worker string) {
-	c.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s", t.name, t.failedRuns, worker), 0)
+	c.answer(now, j, errkind.New(errkind.TaskFailed, "task %s failed %d times, last on worker %s", t.name, len(t.failedRuns), worker), 0)
 }
 
 // cannotFinish reports whether a job can no longer be done before its deadline.
--- a/internal/decide/coordinator/handover_test.go
+++ b/internal/decide/coordinator/handover_test.go
@@ -112,11 +112,11 @@
 		orphaned := outcome(0, offer.Orphaned, "", 0)
 		orphaned.Run = 3
 		if recordedFirst {
-			c.FailureRecorded(epoch, run.RunID, 1)
+			c.FailureRecorded(epoch, run.RunID)
 			c.HandleOutcome(epoch, "h1", orphaned)
 		} else {
 			c.HandleOutcome(epoch, "h1", orphaned)
-			c.FailureRecorded(epoch, run.RunID, 1)
+			c.FailureRecorded(epoch, run.RunID)
 		}
 		assert.Len(t, actionsOf[Offer](c.PopActions()), 1, "recorded first: %v", recordedFirst)
 	}
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/decide/sharing"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
@@ -44,9 +45,9 @@
 	fence int64
 	// lastRun is the number of the last known run.
 	lastRun int
-	// failedRuns counts the runs that failed, lastFailedRun is the latest of them. Ends
-	// come from owners, from inventories and from the log, the same one perhaps from all.
-	failedRuns, lastFailedRun int
+	// failedRuns are the runs that failed. Ends come from owners, from inventories and from
+	// the log, the same one perhaps from all.
+	failedRuns offer.RunSet
 	// mayHaveRun is set once a run has, or may have, started.
 	mayHaveRun bool
 	// lastEndedRun is the number of the last run known to have ended.
@@ -143,21 +144,6 @@
 	return t.atWorker() && t.worker != "" && t.worker != worker
 }
 
-// runFailed counts the failure of a run, unless it was counted before.
-func (t *task) runFailed(run int) {
-	if run > t.lastFailedRun {
-		t.failedRuns, t.lastFailedRun = t.failedRuns+1, run
-	}
-}
-
-// atLeastFailed records that another host, or the log, counts a number of failed runs
-// up to a run.
-func (t *task) atLeastFailed(count, run int) {
-	if count > t.failedRuns {
-		t.failedRuns, t.lastFailedRun = count, max(t.lastFailedRun, run)
-	}
-}
-
 // markOffered records that the task was offered to a host. The worker of its
 // next run is unknown until the start is reported.
 func (t *task) markOffered(host string) {
--- a/internal/decide/coordinator/recorded_test.go
+++ b/internal/decide/coordinator/recorded_test.go
@@ -81,19 +81,19 @@
 			require.Len(t, again, 1)
 			require.Equal(t, 2, again[0].Tasks[0].NextRun)
 			late := outcome(0, result, "w-"+again[0].Host, 1)
-			late.FailedRuns = 1
+			late.FailedRuns = offer.RunSet{1}
 			c.HandleOutcome(epoch, again[0].Host, late)
 			c.Tick(epoch.Add(time.Minute))
 			assert.Empty(t, actionsOf[Offer](c.PopActions()))
 			assert.Empty(t, actionsOf[Answer](c.PopActions()))
 			_, task := c.find(late.Task)
-			assert.Equal(t, 1, task.failedRuns, "the failure counts all the same")
+			assert.Equal(t, offer.RunSet{1}, task.failedRuns, "the failure counts all the same")
 		})
 	}
 }
 
-// Guards against two runs of a task at the same time: a report that a run may go on, with a
-// higher count of failed runs than the driver's, must not be taken for the end of that run.
+// Guards against two runs of a task at the same time: a report that a run may go on, with more
+// failed runs than the driver knows of, must not be taken for the end of that run.
 func TestCountOfFailuresDoesNotEndAnOrphanedRun(t *testing.T) {
 	c := storedCoordinator(t)
 	offered := actionsOf[Offer](c.PopActions())
@@ -101,7 +101,7 @@
 	owner := offered[0].Host
 	c.HandleOutcome(epoch, owner, outcome(0, offer.Started, "w-"+owner, 1))
 	orphaned := outcome(0, offer.Orphaned, "w-"+owner, 1)
-	orphaned.FailedRuns, orphaned.MaxRemaining = 1, time.Second
+	orphaned.FailedRuns, orphaned.MaxRemaining = offer.RunSet{101}, time.Second
 	c.HandleOutcome(epoch, owner, orphaned)
 	c.Tick(epoch)
 	assert.Empty(t, actionsOf[Offer](c.PopActions()))
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -101,11 +101,10 @@
 	}
 }
 
-// FailureRecorded records that the log holds a number of failed runs of a task, up to
-// a run.
-func (c *Coordinator) FailureRecorded(now time.Time, run fleet.RunID, failed int) {
+// FailureRecorded records that the log holds a failed run of a task.
+func (c *Coordinator) FailureRecorded(now time.Time, run fleet.RunID) {
 	if j, t := c.find(run.Task); t != nil && t.state != taskDone {
-		t.atLeastFailed(failed, run.Run)
+		t.failedRuns = t.failedRuns.With(run.Run)
 		if t.state == taskOrphaned && t.lastRun == run.Run {
 			t.state, t.lastEndedRun = taskIdle, run.Run
 		}
--- a/internal/decide/coordinator/taskset_test.go
+++ b/internal/decide/coordinator/taskset_test.go
@@ -90,7 +90,7 @@
 	job.BestEffort = false
 	drive := ledger.Drive{
 		Job: job, Route: largeRoute, FirstRun: first,
-		FailedRuns: map[fleet.TaskName]int{name(tasks - 1): 2},
+		FailedRuns: map[fleet.TaskName]offer.RunSet{name(tasks - 1): {3, 4}},
 		Lost:       map[fleet.TaskName][]quarantine.Loss{name(tasks - 2): {{Run: 1, Worker: "w9", Fate: quarantine.Crashed, Alone: true}}},
 	}
 	for i := 0; i < tasks; i += 3 {
@@ -118,7 +118,7 @@
 		}
 	}
 	require.Len(t, seen, 2*maxWaitingOffers)
-	assert.Equal(t, 2, seen[tasks-1].FailedRuns)
+	assert.Equal(t, offer.RunSet{3, 4}, seen[tasks-1].FailedRuns)
 	assert.True(t, seen[tasks-2].Exclusive)
 }
 
--- a/internal/decide/host/deadly_test.go
+++ b/internal/decide/host/deadly_test.go
@@ -64,7 +64,7 @@
 		}
 		cause := false
 		for task, n := range j.failures {
-			cause = cause || n >= testRoute.MaxAttempts || j.crashes[task] >= crashesToFail
+			cause = cause || n >= w.route.MaxAttempts || j.crashes[task] >= crashesToFail
 		}
 		for _, n := range j.crashes {
 			cause = cause || n >= crashesToFail
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -424,7 +424,7 @@
 		case ledger.TaskDone:
 			c.Coordinator.TaskRecorded(now, a.RunID)
 		case ledger.RunFailed:
-			c.Coordinator.FailureRecorded(now, a.RunID, a.Failed)
+			c.Coordinator.FailureRecorded(now, a.RunID)
 		case ledger.HoldRead:
 			c.Coordinator.RunHeld(now, a.RunHeld)
 		case ledger.JobEnded, ledger.JobSetAside, ledger.UnknownCancelled:
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -54,7 +54,7 @@
 	w.onFrom(h, source, func() {
 		h.callers[j.id] = attempt
 		// A host that still has the job answers the newer caller.
-		h.core.Coordinator.Submit(w.now, j.spec, testRoute, w.callerLimit())
+		h.core.Coordinator.Submit(w.now, j.spec, w.route, w.callerLimit())
 	})()
 	cancel := w.onFrom(h, source, func() {
 		if h.callers[j.id] == attempt {
@@ -152,7 +152,7 @@
 	switch {
 	case sw.hanging:
 		length = time.Hour
-	case sw.failing || w.rng.Float64() < 0.005:
+	case sw.failing || w.rng.Float64() < w.failRate:
 		reason = fleet.EndedFailed
 		length /= 2
 	}
--- a/internal/decide/host/log_test.go
+++ b/internal/decide/host/log_test.go
@@ -99,7 +99,7 @@
 	if !h.up {
 		return
 	}
-	accepted := ledger.Accepted{Job: j.spec, Route: testRoute, Takeovers: h.core.Ledger.Takeovers(j.id)}
+	accepted := ledger.Accepted{Job: j.spec, Route: w.route, Takeovers: h.core.Ledger.Takeovers(j.id)}
 	w.appendToLog(h, Append{Entries: []ledger.Entry{accepted}}, func() { w.log.accepted[j.id] = true })
 }
 
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -116,6 +116,9 @@
 	// longestIdle is the longest time from such an end to the task's next start.
 	stoppedRuns int
 	longestIdle time.Duration
+	// route is the queue of the jobs, and failRate the share of runs that fail.
+	route    fleet.Route
+	failRate float64
 	// stopsLost makes workers receive no stops.
 	stopsLost bool
 	// endsPerPoll bounds the ends in a worker's answer to a poll; zero means no bound.
@@ -138,8 +141,8 @@
 
 func newWorldWithRacks(seed uint64, zones, hostsPerZone, workersPerZone int, racks rackLoad) *world {
 	w := &world{
-		racks: racks,
-		rng:   rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
+		racks: racks, route: testRoute, failRate: 0.005,
+		rng: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, groups: map[string]*simGroup{},
 		jobs: map[string]*simJob{}, cuts: map[string]int{},
 		log: &simLog{group: newGroup(testShards), accepted: map[string]bool{}},
 	}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/parsleyhill/parsleyhill/internal/decide/jobcheck"
+	"github.com/parsleyhill/parsleyhill/internal/decide/offer"
 	"github.com/parsleyhill/parsleyhill/internal/decide/quarantine"
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
@@ -53,8 +54,8 @@
 	Route fleet.Route
 	// Done lists the tasks that are already done.
 	Done []fleet.TaskName
-	// FailedRuns is the number of failed runs by task.
-	FailedRuns map[fleet.TaskName]int
+	// FailedRuns are the failed runs by task.
+	FailedRuns map[fleet.TaskName]offer.RunSet
 	// Lost are the runs that were lost with their workers, by task.
 	Lost map[fleet.TaskName][]quarantine.Loss
 	// HeldAt is when the last hold of a run of each task was read.
@@ -76,12 +77,8 @@
 // TaskDone reports that the log records a task as done by a run.
 type TaskDone struct{ fleet.RunID }
 
-// RunFailed reports that the log records a run of a driven job as failed. Failed is the
-// number of failed runs of the task.
-type RunFailed struct {
-	fleet.RunID
-	Failed int
-}
+// RunFailed reports that the log records a run of a driven job as failed.
+type RunFailed struct{ fleet.RunID }
 
 // HoldRead reports that the log records a run of a driven job as held for its driver.
 type HoldRead struct{ RunHeld }
@@ -124,9 +121,9 @@
 	route fleet.Route
 	state State
 	// doneTasks are the tasks that the log records as done; failedRuns are the
-	// numbers of the failed runs by task.
+	// failed runs by task.
 	doneTasks  map[fleet.TaskName]bool
-	failedRuns map[fleet.TaskName]map[int]bool
+	failedRuns map[fleet.TaskName]offer.RunSet
 	endedRuns  []fleet.RunID
 	// losses are the runs that were lost with their workers.
 	losses map[fleet.RunID]quarantine.Loss
@@ -346,7 +343,7 @@
 	l.seq++
 	j := &job{
 		spec: e.Job, route: e.Route, state: Pending, takeovers: e.Takeovers, acceptSeq: l.seq,
-		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]map[int]bool{},
+		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]offer.RunSet{},
 		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
 	j.damage = e.Damage
@@ -381,12 +378,9 @@
 		return
 	}
 	if e.Reason == fleet.EndedFailed {
-		if j.failedRuns[e.Task] == nil {
-			j.failedRuns[e.Task] = map[int]bool{}
-		}
-		j.failedRuns[e.Task][e.Run] = true
+		j.failedRuns[e.Task] = j.failedRuns[e.Task].With(e.Run)
 		if j.driven {
-			l.emit(RunFailed{RunID: e.RunID, Failed: len(j.failedRuns[e.Task])})
+			l.emit(RunFailed{e.RunID})
 		}
 		return
 	}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -224,10 +224,7 @@
 		d.Done = append(d.Done, task)
 	}
 	if len(j.failedRuns) > 0 {
-		d.FailedRuns = map[fleet.TaskName]int{}
-		for task, runs := range j.failedRuns {
-			d.FailedRuns[task] = len(runs)
-		}
+		d.FailedRuns = maps.Clone(j.failedRuns)
 	}
 	if handed != nil {
 		d.Running, d.Unsettled = handed.running, handed.unsettled
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -58,8 +58,8 @@
 	Exclusive bool
 	// NextRun is the number of the next run.
 	NextRun int
-	// FailedRuns counts the runs that failed.
-	FailedRuns int
+	// FailedRuns are the runs that failed.
+	FailedRuns RunSet
 	// MaxAttempts is how many failed runs make the task fail.
 	MaxAttempts int
 }
@@ -102,8 +102,8 @@
 	Submission int64
 	// Run is the number of the last run that was started, or zero.
 	Run int
-	// FailedRuns counts the runs that failed.
-	FailedRuns int
+	// FailedRuns are the runs that failed.
+	FailedRuns RunSet
 	Result     Result
 	// MayHaveRun is set unless it is known that no run has started since the
 	// offer.
--- a/internal/decide/workerpool/claim_test.go
+++ b/internal/decide/workerpool/claim_test.go
@@ -89,7 +89,7 @@
 	sent := outcomes(p, epoch)
 	require.Len(t, sent, 1)
 	assert.Equal(t, offer.Returned, sent[0].Result)
-	assert.Equal(t, 1, sent[0].FailedRuns)
+	assert.Equal(t, offer.RunSet{1}, sent[0].FailedRuns)
 }
 
 // A second claim of a run that goes on must not end the wait for it.
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -197,13 +197,13 @@
 	}
 }
 
-// reportFailed counts and reports a failed run. The host of the job decides
-// whether the task is offered again, since a former owner may have reported the
-// same end.
+// reportFailed counts and reports a failed run, of which the host of the job may know
+// already: a former owner may have reported the same end, or the log may have it. That host
+// decides whether the task is offered again.
 func (p *Pool) reportFailed(worker string, fence int64, task *offer.Task, run int) {
-	task.FailedRuns++
+	task.FailedRuns = task.FailedRuns.With(run)
 	result, why := offer.Returned, "run failed"
-	if task.FailedRuns >= task.MaxAttempts {
+	if len(task.FailedRuns) >= task.MaxAttempts {
 		result, why = offer.Failed, "maximum number of attempts reached"
 	}
 	p.emit(SendOutcome{outcomeOf(*task, worker, fence, run, result, why)})
--- a/internal/decide/workerpool/record_test.go
+++ b/internal/decide/workerpool/record_test.go
@@ -45,7 +45,7 @@
 			outcomes := actionsOf[SendOutcome](p.PopActions(epoch))
 			require.Len(t, outcomes, 1)
 			assert.Equal(t, offer.Returned, outcomes[0].Outcome.Result)
-			assert.Equal(t, 1, outcomes[0].Outcome.FailedRuns)
+			assert.Equal(t, offer.RunSet{1}, outcomes[0].Outcome.FailedRuns)
 			assert.Equal(t, "w", outcomes[0].Outcome.Worker)
 		})
 	}
@@ -140,3 +140,26 @@
 		})
 	}
 }
+
+// Guards against a job that is shown as failed with attempts left: its next driver, which has
+// read the failed end in the log, claims the run before the owner's record is confirmed.
+func TestFailedEndThatTheClaimKnowsCountsOnce(t *testing.T) {
+	id, claim := claimOf(true)
+	claim.Task.MaxAttempts = 2
+	cfg := DefaultConfig(testLease)
+	cfg.IsStored = func(string) bool { return true }
+	p := NewPool(cfg)
+	p.Adopt(epoch, testWorker("w", 32), 7)
+	p.PollAnswered(epoch, "w", actionsOf[Poll](p.PopActions(epoch))[0].Number, fleet.PollResponse{
+		Clock: time.Minute, StartTime: 1, Ended: []fleet.RunEnd{{Seq: 1, RunID: id, Reason: fleet.EndedFailed}},
+	})
+	records := actionsOf[RecordEnd](p.PopActions(epoch))
+	require.Len(t, records, 1)
+	claim.Task.FailedRuns = offer.RunSet{id.Run}
+	p.Claimed(epoch, claim)
+	p.EndRecorded(epoch, records[0])
+	sent := outcomes(p, epoch)
+	require.Len(t, sent, 1)
+	assert.Equal(t, offer.Returned, sent[0].Result)
+	assert.Equal(t, offer.RunSet{id.Run}, sent[0].FailedRuns)
+}
--- a/internal/decide/workerpool/straggler.go
+++ b/internal/decide/workerpool/straggler.go
@@ -192,7 +192,7 @@
 
 // mayHaveBeenStopped reports whether an earlier run of the task may have been
 // stopped for slowness: one that has neither failed nor been done.
-func (r *run) mayHaveBeenStopped() bool { return r.id.Run-1 > r.task.FailedRuns }
+func (r *run) mayHaveBeenStopped() bool { return r.id.Run-1 > len(r.task.FailedRuns) }
 
 // stopStraggler stops a run that is so slow that its task is expected to
 // complete earlier elsewhere, if the worker is the likely cause. A task is
