Drop the messages to a lost host that have not been sent

What callers saw: best-effort tasks that run twice at once after a host has stood still (TWICE).

Cause: one round of decisions covers all that has waited. Offers that were made before the loss of a host was handled in that round were sent after it, on the next stream, although their tasks counted as lost and were offered again. Only offers that had not reached the list of actions were dropped. Class: a list of actions that outlives the state it was made from; claims and the reports of returned tasks are of it.

Change: the loss of a host drops all messages to it that have not been sent, but reports of done tasks, which always hold. Tasks of dropped offers are idle at once. Simulated hosts make one round of decisions after a standstill, as real ones do, and give a job that is submitted again while its answer is on its way that answer.

Evidence: TestOffersThatWereNotSentDoNotOutliveTheStream and TestReportsThatWereNotSentDoNotOutliveTheStream failed before, and for claims TestClaimThatWasNotSentDoesNotOutliveTheStream.

--- a/internal/decide/coordinator/coordinator.go
+++ b/internal/decide/coordinator/coordinator.go
@@ -337,7 +337,7 @@
 	if h, ok := c.hosts[name]; ok {
 		h.connected = false
 	}
-	c.cancelPendingOffers(name)
+	c.dropMessages(name)
 	endsAt := now.Add(c.orphanTimeout())
 	for _, j := range c.jobsByArrival() {
 		for _, t := range j.tasks {
@@ -350,17 +350,41 @@
 	}
 }
 
-// cancelPendingOffers cancels the offers to a host that were not emitted yet.
-// If they were emitted later, they would be sent on a newer stream, and tasks
-// that count as lost would still run.
-func (c *Coordinator) cancelPendingOffers(name string) {
-	for _, offered := range c.pendingOffers[name] {
-		if _, t := c.find(offered.Name); t != nil && t.state == taskOffered && t.host == name {
+// message is an action that is sent to a host.
+type message interface{ to() string }
+
+func (a Offer) to() string        { return a.Host }
+func (a Withdraw) to() string     { return a.Host }
+func (a Recall) to() string       { return a.Host }
+func (a WithdrawTask) to() string { return a.Host }
+func (a JobStarted) to() string   { return a.Host }
+func (a Claim) to() string        { return a.Host }
+
+// dropMessages drops the messages to a host that have not been sent and cancels the offers
+// among them. They would otherwise be sent on a newer stream, and tasks that count as lost
+// would still run.
+func (c *Coordinator) dropMessages(name string) {
+	c.flushOffers(name)
+	c.actions = slices.DeleteFunc(c.actions, func(a Action) bool {
+		m, ok := a.(message)
+		if !ok || m.to() != name {
+			return false
+		}
+		if o, ok := a.(Offer); ok {
+			c.cancelOffer(o)
+		}
+		return true
+	})
+}
+
+// cancelOffer makes the tasks of an offer that was not sent idle again.
+func (c *Coordinator) cancelOffer(o Offer) {
+	for _, offered := range o.Tasks {
+		if _, t := c.find(offered.Name); t != nil && t.state == taskOffered && t.host == o.Host {
 			t.state, t.host = taskIdle, ""
 			c.hasUnplaced = true
 		}
 	}
-	delete(c.pendingOffers, name)
 }
 
 // stopTime returns the longest time for which a run that is being stopped goes on.
--- a/internal/decide/host/jobs_test.go
+++ b/internal/decide/host/jobs_test.go
@@ -52,9 +52,12 @@
 	attempt, source := j.attempts, fmt.Sprint("caller ", j.id, j.attempts)
 	w.note(j.id, "submission %d to %s", attempt, h.name)
 	w.onFrom(h, source, func() {
+		_, waiting := h.callers[j.id]
 		h.callers[j.id] = attempt
-		// A host that still has the job answers the newer caller.
-		h.core.Coordinator.Submit(w.now, j.spec, w.route, w.callerLimit())
+		// A host that still has the job, or its answer, answers the newer caller.
+		if !waiting {
+			h.core.Coordinator.Submit(w.now, j.spec, w.route, w.callerLimit())
+		}
 	})()
 	cancel := w.onFrom(h, source, func() {
 		if h.callers[j.id] == attempt {
--- a/internal/decide/host/standstill_test.go
+++ b/internal/decide/host/standstill_test.go
@@ -86,6 +86,7 @@
 			w.tickHost(h)
 		}
 	})
+	w.after(d+thawTime, w.on(h, func() {}))
 }
 
 // submitLong submits stored jobs of two steps of one task of the given time.
--- a/internal/decide/host/world_test.go
+++ b/internal/decide/host/world_test.go
@@ -19,7 +19,8 @@
 	joinInterval = 200 * time.Millisecond
 	tickInterval = 20 * time.Millisecond
 	peerTimeout  = 3 * topology.HeartbeatInterval
-	// thawTime is how long a host takes to handle what has waited during a standstill.
+	// thawTime is how long a host takes to handle what has waited during a standstill. One
+	// round of decisions covers all of it.
 	thawTime       = 10 * time.Millisecond
 	resubmitDelay  = 1300 * time.Millisecond
 	callerTimeout  = 1500 * time.Millisecond
@@ -273,7 +274,9 @@
 		}
 		h.resume(w.now)
 		do()
-		w.reconcile(h)
+		if !w.now.Before(h.frozenUntil.Add(thawTime)) {
+			w.reconcile(h)
+		}
 	}
 	return run
 }
--- a/internal/decide/workerpool/withdraw.go
+++ b/internal/decide/workerpool/withdraw.go
@@ -32,11 +32,26 @@
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return q.Host == host })
+	p.dropReports(host)
 	defer delete(p.heard, host)
 	defer delete(p.present, host)
 	p.stopRuns(now, StopHostLost, func(r *run) bool { return r.task.Host == host && r.claimBy.IsZero() })
 }
 
+// dropReports drops the reports to a host that have not been sent, but those of done tasks. On
+// a newer stream they would be taken for reports about tasks that the host has offered since.
+func (p *Pool) dropReports(host string) {
+	p.actions = slices.DeleteFunc(p.actions, func(a Action) bool {
+		switch a := a.(type) {
+		case SendOutcome:
+			return a.Outcome.Host == host && a.Outcome.Result != offer.Done
+		case AnnounceInventory:
+			return a.Host == host
+		}
+		return false
+	})
+}
+
 func (p *Pool) withdraw(now time.Time, match func(*offer.Task) bool) {
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedTask) bool { return match(&q.Task) })
 	p.stopRuns(now, StopWithdrawn, func(r *run) bool { return match(r.task) })
