Answer each claim, and tell late ones by their takeover

What callers saw: accepted jobs that stay pending or running for good (LOST).

Cause: the owner of a worker dropped a claim without an answer if the claiming host counted as having handed the shard over. The driver's wait for the run had no other end. Whether it counted so was decided by the host's name, although it may drive the shard again under a takeover that the owner has not read. Class: a message that one side drops in silence while the other waits.

Change: a late claim is answered as a run that may go on for a lease. Offers and claims name the takeover under which the job is driven; a claim is late, and a handover ends it, only for that takeover or an earlier one. An answer to a claim of a former drive of a stored job does not end the wait for the present one. A recorded failure ends the driver's wait for that run, also if the owner cannot report it any more.

--- a/internal/daemon/dispatch/convert.go
+++ b/internal/daemon/dispatch/convert.go
@@ -165,7 +165,7 @@
 				MaxPerWorker: int32(t.MaxPerWorker), Priority: int32(t.Priority),
 				StartInMs: remainingMs(now, t.StartBy), UsefulMs: remainingMs(now, t.Deadline),
 				Begun: t.JobStarted, MaxAttempts: int32(t.MaxAttempts), Stored: t.Stored,
-				Route: t.Route, JobTasks: int32(t.JobTasks), Submission: t.Submission,
+				Route: t.Route, JobTasks: int32(t.JobTasks), Submission: t.Submission, Takeover: int32(t.Takeover),
 			}
 			offers = append(offers, last)
 		}
@@ -182,8 +182,8 @@
 	for _, t := range o.GetTasks() {
 		tasks = append(tasks, offer.Task{
 			Name:       fleet.TaskName{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
-			Submission: o.GetSubmission(),
-			Stored:     o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Route: o.GetRoute(), JobTasks: int(o.GetJobTasks()), Size: sizeFromProto(o.GetSize()),
+			Submission: o.GetSubmission(), Takeover: int(o.GetTakeover()),
+			Stored: o.GetStored(), Spec: o.GetSpec(), Service: o.GetService(), Route: o.GetRoute(), JobTasks: int(o.GetJobTasks()), Size: sizeFromProto(o.GetSize()),
 			Estimate:      time.Duration(o.GetEstimateMs()) * time.Millisecond,
 			RequiredLabel: o.GetRequiredLabel(), Affinity: o.GetAffinity(), MaxPerWorker: int(o.GetMaxPerWorker()),
 			Priority: int(o.GetPriority()), StartBy: timeIn(now, o.GetStartInMs()), Deadline: timeIn(now, o.GetUsefulMs()),
--- a/internal/decide/coordinator/choose.go
+++ b/internal/decide/coordinator/choose.go
@@ -84,7 +84,7 @@
 func (c *Coordinator) offerTask(j *job, t *task) offer.Task {
 	step := j.spec.Steps[t.name.Step]
 	return offer.Task{
-		Host: c.cfg.Self, Name: t.name, Submission: j.seq, Stored: j.stored, Spec: j.spec.Spec, Service: j.route.Service,
+		Host: c.cfg.Self, Name: t.name, Submission: j.seq, Stored: j.stored, Takeover: j.takeover, Spec: j.spec.Spec, Service: j.route.Service,
 		Route: j.route.Name, JobTasks: step.Count,
 		Size: step.Size, Estimate: step.Estimate, RequiredLabel: step.RequiredLabel, Affinity: step.Affinity,
 		MaxPerWorker: step.MaxPerWorker, Priority: j.route.Priority,
--- a/internal/decide/coordinator/events.go
+++ b/internal/decide/coordinator/events.go
@@ -156,7 +156,7 @@
 	}
 	// A report from an owner that no longer has the task counts only if the
 	// task is done.
-	if (t.host != from || j.isFormer(o.Submission)) && o.Result != offer.Done {
+	if (t.host != from || j.isFormer(o)) && o.Result != offer.Done {
 		return
 	}
 	if o.MayHaveRun && o.Run < t.currentRun() && o.Result != offer.Done {
@@ -179,7 +179,7 @@
 		c.markStarted(now, j, from)
 		c.taskStarted(now, j)
 	case offer.Done:
-		if j.isFormer(o.Submission) {
+		if j.isFormer(o) {
 			c.withdrawTask(t)
 		}
 		c.taskDone(now, j, t, o.Run)
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -80,6 +80,8 @@
 	// stored is set for a job that survives the loss of this host, because the
 	// ends of its tasks are recorded in the log.
 	stored bool
+	// takeover is the number of the takeover under which this host drives a stored job.
+	takeover int
 	// remaining is the number of each step's unfinished tasks.
 	remaining []int
 	taskSet
@@ -154,10 +156,11 @@
 	t.worker, t.fence, t.incarnation = "", 0, fleet.Worker{}
 }
 
-// isFormer reports whether a report is about a former submission of the job. The runs of a
-// stored job are told apart by their numbers, also if this host drives it again.
-func (j *job) isFormer(submission int64) bool {
-	return !j.stored && submission != 0 && submission != j.seq
+// isFormer reports whether a report is about a former submission of the job, or answers a
+// claim that this host made when it drove a stored job before. Otherwise the runs of a stored
+// job are told apart by their numbers.
+func (j *job) isFormer(o offer.Outcome) bool {
+	return o.Submission != 0 && o.Submission != j.seq && (!j.stored || o.Result == offer.Orphaned)
 }
 
 // addOfferedHost records that a host has, or had, tasks of the job.
--- a/internal/decide/coordinator/recorded_test.go
+++ b/internal/decide/coordinator/recorded_test.go
@@ -106,3 +106,44 @@
 	c.Tick(epoch)
 	assert.Empty(t, actionsOf[Offer](c.PopActions()))
 }
+
+// Guards against a task that waits for good: the worker of a claimed run was lost to its owner
+// before the log confirmed the record of the failed end, so that the owner had nothing to report.
+func TestRecordedFailureEndsTheWaitForAClaimedRun(t *testing.T) {
+	c := storedCoordinator(t)
+	owner := actionsOf[Offer](c.PopActions())[0].Host
+	c.HandleOutcome(epoch, owner, outcome(0, offer.Started, "w-"+owner, 1))
+	run := fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 1}
+	c.FailureRecorded(epoch, run)
+	offers := actionsOf[Offer](c.PopActions())
+	require.Len(t, offers, 1)
+	assert.Equal(t, 2, offers[0].Tasks[0].NextRun)
+	again := outcome(0, offer.Returned, "w-"+owner, 1)
+	again.FailedRuns = offer.RunSet{1}
+	c.HandleOutcome(epoch, owner, again)
+	c.Tick(epoch.Add(time.Second))
+	assert.Empty(t, actionsOf[Offer](c.PopActions()), "the owner's report of that end is late")
+}
+
+// Guards against two runs of a task at once: the answer to a claim that a host made before it
+// handed the job over must not end its wait for a run that it has claimed again since.
+func TestAnswerToAFormerClaimDoesNotEndThePresentOne(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	run := ledger.HandedRun{RunID: fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: 3}, Owner: "h1", Worker: "w-h1", Fence: 5}
+	drive := ledger.Drive{Job: storedJob(1), Route: testRoute, FirstRun: 101, Takeover: 1, Running: []ledger.HandedRun{run}}
+	c.SubmitStored(epoch, drive)
+	former := actionsOf[Claim](c.PopActions())[0].Claim.Task
+	c.LetGoStored(epoch, []string{testJob})
+	drive.Takeover = 3
+	c.SubmitStored(epoch, drive)
+	present := actionsOf[Claim](c.PopActions())[0].Claim.Task
+	assert.Equal(t, 3, present.Takeover)
+	returned := offer.Outcome{Task: run.Task, Run: 3, Result: offer.Orphaned, MayHaveRun: true}
+	for _, answered := range []offer.Task{former, present} {
+		returned.Submission = answered.Submission
+		c.HandleOutcome(epoch, "h1", returned)
+		c.SetLogReadTime(epoch.Add(time.Minute))
+		c.Tick(epoch.Add(30 * time.Second))
+		assert.Equal(t, answered.Submission == present.Submission, len(actionsOf[Offer](c.PopActions())) == 1)
+	}
+}
--- a/internal/decide/coordinator/stored.go
+++ b/internal/decide/coordinator/stored.go
@@ -31,7 +31,7 @@
 	}
 	c.seq++
 	j := newJob(now, c.seq, stored.Job, stored.Route, now.Add(storedTimeout))
-	j.stored = true
+	j.stored, j.takeover = true, stored.Takeover
 	j.formerRuns = stored.FirstRun - 1
 	for _, name := range stored.Done {
 		if t := j.lookup(name.Step, name.Index); t != nil && t.state != taskDone {
@@ -105,8 +105,9 @@
 func (c *Coordinator) FailureRecorded(now time.Time, run fleet.RunID) {
 	if j, t := c.find(run.Task); t != nil && t.state != taskDone {
 		t.failedRuns = t.failedRuns.With(run.Run)
-		if t.state == taskOrphaned && t.lastRun == run.Run {
-			t.state, t.lastEndedRun = taskIdle, run.Run
+		if t.atWorker() && t.lastRun == run.Run {
+			// The owner that has the end may not be able to report it any more.
+			t.state, t.host, t.lastEndedRun = taskIdle, "", run.Run
 		}
 		c.review(now, j)
 	}
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -331,12 +331,13 @@
 	case LogAppended:
 		c.Ledger.Apply(now, m.Entries)
 	case offer.Claim:
-		if m.Task.Stored && c.Ledger.HasHandedOver(from, m.Task.Name.Job) {
-			// The claim was sent before the handover. The next driver claims the run.
-			c.emit(LogEvent{Message: "late claim ignored", Worker: m.Worker, Why: "handed over by " + from})
+		m.Task.Host = from
+		if m.Task.Stored && c.Ledger.HasHandedOver(from, m.Task.Name.Job, m.Task.Takeover) {
+			// The next driver claims the run.
+			c.emit(LogEvent{Message: "late claim returned", Worker: m.Worker, Why: "handed over by " + from})
+			c.Pool.LateClaim(m)
 			return
 		}
-		m.Task.Host = from
 		c.Pool.Claimed(now, m)
 	case offer.Outcome:
 		c.outcome(now, from, m)
@@ -419,7 +420,7 @@
 		case ledger.LetGo:
 			c.Coordinator.LetGoStored(now, a.Jobs)
 		case ledger.RunsHandedOver:
-			c.Pool.HandedOver(now, a.Host, a.Runs)
+			c.Pool.HandedOver(now, a.Host, a.Takeovers, a.Runs)
 			c.emit(a)
 		case ledger.TaskDone:
 			c.Coordinator.TaskRecorded(now, a.RunID)
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -504,15 +504,22 @@
 }
 
 // HasHandedOver reports whether a host is known to have handed over the shard of a job
-// and not to have taken it over since.
-func (l *Ledger) HasHandedOver(host, job string) bool {
+// under the takeover with a number. If that is zero, it reports whether the host has handed the
+// shard over and is not known to have taken it over since.
+func (l *Ledger) HasHandedOver(host, job string, takeover int) bool {
 	var last *taker
 	for _, t := range l.shards[l.Shard(job)].takers {
-		if t.host == host && (last == nil || t.takeovers > last.takeovers) {
+		if t.host != host {
+			continue
+		}
+		if takeover > 0 && t.handover.complete && t.handover.takeovers >= takeover {
+			return true
+		}
+		if last == nil || t.takeovers > last.takeovers {
 			last = t
 		}
 	}
-	return last != nil && last.hasLeft()
+	return takeover == 0 && last != nil && last.hasLeft()
 }
 
 // handedWork is what a handover says of one job.
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -62,6 +62,8 @@
 	HeldAt map[fleet.TaskName]time.Time
 	// FirstRun is higher than the number of any run of a previous driver.
 	FirstRun int
+	// Takeover is the number of the takeover under which this host drives the job.
+	Takeover int
 	// Running are the runs that the previous driver has handed over, and Unsettled the
 	// tasks of which it did not know whether they run.
 	Running   []HandedRun
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -216,7 +216,7 @@
 	j.driven = true
 	s := l.shards[l.Shard(j.spec.ID)]
 	d := Drive{
-		Job: j.spec, Route: j.route,
+		Job: j.spec, Route: j.route, Takeover: s.driverTakeover,
 		// The first driver after the acceptance numbers its runs from one.
 		FirstRun: 1 + runsPerTakeover*max(0, s.driverTakeover-max(1, j.takeovers)),
 	}
--- a/internal/decide/offer/offer.go
+++ b/internal/decide/offer/offer.go
@@ -58,6 +58,9 @@
 	Exclusive bool
 	// NextRun is the number of the next run.
 	NextRun int
+	// Takeover is the number of the takeover under which Host drives a stored job; zero for
+	// other jobs, and in messages of an older version.
+	Takeover int
 	// FailedRuns are the runs that failed.
 	FailedRuns RunSet
 	// MaxAttempts is how many failed runs make the task fail.
--- a/internal/decide/workerpool/claim_test.go
+++ b/internal/decide/workerpool/claim_test.go
@@ -184,8 +184,8 @@
 func TestHandedOverRunWaitsForTheNextDriver(t *testing.T) {
 	for _, claimed := range []bool{false, true} {
 		p, id := startedRun(t, "former", true)
-		p.HandedOver(epoch, "other", []fleet.RunID{id})
-		p.HandedOver(epoch, "former", []fleet.RunID{id})
+		p.HandedOver(epoch, "other", 1, []fleet.RunID{id})
+		p.HandedOver(epoch, "former", 1, []fleet.RunID{id})
 		p.HostLost(epoch, "former")
 		end := epoch.Add(p.cfg.HandoverHold)
 		require.Empty(t, stopsAt(p, end))
@@ -242,3 +242,17 @@
 	p.HostReached("later")
 	assert.Empty(t, actionsOf[AnnounceInventory](p.PopActions(now)), "nothing waits to be claimed")
 }
+
+// Guards against a stored job that waits for good: its driver had handed a run over, had driven
+// the job again and had claimed the run, before the run's owner read the handover and stopped it.
+func TestHandoverReadLateDoesNotEndALaterClaim(t *testing.T) {
+	id, claim := claimOf(true)
+	p := newAdoptedPool(t, 16, fleet.PollResponse{Clock: time.Minute, StartTime: 1, Running: runningList(id)})
+	claim.Task.Host, claim.Task.Takeover = "driver", 3
+	p.Claimed(epoch, claim)
+	for takeover, stopped := range map[int]bool{2: false, 3: true} {
+		p.HandedOver(epoch, "driver", takeover, []fleet.RunID{id})
+		assert.Equal(t, stopped, !p.workers["w"].runs[id].claimBy.IsZero(), "handed over under %d", takeover)
+		p.Claimed(epoch, claim)
+	}
+}
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -68,12 +68,19 @@
 	r.task, r.host, r.claimBy = &task, task.Host, time.Time{}
 }
 
-// HandedOver records that a host has handed runs over: it does not wait for them any
-// more, and another host will claim them.
-func (p *Pool) HandedOver(now time.Time, host string, runs []fleet.RunID) {
+// LateClaim answers a claim that its host made before it handed the shard of the job over. If
+// the host drives the job all the same, it waits for the answer.
+func (p *Pool) LateClaim(c offer.Claim) {
+	p.returnClaim(c.Task, c.Run().Run, "claimed before the shard was handed over", p.cfg.MaxLease)
+}
+
+// HandedOver records that a host has handed runs over under a takeover: it does not wait for
+// them any more, and another host will claim them. The host itself may have claimed some
+// again, under a later takeover, before this was read.
+func (p *Pool) HandedOver(now time.Time, host string, takeover int, runs []fleet.RunID) {
 	for _, w := range p.order {
 		for _, id := range runs {
-			if r := w.runs[id]; r != nil && r.task != nil && r.task.Host == host {
+			if r := w.runs[id]; r != nil && r.task != nil && r.task.Host == host && r.task.Takeover <= takeover {
 				// The handover may have been read late, after a standstill.
 				r.claimBy = earlier(now, p.lastHeard(now, host)).Add(p.cfg.HandoverHold)
 			}
--- a/internal/decide/workerpool/leases_test.go
+++ b/internal/decide/workerpool/leases_test.go
@@ -55,7 +55,7 @@
 	p, id := startedRun(t, "driver", true)
 	p.HostHeard("driver", epoch)
 	now := epoch.Add(late)
-	p.HandedOver(now, "driver", []fleet.RunID{id})
+	p.HandedOver(now, "driver", 1, []fleet.RunID{id})
 	bound := p.cfg.HandoverHold + p.cfg.RenewBefore
 	assert.LessOrEqual(t, latestLease(p, id, now, epoch.Add(3*time.Second)).Sub(epoch), bound)
 }
--- a/internal/decide/workerpool/waits_test.go
+++ b/internal/decide/workerpool/waits_test.go
@@ -48,7 +48,7 @@
 		"found": {func() (*Pool, fleet.RunID) { return foundRun(found), found }, hold.FoundRunHold},
 		"handed over": {func() (*Pool, fleet.RunID) {
 			p, id := startedRun(t, "driver", true)
-			p.HandedOver(epoch, "driver", []fleet.RunID{id})
+			p.HandedOver(epoch, "driver", 1, []fleet.RunID{id})
 			return p, id
 		}, hold.HandoverHold},
 		"driver silent": {func() (*Pool, fleet.RunID) {
@@ -70,7 +70,7 @@
 func TestStartDoesNotExtendARunThatAwaitsItsDriver(t *testing.T) {
 	for name, lose := range map[string]func(*Pool, fleet.RunID) time.Duration{
 		"handed over": func(p *Pool, id fleet.RunID) time.Duration {
-			p.HandedOver(epoch, "driver", []fleet.RunID{id})
+			p.HandedOver(epoch, "driver", 1, []fleet.RunID{id})
 			return p.cfg.HandoverHold
 		},
 		"driver silent": func(p *Pool, _ fleet.RunID) time.Duration {
