Append the parts of a handover singly

What callers would see: the runs of a shard with over ten thousand of them are stopped by a planned stop.

Cause: a handover has parts, so that each record is small enough, but all of them were one append, which the store refuses over 2 MB and the host repeated until the time for the handover was over.

Change: each part is an append. A handover counts only once all parts have been read.

Evidence: TestPartsOfALargeHandoverAreAppendedSingly failed before, with one append of three parts.

--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -314,7 +314,7 @@
 			part.Takeovers, part.Generation, part.Host, part.Nonce = s.ownTakeover, s.generation, l.cfg.Host, l.cfg.Nonce
 			entries = append(entries, part)
 		}
-		l.emit(AppendEntries{entries})
+		l.appendParts(entries)
 		l.emit(LogEvent{Message: "shard passed on", Shard: n, Why: "handed over by " + host})
 		s.reset()
 	}
@@ -376,7 +376,15 @@
 		}
 		s.outgoing.recorded = true
 		l.emit(HandoverListed{Jobs: jobs})
-		l.emit(AppendEntries{l.handoverEntries(n, running, unsettled)})
+		l.appendParts(l.handoverEntries(n, running, unsettled))
+	}
+}
+
+// appendParts asks for the entries of a handover to be appended, each by itself: those of many
+// runs are larger together than one append may be. They count once all have been read.
+func (l *Ledger) appendParts(entries []Entry) {
+	for _, e := range entries {
+		l.emit(AppendEntries{[]Entry{e}})
 	}
 }
 
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -313,3 +313,28 @@
 	taken, _ = numbers(at.Add(time.Millisecond))
 	require.Equal(t, []int{6}, taken)
 }
+
+// Guards against runs that are stopped by a planned stop: a handover of more runs than one append
+// may hold was refused, and repeated until the time for it was over.
+func TestPartsOfALargeHandoverAreAppendedSingly(t *testing.T) {
+	l := newDriver(t, testEpoch)
+	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob)})
+	l.Leave(testEpoch.Add(100 * time.Millisecond))
+	l.PopActions()
+	l.Handovers(testEpoch.Add(120*time.Millisecond), func([]string) ([]HandedRun, []fleet.TaskName) {
+		running := make([]HandedRun, 2*maxHandedTasks+1)
+		for i := range running {
+			running[i] = handedRun(i)
+		}
+		return running, nil
+	})
+	appended := actionsOf[AppendEntries](l.PopActions())
+	parts := len(appended)
+	require.Equal(t, 3, parts)
+	for i, a := range appended {
+		require.Len(t, a.Entries, 1)
+		assert.Empty(t, actionsOf[LetGo](l.PopActions()), "%d of 3 parts are in the log", i)
+		l.Apply(testEpoch.Add(130*time.Millisecond), a.Entries)
+	}
+	assert.Len(t, actionsOf[LetGo](l.PopActions()), 1)
+}
