Do not wait anew for the own runs of a shard that comes back

Cause: a host that had stopped driving without a handover, since its membership was not confirmed, waited the full delay for its own former runs whenever it got the shard back, although the record of the host in between covers them. Where the shard stays for less than the delay each time, it had no driver for good.

Change: the record of a host that came after such a drive covers it, as it covers those of other hosts, and the runs are over after the delay in any case.

--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -101,6 +101,12 @@
 	recorded        bool
 }
 
+// takeover identifies a takeover of a shard.
+type takeover struct {
+	number     int
+	generation int64
+}
+
 // handover is what has been read of the last handover of a process.
 type handover struct {
 	takeovers  int
@@ -183,7 +189,10 @@
 // shard before this host: every other one has left or came before it. Late appends may let a
 // process with a lower number come later; then nothing is certain.
 func (l *Ledger) isPreceded(s *shard, h *handover) bool {
-	if s.abandoned || h.generation == 0 || s.unknownTaker || s.takeovers > s.knownTakeovers() {
+	if !l.asOf.After(s.abandonedUntil) && !h.covers(s.abandoned.number, s.abandoned.generation) {
+		return false
+	}
+	if h.generation == 0 || s.unknownTaker || s.takeovers > s.knownTakeovers() {
 		return false
 	}
 	for _, t := range s.takers {
@@ -276,10 +285,10 @@
 		return
 	case !s.driving:
 		l.leaveUndriven(now, n)
-		l.releaseShard(n, why)
+		l.releaseShard(now, n, why)
 		return
 	case len(l.jobs) == 0 || !now.Before(endBy):
-		l.releaseShard(n, why)
+		l.releaseShard(now, n, why)
 		return
 	}
 	s.outgoing = &outgoing{settleBy: endBy.Add(-handoverRecordTime), endBy: endBy}
@@ -329,7 +338,7 @@
 		h := l.precedingHandover(s)
 		if h != nil && h.wait > 0 || !now.Before(s.passOnBy) {
 			l.leaveUndriven(now, n)
-			l.releaseShard(n, "not handed over in time")
+			l.releaseShard(now, n, "not handed over in time")
 		}
 	}
 }
@@ -480,7 +489,7 @@
 func (l *Ledger) expireHandovers(now time.Time) {
 	for n, s := range l.shards {
 		if s.outgoing != nil && !now.Before(s.outgoing.endBy) {
-			l.releaseShard(n, "handover not recorded in time")
+			l.releaseShard(now, n, "handover not recorded in time")
 		}
 	}
 }
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -338,3 +338,31 @@
 	}
 	assert.Len(t, actionsOf[LetGo](l.PopActions()), 1)
 }
+
+// Guards against a shard that has no driver for as long as it goes back and forth: a host that
+// had stopped driving without a handover waited the full delay whenever it got the shard back.
+func TestWaitForOwnFormerRunsDoesNotBeginAnew(t *testing.T) {
+	var log []Entry
+	first, next := newHandoverLedger("a", 1), newHandoverLedger("b", 2)
+	takeOver(t, first, &log, testEpoch)
+	log = append(log, acceptedTwoSteps(testJob))
+	first.Apply(testEpoch, log)
+	require.Len(t, actionsOf[Drive](first.PopActions()), 1)
+	now := testEpoch.Add(memberTTL + 10*time.Millisecond)
+	first.Expire(now)
+	require.Len(t, actionsOf[Release](first.PopActions()), 1)
+
+	takeOver(t, next, &log, now)
+	const left = 100 * time.Millisecond
+	now = now.Add(takeoverDelay - left)
+	next.Assigned(now, now, 5, nil)
+	appended := actionsOf[AppendEntries](next.PopActions())
+	require.Len(t, appended, 1)
+	log = append(log, appended[0].Entries...)
+
+	takeOver(t, first, &log, now)
+	first.LogRead(now.Add(left))
+	require.Empty(t, actionsOf[Drive](first.PopActions()), "its former runs may go on")
+	first.LogRead(now.Add(left + time.Millisecond))
+	require.Len(t, actionsOf[Drive](first.PopActions()), 1)
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -177,9 +177,10 @@
 	driverTakeover   int
 	driverGeneration int64
 	renewBy          time.Time
-	// abandoned is set once this host has stopped driving without a handover: until another
-	// takeover is in force, its runs may go on.
-	abandoned bool
+	// abandoned is the takeover under which this host has stopped driving without a handover,
+	// and abandonedUntil the time until which its runs may go on; zero if there is none.
+	abandoned      takeover
+	abandonedUntil time.Time
 	// outgoing is set while this host hands the shard over. Meanwhile it goes on
 	// driving the shard's jobs, without offering tasks.
 	outgoing *outgoing
@@ -194,7 +195,7 @@
 // the log says.
 func (s *shard) reset() {
 	*s = shard{
-		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, lastNumber: s.lastNumber,
+		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, abandonedUntil: s.abandonedUntil, lastNumber: s.lastNumber,
 		assigned: s.assigned, assignedAt: s.assignedAt, generation: s.generation,
 	}
 }
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -135,7 +135,7 @@
 // closes the job. The next driver closes the job and starts no run.
 func TestJobWithoutAttemptsLeftIsClosedByTheNextDriver(t *testing.T) {
 	l := newDriver(t, testEpoch)
-	l.MembershipEnded("planned stop")
+	l.MembershipEnded(testEpoch, "planned stop")
 	l.Apply(testEpoch, []Entry{acceptedTwoSteps(testJob), runEnded(0, 1, fleet.EndedFailed), runEnded(0, 2, fleet.EndedFailed)})
 	later := testEpoch.Add(time.Minute)
 	l.Assigned(later, later, 2, []int{0})
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -100,11 +100,11 @@
 
 // MembershipEnded releases all shards of this host and stops its runs there: another
 // host may drive the shards.
-func (l *Ledger) MembershipEnded(why string) {
+func (l *Ledger) MembershipEnded(now time.Time, why string) {
 	for n, s := range l.shards {
 		if s.assigned || s.outgoing != nil {
 			s.assigned = false
-			l.releaseShard(n, why)
+			l.releaseShard(now, n, why)
 		}
 	}
 }
@@ -113,7 +113,7 @@
 // Config.MemberTTL: they may be assigned to another host.
 func (l *Ledger) Expire(now time.Time) {
 	if now.Sub(l.confirmed) > l.cfg.MemberTTL {
-		l.MembershipEnded("membership not confirmed")
+		l.MembershipEnded(now, "membership not confirmed")
 	}
 }
 
@@ -130,10 +130,11 @@
 
 // releaseShard ends this host's responsibility for a shard and stops driving the
 // shard's jobs.
-func (l *Ledger) releaseShard(n int, why string) {
+func (l *Ledger) releaseShard(now time.Time, n int, why string) {
 	s := l.shards[n]
 	if s.driving {
-		s.abandoned = true
+		s.abandoned = takeover{s.driverTakeover, s.driverGeneration}
+		s.abandonedUntil = now.Add(l.cfg.TakeoverDelay)
 		for _, j := range l.openJobs(n) {
 			l.stopDriving(j, why)
 		}
@@ -186,7 +187,7 @@
 	case h != nil && h.wait == 0 && !l.isSuperseded(s):
 		handed, why = h.byJob(), "handed over by "+h.parts[0].Host
 	}
-	s.driving, s.abandoned = true, false
+	s.driving, s.abandonedUntil = true, time.Time{}
 	s.driverTakeover, s.driverGeneration = s.ownTakeover, s.generation
 	l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: fmt.Sprintf("%s; number %d, generation %d", why, s.driverTakeover, s.driverGeneration)})
 	if h := s.lastHandover(); h != nil && len(h.parts) > 0 {
