Let a query wait for the acceptance of a job that the host does not know

What callers saw: 410, no such job, at one host in the same millisecond in which another host had accepted the job.

Cause: a host that has read the log in the last 2.5 s concluded that a job does not exist. The acceptance was on its way.

Change: such a query waits up to 60 ms for the acceptance, as one about an open job waits for the job's end.

--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -81,6 +81,8 @@
 		d.nearDecision("owner", a.Report)
 	case coordinator.NearDecision:
 		d.nearDecision("job_host", a.Report)
+	case ledger.JobRead:
+		d.notifyWatchers(a.Job)
 	case ledger.JobEnded:
 		d.jobEnded(a)
 	case ledger.JobSetAside:
--- a/internal/daemon/dispatch/dispatch.go
+++ b/internal/daemon/dispatch/dispatch.go
@@ -99,8 +99,8 @@
 	core    *host.Core
 	load    loadSample
 	waiters map[string]waiter
-	// watchers holds, by job, the channels that are closed when a stored job
-	// ends.
+	// watchers holds, by job, the channels that are closed when the acceptance of a stored
+	// job is read or the job has ended.
 	watchers      map[string][]chan struct{}
 	workersListed bool
 	// start holds jobs and records the steps while the host starts. It is nil if
--- a/internal/daemon/dispatch/stored.go
+++ b/internal/daemon/dispatch/stored.go
@@ -362,37 +362,38 @@
 	}
 }
 
-// stateWait is how long a query about an open job waits for the job's end: the
-// time that a record takes from the worker's poll response through the log to
-// every host.
+// stateWait is how long a query waits for the end of an open job, or for the acceptance of
+// one that this host does not know: the time that a record takes from the worker's poll
+// response, or from another host's caller, through the log to every host.
 const stateWait = 60 * time.Millisecond
 
-// storedState returns a job's state, and the reason if it was set aside. For a job that has not ended it waits up to
-// stateWait, because another host may already know the job's end.
+// storedState returns a job's state, and the reason if it was set aside. For a job that has
+// not ended, or that this host does not know, it waits up to stateWait, because another host
+// may already know of its end or of its acceptance.
 func (d *Dispatcher) storedState(ctx context.Context, job string) (ledger.State, string, *errkind.Error) {
 	var state ledger.State
 	var reason string
 	known := false
-	ended := make(chan struct{})
+	changed := make(chan struct{})
 	readState := func(now time.Time) {
 		state, known = d.core.Ledger.State(now, job)
 		reason = d.core.Ledger.Reason(job)
 	}
 	d.postAndWait(func(now time.Time) {
 		readState(now)
-		if state != "" && !state.Ended() {
-			d.watchers[job] = append(d.watchers[job], ended)
+		if !state.Ended() {
+			d.watchers[job] = append(d.watchers[job], changed)
 		}
 	})
-	if state != "" && !state.Ended() {
+	if !state.Ended() {
 		select {
-		case <-ended:
+		case <-changed:
 		case <-time.After(stateWait):
 		case <-ctx.Done():
 		}
 		d.postAndWait(func(now time.Time) {
 			readState(now)
-			d.unwatch(job, ended)
+			d.unwatch(job, changed)
 		})
 	}
 	if !known {
@@ -401,9 +402,9 @@
 	return state, reason, nil
 }
 
-// unwatch removes a watcher of a job's end.
-func (d *Dispatcher) unwatch(job string, ended chan struct{}) {
-	rest := slices.DeleteFunc(d.watchers[job], func(o chan struct{}) bool { return o == ended })
+// unwatch removes a watcher of a job.
+func (d *Dispatcher) unwatch(job string, changed chan struct{}) {
+	rest := slices.DeleteFunc(d.watchers[job], func(o chan struct{}) bool { return o == changed })
 	if len(rest) > 0 {
 		d.watchers[job] = rest
 	} else {
@@ -411,15 +412,20 @@
 	}
 }
 
-// jobEnded logs the end of a stored job and notifies its watchers.
+// jobEnded logs the end of a stored job and wakes the queries that wait for it.
 func (d *Dispatcher) jobEnded(o ledger.JobEnded) {
 	if o.Driven {
 		d.logger.Info("stored job ended", "job", o.Job, "route", o.Queue, "state", o.State, "ends", o.Runs)
 	}
-	for _, ended := range d.watchers[o.Job] {
-		close(ended)
+	d.notifyWatchers(o.Job)
+}
+
+// notifyWatchers wakes the queries that wait for a change of a stored job.
+func (d *Dispatcher) notifyWatchers(job string) {
+	for _, changed := range d.watchers[job] {
+		close(changed)
 	}
-	delete(d.watchers, o.Job)
+	delete(d.watchers, job)
 }
 
 // jobSetAside logs and counts a stored job that no host can run.
--- a/internal/decide/host/host.go
+++ b/internal/decide/host/host.go
@@ -57,7 +57,7 @@
 // Action is a request to the event loop: an order to a worker (workerpool.Start,
 // workerpool.Stop, workerpool.Poll), a message to other hosts (Send, Broadcast),
 // an answer to a caller (coordinator.Answer), an append to the log of stored
-// jobs (Append), or a report of a stored job's end (ledger.JobEnded), of one that
+// jobs (Append), or a report of a stored job that was read (ledger.JobRead) or has ended (ledger.JobEnded), of one that
 // cannot run (ledger.JobSetAside), of the
 // cancellation of another job (ledger.UnknownCancelled), of a shard that
 // was handed over (ledger.RunsHandedOver), of a task that was not done (TaskNotDone), of a claimed run (RunClaimed),
@@ -428,7 +428,7 @@
 			c.Coordinator.FailureRecorded(now, a.RunID)
 		case ledger.HoldRead:
 			c.Coordinator.RunHeld(now, a.RunHeld)
-		case ledger.JobEnded, ledger.JobSetAside, ledger.UnknownCancelled:
+		case ledger.JobRead, ledger.JobEnded, ledger.JobSetAside, ledger.UnknownCancelled:
 			c.emit(a)
 		case ledger.AppendEntries:
 			c.emit(Append{Entries: a.Entries})
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -85,6 +85,9 @@
 // HoldRead reports that the log records a run of a driven job as held for its driver.
 type HoldRead struct{ RunHeld }
 
+// JobRead reports that the acceptance of a job has been read.
+type JobRead struct{ Job string }
+
 // JobEnded reports that a job has ended. Driven is set if this host drove it.
 type JobEnded struct {
 	Job    string
@@ -113,6 +116,7 @@
 func (TaskDone) action()         {}
 func (RunFailed) action()        {}
 func (HoldRead) action()         {}
+func (JobRead) action()          {}
 func (JobEnded) action()         {}
 func (UnknownCancelled) action() {}
 func (AppendEntries) action()    {}
@@ -360,6 +364,7 @@
 		j.remaining += step.Count
 	}
 	l.jobs[e.Job.ID] = j
+	l.emit(JobRead{e.Job.ID})
 	if l.IsCancelled(e.Job.ID) {
 		delete(l.cancelledUnknown, e.Job.ID)
 		l.cancel(now, e.Job.ID)
