--- a/internal/decide/ledger/model_test.go
+++ b/internal/decide/ledger/model_test.go
@@ -88,8 +88,6 @@
 	// carried out late.
 	lossRate, lateRate float64
 	runs               []*modelRun
-	driven             time.Duration
-	idleSince          time.Time
 	trace              []string
 }
 
