Do not drive a shard that another process has in a later generation

What callers saw: both tasks of a stored job ran twice at once, on two workers and with the same run number (TWICE).

The store then gave the shard to karen-3, in generation 10, which read no other takeover and drove at once as the first driver. karen-2, whose joins got no answer, read both takeovers 0.26 s later, found its own wait of 2.88 s over, and drove as well, until its membership ended 0.29 s later. A job that was accepted in between was started by both, as the first driver of each counts its runs from one. A process with a later generation was looked for only where a handover shortens the wait, not where the wait is over.

Change: a host drives no shard of which it has read a takeover of a later generation. Of two hosts that drive only once their takeover and all before it have been read, the one whose takeover is later in the log has read the other's: it either waits or, if its generation is the earlier one, does not drive.

Evidence: TestHostDoesNotDriveAShardThatAnotherHasInALaterGeneration failed before.

--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -226,7 +226,8 @@
 	return highest
 }
 
-// isSuperseded reports whether another process has the shard in a later generation.
+// isSuperseded reports whether another process has the shard in a later generation. It may be
+// driving: the takeover of this host was not in the log when it began.
 func (l *Ledger) isSuperseded(s *shard) bool {
 	for _, t := range s.takers {
 		if t.nonce != l.cfg.Nonce && t.generation > s.generation {
@@ -498,7 +499,7 @@
 // requested or not been read yet, or the previous driver has handed over.
 func (l *Ledger) AwaitsLog() bool {
 	for _, s := range l.shards {
-		if !s.assigned || s.driving {
+		if !s.assigned || s.driving || l.isSuperseded(s) {
 			continue
 		}
 		if s.ownTakeover == 0 || !l.isRead(s) {
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -366,3 +366,38 @@
 	first.LogRead(now.Add(left + time.Millisecond))
 	require.Len(t, actionsOf[Drive](first.PopActions()), 1)
 }
+
+// Guards against two drivers of a shard: a host whose takeover the store had done late began to
+// drive once its wait was over, beside the first driver, which has the shard in a later
+// generation and had not read of that takeover.
+func TestHostDoesNotDriveAShardThatAnotherHasInALaterGeneration(t *testing.T) {
+	accepted := Accepted{Route: testRoute, Job: fleet.Job{ID: testJob, Steps: []fleet.Step{{Count: 1}}}}
+	former, later := newHandoverLedger("a", 1), newHandoverLedger("b", 2)
+	former.Assigned(testEpoch, testEpoch, 1, []int{0})
+	former.LogRead(testEpoch.Add(time.Millisecond))
+	late := actionsOf[AppendEntries](former.PopActions())
+	require.Len(t, late, 1)
+
+	now := testEpoch.Add(takeoverDelay - 200*time.Millisecond)
+	former.Assigned(now, now, 1, []int{0})
+	log := []Entry{accepted}
+	takeOver(t, later, &log, now)
+	require.Len(t, actionsOf[Drive](later.PopActions()), 1, "the first driver")
+
+	log = append(log, late[0].Entries...)
+	now = testEpoch.Add(takeoverDelay + 10*time.Millisecond)
+	former.Apply(now, log)
+	former.LogRead(now.Add(time.Millisecond))
+	former.Tick(now.Add(2 * time.Millisecond))
+	require.Empty(t, actionsOf[Drive](former.PopActions()))
+	assert.False(t, former.AwaitsLog())
+
+	// Once it has the shard in a generation after that, it takes it over anew.
+	now = now.Add(100 * time.Millisecond)
+	former.Assigned(now, now, 4, []int{0})
+	former.LogRead(now.Add(time.Millisecond))
+	readOwn(former, now.Add(2*time.Millisecond))
+	former.Assigned(now.Add(takeoverDelay), now.Add(takeoverDelay), 4, []int{0})
+	former.LogRead(now.Add(takeoverDelay + time.Millisecond))
+	assert.Len(t, actionsOf[Drive](former.PopActions()), 1)
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -154,8 +154,9 @@
 }
 
 // takeOverShards starts driving the assigned shards for which that is safe: the
-// takeover is in the log, with a number that no earlier process has, and either the previous
-// driver has handed the shard over, or its runs are over and their ends have been read.
+// takeover is in the log, with a number that no earlier process has, no process has the shard
+// in a later generation, and either the previous driver has handed the shard over, or its runs
+// are over and their ends have been read.
 func (l *Ledger) takeOverShards() {
 	l.passHandoversOn()
 	for n, s := range l.shards {
@@ -167,7 +168,7 @@
 		case s.driving:
 		case s.ownTakeover == 0 || !s.takenAt.IsZero() && l.isOutdated(s, s.ownTakeover):
 			l.requestTakeover(n)
-		case l.isRead(s):
+		case l.isRead(s) && !l.isSuperseded(s):
 			l.beginDriving(n)
 		}
 	}
@@ -184,7 +185,7 @@
 		why = "first driver"
 	case !l.asOf.After(l.waitUntil(s)):
 		return
-	case h != nil && h.wait == 0 && !l.isSuperseded(s):
+	case h != nil && h.wait == 0:
 		handed, why = h.byJob(), "handed over by "+h.parts[0].Host
 	}
 	s.driving, s.abandonedUntil = true, time.Time{}
