Tell of the former drive of a process with each takeover

What callers saw: tasks of stored jobs ran twice at once (TWICE).

Cause: of each process that takes a shard over, only its last takeover was known. A host a drives, loses the shard without a handover, and gets it back after a host b that has had it in between. b then sees that a has the shard after it, and not any more that a has driven before it. It takes an older handover for that of the driver before it and passes it on as its own, and the next host begins at once while the runs of a go on.

Change: the record of a takeover names the last takeover under which its process has driven the shard. A host goes on with a handover only if that, too, was handed over or came before it.

The model of drivers (TestOneDriverInEveryOrderOfTheLog) now accepts jobs while the shard moves, lets hosts stand still, stop as planned, list tasks as unsettled and have clocks that are 2% fast or slow, and takes the times of the product for calls without an answer. A run of a host that goes on after a standstill ends by the time that its silence was noticed. It checks runs of tasks where it checked drivers.

--- a/internal/daemon/dispatch/convert_test.go
+++ b/internal/daemon/dispatch/convert_test.go
@@ -85,7 +85,7 @@
 		Running:   []ledger.HandedRun{{RunID: fleet.RunID{Task: lostTask, Run: 4}, Owner: "o", Worker: "w", Fence: 1 << 52, Exclusive: true}},
 		Unsettled: []fleet.TaskName{lostTask},
 	}
-	taken := ledger.TakenOver{Shard: 3, Takeovers: 2, Generation: 8, Host: "h/1", Nonce: 1 << 62}
+	taken := ledger.TakenOver{Shard: 3, Takeovers: 2, Generation: 8, Host: "h/1", Nonce: 1 << 62, FormerTakeovers: 1, FormerGeneration: 5}
 	for _, e := range []ledger.Entry{handed, taken} {
 		records, err := encodeEntry(e)
 		require.NoError(t, err)
--- a/internal/daemon/dispatch/jobrecord.go
+++ b/internal/daemon/dispatch/jobrecord.go
@@ -46,6 +46,9 @@
 	Host       string `json:"host"`
 	Nonce      int64  `json:"nonce"`
 	Generation int64  `json:"generation,omitempty"`
+	// FormerTakeovers and FormerGeneration are those of ledger.TakenOver.
+	FormerTakeovers  int   `json:"former_takeovers,omitempty"`
+	FormerGeneration int64 `json:"former_generation,omitempty"`
 }
 
 // presentValue is the value of a record whose key carries all the information.
@@ -112,7 +115,7 @@
 }
 
 func encodeTakenOver(e ledger.TakenOver) ([]platform.KeyedRecord, error) {
-	taker, err := json.Marshal(takerRecord{e.Takeovers, e.Host, e.Nonce, e.Generation})
+	taker, err := json.Marshal(takerRecord{e.Takeovers, e.Host, e.Nonce, e.Generation, e.FormerTakeovers, e.FormerGeneration})
 	if err != nil {
 		return nil, fmt.Errorf("encode takeover of shard %d: %w", e.Shard, err)
 	}
@@ -231,7 +234,10 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return nil, fmt.Errorf("record %q: %w", name, err)
 	}
-	return ledger.TakenOver{Shard: shard, Takeovers: v.Takeovers, Host: v.Host, Nonce: v.Nonce, Generation: v.Generation}, nil
+	return ledger.TakenOver{
+		Shard: shard, Takeovers: v.Takeovers, Host: v.Host, Nonce: v.Nonce, Generation: v.Generation,
+		FormerTakeovers: v.FormerTakeovers, FormerGeneration: v.FormerGeneration,
+	}, nil
 }
 
 func decodeRunEnded(name, rest string, value []byte) (ledger.Entry, error) {
--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -89,6 +89,10 @@
 	// takeovers also where the store carries their appends out late. It is zero in an entry
 	// of an older version.
 	Generation int64
+	// FormerTakeovers and FormerGeneration are those of the last takeover under which the
+	// process has driven the shard; zero if there is none.
+	FormerTakeovers  int
+	FormerGeneration int64
 }
 
 func (Accepted) entry()  {}
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -125,6 +125,8 @@
 	nonce      int64
 	takeovers  int
 	generation int64
+	// former is the last takeover before that one under which the process has driven the shard.
+	former takeover
 	// handover is the last complete handover, and incoming one of which parts are missing.
 	handover, incoming handover
 }
@@ -132,6 +134,20 @@
 // hasLeft reports whether the process has handed its last takeover over.
 func (t *taker) hasLeft() bool { return t.handover.complete && t.handover.takeovers >= t.takeovers }
 
+// hadLeft reports whether the process, which has the shard in a later generation than the given
+// one, has handed over what it drove before that generation, or came before a handover.
+func (t *taker) hadLeft(h *handover, generation int64) bool {
+	f := t.former
+	switch {
+	case f.number == 0:
+		return true
+	case f.generation >= generation:
+		// It has driven the shard since. What it drove before is not known.
+		return false
+	}
+	return t.handover.complete && t.handover.takeovers >= f.number || h.covers(f.number, f.generation)
+}
+
 // covers reports whether a process that recorded the handover may begin only once a takeover
 // with the given number and generation had ended: it came before its own.
 func (h *handover) covers(takeovers int, generation int64) bool {
@@ -159,12 +175,13 @@
 	}
 	if t := s.taker(e.Nonce, e.Host); e.Takeovers > t.takeovers {
 		t.takeovers, t.generation = e.Takeovers, e.Generation
+		t.former = takeover{e.FormerTakeovers, e.FormerGeneration}
 		l.emit(LogEvent{Message: "shard takeover read", Shard: n, Why: fmt.Sprintf("number %d, generation %d, of %s", e.Takeovers, e.Generation, e.Host)})
 	}
 	if s.takenAt.IsZero() && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
 		s.takenAt = now
 		if s.driving {
-			s.driverTakeover, s.driverGeneration, s.renewBy = s.ownTakeover, s.generation, time.Time{}
+			s.drive()
 		}
 	}
 }
@@ -202,8 +219,10 @@
 			// Its takeover has not been read.
 			return false
 		case !own && t.generation > s.generation:
-			// It has the shard after this host.
-			continue
+			// It has the shard after this host, and may have had it before.
+			if !t.hadLeft(h, s.generation) {
+				return false
+			}
 		case t.handover.complete && t.handover.generation > h.generation:
 			return false
 		case own:
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -401,3 +401,48 @@
 	former.LogRead(now.Add(takeoverDelay + time.Millisecond))
 	assert.Len(t, actionsOf[Drive](former.PopActions()), 1)
 }
+
+// Guards against two drivers of a shard: the later takeover of a host hid that it had driven the
+// shard before and had not handed it over, so that a host in between passed an older handover on.
+func TestLaterTakeoverDoesNotHideAnEarlierDrive(t *testing.T) {
+	for name, c := range map[string]struct {
+		former TakenOver
+		passed bool
+	}{
+		"driven and not handed over":      {TakenOver{FormerTakeovers: 2, FormerGeneration: 2}, false},
+		"driven since, what before?":      {TakenOver{FormerTakeovers: 4, FormerGeneration: 4}, false},
+		"driven before the last handover": {TakenOver{FormerTakeovers: 1, FormerGeneration: 1}, true},
+		"never driven":                    {TakenOver{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newHandoverLedger("b", 2)
+			last := 1
+			if c.passed {
+				last = 2
+			}
+			log := []Entry{
+				acceptedTwoSteps(testJob),
+				TakenOver{Takeovers: last, Generation: int64(last), Host: "c", Nonce: 3},
+				HandedOver{Takeovers: last, Generation: int64(last), Host: "c", Nonce: 3, Parts: 1},
+			}
+			if !c.passed {
+				log = append(log, TakenOver{Takeovers: 2, Generation: 2, Host: "a", Nonce: 1})
+			}
+			now := testEpoch
+			l.Apply(now, log)
+			l.Assigned(now, now, 3, []int{0})
+			l.LogRead(now.Add(time.Millisecond))
+			own := actionsOf[AppendEntries](l.PopActions())
+			require.Len(t, own, 1)
+			l.Assigned(now.Add(2*time.Millisecond), now, 5, nil)
+			c.former.Takeovers, c.former.Generation, c.former.Host, c.former.Nonce = 5, 5, "a", 1
+			l.Apply(now.Add(3*time.Millisecond), append(own[0].Entries, c.former))
+			l.LogRead(now.Add(4 * time.Millisecond))
+			var passed []Entry
+			for _, a := range actionsOf[AppendEntries](l.PopActions()) {
+				passed = append(passed, a.Entries...)
+			}
+			assert.Equal(t, c.passed, len(passed) > 0, "passed on: %+v", passed)
+		})
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -181,6 +181,8 @@
 	driverTakeover   int
 	driverGeneration int64
 	renewBy          time.Time
+	// driven is the last takeover under which this host has driven the shard.
+	driven takeover
 	// abandoned is the takeover under which this host has stopped driving without a handover,
 	// and abandonedUntil the time until which its runs may go on; zero if there is none.
 	abandoned      takeover
@@ -199,7 +201,7 @@
 // the log says.
 func (s *shard) reset() {
 	*s = shard{
-		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, abandonedUntil: s.abandonedUntil, lastNumber: s.lastNumber,
+		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, abandonedUntil: s.abandonedUntil, lastNumber: s.lastNumber, driven: s.driven,
 		assigned: s.assigned, assignedAt: s.assignedAt, generation: s.generation,
 	}
 }
--- a/internal/decide/ledger/model_test.go
+++ b/internal/decide/ledger/model_test.go
@@ -4,29 +4,38 @@
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/parsleyhill/parsleyhill/internal/fleet"
 )
 
 var orders = flag.Int("orders", 400, "number of seeds of the model of drivers")
 
-// The durations of the model. A run whose driver has released it goes on for up to
-// releasedRunTime, one that was handed over and is not claimed for up to handedRunTime.
+// The durations of the model. A call without an answer takes modelTimeout. A run whose driver
+// has released it goes on for up to releasedRunTime, one that was handed over and is not claimed
+// for up to handedRunTime, and one whose driver stands still for up to leaseTime after
+// modelSilence. A driver starts an unsettled task after unsettledTime.
 const (
 	modelTick       = 20 * time.Millisecond
-	modelJoin       = 150 * time.Millisecond
+	modelJoin       = 300 * time.Millisecond
 	modelRead       = 50 * time.Millisecond
+	modelIdleRead   = 2 * time.Second
+	modelTimeout    = 500 * time.Millisecond
 	modelRetry      = 100 * time.Millisecond
+	modelSilence    = 750 * time.Millisecond
+	leaseTime       = 1030 * time.Millisecond
 	releasedRunTime = takeoverDelay - memberTTL - 100*time.Millisecond
 	handedRunTime   = 950 * time.Millisecond
+	unsettledTime   = 2590 * time.Millisecond
 )
 
+// maxModelDrift bounds by how much the clock of a host is fast or slow, unitless.
+const maxModelDrift = 0.02
+
 // modelEvent is a callback that is due at a virtual time.
 type modelEvent struct {
 	at  time.Time
@@ -48,10 +57,12 @@
 	return last
 }
 
-// modelRun is a run of the job's only task.
+// modelRun is a run of the only task of a job.
 type modelRun struct {
 	id     fleet.RunID
 	driver *modelHost
+	// settledAt is when the driver learns where the run is. Until then it may not have started.
+	settledAt time.Time
 	// endsAt is when the run ends without a driver; zero while it has one.
 	endsAt time.Time
 }
@@ -62,14 +73,33 @@
 	nonce      int64
 	l          *Ledger
 	up         bool
+	stopping   bool
 	generation int64
 	position   int
 	queue      [][]Entry
-	run        *modelRun
+	// runs are the runs of the jobs that the host drives, and unsettled the jobs of which a run
+	// of a former driver may go on.
+	runs      map[string]*modelRun
+	unsettled map[string]bool
+	// rate is the speed of the host's clock. The last standstill was from stoodStillAt to
+	// resumesAt.
+	rate                    float64
+	stoodStillAt, resumesAt time.Time
+}
+
+// modelNote is a line of the trace.
+type modelNote struct {
+	at     time.Time
+	format string
+	args   []any
 }
 
-// model is a fleet of ledgers with one shard and one job, whose only task always runs. The
-// store loses answers, carries out calls late, and reassigns the shard at any time.
+// maxNotes bounds the lines of the trace of a failure.
+const maxNotes = 200
+
+// model is a fleet of ledgers with one shard and jobs of one task, which always runs. The
+// store loses answers, carries out calls late, and reassigns the shard at any time. Hosts stand
+// still, end, and are stopped as planned.
 type model struct {
 	t      *testing.T
 	rng    *rand.Rand
@@ -87,8 +117,9 @@
 	// lossRate and lateRate are the shares of calls whose answer is lost, and that are
 	// carried out late.
 	lossRate, lateRate float64
+	jobs               int
 	runs               []*modelRun
-	trace              []string
+	trace              []modelNote
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -96,15 +127,28 @@
 	heap.Push(&m.events, modelEvent{m.now.Add(d), m.seq, do})
 }
 
-// on returns a callback for a process that still runs then.
+// on returns a callback for a process that still runs then. One that stands still is called
+// when it goes on.
 func (m *model) on(h *modelHost, do func()) func() {
 	nonce := h.nonce
-	return func() {
-		if h.up && h.nonce == nonce {
+	var call func()
+	call = func() {
+		switch {
+		case !h.up || h.nonce != nonce:
+		case m.now.Before(h.resumesAt):
+			m.after(h.resumesAt.Sub(m.now), call)
+		default:
 			do()
+			h.l.Expire(m.clock(h))
 			m.react(h)
 		}
 	}
+	return call
+}
+
+// clock returns the time by the clock of a host.
+func (m *model) clock(h *modelHost) time.Time {
+	return testEpoch.Add(time.Duration(float64(m.now.Sub(testEpoch)) * h.rate))
 }
 
 func (m *model) between(low, high time.Duration) time.Duration {
@@ -112,16 +156,18 @@
 }
 
 func (m *model) note(format string, args ...any) {
-	m.trace = append(m.trace, fmt.Sprintf("%8.3f ", m.now.Sub(testEpoch).Seconds())+fmt.Sprintf(format, args...))
+	m.trace = append(m.trace, modelNote{m.now, format, args})
 }
 
 // boot starts a process of a host. It reads the newest record of each key of the log.
 func (m *model) boot(h *modelHost) {
 	m.seq++
-	h.nonce, h.up, h.generation, h.queue, h.run = int64(m.seq), true, 0, nil, nil
+	h.nonce, h.up, h.stopping, h.generation, h.queue = int64(m.seq), true, false, 0, nil
+	h.runs, h.unsettled = map[string]*modelRun{}, map[string]bool{}
+	h.rate = 1 + maxModelDrift*(2*m.rng.Float64()-1)
 	h.l = New(Config{Host: h.name, Nonce: h.nonce, Shards: 1, MemberTTL: memberTTL, TakeoverDelay: takeoverDelay, Retention: retention})
 	h.position = len(m.log)
-	h.l.Apply(m.now, newestEntries(m.log))
+	h.l.Apply(m.clock(h), newestEntries(m.log))
 	m.note("%s starts as %d", h.name, h.nonce)
 	m.tick(h)
 	m.read(h)
@@ -133,8 +179,10 @@
 	var keys []string
 	newest := map[string]Entry{}
 	for _, e := range log {
-		key := "accepted"
+		key := ""
 		switch e := e.(type) {
+		case Accepted:
+			key = "accepted " + e.Job.ID
 		case HandoverAdopted:
 			for part := range e.Parts {
 				delete(newest, fmt.Sprint("handed over ", e.Host, part))
@@ -163,56 +211,80 @@
 
 func (m *model) tick(h *modelHost) {
 	m.on(h, func() {
-		h.l.Tick(m.now)
-		h.l.Handovers(m.now, func([]string) ([]HandedRun, []fleet.TaskName) {
-			if h.run == nil {
-				return nil, nil
+		now := m.clock(h)
+		h.l.Tick(now)
+		h.l.Handovers(now, func(jobs []string) (running []HandedRun, unsettled []fleet.TaskName) {
+			for _, id := range jobs {
+				switch r := h.runs[id]; {
+				case h.unsettled[id]:
+					unsettled = append(unsettled, fleet.TaskName{Job: id})
+				case r == nil:
+				case m.now.Before(r.settledAt):
+					unsettled = append(unsettled, r.id.Task)
+				default:
+					running = append(running, HandedRun{RunID: r.id, Owner: "o", Worker: "w", Fence: 1})
+				}
 			}
-			return []HandedRun{{RunID: h.run.id, Owner: "o", Worker: "w", Fence: 1}}, nil
+			return running, unsettled
 		})
 		m.after(modelTick, func() { m.tick(h) })
 	})()
 }
 
+// read reads the log. A host that knows of no job reads it seldom.
 func (m *model) read(h *modelHost) {
 	m.on(h, func() {
-		sent := m.now
+		pause := m.between(modelRead/2, modelRead)
+		if len(h.l.jobs) == 0 {
+			pause = m.between(0, modelIdleRead)
+		}
+		sent := m.clock(h)
+		if m.rng.Float64() < m.lossRate {
+			m.after(modelTimeout+pause, func() { m.read(h) })
+			return
+		}
 		m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
-			if m.rng.Float64() >= m.lossRate {
-				h.l.Apply(m.now, m.log[h.position:])
-				h.position = len(m.log)
-				h.l.LogRead(sent)
-			}
+			h.l.Apply(m.clock(h), m.log[h.position:])
+			h.position = len(m.log)
+			h.l.LogRead(sent)
+			m.after(pause, func() { m.read(h) })
 		}))
-		m.after(m.between(modelRead/2, modelRead), func() { m.read(h) })
 	})()
 }
 
+// join renews the membership of a host until it is stopped.
 func (m *model) join(h *modelHost) {
 	m.on(h, func() {
-		sent := m.now
-		answered := m.on(h, func() {
-			listed := m.carryOutJoin(h.name, h.generation)
-			if m.rng.Float64() < m.lossRate {
-				return
-			}
-			generation := m.generation
-			m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
-				h.generation = generation
-				h.l.Assigned(m.now, sent, generation, listed)
-			}))
-		})
-		if m.rng.Float64() < m.lateRate {
-			generation := h.generation
+		if h.stopping {
+			return
+		}
+		sent := m.clock(h)
+		again := func() { m.after(m.between(modelJoin/5, modelJoin), func() { m.join(h) }) }
+		generation := h.generation
+		switch {
+		case m.rng.Float64() < m.lateRate:
 			m.after(m.between(time.Second, 6*time.Second), func() {
 				if h.up {
 					m.carryOutJoin(h.name, generation)
 				}
 			})
-		} else {
-			m.after(m.between(time.Millisecond, 5*time.Millisecond), answered)
+			m.after(modelTimeout, again)
+		case m.rng.Float64() < m.lossRate:
+			m.carryOutJoin(h.name, generation)
+			m.after(modelTimeout, again)
+		default:
+			m.after(m.between(time.Millisecond, 5*time.Millisecond), func() {
+				listed := m.carryOutJoin(h.name, generation)
+				reply := m.generation
+				m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
+					h.generation = reply
+					if !h.stopping {
+						h.l.Assigned(m.clock(h), sent, reply, listed)
+					}
+					again()
+				}))
+			})
 		}
-		m.after(m.between(modelJoin/3, modelJoin), func() { m.join(h) })
 	})()
 }
 
@@ -263,27 +335,19 @@
 // append sends the first waiting append of a host, again and again until it is answered.
 func (m *model) append(h *modelHost) {
 	entries := h.queue[0]
-	write := func() {
-		m.note("in the log, from %s: %+v", h.name, entries)
-		m.log = append(m.log, entries...)
-	}
+	write := func() { m.write(h, entries) }
 	again := m.on(h, func() { m.append(h) })
 	switch {
 	case m.rng.Float64() < m.lateRate:
 		m.after(m.between(time.Second, 6*time.Second), write)
-		m.after(modelRetry, again)
+		m.after(modelTimeout+modelRetry, again)
 	case m.rng.Float64() < m.lossRate:
 		write()
-		m.after(modelRetry, again)
+		m.after(modelTimeout+modelRetry, again)
 	default:
 		write()
 		m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
-			h.l.Apply(m.now, entries)
-			for _, o := range m.hosts {
-				if o != h && m.rng.IntN(4) > 0 {
-					m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(o, func() { o.l.Apply(m.now, entries) }))
-				}
-			}
+			m.appended(h, entries)
 			h.queue = h.queue[1:]
 			if len(h.queue) > 0 {
 				m.append(h)
@@ -292,9 +356,43 @@
 	}
 }
 
-// react carries out the actions of a ledger and checks that no driver starts the task while
-// a run of it goes on that it does not know.
+func (m *model) write(h *modelHost, entries []Entry) {
+	m.note("in the log, from %s: %+v", h.name, entries)
+	m.log = append(m.log, entries...)
+}
+
+// appended lets a host apply what it has appended, and send it to most others.
+func (m *model) appended(h *modelHost, entries []Entry) {
+	h.l.Apply(m.clock(h), entries)
+	for _, o := range m.hosts {
+		if o != h && o.up && m.rng.IntN(4) > 0 {
+			m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(o, func() { o.l.Apply(m.clock(o), entries) }))
+		}
+	}
+}
+
+// accept lets a host accept a new job. The append is tried once.
+func (m *model) accept() {
+	h := m.hosts[m.rng.IntN(len(m.hosts))]
+	m.jobs++
+	id := fmt.Sprintf("%016x", m.jobs)
+	m.on(h, func() {
+		entries := []Entry{Accepted{Route: testRoute, Job: fleet.Job{ID: id, Steps: []fleet.Step{{Count: 1}}}, Takeovers: h.l.Takeovers(id)}}
+		switch {
+		case m.rng.Float64() < m.lateRate:
+			m.after(m.between(time.Second, 6*time.Second), func() { m.write(h, entries) })
+		case m.rng.Float64() < m.lossRate:
+			m.write(h, entries)
+		default:
+			m.write(h, entries)
+			m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() { m.appended(h, entries) }))
+		}
+	})()
+}
+
+// react carries out the actions of a ledger.
 func (m *model) react(h *modelHost) {
+	var drives []Drive
 	for _, a := range h.l.PopActions() {
 		switch a := a.(type) {
 		case AppendEntries:
@@ -303,55 +401,110 @@
 				m.append(h)
 			}
 		case Drive:
-			m.note("%s drives, from run %d, with %v", h.name, a.FirstRun, a.Running)
-			m.drive(h, a)
+			drives = append(drives, a)
 		case Release:
-			m.note("%s releases", h.name)
-			m.endLater(h, releasedRunTime)
+			// What is offered and withdrawn at once is not sent.
+			drives = slices.DeleteFunc(drives, func(d Drive) bool { return d.Job.ID == a.Job })
+			m.note("%s releases %s", h.name, a.Job)
+			m.endLater(h, a.Job, releasedRunTime)
 		case LetGo:
-			m.note("%s lets go", h.name)
-			m.endLater(h, handedRunTime)
+			m.note("%s lets go of %v", h.name, a.Jobs)
+			for _, id := range a.Jobs {
+				m.endLater(h, id, handedRunTime)
+			}
 		case LogEvent:
 			m.note("%s: %s, %s", h.name, a.Message, a.Why)
 		}
 	}
+	for _, d := range drives {
+		m.drive(h, d)
+	}
 }
 
+// drive lets a host start the task of a job, or go on with its run.
 func (m *model) drive(h *modelHost, d Drive) {
-	m.runs = slices.DeleteFunc(m.runs, func(r *modelRun) bool { return !r.endsAt.IsZero() && !m.now.Before(r.endsAt) })
-	for _, r := range m.runs {
-		if !slices.ContainsFunc(d.Running, func(o HandedRun) bool { return o.RunID == r.id }) {
-			m.t.Errorf("%s drives while run %d of %s goes on\n%s", h.name, r.id.Run, r.driver.name, m.lastNotes())
+	id := d.Job.ID
+	m.note("%s drives %s, from run %d, with %v, unsettled %v", h.name, id, d.FirstRun, d.Running, d.Unsettled)
+	for _, handed := range d.Running {
+		for _, r := range m.live(id) {
+			if r.id == handed.RunID {
+				if r.driver.runs[id] == r {
+					delete(r.driver.runs, id)
+				}
+				r.driver, r.endsAt = h, time.Time{}
+				h.runs[id] = r
+			}
 		}
 	}
-	run := &modelRun{id: fleet.RunID{Task: fleet.TaskName{Job: testJob}, Run: d.FirstRun}, driver: h}
-	for _, handed := range d.Running {
-		run.id = handed.RunID
+	first := d.FirstRun
+	delete(h.unsettled, id)
+	switch {
+	case len(d.Running) > 0:
+	case len(d.Unsettled) > 0:
+		h.unsettled[id] = true
+		m.after(unsettledTime, m.on(h, func() {
+			if h.unsettled[id] && h.l.shards[0].driverTakeover == d.Takeover {
+				delete(h.unsettled, id)
+				m.start(h, id, first+1)
+			}
+		}))
+	default:
+		m.start(h, id, first)
+	}
+}
+
+// start starts a run and checks that no other one of the task goes on.
+func (m *model) start(h *modelHost, job string, number int) {
+	m.note("%s starts run %d of %s", h.name, number, job)
+	for _, r := range m.live(job) {
+		m.t.Errorf("%s starts run %d of %s while run %d of %s goes on\n%s", h.name, number, job, r.id.Run, r.driver.name, m.lastNotes())
+	}
+	r := &modelRun{id: fleet.RunID{Task: fleet.TaskName{Job: job}, Run: number}, driver: h}
+	if m.rng.IntN(4) == 0 {
+		r.settledAt = m.now.Add(m.between(0, 2*memberTTL))
 	}
+	h.runs[job] = r
+	m.runs = append(m.runs, r)
+}
+
+// live returns the runs of a job that go on.
+func (m *model) live(job string) []*modelRun {
+	m.runs = slices.DeleteFunc(m.runs, func(r *modelRun) bool { return !r.endsAt.IsZero() && !m.now.Before(r.endsAt) })
+	var live []*modelRun
 	for _, r := range m.runs {
-		if r.driver.run == r {
-			r.driver.run = nil
+		if r.id.Task.Job == job {
+			live = append(live, r)
 		}
 	}
-	h.run, m.runs = run, []*modelRun{run}
+	return live
 }
 
 func (m *model) lastNotes() string {
 	text := ""
-	for _, n := range m.trace[max(0, len(m.trace)-80):] {
-		text += n + "\n"
+	for _, n := range m.trace[max(0, len(m.trace)-maxNotes):] {
+		text += fmt.Sprintf("%8.3f ", n.at.Sub(testEpoch).Seconds()) + fmt.Sprintf(n.format, n.args...) + "\n"
 	}
 	return text
 }
 
-// endLater ends the run of a host that does not drive any more.
-func (m *model) endLater(h *modelHost, most time.Duration) {
-	if h.run != nil {
-		h.run.endsAt = m.now.Add(m.between(0, most))
-		h.run = nil
+// endLater ends the run of a job that a host does not drive any more, at most a time after the
+// host was last heard.
+func (m *model) endLater(h *modelHost, job string, most time.Duration) {
+	delete(h.unsettled, job)
+	if r := h.runs[job]; r != nil {
+		r.endsAt = m.lastHeard(h).Add(m.between(0, most))
+		delete(h.runs, job)
 	}
 }
 
+// lastHeard returns when other hosts last had a message of a host that does something now.
+func (m *model) lastHeard(h *modelHost) time.Time {
+	if m.now.Sub(h.resumesAt) < modelTick {
+		return h.stoodStillAt
+	}
+	return m.now
+}
+
 func (m *model) run(d time.Duration) {
 	end := m.now.Add(d)
 	for len(m.events) > 0 && !m.events[0].at.After(end) {
@@ -364,44 +517,116 @@
 
 // Guards against two drivers of a shard at the same time: appends and joins that the store
 // carries out late or without an answer, and shards that go back and forth, let a host take
-// the record of one host for the handover of another.
+// the record of one host for the handover of another, or drive beside one that has the shard
+// in a later generation.
 func TestOneDriverInEveryOrderOfTheLog(t *testing.T) {
 	for seed := range uint64(*orders) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			m := &model{
 				t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: testEpoch, joined: map[string]time.Time{}, joinedAt: map[string]int64{},
-				log: []Entry{Accepted{Route: testRoute, Job: fleet.Job{ID: testJob, Steps: []fleet.Step{{Count: 1}}}}},
 			}
 			for i := range 3 {
 				h := &modelHost{name: string(rune('a' + i))}
 				m.hosts = append(m.hosts, h)
 				m.boot(h)
 			}
-			m.run(5 * time.Second)
+			m.run(m.between(time.Second, 4*time.Second))
 			for range 4 {
-				m.lossRate, m.lateRate = 0.35*m.rng.Float64(), 0.35*m.rng.Float64()
-				for range 4 {
-					m.after(m.between(0, 3*time.Second), m.reassign)
-				}
-				if m.rng.IntN(3) == 0 {
-					h := m.hosts[m.rng.IntN(len(m.hosts))]
-					m.after(m.between(0, 3*time.Second), func() { m.restart(h) })
-				}
-				m.run(2500 * time.Millisecond)
+				m.disturb()
 				m.lossRate, m.lateRate = 0, 0
 				m.run(m.between(time.Second, 4*time.Second))
 			}
 			m.run(12 * time.Second)
-			require.True(t, slices.ContainsFunc(m.hosts, func(h *modelHost) bool { return h.run != nil }), "the shard has a driver\n%s", m.lastNotes())
+			m.checkDriven()
 		})
 	}
 }
 
+// disturb lets the store lose answers and reassign the shard, while jobs are accepted and
+// hosts end, stop or stand still.
+func (m *model) disturb() {
+	m.lossRate, m.lateRate = 0.35*m.rng.Float64(), 0.35*m.rng.Float64()
+	if m.rng.IntN(2) == 0 {
+		m.lateRate = 0.5
+	}
+	for range 4 {
+		m.after(m.between(0, 3*time.Second), m.reassign)
+	}
+	for range 8 {
+		m.after(m.between(0, 4*time.Second), m.accept)
+	}
+	h := m.hosts[m.rng.IntN(len(m.hosts))]
+	switch m.rng.IntN(5) {
+	case 0:
+		m.after(m.between(0, 3*time.Second), func() { m.restart(h) })
+	case 1:
+		m.after(m.between(0, 3*time.Second), func() { m.stop(h) })
+	case 2:
+		for range 2 {
+			m.after(m.between(0, 3*time.Second), func() { m.standStill(h, m.between(0, 1500*time.Millisecond)) })
+		}
+	}
+	m.run(2500 * time.Millisecond)
+}
+
+// checkDriven checks that each job in the log is driven by one host.
+func (m *model) checkDriven() {
+	for _, e := range m.log {
+		if e, ok := e.(Accepted); ok {
+			drivers := 0
+			for _, h := range m.hosts {
+				if j := h.l.jobs[e.Job.ID]; j != nil && j.driven {
+					drivers++
+				}
+			}
+			if drivers != 1 {
+				m.t.Fatalf("job %s has %d drivers\n%s", e.Job.ID, drivers, m.lastNotes())
+			}
+		}
+	}
+}
+
 // restart ends the process of a host and starts another.
 func (m *model) restart(h *modelHost) {
+	if !h.up {
+		return
+	}
 	m.note("%s ends", h.name)
 	h.up = false
-	m.endLater(h, releasedRunTime)
+	for _, id := range slices.Sorted(maps.Keys(h.runs)) {
+		m.endLater(h, id, releasedRunTime)
+	}
 	m.after(m.between(100*time.Millisecond, 2*time.Second), func() { m.boot(h) })
 }
+
+// stop stops the process of a host as planned: it hands the shard over before it ends.
+func (m *model) stop(h *modelHost) {
+	m.on(h, func() {
+		m.note("%s is stopped", h.name)
+		h.stopping = true
+		h.l.Leave(m.clock(h))
+		if _, ok := m.joined[h.name]; ok {
+			delete(m.joined, h.name)
+			m.generation++
+		}
+		m.after(2*memberTTL, func() { m.restart(h) })
+	})()
+}
+
+// standStill lets a host do nothing for a time. The owners of its runs end them if it is long.
+func (m *model) standStill(h *modelHost, d time.Duration) {
+	if !h.up || m.now.Before(h.resumesAt) {
+		return
+	}
+	m.note("%s stands still for %v", h.name, d)
+	h.stoodStillAt, h.resumesAt = m.now, m.now.Add(d)
+	if d > modelSilence {
+		m.after(modelSilence, func() {
+			for _, id := range slices.Sorted(maps.Keys(h.runs)) {
+				m.endLater(h, id, leaseTime)
+				h.unsettled[id] = true
+			}
+		})
+	}
+}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -84,6 +84,7 @@
 	l.emit(LogEvent{Message: "shard takeover requested", Shard: n, Why: fmt.Sprintf("number %d, generation %d", s.ownTakeover, s.generation)})
 	l.emit(AppendEntries{[]Entry{TakenOver{
 		Shard: n, Takeovers: s.ownTakeover, Generation: s.generation, Host: l.cfg.Host, Nonce: l.cfg.Nonce,
+		FormerTakeovers: s.driven.number, FormerGeneration: s.driven.generation,
 	}}})
 }
 
@@ -174,6 +175,13 @@
 	}
 }
 
+// drive makes this host drive under the takeover that it has requested last.
+func (s *shard) drive() {
+	s.driving, s.renewBy = true, time.Time{}
+	s.driverTakeover, s.driverGeneration = s.ownTakeover, s.generation
+	s.driven = takeover{s.driverTakeover, s.driverGeneration}
+}
+
 // beginDriving starts driving a shard whose takeover has been read, unless it has to wait for
 // the previous driver.
 func (l *Ledger) beginDriving(n int) {
@@ -188,8 +196,8 @@
 	case h != nil && h.wait == 0:
 		handed, why = h.byJob(), "handed over by "+h.parts[0].Host
 	}
-	s.driving, s.abandonedUntil = true, time.Time{}
-	s.driverTakeover, s.driverGeneration = s.ownTakeover, s.generation
+	s.abandonedUntil = time.Time{}
+	s.drive()
 	l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: fmt.Sprintf("%s; number %d, generation %d", why, s.driverTakeover, s.driverGeneration)})
 	if h := s.lastHandover(); h != nil && len(h.parts) > 0 {
 		l.emit(AppendEntries{[]Entry{HandoverAdopted{Shard: n, Host: h.parts[0].Host, Parts: len(h.parts)}}})
