Record a takeover again whose record an earlier one has replaced

What callers would see: tasks run twice at once (TWICE), after an entry host has started again. Found by the model of drivers only, not seen in a play of processes.

Cause: the log keeps the newest record of each key, and a host's takeovers of a shard share a key. Where the store does an append late that the host had repeated, an earlier takeover replaces a later one. A host that starts then knows of the earlier one only, goes by the wait that was stated for it, and drives while the runs of the later one go on.

Change: a host that reads such a record of its own records its last takeover again. What a process leaves behind that has ended is not mended.

--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -178,6 +178,12 @@
 		t.former = takeover{e.FormerTakeovers, e.FormerGeneration}
 		l.emit(LogEvent{Message: "shard takeover read", Shard: n, Why: fmt.Sprintf("number %d, generation %d, of %s", e.Takeovers, e.Generation, e.Host)})
 	}
+	if e.Nonce == l.cfg.Nonce {
+		s.newestRecord = e.Takeovers
+		if e.Takeovers > s.recorded.Takeovers {
+			s.recorded = e
+		}
+	}
 	if s.takenAt.IsZero() && e.Nonce == l.cfg.Nonce && e.Takeovers == s.ownTakeover {
 		s.takenAt = now
 		if s.driving {
@@ -186,6 +192,20 @@
 	}
 }
 
+// renewRecords records the last takeovers of this process again of which the log holds an
+// earlier one as the newest, since the store has done its append late. Hosts that start read
+// only the newest record of each host.
+func (l *Ledger) renewRecords() {
+	for n, s := range l.shards {
+		if s.newestRecord == s.recorded.Takeovers {
+			continue
+		}
+		l.emit(LogEvent{Message: "shard takeover recorded again", Shard: n, Why: fmt.Sprintf("number %d was recorded after number %d", s.newestRecord, s.recorded.Takeovers)})
+		l.emit(AppendEntries{[]Entry{s.recorded}})
+		s.newestRecord = s.recorded.Takeovers
+	}
+}
+
 // lastHandover returns the handover with the highest number before the present assignment,
 // or nil.
 func (s *shard) lastHandover() *handover {
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -446,3 +446,26 @@
 		})
 	}
 }
+
+// Guards against two drivers of a shard: a host that starts read only the newest record of a
+// host's takeovers, which was that of an earlier one, done late by the store.
+func TestTakeoverWhoseRecordWasReplacedIsRecordedAgain(t *testing.T) {
+	l := newDriver(t, testEpoch)
+	first := TakenOver{Takeovers: 1, Generation: 1, Host: "a", Nonce: 1}
+	now := testEpoch.Add(memberTTL / 2)
+	l.Assigned(now, now, 3, []int{0})
+	renewed := actionsOf[AppendEntries](l.PopActions())
+	require.Len(t, renewed, 1)
+	second := renewed[0].Entries[0].(TakenOver)
+	require.Equal(t, 2, second.Takeovers)
+	l.Apply(now, []Entry{second})
+	l.Apply(now, []Entry{first, second})
+	l.LogRead(now.Add(time.Millisecond))
+	require.Empty(t, actionsOf[AppendEntries](l.PopActions()), "the log is read after the appends were answered")
+
+	l.Apply(now, []Entry{first})
+	l.LogRead(now.Add(2 * time.Millisecond))
+	assert.Equal(t, []AppendEntries{{[]Entry{second}}}, actionsOf[AppendEntries](l.PopActions()))
+	l.LogRead(now.Add(3 * time.Millisecond))
+	assert.Empty(t, actionsOf[AppendEntries](l.PopActions()))
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -183,6 +183,10 @@
 	renewBy          time.Time
 	// driven is the last takeover under which this host has driven the shard.
 	driven takeover
+	// recorded is the last takeover of this process that was read, and newestRecord the number
+	// of the one that the log holds as its newest.
+	recorded     TakenOver
+	newestRecord int
 	// abandoned is the takeover under which this host has stopped driving without a handover,
 	// and abandonedUntil the time until which its runs may go on; zero if there is none.
 	abandoned      takeover
@@ -202,6 +206,7 @@
 func (s *shard) reset() {
 	*s = shard{
 		takeovers: s.takeovers, takers: s.takers, abandoned: s.abandoned, abandonedUntil: s.abandonedUntil, lastNumber: s.lastNumber, driven: s.driven,
+		recorded: s.recorded, newestRecord: s.newestRecord,
 		assigned: s.assigned, assignedAt: s.assignedAt, generation: s.generation,
 	}
 }
@@ -342,6 +347,7 @@
 	if sent.After(l.asOf) {
 		l.asOf = sent
 	}
+	l.renewRecords()
 	l.takeOverShards()
 }
 
