Number the runs of each driver of a stored job in a range of its own

What callers would see: two runs of one task with the same number. A number that is used twice counts as one run wherever runs are told apart by number: in claims, handovers, inventories, in the sets of ended and failed runs, and at the worker.

Cause: a driver counted its range from the number of takeovers that the accepting host had read. Such a takeover need not drive yet, so that the driver in office and the next one both began at one. A driver that got the shard back after it had driven it, or passed it on, went by the lists of a handover from before that drive.

Change: a driver numbers from one only the jobs that no other has driven: those accepted while it drives, all if it is the first driver, and those that the handover does not name, which now lists all jobs of its driver. Otherwise its range follows from the number of its takeover, which no other driver has. Lists of a handover count only if the host has not driven since.

TestNextDriverDoesNotRepeatRunNumbers.

While hosts of this version and of an older one drive the same jobs, numbers may still repeat.

--- a/internal/decide/ledger/entry.go
+++ b/internal/decide/ledger/entry.go
@@ -25,7 +25,7 @@
 	Job   fleet.Job
 	Route fleet.Route
 	// Takeovers is the number of takeovers of the job's shard that the accepting
-	// host knew of at that time.
+	// host knew of at that time. Hosts of an older version number runs by it.
 	Takeovers int
 	// Damage tells what is wrong with a record that cannot be read, or is empty. Only
 	// the id of the job is known then.
--- a/internal/decide/ledger/handover.go
+++ b/internal/decide/ledger/handover.go
@@ -14,7 +14,7 @@
 	// handoverRecordTime is the part of the time for a handover that is reserved for
 	// appending its entries and reading them back.
 	handoverRecordTime = 250 * time.Millisecond
-	// maxHandedTasks bounds the tasks of one HandedOver entry. With some 170 bytes a
+	// maxHandedTasks bounds the tasks and jobs of one HandedOver entry. With some 170 bytes a
 	// run, its record stays below the 256 KB that the store accepts.
 	maxHandedTasks = 1000
 )
@@ -35,6 +35,10 @@
 	// Unsettled are the tasks that may start after this entry, since the driver does not
 	// know whether the host to which it had offered them has started them.
 	Unsettled []fleet.TaskName
+	// Driven are the driver's jobs of which no task is listed. Runs of them may have ended.
+	Driven []string `json:",omitempty"`
+	// ListsDriven is unset in an entry of an older version, which has no Driven.
+	ListsDriven bool `json:",omitempty"`
 	// RemainingWait is zero in the entry of a driver. A host that gives up the shard before
 	// it has driven it states how long it would still have waited for the runs of an
 	// earlier driver.
@@ -265,6 +269,10 @@
 	return highest
 }
 
+// hasDrivenSince reports whether this host has driven the shard after a handover, whose lists
+// are outdated then.
+func (s *shard) hasDrivenSince(h *handover) bool { return s.driven.number > h.takeovers }
+
 // isSuperseded reports whether another process has the shard in a later generation. It may be
 // driving: the takeover of this host was not in the log when it began.
 func (l *Ledger) isSuperseded(s *shard) bool {
@@ -355,16 +363,18 @@
 		if h == nil || h.wait > 0 {
 			continue
 		}
+		parts, why := h.parts, "handed over by "+h.parts[0].Host
+		if s.hasDrivenSince(h) {
+			parts, why = map[int]HandedOver{0: {Shard: n, Parts: 1}}, "the previous driver has ended"
+		}
 		var entries []Entry
-		host := ""
-		for _, i := range slices.Sorted(maps.Keys(h.parts)) {
-			part := h.parts[i]
-			host = part.Host
+		for _, i := range slices.Sorted(maps.Keys(parts)) {
+			part := parts[i]
 			part.Takeovers, part.Generation, part.Host, part.Nonce = s.ownTakeover, s.generation, l.cfg.Host, l.cfg.Nonce
 			entries = append(entries, part)
 		}
 		l.appendParts(entries)
-		l.emit(LogEvent{Message: "shard passed on", Shard: n, Why: "handed over by " + host})
+		l.emit(LogEvent{Message: "shard passed on", Shard: n, Why: why})
 		s.reset()
 	}
 }
@@ -425,10 +435,22 @@
 		}
 		s.outgoing.recorded = true
 		l.emit(HandoverListed{Jobs: jobs})
-		l.appendParts(l.handoverEntries(n, running, unsettled))
+		l.appendParts(l.handoverEntries(n, running, unsettled, withoutTasks(jobs, running, unsettled)))
 	}
 }
 
+// withoutTasks returns the jobs of which no task is among the listed ones.
+func withoutTasks(jobs []string, running []HandedRun, unsettled []fleet.TaskName) []string {
+	listed := map[string]bool{}
+	for _, r := range running {
+		listed[r.Task.Job] = true
+	}
+	for _, t := range unsettled {
+		listed[t.Job] = true
+	}
+	return slices.DeleteFunc(slices.Clone(jobs), func(id string) bool { return listed[id] })
+}
+
 // appendParts asks for the entries of a handover to be appended, each by itself: those of many
 // runs are larger together than one append may be. They count once all have been read.
 func (l *Ledger) appendParts(entries []Entry) {
@@ -437,15 +459,17 @@
 	}
 }
 
-func (l *Ledger) handoverEntries(n int, running []HandedRun, unsettled []fleet.TaskName) []Entry {
+func (l *Ledger) handoverEntries(n int, running []HandedRun, unsettled []fleet.TaskName, driven []string) []Entry {
 	s := l.shards[n]
 	var parts []HandedOver
-	for len(parts) == 0 || len(running)+len(unsettled) > 0 {
+	for len(parts) == 0 || len(running)+len(unsettled)+len(driven) > 0 {
 		part := HandedOver{
 			Shard: n, Takeovers: s.driverTakeover, Generation: s.driverGeneration, Host: l.cfg.Host, Nonce: l.cfg.Nonce, Part: len(parts),
+			ListsDriven: true,
 		}
 		part.Running, running = cut(running, maxHandedTasks)
 		part.Unsettled, unsettled = cut(unsettled, maxHandedTasks-len(part.Running))
+		part.Driven, driven = cut(driven, maxHandedTasks-len(part.Running)-len(part.Unsettled))
 		parts = append(parts, part)
 	}
 	entries := make([]Entry, 0, len(parts))
@@ -579,7 +603,17 @@
 	return takeover == 0 && last != nil && last.hasLeft()
 }
 
-// handedWork is what a handover says of one job.
+// listsDriven reports whether a job that a handover does not name has never had a driver.
+func (h *handover) listsDriven() bool {
+	for _, part := range h.parts {
+		if !part.ListsDriven {
+			return false
+		}
+	}
+	return true
+}
+
+// handedWork is what a handover says of one job that its driver drove.
 type handedWork struct {
 	running   []HandedRun
 	unsettled []fleet.TaskName
@@ -603,6 +637,9 @@
 			w := get(t.Job)
 			w.unsettled = append(w.unsettled, t)
 		}
+		for _, id := range h.parts[n].Driven {
+			get(id)
+		}
 	}
 	return work
 }
--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -270,7 +270,7 @@
 	running := make([]HandedRun, 2*maxHandedTasks+1)
 	unsettled := make([]fleet.TaskName, maxHandedTasks)
 	listed := 0
-	entries := l.handoverEntries(0, running, unsettled)
+	entries := l.handoverEntries(0, running, unsettled, nil)
 	assert.Len(t, entries, 4)
 	for i, e := range entries {
 		part := e.(HandedOver)
@@ -280,7 +280,7 @@
 		listed += len(part.Running) + len(part.Unsettled)
 	}
 	assert.Equal(t, 3*maxHandedTasks+1, listed)
-	assert.Len(t, l.handoverEntries(0, nil, nil), 1)
+	assert.Len(t, l.handoverEntries(0, nil, nil, nil), 1)
 }
 
 // Guards against a driver that counts as having left: the store did its first takeover late, so
@@ -469,3 +469,49 @@
 	l.LogRead(now.Add(3 * time.Millisecond))
 	assert.Empty(t, actionsOf[AppendEntries](l.PopActions()))
 }
+
+// Guards against a run number that is used twice: a job that was accepted after the next takeover
+// had been read was numbered from one by the driver in office and by the next one.
+func TestNextDriverDoesNotRepeatRunNumbers(t *testing.T) {
+	const driven, waiting = testJob, "00000000000000a2"
+	for name, c := range map[string]struct {
+		change func(*HandedOver)
+		first  map[string]int
+	}{
+		"handed over":                     {func(*HandedOver) {}, map[string]int{driven: 1 + runsPerTakeover, waiting: 1}},
+		"handed over by an older version": {func(h *HandedOver) { h.Driven, h.ListsDriven = nil, false }, map[string]int{driven: 1 + runsPerTakeover, waiting: 1 + runsPerTakeover}},
+		"waited for":                      {func(h *HandedOver) { h.Parts = 2 }, map[string]int{driven: 1 + runsPerTakeover, waiting: 1 + runsPerTakeover}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, next := newHandoverLedger("a", 1), newHandoverLedger("b", 2)
+			var log []Entry
+			takeOver(t, first, &log, testEpoch)
+			now := testEpoch.Add(time.Second / 2)
+			takeOver(t, next, &log, now)
+			job := acceptedTwoSteps(driven)
+			job.Takeovers = 2
+			log = append(log, job)
+			first.Apply(now, log)
+			drives := actionsOf[Drive](first.PopActions())
+			require.Len(t, drives, 1)
+			assert.Equal(t, 1, drives[0].FirstRun)
+
+			first.Leave(now)
+			first.PopActions()
+			log = append(log, acceptedTwoSteps(waiting))
+			first.Apply(now, log)
+			first.Handovers(now, func([]string) ([]HandedRun, []fleet.TaskName) { return nil, nil })
+			appended := actionsOf[AppendEntries](first.PopActions())
+			require.Len(t, appended, 1)
+			handover := appended[0].Entries[0].(HandedOver)
+			c.change(&handover)
+			next.Apply(now, append(log, handover))
+			next.LogRead(now.Add(takeoverDelay + time.Second))
+			numbers := map[string]int{}
+			for _, d := range actionsOf[Drive](next.PopActions()) {
+				numbers[d.Job.ID] = d.FirstRun
+			}
+			assert.Equal(t, c.first, numbers)
+		})
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -136,8 +136,6 @@
 	// holds are the last holds of runs.
 	holds     map[fleet.RunID]hold
 	remaining int
-	// takeovers is the shard's takeover count when the job was accepted.
-	takeovers int
 	driven    bool
 	started   bool
 	// closing is set once this host has asked for the job to be closed, or has
@@ -357,7 +355,7 @@
 	}
 	l.seq++
 	j := &job{
-		spec: e.Job, route: e.Route, state: Pending, takeovers: e.Takeovers, acceptSeq: l.seq,
+		spec: e.Job, route: e.Route, state: Pending, acceptSeq: l.seq,
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]offer.RunSet{},
 		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
@@ -379,7 +377,7 @@
 		return
 	}
 	if s := l.shards[l.Shard(e.Job.ID)]; s.driving && s.outgoing == nil {
-		l.drive(j, nil)
+		l.drive(j, nil, false)
 	}
 }
 
--- a/internal/decide/ledger/model_test.go
+++ b/internal/decide/ledger/model_test.go
@@ -119,7 +119,9 @@
 	lossRate, lateRate float64
 	jobs               int
 	runs               []*modelRun
-	trace              []modelNote
+	// lastRun is the number of the last run of each job.
+	lastRun map[string]int
+	trace   []modelNote
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -453,7 +455,8 @@
 	}
 }
 
-// start starts a run and checks that no other one of the task goes on.
+// start starts a run and checks that no other one of the task goes on, and that its number is
+// above those of the others.
 func (m *model) start(h *modelHost, job string, number int) {
 	m.note("%s starts run %d of %s", h.name, number, job)
 	for _, r := range m.live(job) {
@@ -463,6 +466,10 @@
 	if m.rng.IntN(4) == 0 {
 		r.settledAt = m.now.Add(m.between(0, 2*memberTTL))
 	}
+	if last := m.lastRun[job]; number <= last {
+		m.t.Errorf("%s starts run %d of %s after run %d\n%s", h.name, number, job, last, m.lastNotes())
+	}
+	m.lastRun[job] = number
 	h.runs[job] = r
 	m.runs = append(m.runs, r)
 }
@@ -525,6 +532,7 @@
 			t.Parallel()
 			m := &model{
 				t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: testEpoch, joined: map[string]time.Time{}, joinedAt: map[string]int64{},
+				lastRun: map[string]int{},
 			}
 			for i := range 3 {
 				h := &modelHost{name: string(rune('a' + i))}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -188,13 +188,18 @@
 	s := l.shards[n]
 	var handed map[string]*handedWork
 	why := "the previous driver has ended"
+	mayHaveRun := func(string) bool { return true }
 	switch h := l.precedingHandover(s); {
 	case s.ownTakeover == 1 && len(s.takers) == 1:
 		why = "first driver"
+		mayHaveRun = func(string) bool { return false }
 	case !l.asOf.After(l.waitUntil(s)):
 		return
-	case h != nil && h.wait == 0:
+	case h != nil && h.wait == 0 && !s.hasDrivenSince(h):
 		handed, why = h.byJob(), "handed over by "+h.parts[0].Host
+		if h.listsDriven() {
+			mayHaveRun = func(job string) bool { return handed[job] != nil }
+		}
 	}
 	s.abandonedUntil = time.Time{}
 	s.drive()
@@ -203,13 +208,14 @@
 		l.emit(AppendEntries{[]Entry{HandoverAdopted{Shard: n, Host: h.parts[0].Host, Parts: len(h.parts)}}})
 	}
 	for _, j := range l.openJobs(n) {
-		l.drive(j, handed[j.spec.ID])
+		l.drive(j, handed[j.spec.ID], mayHaveRun(j.spec.ID))
 	}
 }
 
 // drive asks the host to drive a job. Handed is what the previous driver has handed
-// over of it, or nil.
-func (l *Ledger) drive(j *job, handed *handedWork) {
+// over of it, or nil. If a previous driver may have started runs of the job, those of this
+// host are numbered in a range of its own, and otherwise from one.
+func (l *Ledger) drive(j *job, handed *handedWork, mayHaveRun bool) {
 	if j.state.Ended() || j.closing || j.driven {
 		return
 	}
@@ -226,9 +232,10 @@
 	j.driven = true
 	s := l.shards[l.Shard(j.spec.ID)]
 	d := Drive{
-		Job: j.spec, Route: j.route, Takeover: s.driverTakeover,
-		// The first driver after the acceptance numbers its runs from one.
-		FirstRun: 1 + runsPerTakeover*max(0, s.driverTakeover-max(1, j.takeovers)),
+		Job: j.spec, Route: j.route, Takeover: s.driverTakeover, FirstRun: 1,
+	}
+	if mayHaveRun {
+		d.FirstRun += runsPerTakeover * max(1, s.driverTakeover-1)
 	}
 	for task := range j.doneTasks {
 		d.Done = append(d.Done, task)
