Ignore the return of an offer from a former drive of a stored job

What callers would see: a task that starts twice (TWICE), if the store reassigns a shard and gives it back within the time that a message is under way.

Cause: reports about a stored job are told apart by run numbers, and an offer that was returned before any run has none. A host that drove the job anew, and had offered the task to the same host again, took the late return for that of the present offer, and offered the task to another host.

Change: a report that nothing ran counts only for the submission that it names.

--- a/internal/decide/coordinator/handover_test.go
+++ b/internal/decide/coordinator/handover_test.go
@@ -121,3 +121,28 @@
 		assert.Len(t, actionsOf[Offer](c.PopActions()), 1, "recorded first: %v", recordedFirst)
 	}
 }
+
+// Guards against a task that starts twice: an offer that a host had returned when this host drove
+// the job before was taken for the present one, which that host still had.
+func TestReturnOfAFormerOfferIsIgnored(t *testing.T) {
+	c := coordinatorWithHosts(32)
+	c.SubmitStored(epoch, ledger.Drive{Job: storedJob(1), Route: testRoute, FirstRun: 1, Takeover: 1})
+	former := actionsOf[Offer](c.PopActions())
+	require.Len(t, former, 1)
+	c.ReleaseStored(epoch, testJob, "membership not confirmed")
+	c.UpdateHost(epoch, "h1", "z", reportOf("w-h1", 32))
+	c.PopActions()
+	c.SubmitStored(epoch, ledger.Drive{Job: storedJob(1), Route: testRoute, FirstRun: 101, Takeover: 2})
+	present := actionsOf[Offer](c.PopActions())
+	require.Len(t, present, 1)
+	require.Equal(t, former[0].Host, present[0].Host)
+
+	returned := func(o Offer) offer.Outcome {
+		task := o.Tasks[0]
+		return offer.Outcome{Host: task.Host, Task: task.Name, Submission: task.Submission, Run: task.NextRun - 1, Result: offer.Returned}
+	}
+	c.HandleOutcome(epoch, present[0].Host, returned(former[0]))
+	assert.Empty(t, actionsOf[Offer](c.PopActions()))
+	c.HandleOutcome(epoch, present[0].Host, returned(present[0]))
+	assert.Len(t, actionsOf[Offer](c.PopActions()), 1)
+}
--- a/internal/decide/coordinator/job.go
+++ b/internal/decide/coordinator/job.go
@@ -156,11 +156,11 @@
 	t.worker, t.fence, t.incarnation = "", 0, fleet.Worker{}
 }
 
-// isFormer reports whether a report is about a former submission of the job, or answers a
-// claim that this host made when it drove a stored job before. Otherwise the runs of a stored
-// job are told apart by their numbers.
+// isFormer reports whether a report is about a former submission of the job, or about an offer
+// or a claim that this host made when it drove a stored job before. The runs of a stored job are
+// told apart by their numbers.
 func (j *job) isFormer(o offer.Outcome) bool {
-	return o.Submission != 0 && o.Submission != j.seq && (!j.stored || o.Result == offer.Orphaned)
+	return o.Submission != 0 && o.Submission != j.seq && (!j.stored || o.Result == offer.Orphaned || !o.MayHaveRun)
 }
 
 // addOfferedHost records that a host has, or had, tasks of the job.
