Let the model of drivers show a takeover that is unread for long

Cause: in the model a host that knows of no job read the log within 2 s at the latest. A read of the product waits that long, and one that was sent before the assignment does not count, so that the takeover is asked for up to 4 s after the assignment.

Change: reads wait for an entry as in the product, and in half of the disturbances the store does most appends of one host late.

--- a/internal/decide/ledger/model_test.go
+++ b/internal/decide/ledger/model_test.go
@@ -23,7 +23,7 @@
 	modelTick       = 20 * time.Millisecond
 	modelJoin       = 300 * time.Millisecond
 	modelRead       = 50 * time.Millisecond
-	modelIdleRead   = 2 * time.Second
+	modelIdleWait   = 2 * time.Second
 	modelTimeout    = 500 * time.Millisecond
 	modelRetry      = 100 * time.Millisecond
 	modelSilence    = 750 * time.Millisecond
@@ -117,8 +117,10 @@
 	// lossRate and lateRate are the shares of calls whose answer is lost, and that are
 	// carried out late.
 	lossRate, lateRate float64
-	jobs               int
-	runs               []*modelRun
+	// lateAppends is the host of which most appends are carried out late, or nil.
+	lateAppends *modelHost
+	jobs        int
+	runs        []*modelRun
 	// lastRun is the number of the last run of each job.
 	lastRun map[string]int
 	trace   []modelNote
@@ -233,27 +235,37 @@
 	})()
 }
 
-// read reads the log. A host that knows of no job reads it seldom.
+// read reads the log. The reads of a host that knows of no job wait for a new entry.
 func (m *model) read(h *modelHost) {
 	m.on(h, func() {
 		pause := m.between(modelRead/2, modelRead)
-		if len(h.l.jobs) == 0 {
-			pause = m.between(0, modelIdleRead)
-		}
-		sent := m.clock(h)
 		if m.rng.Float64() < m.lossRate {
 			m.after(modelTimeout+pause, func() { m.read(h) })
 			return
 		}
-		m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
-			h.l.Apply(m.clock(h), m.log[h.position:])
-			h.position = len(m.log)
-			h.l.LogRead(sent)
-			m.after(pause, func() { m.read(h) })
-		}))
+		wait := time.Duration(0)
+		if len(h.l.jobs) == 0 {
+			wait = modelIdleWait
+		}
+		m.awaitEntry(h, m.clock(h), m.now.Add(wait), pause)
 	})()
 }
 
+// awaitEntry answers a read that was sent at a time by the host's clock, once there is an entry
+// or the wait is over.
+func (m *model) awaitEntry(h *modelHost, sent, until time.Time, pause time.Duration) {
+	m.after(m.between(time.Millisecond, 5*time.Millisecond), m.on(h, func() {
+		if h.position == len(m.log) && m.now.Before(until) {
+			m.awaitEntry(h, sent, until, pause)
+			return
+		}
+		h.l.Apply(m.clock(h), m.log[h.position:])
+		h.position = len(m.log)
+		h.l.LogRead(sent)
+		m.after(pause, func() { m.read(h) })
+	}))
+}
+
 // join renews the membership of a host until it is stopped.
 func (m *model) join(h *modelHost) {
 	m.on(h, func() {
@@ -339,8 +351,12 @@
 	entries := h.queue[0]
 	write := func() { m.write(h, entries) }
 	again := m.on(h, func() { m.append(h) })
+	lateRate := m.lateRate
+	if h == m.lateAppends {
+		lateRate = 0.8
+	}
 	switch {
-	case m.rng.Float64() < m.lateRate:
+	case m.rng.Float64() < lateRate:
 		m.after(m.between(time.Second, 6*time.Second), write)
 		m.after(modelTimeout+modelRetry, again)
 	case m.rng.Float64() < m.lossRate:
@@ -539,10 +555,10 @@
 				m.hosts = append(m.hosts, h)
 				m.boot(h)
 			}
-			m.run(m.between(time.Second, 4*time.Second))
+			m.run(m.between(0, 4*time.Second))
 			for range 4 {
 				m.disturb()
-				m.lossRate, m.lateRate = 0, 0
+				m.lossRate, m.lateRate, m.lateAppends = 0, 0, nil
 				m.run(m.between(time.Second, 4*time.Second))
 			}
 			m.run(12 * time.Second)
@@ -556,7 +572,7 @@
 func (m *model) disturb() {
 	m.lossRate, m.lateRate = 0.35*m.rng.Float64(), 0.35*m.rng.Float64()
 	if m.rng.IntN(2) == 0 {
-		m.lateRate = 0.5
+		m.lateAppends = m.hosts[m.rng.IntN(len(m.hosts))]
 	}
 	for range 4 {
 		m.after(m.between(0, 3*time.Second), m.reassign)
