--- a/internal/daemon/dispatch/actions.go
+++ b/internal/daemon/dispatch/actions.go
@@ -42,7 +42,7 @@
 	case workerpool.Stop:
 		d.metrics.runsStopped.WithLabelValues(string(a.Why)).Inc()
 		d.logger.Info("run stopped", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID, "why", a.Why,
-			"job_host", a.Host, "job_host_heard_ago", d.peers.silence(now, a.Host), "lease_left", a.LeaseLeft)
+			"job_host", a.Host, "submission", a.Submission, "job_host_heard_ago", d.peers.silence(now, a.Host), "lease_left", a.LeaseLeft)
 		go d.sendStop(ctx, a)
 	case workerpool.Poll:
 		go d.sendPoll(ctx, a)
@@ -195,7 +195,7 @@
 		level = log.WarnLevel
 	}
 	d.logger.Log(level, "start answered", "task", a.Run.Task, "run", a.Run.Run, "worker", a.Worker.ID,
-		"verdict", verdict, "fence", a.Fence, "job_host", a.Host, "took", time.Since(sent), "error", err)
+		"verdict", verdict, "fence", a.Fence, "job_host", a.Host, "submission", a.Submission, "took", time.Since(sent), "error", err)
 	d.post(func(now time.Time) {
 		d.core.Pool.StartAnswered(now, a.Worker.ID, a.Run, a.Fence, verdict, clock)
 		if verdict == fleet.StartAccepted {
--- a/internal/decide/workerpool/claims.go
+++ b/internal/decide/workerpool/claims.go
@@ -43,7 +43,7 @@
 		w.removeRun(r)
 		task := c.Task
 		r.task, r.size, r.claimed, r.exclusive, r.stored = &task, task.Size, true, task.Exclusive, task.Stored
-		r.host = task.Host
+		r.host, r.submission = task.Host, task.Submission
 		r.claimBy, r.foundAt = time.Time{}, time.Time{}
 		w.addRun(r)
 	case running:
@@ -65,7 +65,7 @@
 	if r.task != nil && r.task.Host != task.Host {
 		p.returnClaim(*r.task, r.id.Run, "claimed by "+task.Host, p.cfg.MaxLease)
 	}
-	r.task, r.host, r.claimBy = &task, task.Host, time.Time{}
+	r.task, r.host, r.submission, r.claimBy = &task, task.Host, task.Submission, time.Time{}
 }
 
 // LateClaim answers a claim that its host made before it handed the shard of the job over. If
--- a/internal/decide/workerpool/events.go
+++ b/internal/decide/workerpool/events.go
@@ -413,7 +413,7 @@
 	r.nextStop = now.Add(p.cfg.StopRetryDelay)
 	p.emit(Stop{
 		Worker: w.info, Run: r.id, Fence: w.fence, Timeout: p.stopTimeout(),
-		Host: r.host, Why: r.stopReason, LeaseLeft: w.leaseExpiry().Sub(now),
+		Host: r.host, Submission: r.submission, Why: r.stopReason, LeaseLeft: w.leaseExpiry().Sub(now),
 	})
 }
 
--- a/internal/decide/workerpool/pool.go
+++ b/internal/decide/workerpool/pool.go
@@ -139,8 +139,10 @@
 	// GiveUp is how long the request may go on after all; if it is longer than
 	// Timeout, Pool.StartLate is called meanwhile.
 	GiveUp time.Duration
-	// Host is the entry host that answers the job's caller.
-	Host string
+	// Host is the entry host that answers the job's caller, and Submission its number of the
+	// job's submission.
+	Host       string
+	Submission int64
 }
 
 // Stop orders the end of a run. The answer comes back by Pool.StopAnswered.
@@ -151,8 +153,9 @@
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
 	// Host is the entry host that answers, or answered, the job's caller; it is empty if
-	// this host does not know it.
-	Host string
+	// this host does not know it. Submission is its number of the job's submission.
+	Host       string
+	Submission int64
 	// Why is the reason for the stop, for logs.
 	Why StopReason
 	// LeaseLeft is how long the run may still go on if the stop is lost.
--- a/internal/decide/workerpool/schedule.go
+++ b/internal/decide/workerpool/schedule.go
@@ -200,7 +200,7 @@
 	p.scaleAway(w, &task)
 	r := &run{
 		id: fleet.RunID{Task: task.Name, Run: task.NextRun}, size: task.Size, state: runStarting,
-		task: &task, host: task.Host, orderedAt: now, answeredAtPoll: p.lastPoll,
+		task: &task, host: task.Host, submission: task.Submission, orderedAt: now, answeredAtPoll: p.lastPoll,
 	}
 	task.NextRun++
 	r.exclusive, r.stored = task.Exclusive, task.Stored
@@ -212,7 +212,7 @@
 	p.taskStartedHere(now, q)
 	p.emit(Start{
 		Worker: w.info, Run: r.id, Spec: task.Spec, Fence: w.fence, LeaseUntil: w.grantLease(now, lease),
-		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w), Host: task.Host,
+		Timeout: p.startTimeout(), GiveUp: p.giveUpAfter(), Placement: p.placementOf(q, w), Host: task.Host, Submission: task.Submission,
 	})
 }
 
--- a/internal/decide/workerpool/worker.go
+++ b/internal/decide/workerpool/worker.go
@@ -57,9 +57,10 @@
 	// does any more; zero if none is known to have needed it.
 	neededAt time.Time
 	// stopReason is the reason of the first stop, and host the entry host that the run
-	// was for, if known. It outlives the task.
+	// was for, if known, with its number of the submission. They outlive the task.
 	stopReason StopReason
 	host       string
+	submission int64
 	nextStop   time.Time
 	// failedStops counts the stops without an answer.
 	failedStops int
