Number from one the runs of jobs that came after the last driver

Change: a former driver does not drive longer than its membership after the assignment to this host. A job that was not in the log yet when that was over has had no driver, and begins at 1.

--- a/internal/decide/ledger/handover_test.go
+++ b/internal/decide/ledger/handover_test.go
@@ -473,14 +473,14 @@
 // Guards against a run number that is used twice: a job that was accepted after the next takeover
 // had been read was numbered from one by the driver in office and by the next one.
 func TestNextDriverDoesNotRepeatRunNumbers(t *testing.T) {
-	const driven, waiting = testJob, "00000000000000a2"
+	const driven, waiting, late = testJob, "00000000000000a2", "00000000000000a3"
 	for name, c := range map[string]struct {
 		change func(*HandedOver)
 		first  map[string]int
 	}{
 		"handed over":                     {func(*HandedOver) {}, map[string]int{driven: 1 + runsPerTakeover, waiting: 1}},
 		"handed over by an older version": {func(h *HandedOver) { h.Driven, h.ListsDriven = nil, false }, map[string]int{driven: 1 + runsPerTakeover, waiting: 1 + runsPerTakeover}},
-		"waited for":                      {func(h *HandedOver) { h.Parts = 2 }, map[string]int{driven: 1 + runsPerTakeover, waiting: 1 + runsPerTakeover}},
+		"waited for":                      {func(h *HandedOver) { h.Parts = 2 }, map[string]int{driven: 1 + runsPerTakeover, waiting: 1 + runsPerTakeover, late: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			first, next := newHandoverLedger("a", 1), newHandoverLedger("b", 2)
@@ -506,6 +506,11 @@
 			handover := appended[0].Entries[0].(HandedOver)
 			c.change(&handover)
 			next.Apply(now, append(log, handover))
+			if c.first[late] > 0 {
+				now = now.Add(memberTTL + 2*driverEndMargin)
+				next.LogRead(now)
+				next.Apply(now, []Entry{acceptedTwoSteps(late)})
+			}
 			next.LogRead(now.Add(takeoverDelay + time.Second))
 			numbers := map[string]int{}
 			for _, d := range actionsOf[Drive](next.PopActions()) {
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -136,8 +136,10 @@
 	// holds are the last holds of runs.
 	holds     map[fleet.RunID]hold
 	remaining int
-	driven    bool
-	started   bool
+	// absentAt is when the job was certainly not in the log yet.
+	absentAt time.Time
+	driven   bool
+	started  bool
 	// closing is set once this host has asked for the job to be closed, or has
 	// read that it was.
 	closing bool
@@ -355,7 +357,7 @@
 	}
 	l.seq++
 	j := &job{
-		spec: e.Job, route: e.Route, state: Pending, acceptSeq: l.seq,
+		spec: e.Job, route: e.Route, state: Pending, absentAt: l.asOf, acceptSeq: l.seq,
 		doneTasks: map[fleet.TaskName]bool{}, failedRuns: map[fleet.TaskName]offer.RunSet{},
 		losses: map[fleet.RunID]quarantine.Loss{}, holds: map[fleet.RunID]hold{},
 	}
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -182,13 +182,18 @@
 	s.driven = takeover{s.driverTakeover, s.driverGeneration}
 }
 
+// driverEndMargin covers the difference between the clocks of two hosts.
+const driverEndMargin = 100 * time.Millisecond
+
 // beginDriving starts driving a shard whose takeover has been read, unless it has to wait for
 // the previous driver.
 func (l *Ledger) beginDriving(n int) {
 	s := l.shards[n]
 	var handed map[string]*handedWork
 	why := "the previous driver has ended"
-	mayHaveRun := func(string) bool { return true }
+	// The previous driver did not drive longer than its membership after the assignment.
+	driverless := s.assignedAt.Add(l.cfg.MemberTTL + driverEndMargin)
+	mayHaveRun := func(job string) bool { return !l.jobs[job].absentAt.After(driverless) }
 	switch h := l.precedingHandover(s); {
 	case s.ownTakeover == 1 && len(s.takers) == 1:
 		why = "first driver"
