--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// drive makes this host drive under the takeover that it has requested last.
-func (s *shard) drive() {
+// driveUnderOwnTakeover makes this host drive under the takeover that it has requested last.
+func (s *shard) driveUnderOwnTakeover() {
 	s.driving, s.renewBy = true, time.Time{}
 	s.driverTakeover, s.driverGeneration = s.ownTakeover, s.generation
 	s.driven = takeover{s.driverTakeover, s.driverGeneration}
@@ -207,7 +207,7 @@
 		}
 	}
 	s.abandonedUntil = time.Time{}
-	s.drive()
+	s.driveUnderOwnTakeover()
 	l.emit(LogEvent{Message: "shard taken over", Shard: n, Why: fmt.Sprintf("%s; number %d, generation %d", why, s.driverTakeover, s.driverGeneration)})
 	if h := s.lastHandover(); h != nil && len(h.parts) > 0 {
 		l.emit(AppendEntries{[]Entry{HandoverAdopted{Shard: n, Host: h.parts[0].Host, Parts: len(h.parts)}}})
