--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -136,7 +136,7 @@
 	// holds are the last holds of runs.
 	holds     map[fleet.RunID]hold
 	remaining int
-	// absentAt is when the job was certainly not in the log yet.
+	// absentAt is when the last log read was sent that did not have the job.
 	absentAt time.Time
 	driven   bool
 	started  bool
--- a/internal/decide/ledger/shards.go
+++ b/internal/decide/ledger/shards.go
@@ -191,7 +191,7 @@
 	s := l.shards[n]
 	var handed map[string]*handedWork
 	why := "the previous driver has ended"
-	// The previous driver did not drive longer than its membership after the assignment.
+	// The previous driver's membership ends at most MemberTTL after this host's assignment.
 	driverless := s.assignedAt.Add(l.cfg.MemberTTL + driverEndMargin)
 	mayHaveRun := func(job string) bool { return !l.jobs[job].absentAt.After(driverless) }
 	switch h := l.precedingHandover(s); {
--- a/internal/decide/ledger/takers.go
+++ b/internal/decide/ledger/takers.go
@@ -37,7 +37,7 @@
 	case f.number == 0:
 		return true
 	case f.generation >= generation:
-		// It has driven the shard since. What it drove before is not known.
+		// It has driven the shard after that generation. Whether it did before is not known.
 		return false
 	}
 	return t.handover.complete && t.handover.takeovers >= f.number || h.covers(f.number, f.generation)
@@ -87,9 +87,8 @@
 	}
 }
 
-// renewRecords records the last takeovers of this process again of which the log holds an
-// earlier one as the newest, since the store has done its append late. Hosts that start read
-// only the newest record of each host.
+// renewRecords records the last takeover of this process again where a late append has made an
+// earlier one the newest record. Hosts that start read only the newest record of each host.
 func (l *Ledger) renewRecords() {
 	for n, s := range l.shards {
 		if s.newestRecord == s.recorded.Takeovers {
